--- /dev/null
+++ b/landingdrift/src/agreement/mod.rs
@@ -0,0 +1,504 @@
+//! A core: the replicated log, its leader's duties and the feed to the nodes.
+
+mod clock;
+mod duties;
+mod elect;
+mod feed;
+mod replicate;
+mod wake;
+
+pub use clock::AgreedClock;
+
+use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save, Verdict};
+use crate::record::Record;
+use crate::settings::Settings;
+use crate::views::Views;
+use crate::wire::{Body, Entry, Note};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What a core finds on its disk when it starts.
+#[derive(Clone, Debug, Default)]
+pub struct Loaded {
+    /// Drawn when the data folder was made.
+    pub disk: u64,
+    pub hard: Hard,
+    pub capture: Option<Capture>,
+    pub entries: Vec<Entry>,
+    pub notes: Vec<Note>,
+    /// Something in the middle was damaged and left out.
+    pub damaged: bool,
+}
+
+/// The role of a core in its term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Follower,
+    /// Asks whether an election would be won.
+    Asking,
+    Candidate,
+    Leader,
+}
+
+/// What a leader knows of another core.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peer {
+    next: u64,
+    matched: u64,
+    disk: u64,
+    /// When the latest round that it answered was sent.
+    round_sent: u64,
+    /// When it was last heard, and when entries were last sent.
+    heard: u64,
+    sent: u64,
+    installing: u64,
+}
+
+/// What a leader knows of a node that follows the feed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Follower {
+    place: u64,
+    sent: u64,
+    heard: u64,
+    echo: u64,
+    zone: String,
+    http: String,
+    leaving: bool,
+    successor: String,
+}
+
+/// A core.
+pub struct Core {
+    pub(crate) cfg: Settings,
+    pub(crate) name: String,
+    disk: u64,
+    draw: Draw,
+    hard: Hard,
+    role: Role,
+    leader: String,
+    /// The entries after `base`.
+    log: VecDeque<Entry>,
+    base: (u64, u64),
+    capture: Capture,
+    captured: u64,
+    record: Record,
+    commit: u64,
+    durable: u64,
+    ticket: u64,
+    saved: u64,
+    held: VecDeque<(u64, Effect)>,
+    /// Last index in each save not yet durable.
+    saving: VecDeque<(u64, u64)>,
+    unsaved: Save,
+    notes: BTreeMap<String, Note>,
+    /// The farthest place this core has confirmed, as others remember it.
+    floor: (u64, u64),
+    damaged: bool,
+    waking: Option<wake::Waking>,
+    heard_leader: u64,
+    election_at: u64,
+    votes: BTreeSet<String>,
+    peers: BTreeMap<String, Peer>,
+    round: u64,
+    rounds: VecDeque<(u64, u64)>,
+    led_since: u64,
+    opened: u64,
+    duty_index: u64,
+    followers: BTreeMap<String, Follower>,
+    reads: Vec<feed::Read>,
+    asked: BTreeMap<u64, (String, u64)>,
+    /// Whom to tell what has become durable, and the round it asked in.
+    confirmed: Option<(String, u64)>,
+    /// The ticket that makes the current term durable.
+    hard_ticket: u64,
+    joins: BTreeMap<String, (u64, u64)>,
+    wants_round: bool,
+    /// How far the log agrees with that of the present leader.
+    verified: u64,
+    clock: AgreedClock,
+    views: Views,
+    last_tick: u64,
+    members_cache: Option<BTreeMap<String, bool>>,
+    stopping: Option<u64>,
+    disk_dead: bool,
+    counters: BTreeMap<&'static str, u64>,
+    out: Vec<Effect>,
+}
+
+impl Core {
+    /// A core from what its disk holds.
+    pub fn new(cfg: Settings, loaded: Loaded, now: Now, seed: u64) -> Result<Self, String> {
+        let record = loaded.capture.as_ref().map_or_else(|| Ok(Record::new(&cfg.cluster)), |c| Record::unpack(&c.bytes))?;
+        (record.cluster == cfg.cluster).then_some(()).ok_or_else(|| {
+            format!(
+                "the data folder belongs to cluster '{}', not '{}': correct 'cluster' or 'data' in the settings",
+                record.cluster, cfg.cluster
+            )
+        })?;
+        let base = loaded.capture.as_ref().map_or((0, 0), |c| (c.index, c.term));
+        let log: VecDeque<Entry> = loaded.entries.into_iter().filter(|e| e.index > base.0).collect();
+        let last = log.back().map_or(base.0, |e| e.index);
+        let name = cfg.listen.clone();
+        let waking = wake::Waking::new(now, cfg.bounds.wake());
+        let mut views = Views::new(&cfg.listen, "core", &cfg.zone, &cfg.seeds);
+        views.cores = record.cores.keys().cloned().chain(cfg.founders()).collect();
+        Ok(Self {
+            name,
+            disk: loaded.disk,
+            draw: Draw::new(seed),
+            hard: loaded.hard,
+            role: Role::Follower,
+            leader: String::new(),
+            log,
+            base,
+            captured: base.0,
+            capture: loaded.capture.unwrap_or_default(),
+            record,
+            commit: base.0,
+            durable: last,
+            ticket: 0,
+            saved: 0,
+            held: VecDeque::new(),
+            saving: VecDeque::new(),
+            unsaved: Save::default(),
+            notes: loaded.notes.into_iter().map(|n| (n.core.clone(), n)).collect(),
+            floor: (0, 0),
+            damaged: loaded.damaged,
+            waking: Some(waking),
+            heard_leader: now.mono,
+            election_at: now.mono + cfg.bounds.election(),
+            votes: BTreeSet::new(),
+            peers: BTreeMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            led_since: 0,
+            opened: 0,
+            duty_index: 0,
+            followers: BTreeMap::new(),
+            reads: Vec::new(),
+            asked: BTreeMap::new(),
+            confirmed: None,
+            hard_ticket: 0,
+            joins: BTreeMap::new(),
+            wants_round: false,
+            verified: 0,
+            clock: AgreedClock::default(),
+            views,
+            last_tick: now.mono,
+            members_cache: None,
+            stopping: None,
+            disk_dead: false,
+            counters: BTreeMap::new(),
+            out: Vec::new(),
+            cfg,
+        })
+    }
+
+    pub(crate) fn count(&mut self, name: &'static str, n: u64) {
+        *self.counters.entry(name).or_default() += n;
+    }
+
+    fn line(&mut self, text: String) {
+        self.out.push(Effect::Line(text));
+    }
+
+    fn send(&mut self, to: &str, body: Body) {
+        self.out.push(Effect::Send(to.into(), body));
+    }
+
+    fn last(&self) -> (u64, u64) {
+        self.log.back().map_or(self.base, |e| (e.index, e.term))
+    }
+
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base.0 {
+            return Some(self.base.1);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    fn entry(&self, index: u64) -> Option<&Entry> {
+        index.checked_sub(self.base.0 + 1).and_then(|i| self.log.get(i as usize))
+    }
+
+    fn entries(&self, from: u64, most: usize) -> Vec<Entry> {
+        let skip = from.saturating_sub(self.base.0 + 1) as usize;
+        let mut bytes = 0usize;
+        self.log
+            .iter()
+            .skip(skip)
+            .take(most)
+            .take_while(|e| {
+                bytes += e.command.len();
+                bytes <= 8 << 20 || bytes == e.command.len()
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// The cores by the latest entries of the log, committed or not; true for voters.
+    fn members(&mut self) -> BTreeMap<String, bool> {
+        if let Some(m) = &self.members_cache {
+            return m.clone();
+        }
+        let mut m: BTreeMap<String, bool> = self.record.cores.iter().map(|(k, c)| (k.clone(), c.voter)).collect();
+        if m.is_empty() {
+            m = self.cfg.founders().into_iter().map(|a| (a, true)).collect();
+        }
+        let place = self.record.place;
+        for e in self.log.iter().filter(|e| e.index > place) {
+            match serde_json::from_slice::<MemberCommand>(&e.command) {
+                Ok(MemberCommand::Found { cores }) => m = cores.into_iter().map(|c| (c, true)).collect(),
+                Ok(MemberCommand::Core { core, voter, .. }) => {
+                    m.insert(core, voter);
+                }
+                Ok(MemberCommand::CoreGone { core }) => {
+                    m.remove(&core);
+                }
+                Err(_) => {}
+            }
+        }
+        self.members_cache = Some(m.clone());
+        m
+    }
+
+    fn voters(&mut self) -> Vec<String> {
+        self.members().into_iter().filter(|(_, v)| *v).map(|(k, _)| k).collect()
+    }
+
+    fn majority(&mut self) -> usize {
+        self.voters().len() / 2 + 1
+    }
+
+    fn is_voter(&mut self) -> bool {
+        let me = self.name.clone();
+        self.members().get(&me).copied().unwrap_or(false)
+    }
+
+    /// Hands what has changed to the disk; returns the ticket that confirms it.
+    fn flush(&mut self) -> u64 {
+        let s = &self.unsaved;
+        if s.hard.is_none() && s.cut.is_none() && s.entries.is_empty() && s.capture.is_none() {
+            return self.ticket;
+        }
+        self.ticket += 1;
+        let mut save = std::mem::take(&mut self.unsaved);
+        save.ticket = self.ticket;
+        if save.hard.is_some() {
+            self.hard_ticket = self.ticket;
+        }
+        save.notes = self.notes.values().cloned().collect();
+        if let Some(cut) = save.cut {
+            self.durable = self.durable.min(cut.saturating_sub(1));
+            self.saving.iter_mut().for_each(|(_, last)| *last = (*last).min(cut.saturating_sub(1)));
+        }
+        let last = self.last().0;
+        self.saving.push_back((self.ticket, last));
+        self.count("disk_saves", 1);
+        self.out.push(Effect::Save(save));
+        self.ticket
+    }
+
+    /// Sends once everything changed so far is durable.
+    fn send_durable(&mut self, to: &str, body: Body) {
+        let ticket = self.flush();
+        if ticket <= self.saved {
+            self.send(to, body);
+        } else {
+            self.held.push_back((ticket, Effect::Send(to.into(), body)));
+        }
+    }
+
+    fn on_saved(&mut self, now: Now, ticket: u64) {
+        self.saved = self.saved.max(ticket);
+        while let Some((_, last)) = self.saving.pop_front_if(|(t, _)| *t <= ticket) {
+            self.durable = self.durable.max(last);
+        }
+        while let Some((_, effect)) = self.held.pop_front_if(|(t, _)| *t <= ticket) {
+            self.out.push(effect);
+        }
+        match self.role {
+            Role::Leader => self.advance(now),
+            Role::Candidate => self.tally(now),
+            _ => self.confirm(),
+        }
+    }
+
+    /// Applies what is committed and gives the waiting their verdicts.
+    fn apply_committed(&mut self) {
+        while self.record.place < self.commit {
+            let next = self.record.place + 1;
+            let Some(e) = self.entry(next).cloned() else { break };
+            let ruling = self.record.apply_bytes(e.index, e.at, &e.command);
+            self.count("entries_applied", 1);
+            self.count("entries_refused", u64::from(ruling.is_err()));
+            if let Some((to, token)) = self.asked.remove(&next) {
+                let verdict = crate::record::pack_ruling(&ruling);
+                let leader = self.name.clone();
+                self.send(
+                    &to,
+                    Body::Proposed(Box::new(crate::wire::Proposed {
+                        token,
+                        outcome: 0,
+                        place: next,
+                        leader,
+                        verdict,
+                    })),
+                );
+            }
+        }
+        self.capture_when_due();
+    }
+
+    fn capture_when_due(&mut self) {
+        let every = self.cfg.limits.capture_every;
+        let place = self.record.place;
+        if place < self.captured + every || self.unsaved.capture.is_some() {
+            return;
+        }
+        let Some(term) = self.term_at(place) else { return };
+        self.capture = Capture {
+            index: place,
+            term,
+            bytes: self.record.pack(),
+        };
+        self.captured = place;
+        self.unsaved.capture = Some(self.capture.clone());
+        self.count("captures", 1);
+        // A tail stays in memory for those that are only a little behind.
+        let keep_from = place.saturating_sub(every / 2);
+        while self.log.front().is_some_and(|e| e.index <= keep_from) {
+            self.base = self.log.pop_front().map_or(self.base, |e| (e.index, e.term));
+        }
+        self.flush();
+    }
+
+    fn on_tick(&mut self, now: Now) {
+        let gap = now.mono.saturating_sub(self.last_tick);
+        self.last_tick = now.mono;
+        if gap > self.cfg.bounds.election() / 2 {
+            // This process was frozen: nothing it failed to hear meanwhile says anything of others.
+            self.count("own_freezes", 1);
+            self.heard_leader = now.mono;
+            self.arm_election(now);
+            self.peers.values_mut().for_each(|p| p.heard = now.mono);
+            self.followers.values_mut().for_each(|f| f.heard = now.mono);
+        }
+        self.wake_tick(now);
+        let every = self.cfg.bounds.shuffle();
+        self.views
+            .tick(now, every, &mut self.draw)
+            .into_iter()
+            .for_each(|(to, m)| self.out.push(Effect::Send(to, Body::Shuffle(Box::new(m)))));
+        match self.role {
+            Role::Leader => self.lead_tick(now),
+            _ if now.mono >= self.election_at => self.stand(now),
+            _ => {}
+        }
+        if self.stopping.is_some_and(|until| now.mono >= until || self.role != Role::Leader) {
+            self.out.push(Effect::Exit);
+        }
+    }
+
+    fn on_stop(&mut self, now: Now) {
+        self.stopping = Some(now.mono + self.cfg.bounds.election());
+        if self.role == Role::Leader {
+            self.hand_over();
+        }
+    }
+
+    /// What the core says of itself over HTTP.
+    fn on_call(&mut self, now: Now, call: u64, req: &crate::kernel::Request) {
+        let ready = !self.disk_dead && self.waking.is_none() && (self.role == Role::Leader || now.mono.saturating_sub(self.heard_leader) < 2 * self.cfg.bounds.election());
+        let verdict = match (req.method.as_str(), req.path.as_str()) {
+            ("GET", "/live") => Verdict::new(200, json!({"live": true})),
+            ("GET", "/ready") => Verdict::new(if ready && self.stopping.is_none() { 200 } else { 503 }, json!({"ready": ready && self.stopping.is_none()})),
+            ("GET", "/metrics") => Verdict::new(200, json!(self.counters().into_iter().collect::<BTreeMap<_, _>>())),
+            ("GET", "/v1/status") => {
+                let members = self.members();
+                Verdict::new(
+                    200,
+                    json!({"core": self.name, "role": format!("{:?}", self.role), "leader": self.leader, "term": self.hard.term, "commit": self.commit,
+                           "last": self.last().0, "members": members, "version": self.record.version}),
+                )
+            }
+            _ => Verdict::error(404, "noSuchRoute", "a core serves /live, /ready, /metrics and /v1/status: send all else to a node"),
+        };
+        self.out.push(Effect::Answer(call, verdict));
+    }
+
+    /// The record, for tests and for the simulator's checks.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Whether this core leads.
+    pub fn leads(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// The term this core is in.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+}
+
+/// The commands that change who the cores are.
+#[derive(serde::Deserialize)]
+enum MemberCommand {
+    Found { cores: Vec<String> },
+    Core { core: String, voter: bool },
+    CoreGone { core: String },
+}
+
+impl Part for Core {
+    fn step(&mut self, now: Now, msg: Msg) -> Vec<Effect> {
+        match msg {
+            Msg::Tick => self.on_tick(now),
+            Msg::Saved(ticket) => self.on_saved(now, ticket),
+            Msg::DiskDefect(why) => {
+                self.disk_dead = true;
+                self.line(format!("the disk refused ({why}): this core stops; free the disk or replace the machine, then start it again"));
+                self.out.push(Effect::Exit);
+            }
+            Msg::Call(call, req) => self.on_call(now, call, &req),
+            Msg::Changed(new) => self.cfg = *new,
+            Msg::Stop => self.on_stop(now),
+            Msg::Wire(from, body) => match body {
+                Body::Hello(m) => self.on_hello(now, &from, *m),
+                Body::Vote(m) => self.on_vote(now, &from, &m),
+                Body::VoteVerdict(m) => self.on_vote_verdict(now, &from, &m),
+                Body::Append(m) => self.on_append(now, &from, *m),
+                Body::AppendVerdict(m) => self.on_append_verdict(now, &from, &m),
+                Body::Install(m) => self.on_install(now, &from, *m),
+                Body::HandOver(m) => self.on_hand_over(now, m.term),
+                Body::Join(m) => self.on_join(now, &from, m.disk),
+                Body::FeedPull(m) => self.on_pull(now, &from, *m),
+                Body::Shuffle(m) => {
+                    let members = self.members().into_keys().collect();
+                    self.views.set_cores(members);
+                    self.views.take(*m, &mut self.draw).into_iter().for_each(|back| self.send(&from, Body::Shuffle(Box::new(back))));
+                }
+                Body::Propose(m) => self.on_propose(now, &from, m.token, m.command),
+                Body::ReadAsk(m) => self.on_read(now, &from, m.token),
+                _ => self.count("messages_out_of_place", 1),
+            },
+        }
+        if self.role == Role::Leader && std::mem::take(&mut self.wants_round) {
+            self.send_round(now);
+        }
+        self.flush();
+        std::mem::take(&mut self.out)
+    }
+
+    fn counters(&self) -> Vec<(String, u64)> {
+        let mut all: Vec<(String, u64)> = self.counters.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+        all.push(("term".into(), self.hard.term));
+        all.push(("commit".into(), self.commit));
+        all.push(("leads".into(), u64::from(self.role == Role::Leader)));
+        all.push(("jobs_open".into(), self.record.open.len() as u64));
+        all.push(("jobs_kept".into(), self.record.jobs.len() as u64));
+        all.push(("log_entries_in_memory".into(), self.log.len() as u64));
+        all
+    }
+}
--- /dev/null
+++ b/landingdrift/src/agreement/replicate.rs
@@ -0,0 +1,304 @@
+use super::{Core, Role};
+use crate::kernel::{Capture, Now};
+use crate::record::{Command, Record};
+use crate::wire::{Append, AppendVerdict, Body, Entry, Install, Note};
+
+impl Core {
+    /// Enters a command into the log; returns its index.
+    pub(super) fn push(&mut self, now: Now, command: &Command) -> u64 {
+        let bytes = serde_json::to_vec(command).unwrap_or_default();
+        if matches!(command, Command::Found { .. } | Command::Core { .. } | Command::CoreGone { .. }) {
+            self.members_cache = None;
+        }
+        self.push_bytes(now, bytes)
+    }
+
+    pub(super) fn push_bytes(&mut self, now: Now, command: Vec<u8>) -> u64 {
+        let before = self.log.back().map_or(self.record.at, |e| e.at).max(self.record.at);
+        let at = self.clock.read(now).max(before);
+        let index = self.last().0 + 1;
+        self.count("log_bytes", command.len() as u64);
+        let e = Entry {
+            index,
+            term: self.hard.term,
+            at,
+            command,
+        };
+        self.log.push_back(e.clone());
+        self.unsaved.entries.push(e);
+        index
+    }
+
+    /// Sends entries, or just a beat, to all other cores.
+    pub(super) fn send_round(&mut self, now: Now) {
+        self.round += 1;
+        self.rounds.push_back((self.round, now.mono));
+        if self.rounds.len() > 1000 {
+            self.rounds.pop_front();
+        }
+        let to: Vec<String> = self.peers.keys().cloned().collect();
+        to.iter().for_each(|p| self.replicate(now, p));
+    }
+
+    fn replicate(&mut self, now: Now, to: &str) {
+        let Some(p) = self.peers.get(to).cloned() else { return };
+        let (term, round, commit) = (self.hard.term, self.round, self.commit);
+        let prev = p.next - 1;
+        let Some(prev_term) = self.term_at(prev) else {
+            // Too far behind for the log: the capture goes first, not more often than it can arrive.
+            if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
+                let c = self.capture.clone();
+                self.count("captures_sent", 1);
+                self.peers.get_mut(to).iter_mut().for_each(|p| p.installing = now.mono.max(1));
+                self.send(
+                    to,
+                    Body::Install(Box::new(Install {
+                        term,
+                        round,
+                        index: c.index,
+                        index_term: c.term,
+                        capture: c.bytes,
+                    })),
+                );
+            }
+            return;
+        };
+        let entries = self.entries(p.next, 512);
+        let next = entries.last().map_or(p.next, |e| e.index + 1);
+        self.peers.get_mut(to).iter_mut().for_each(|p| {
+            p.next = next;
+            p.sent = now.mono;
+        });
+        let notes: Vec<Note> = self.notes.values().cloned().collect();
+        self.send(
+            to,
+            Body::Append(Box::new(Append {
+                term,
+                prev_index: prev,
+                prev_term,
+                commit,
+                round,
+                entries,
+                notes,
+            })),
+        );
+    }
+
+    pub(super) fn on_append(&mut self, now: Now, from: &str, m: Append) {
+        if m.term < self.hard.term {
+            let (term, last_index, disk) = (self.hard.term, self.last().0, self.disk);
+            self.send(
+                from,
+                Body::AppendVerdict(Box::new(AppendVerdict {
+                    term,
+                    ok: false,
+                    matched: 0,
+                    last_index,
+                    round: 0,
+                    clock: now.wall,
+                    disk,
+                })),
+            );
+            return;
+        }
+        self.follow(now, m.term, from);
+        self.heard_leader = now.mono;
+        self.arm_election(now);
+        let me = self.name.clone();
+        m.notes.into_iter().filter(|n| n.core != me).for_each(|n| {
+            self.notes.insert(n.core.clone(), n);
+        });
+        let fits = m.prev_index < self.base.0 || self.term_at(m.prev_index) == Some(m.prev_term);
+        let mut matched = 0;
+        if fits {
+            matched = m.prev_index;
+            for e in m.entries {
+                matched = e.index;
+                if e.index <= self.base.0 || self.term_at(e.index) == Some(e.term) {
+                    continue;
+                }
+                if e.index <= self.last().0 {
+                    self.cut(e.index);
+                }
+                if e.index == self.last().0 + 1 {
+                    self.log.push_back(e.clone());
+                    self.unsaved.entries.push(e);
+                    self.members_cache = None;
+                }
+            }
+            self.verified = self.verified.max(matched);
+            self.commit = self.commit.max(m.commit.min(matched));
+            self.apply_committed();
+            self.rise();
+        }
+        self.flush();
+        let (term, last_index, disk) = (self.hard.term, self.last().0, self.disk);
+        let matched = matched.min(self.durable);
+        self.confirmed = Some((from.to_string(), m.round));
+        self.send_durable_hard(
+            from,
+            AppendVerdict {
+                term,
+                ok: fits,
+                matched,
+                last_index,
+                round: m.round,
+                clock: now.wall,
+                disk,
+            },
+        );
+    }
+
+    /// The verdict must not leave before the term it names is durable; the entries have their own mark.
+    fn send_durable_hard(&mut self, to: &str, v: AppendVerdict) {
+        let body = Body::AppendVerdict(Box::new(v));
+        if self.hard_ticket <= self.saved {
+            self.send(to, body);
+        } else {
+            let t = self.hard_ticket;
+            self.held.push_back((t, crate::kernel::Effect::Send(to.into(), body)));
+        }
+    }
+
+    fn cut(&mut self, from: u64) {
+        let keep = (from - self.base.0 - 1) as usize;
+        self.log.truncate(keep);
+        self.unsaved.entries.retain(|e| e.index < from);
+        self.unsaved.cut = Some(self.unsaved.cut.map_or(from, |c| c.min(from)));
+        self.durable = self.durable.min(from - 1);
+        self.verified = self.verified.min(from - 1);
+        self.members_cache = None;
+        self.count("entries_cut", 1);
+    }
+
+    /// Once caught up with what it had confirmed, a core counts again.
+    fn rise(&mut self) {
+        let (index, term) = self.last();
+        if self.floor > (0, 0) && (term, index) >= self.floor {
+            self.floor = (0, 0);
+            self.line(format!("caught up at {index} of term {term}: votes again"));
+        }
+    }
+
+    /// Tells the leader what has become durable since.
+    pub(super) fn confirm(&mut self) {
+        let (term, last_index, disk, matched) = (self.hard.term, self.last().0, self.disk, self.durable.min(self.verified));
+        let told = self.confirmed.clone();
+        if let Some((to, round)) = told.filter(|(to, _)| *to == self.leader && !to.is_empty()) {
+            self.send_durable_hard(
+                &to,
+                AppendVerdict {
+                    term,
+                    ok: true,
+                    matched,
+                    last_index,
+                    round,
+                    clock: 0,
+                    disk,
+                },
+            );
+        }
+    }
+
+    pub(super) fn on_append_verdict(&mut self, now: Now, from: &str, m: &AppendVerdict) {
+        if m.term > self.hard.term {
+            self.follow(now, m.term, "");
+            return;
+        }
+        if self.role != Role::Leader || m.term < self.hard.term {
+            return;
+        }
+        if m.clock > 0 {
+            self.clock.sample(now, from, m.clock);
+        }
+        let sent = self.rounds.iter().find(|(r, _)| *r == m.round).map_or(0, |(_, at)| *at);
+        let last = self.last().0;
+        let Some(p) = self.peers.get_mut(from) else { return };
+        p.heard = now.mono;
+        p.round_sent = p.round_sent.max(sent);
+        p.disk = m.disk;
+        p.installing = 0;
+        if m.ok {
+            p.matched = p.matched.max(m.matched.min(last));
+            let (disk, matched) = (m.disk, p.matched);
+            if p.next <= matched {
+                p.next = matched + 1;
+            }
+            let term = self.term_at(matched).unwrap_or(0);
+            self.notes.insert(
+                from.into(),
+                Note {
+                    core: from.into(),
+                    disk,
+                    index: matched,
+                    term,
+                },
+            );
+            self.advance(now);
+            let more = self.peers.get(from).is_some_and(|p| p.next <= last);
+            if more {
+                self.replicate(now, from);
+            }
+        } else {
+            // Back to where the logs may agree; a shorter log than confirmed before means its disk lost some.
+            p.matched = p.matched.min(m.last_index);
+            p.next = (m.last_index + 1).min(p.next.saturating_sub(1)).max(1);
+            self.replicate(now, from);
+        }
+        self.answer_reads(now);
+    }
+
+    /// Commits what a majority has on disk.
+    pub(super) fn advance(&mut self, now: Now) {
+        let me = self.name.clone();
+        let voters = self.voters();
+        let mut marks: Vec<u64> = voters.iter().map(|v| if *v == me { self.durable } else { self.peers.get(v).map_or(0, |p| p.matched) }).collect();
+        marks.sort_unstable();
+        let mark = marks[(marks.len() - 1) / 2];
+        if mark > self.commit && self.term_at(mark) == Some(self.hard.term) {
+            self.commit = mark;
+            self.apply_committed();
+            self.push_feed(now);
+            self.answer_reads(now);
+        }
+    }
+
+    pub(super) fn on_install(&mut self, now: Now, from: &str, m: Install) {
+        if m.term < self.hard.term {
+            return;
+        }
+        self.follow(now, m.term, from);
+        self.heard_leader = now.mono;
+        self.arm_election(now);
+        if m.index > self.commit {
+            match Record::unpack(&m.capture) {
+                Ok(r) => {
+                    self.record = r;
+                    self.log.clear();
+                    self.base = (m.index, m.index_term);
+                    self.captured = m.index;
+                    self.commit = m.index;
+                    self.capture = Capture {
+                        index: m.index,
+                        term: m.index_term,
+                        bytes: m.capture,
+                    };
+                    self.unsaved.entries.clear();
+                    self.unsaved.cut = Some(1);
+                    self.unsaved.capture = Some(self.capture.clone());
+                    self.members_cache = None;
+                    self.durable = 0;
+                    self.verified = m.index;
+                    self.count("captures_installed", 1);
+                    self.rise();
+                }
+                Err(why) => self.line(why),
+            }
+        }
+        self.confirmed = Some((from.to_string(), m.round));
+        let ticket = self.flush();
+        if ticket <= self.saved {
+            self.confirm();
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/daemon/disks.rs
@@ -0,0 +1,31 @@
+use super::control::Input;
+use crate::disk::Folder;
+use crate::kernel::{Msg, Save};
+use std::sync::mpsc::{channel, Sender};
+use std::thread;
+
+/// The thread that writes; all that waits is written together and synced once.
+pub struct Disk(Sender<Save>);
+
+impl Disk {
+    pub fn start(mut folder: Folder, inputs: Sender<Input>) -> Self {
+        let (tx, rx) = channel::<Save>();
+        thread::spawn(move || {
+            while let Ok(first) = rx.recv() {
+                let mut batch = vec![first];
+                batch.extend(rx.try_iter());
+                let ticket = batch.last().map_or(0, |s| s.ticket);
+                let msg = folder.save(&batch).map_or_else(|e| Msg::DiskDefect(e.to_string()), |()| Msg::Saved(ticket));
+                let dead = matches!(msg, Msg::DiskDefect(_));
+                if inputs.send(Input::Msg(msg)).is_err() || dead {
+                    return;
+                }
+            }
+        });
+        Self(tx)
+    }
+
+    pub fn save(&self, s: Save) {
+        let _ = self.0.send(s);
+    }
+}
--- /dev/null
+++ b/landingdrift/src/disk/frames.rs
@@ -0,0 +1,92 @@
+use crate::kernel::{Capture, Hard};
+use crate::wire::{Entry, Note};
+
+/// One piece of a segment or capture file.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    Hard(Hard),
+    Cut(u64),
+    Entry(Entry),
+    Notes(Vec<Note>),
+    Capture(Capture),
+}
+
+const HEAD: usize = 8;
+/// No frame is longer; a length beyond it is damage.
+const LONGEST: usize = 256 << 20;
+
+impl Frame {
+    /// Appends length, checksum and payload.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let mut body = Vec::new();
+        match self {
+            Self::Hard(h) => {
+                body.push(1);
+                body.extend(serde_json::to_vec(h).unwrap_or_default());
+            }
+            Self::Cut(c) => {
+                body.push(2);
+                body.extend(c.to_le_bytes());
+            }
+            Self::Entry(e) => {
+                body.push(3);
+                [e.index, e.term, e.at].iter().for_each(|n| body.extend(n.to_le_bytes()));
+                body.extend(&e.command);
+            }
+            Self::Notes(notes) => {
+                body.push(4);
+                let plain: Vec<(&str, u64, u64, u64)> = notes.iter().map(|n| (n.core.as_str(), n.disk, n.index, n.term)).collect();
+                body.extend(serde_json::to_vec(&plain).unwrap_or_default());
+            }
+            Self::Capture(c) => {
+                body.push(5);
+                [c.index, c.term].iter().for_each(|n| body.extend(n.to_le_bytes()));
+                body.extend(&c.bytes);
+            }
+        }
+        out.extend((body.len() as u32).to_le_bytes());
+        out.extend(crc32fast::hash(&body).to_le_bytes());
+        out.extend(body);
+    }
+
+    /// Reads the frame at the start of `bytes`; also how long it was.
+    pub fn read(bytes: &[u8]) -> Option<(Self, usize)> {
+        let len = u32::from_le_bytes(bytes.get(0..4)?.try_into().ok()?) as usize;
+        let sum = u32::from_le_bytes(bytes.get(4..8)?.try_into().ok()?);
+        let body = (1..=LONGEST).contains(&len).then(|| bytes.get(HEAD..HEAD + len)).flatten()?;
+        (crc32fast::hash(body) == sum).then_some(())?;
+        let rest = &body[1..];
+        let num = |i: usize| rest.get(i * 8..i * 8 + 8).and_then(|b| b.try_into().ok()).map(u64::from_le_bytes);
+        let frame = match body[0] {
+            1 => Self::Hard(serde_json::from_slice(rest).ok()?),
+            2 => Self::Cut(num(0)?),
+            3 => Self::Entry(Entry {
+                index: num(0)?,
+                term: num(1)?,
+                at: num(2)?,
+                command: rest.get(24..)?.to_vec(),
+            }),
+            4 => {
+                let plain: Vec<(String, u64, u64, u64)> = serde_json::from_slice(rest).ok()?;
+                Self::Notes(plain.into_iter().map(|(core, disk, index, term)| Note { core, disk, index, term }).collect())
+            }
+            5 => Self::Capture(Capture {
+                index: num(0)?,
+                term: num(1)?,
+                bytes: rest.get(16..)?.to_vec(),
+            }),
+            _ => return None,
+        };
+        Some((frame, HEAD + len))
+    }
+
+    /// Whether a whole frame stands anywhere in `bytes`.
+    pub fn any_in(bytes: &[u8]) -> bool {
+        (1..bytes.len().saturating_sub(HEAD)).any(|i| Self::read(&bytes[i..]).is_some())
+    }
+
+    /// The next whole frame in `bytes` after damage: where it stands.
+    pub fn resync(bytes: &[u8]) -> Option<usize> {
+        (1..bytes.len().saturating_sub(HEAD)).find(|i| Self::read(&bytes[*i..]).is_some())
+    }
+}
--- /dev/null
+++ b/landingdrift/src/disk/load.rs
@@ -0,0 +1,119 @@
+use super::frames::Frame;
+use super::{io, DiskDefect};
+use crate::kernel::{Capture, Hard};
+use crate::wire::{Entry, Note};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// All that a folder holds.
+#[derive(Default)]
+pub struct Found {
+    pub hard: Hard,
+    pub capture: Option<Capture>,
+    pub entries: Vec<Entry>,
+    pub notes: Vec<Note>,
+    /// Something that was confirmed can't be read.
+    pub damaged: bool,
+    /// The last write was cut short, as a crash does.
+    pub torn: bool,
+    /// Segments with the last index in each.
+    pub segments: Vec<(u64, u64)>,
+}
+
+/// Files of a folder by the number in their names.
+pub fn numbered(path: &Path, head: &str, tail: &str) -> Result<Vec<(u64, PathBuf)>, DiskDefect> {
+    let mut of: Vec<(u64, PathBuf)> = fs::read_dir(path)
+        .map_err(io(path))?
+        .filter_map(Result::ok)
+        .filter_map(|e| {
+            e.file_name()
+                .into_string()
+                .ok()
+                .and_then(|n| n.strip_prefix(head).and_then(|n| n.strip_suffix(tail)).and_then(|n| n.parse().ok()))
+                .map(|n| (n, e.path()))
+        })
+        .collect();
+    of.sort();
+    Ok(of)
+}
+
+/// Reads the newest whole capture and all segments. With `mend`, a torn tail is cut off.
+pub fn load(path: &Path, mend: bool) -> Result<Found, DiskDefect> {
+    let mut found = Found::default();
+    for (_, p) in numbered(path, "capture-", ".capture")?.iter().rev() {
+        let bytes = fs::read(p).map_err(io(p))?;
+        match Frame::read(&bytes) {
+            Some((Frame::Capture(c), _)) => {
+                found.capture = Some(c);
+                break;
+            }
+            _ => found.damaged = true,
+        }
+    }
+    let base = found.capture.as_ref().map_or(0, |c| c.index);
+    let segments = numbered(path, "log-", ".segment")?;
+    for (i, (number, p)) in segments.iter().enumerate() {
+        let bytes = fs::read(p).map_err(io(p))?;
+        let mut at = 0;
+        while at < bytes.len() {
+            match Frame::read(&bytes[at..]) {
+                Some((frame, len)) => {
+                    found.take(frame, base);
+                    at += len;
+                }
+                // Nothing whole follows: the last write was cut short and was never confirmed.
+                None if i + 1 == segments.len() && !Frame::any_in(&bytes[at..]) => {
+                    found.torn = true;
+                    if mend {
+                        fs::OpenOptions::new()
+                            .write(true)
+                            .open(p)
+                            .and_then(|f| f.set_len(at as u64).and_then(|()| f.sync_all()))
+                            .map_err(io(p))?;
+                    }
+                    break;
+                }
+                None => {
+                    // An older segment's torn end was cut when it was opened next, so this is damage.
+                    found.damaged = true;
+                    match Frame::resync(&bytes[at..]) {
+                        Some(skip) => at += skip,
+                        None => break,
+                    }
+                }
+            }
+        }
+        let last = found.entries.last().map_or(base, |e| e.index);
+        found.segments.push((*number, last));
+    }
+    found.entries.retain(|e| e.index > base);
+    Ok(found)
+}
+
+impl Found {
+    fn take(&mut self, frame: Frame, base: u64) {
+        match frame {
+            Frame::Hard(h) => self.hard = h,
+            Frame::Cut(c) => self.entries.retain(|e| e.index < c),
+            Frame::Notes(n) => self.notes = n,
+            Frame::Entry(e) => match self.entries.last().map(|l| l.index) {
+                Some(last) if e.index == last + 1 => self.entries.push(e),
+                None if e.index <= base + 1 => self.entries.push(e),
+                // After a gap: what lies beyond it can't be used.
+                Some(last) if e.index > last + 1 => {
+                    if last >= base {
+                        self.damaged = true;
+                    } else {
+                        self.entries = vec![e];
+                    }
+                }
+                None => self.damaged = true,
+                Some(_) => {
+                    self.entries.retain(|x| x.index < e.index);
+                    self.entries.push(e);
+                }
+            },
+            Frame::Capture(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/disk/mod.rs
@@ -0,0 +1,257 @@
+//! The data folder: a log in segments with captures beside it; only what is synced counts.
+
+mod frames;
+mod load;
+
+use crate::agreement::Loaded;
+use crate::kernel::{Capture, Hard, Save};
+use frames::Frame;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// Version of the folder's format; another one is refused.
+pub const FOLDER_VERSION: u16 = 1;
+
+const MARK: &str = "landingdrift.json";
+
+/// What is wrong with a data folder.
+#[derive(Debug)]
+pub enum DiskDefect {
+    /// The file system refused.
+    Io { path: PathBuf, why: std::io::Error },
+    /// The folder holds something else.
+    Foreign(PathBuf),
+    /// Another build's folder.
+    Version { found: u16 },
+    /// Another cluster's folder.
+    Cluster { found: String, wanted: String },
+    /// Another process uses it.
+    Busy(PathBuf),
+}
+
+impl fmt::Display for DiskDefect {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Io { path, why } if why.kind() == std::io::ErrorKind::StorageFull => write!(f, "{}: the disk is full: free some of it, then start again", path.display()),
+            Self::Io { path, why } => write!(f, "{}: {why}: check the folder's rights and its disk", path.display()),
+            Self::Foreign(p) => write!(f, "{} holds files of something else: name an empty folder or the one this core used before", p.display()),
+            Self::Version { found } => write!(f, "the data folder has format {found}, this build reads {FOLDER_VERSION}: run the build that wrote it"),
+            Self::Cluster { found, wanted } => write!(f, "the data folder belongs to cluster '{found}', not '{wanted}': correct 'cluster' or 'data'"),
+            Self::Busy(p) => write!(f, "{} is in use by another process: stop that one first", p.display()),
+        }
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Mark {
+    format: u16,
+    cluster: String,
+    disk: u64,
+}
+
+/// An open data folder.
+pub struct Folder {
+    path: PathBuf,
+    segment: File,
+    number: u64,
+    size: u64,
+    segment_bytes: u64,
+    hard: Hard,
+    /// Last index in every closed segment, by its number.
+    closed: Vec<(u64, u64)>,
+    last: u64,
+    _lock: File,
+}
+
+fn io(path: &Path) -> impl Fn(std::io::Error) -> DiskDefect + '_ {
+    move |why| DiskDefect::Io { path: path.to_path_buf(), why }
+}
+
+fn sync_dir(path: &Path) -> Result<(), DiskDefect> {
+    File::open(path).and_then(|d| d.sync_all()).map_err(io(path))
+}
+
+fn write_synced(path: &Path, bytes: &[u8]) -> Result<(), DiskDefect> {
+    let tmp = path.with_extension("new");
+    let mut f = File::create(&tmp).map_err(io(&tmp))?;
+    f.write_all(bytes).and_then(|()| f.sync_all()).map_err(io(&tmp))?;
+    fs::rename(&tmp, path).map_err(io(path))?;
+    path.parent().map_or(Ok(()), sync_dir)
+}
+
+/// What an offline look at a data folder finds.
+#[derive(Debug, Serialize)]
+pub struct Findings {
+    pub cluster: String,
+    pub disk: u64,
+    pub capture_index: u64,
+    pub first: u64,
+    pub last: u64,
+    pub term: u64,
+    pub damaged: bool,
+    pub torn_tail: bool,
+}
+
+impl Folder {
+    /// Opens a folder, or makes one, and reads all it holds. `fresh` names a new disk.
+    pub fn open(path: &Path, cluster: &str, segment_bytes: u64, fresh: u64) -> Result<(Self, Loaded), DiskDefect> {
+        fs::create_dir_all(path).map_err(io(path))?;
+        let mark_path = path.join(MARK);
+        let names: Vec<String> = fs::read_dir(path).map_err(io(path))?.filter_map(|e| e.ok().and_then(|e| e.file_name().into_string().ok())).collect();
+        if !mark_path.exists() {
+            let strange = names.iter().any(|n| !n.ends_with(".new") && n != "lock");
+            (!strange).then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
+            let mark = Mark {
+                format: FOLDER_VERSION,
+                cluster: cluster.into(),
+                disk: fresh,
+            };
+            write_synced(&mark_path, &serde_json::to_vec(&mark).unwrap_or_default())?;
+        }
+        let lock_path = path.join("lock");
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(&lock_path).map_err(io(&lock_path))?;
+        lock.try_lock().map_err(|_| DiskDefect::Busy(path.to_path_buf()))?;
+        let mark = read_mark(path)?;
+        (mark.cluster == cluster).then_some(()).ok_or_else(|| DiskDefect::Cluster {
+            found: mark.cluster.clone(),
+            wanted: cluster.into(),
+        })?;
+        let found = load::load(path, true)?;
+        let loaded = Loaded {
+            disk: mark.disk,
+            hard: found.hard.clone(),
+            capture: found.capture,
+            entries: found.entries,
+            notes: found.notes,
+            damaged: found.damaged,
+        };
+        let last = loaded.entries.last().map_or(loaded.capture.as_ref().map_or(0, |c| c.index), |e| e.index);
+        let number = found.segments.last().map_or(0, |(n, _)| *n) + 1;
+        let segment = Self::create(path, number)?;
+        let mut folder = Self {
+            path: path.into(),
+            segment,
+            number,
+            size: 0,
+            segment_bytes,
+            hard: found.hard,
+            closed: found.segments,
+            last,
+            _lock: lock,
+        };
+        // A new segment starts with all that the older ones may be dropped for.
+        let mut first = Save {
+            hard: Some(folder.hard.clone()),
+            notes: loaded.notes.clone(),
+            ..Save::default()
+        };
+        if loaded.damaged {
+            first.cut = Some(1);
+            first.entries = loaded.entries.clone();
+        }
+        folder.save(&[first])?;
+        Ok((folder, loaded))
+    }
+
+    fn create(path: &Path, number: u64) -> Result<File, DiskDefect> {
+        let p = path.join(format!("log-{number:016}.segment"));
+        let f = OpenOptions::new().create(true).append(true).open(&p).map_err(io(&p))?;
+        sync_dir(path)?;
+        Ok(f)
+    }
+
+    /// Writes a batch of saves and syncs once for all of them.
+    pub fn save(&mut self, batch: &[Save]) -> Result<(), DiskDefect> {
+        let mut bytes = Vec::new();
+        for s in batch {
+            s.hard.iter().for_each(|h| {
+                self.hard = h.clone();
+                Frame::Hard(h.clone()).write(&mut bytes);
+            });
+            s.cut.iter().for_each(|c| {
+                self.last = self.last.min(c.saturating_sub(1));
+                Frame::Cut(*c).write(&mut bytes);
+            });
+            s.entries.iter().for_each(|e| {
+                self.last = e.index;
+                Frame::Entry(e.clone()).write(&mut bytes);
+            });
+            if !s.notes.is_empty() {
+                Frame::Notes(s.notes.clone()).write(&mut bytes);
+            }
+        }
+        // A capture goes first: a cut that relies on it must not be seen without it.
+        for c in batch.iter().filter_map(|s| s.capture.as_ref()) {
+            self.write_capture(c)?;
+        }
+        let path = self.path.clone();
+        self.segment.write_all(&bytes).and_then(|()| self.segment.sync_data()).map_err(io(&path))?;
+        self.size += bytes.len() as u64;
+        if let Some(c) = batch.iter().rev().find_map(|s| s.capture.as_ref()) {
+            self.drop_old(c.index)?;
+        }
+        if self.size >= self.segment_bytes {
+            self.roll()?;
+        }
+        Ok(())
+    }
+
+    fn roll(&mut self) -> Result<(), DiskDefect> {
+        self.closed.push((self.number, self.last));
+        self.number += 1;
+        self.segment = Self::create(&self.path, self.number)?;
+        self.size = 0;
+        let hard = self.hard.clone();
+        self.save(&[Save { hard: Some(hard), ..Save::default() }])
+    }
+
+    fn write_capture(&mut self, c: &Capture) -> Result<(), DiskDefect> {
+        let mut bytes = Vec::new();
+        Frame::Capture(c.clone()).write(&mut bytes);
+        write_synced(&self.path.join(format!("capture-{:016}.capture", c.index)), &bytes)
+    }
+
+    /// Segments that end before the capture, and all but the two newest captures, are not needed any more.
+    fn drop_old(&mut self, index: u64) -> Result<(), DiskDefect> {
+        self.roll()?;
+        let (old, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.closed).into_iter().partition(|(_, last)| *last <= index);
+        self.closed = kept;
+        old.iter().for_each(|(n, _)| {
+            let _ = fs::remove_file(self.path.join(format!("log-{n:016}.segment")));
+        });
+        let captures = load::numbered(&self.path, "capture-", ".capture")?;
+        captures.iter().rev().skip(2).for_each(|(_, p)| {
+            let _ = fs::remove_file(p);
+        });
+        Ok(())
+    }
+}
+
+fn read_mark(path: &Path) -> Result<Mark, DiskDefect> {
+    let p = path.join(MARK);
+    let bytes = fs::read(&p).map_err(io(&p))?;
+    let mark: Mark = serde_json::from_slice(&bytes).map_err(|_| DiskDefect::Foreign(path.to_path_buf()))?;
+    (mark.format == FOLDER_VERSION).then_some(()).ok_or(DiskDefect::Version { found: mark.format })?;
+    Ok(mark)
+}
+
+/// Looks through a data folder without changing it.
+pub fn verify(path: &Path) -> Result<Findings, DiskDefect> {
+    path.join(MARK).exists().then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
+    let mark = read_mark(path)?;
+    let found = load::load(path, false)?;
+    Ok(Findings {
+        cluster: mark.cluster,
+        disk: mark.disk,
+        capture_index: found.capture.as_ref().map_or(0, |c| c.index),
+        first: found.entries.first().map_or(0, |e| e.index),
+        last: found.entries.last().map_or(found.capture.as_ref().map_or(0, |c| c.index), |e| e.index),
+        term: found.hard.term,
+        damaged: found.damaged,
+        torn_tail: found.torn,
+    })
+}
--- /dev/null
+++ b/landingdrift/src/kernel/mod.rs
@@ -0,0 +1,156 @@
+//! The kernel: what every part of the system is, and what it may ask for.
+
+pub mod roles;
+
+use crate::settings::Settings;
+use crate::wire::{Body, Entry, Note};
+use serde_json::Value;
+
+/// The time a step is taken at: durations come from `mono`, appointed times from `wall`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Now {
+    /// Milliseconds of a clock that never jumps.
+    pub mono: u64,
+    /// Milliseconds since 1970 by this machine's clock, which may jump.
+    pub wall: u64,
+}
+
+/// A call over HTTP, already read by the library.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub body: Vec<u8>,
+}
+
+/// The verdict on a call.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Verdict {
+    pub status: u16,
+    /// When the caller should come back, in milliseconds; 0 for never.
+    pub retry_ms: u64,
+    pub body: Value,
+}
+
+impl Verdict {
+    /// A verdict with a body.
+    pub fn new(status: u16, body: Value) -> Self {
+        Self { status, retry_ms: 0, body }
+    }
+    /// A refusal or defect whose message names the remedy.
+    pub fn error(status: u16, kind: &str, message: impl Into<String>) -> Self {
+        Self::new(status, serde_json::json!({"error": kind, "message": message.into()}))
+    }
+    /// The same verdict, telling the caller when to come back.
+    pub fn retry(mut self, ms: u64) -> Self {
+        self.retry_ms = ms;
+        self
+    }
+}
+
+/// Everything that can happen to a part.
+#[derive(Clone, Debug)]
+pub enum Msg {
+    /// Time has passed.
+    Tick,
+    /// A message came from another process, at the address named.
+    Wire(String, Body),
+    /// All that was handed to the disk up to this ticket is durable.
+    Saved(u64),
+    /// The disk refused.
+    DiskDefect(String),
+    /// Somebody calls.
+    Call(u64, Request),
+    /// Settings that can change live have changed.
+    Changed(Box<Settings>),
+    /// The process is asked to stop in an orderly way.
+    Stop,
+}
+
+/// What goes to the disk in one piece.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Save {
+    pub ticket: u64,
+    pub hard: Option<Hard>,
+    /// Entries from this index on are void.
+    pub cut: Option<u64>,
+    pub entries: Vec<Entry>,
+    pub notes: Vec<Note>,
+    pub capture: Option<Capture>,
+}
+
+/// The term and the vote given in it.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Hard {
+    pub term: u64,
+    pub vote: String,
+    /// Votes in terms up to this one may have been given and forgotten.
+    pub silent_to: u64,
+}
+
+/// The record as it was at an index.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Capture {
+    pub index: u64,
+    pub term: u64,
+    pub bytes: Vec<u8>,
+}
+
+/// What a part asks of its surroundings.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send to the process at an address.
+    Send(String, Body),
+    /// Write, and sync.
+    Save(Save),
+    /// Give a call its verdict.
+    Answer(u64, Verdict),
+    /// A change of state worth a line.
+    Line(String),
+    /// The part is done and the process may end.
+    Exit,
+}
+
+/// A part: one message in, effects out; it holds no clock, no socket, no file.
+pub trait Part: Send {
+    /// Takes one step.
+    fn step(&mut self, now: Now, msg: Msg) -> Vec<Effect>;
+    /// Counters, by name.
+    fn counters(&self) -> Vec<(String, u64)>;
+}
+
+/// A small generator whose numbers follow from its seed alone.
+#[derive(Clone, Debug)]
+pub struct Draw(u64);
+
+impl Draw {
+    /// A generator from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self(seed ^ 0x9e37_79b9_7f4a_7c15)
+    }
+    /// The next number.
+    pub fn number(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+    /// A number below `n`, or 0 when `n` is 0.
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.number().checked_rem(n).unwrap_or(0)
+    }
+    /// A number in [0, 1).
+    pub fn unit(&mut self) -> f64 {
+        (self.number() >> 11) as f64 / (1u64 << 53) as f64
+    }
+    /// Picks one of a slice.
+    pub fn pick<'a, T>(&mut self, of: &'a [T]) -> Option<&'a T> {
+        of.get(self.below(of.len() as u64) as usize)
+    }
+}
+
+/// A number from a text, the same on every machine.
+pub fn digest(text: &[u8]) -> u64 {
+    text.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -0,0 +1,155 @@
+use super::{param, Origin, ReadThen, State, Then};
+use crate::kernel::{digest, Now, Verdict};
+use crate::node::propose::{Purpose, Ruled};
+use crate::node::Node;
+use crate::record::{Command, Job, JobSpec, JobState, Refusal, SendState};
+use serde_json::{json, Value};
+
+/// Jobs on one page, at the most.
+const PAGE: usize = 500;
+
+/// What is said of a job.
+fn describe(j: &Job) -> Value {
+    let tasks: Vec<Value> = j
+        .spec
+        .tasks
+        .iter()
+        .zip(&j.tasks)
+        .map(|(s, t)| {
+            let unsure = t.sends.iter().any(|x| x.state == SendState::Unsure);
+            let mut v = json!({"name": s.name, "state": t.state, "defects": t.defects, "sends": t.sends});
+            if unsure {
+                v["unsure"] = json!("its worker fell silent: it ends by the worker's late report, an operator's word or the queue's bound");
+            }
+            v
+        })
+        .collect();
+    let unsure = j.tasks.iter().any(|t| t.live().any(|s| s.state == SendState::Unsure));
+    json!({"id": j.spec.id, "queue": j.spec.queue, "state": j.state, "unsure": unsure, "accepted": j.accepted, "ended": j.ended, "cancelled": j.cancel, "reason": j.reason, "tasks": tasks})
+}
+
+impl Node {
+    pub(super) fn submit(&mut self, now: Now, origin: Origin, body: &[u8]) {
+        let most = self.cfg.limits.job_bytes;
+        if body.len() as u64 > most {
+            return self.reply(&origin, Verdict::error(413, "tooLarge", format!("a job may have {most} bytes: split it")));
+        }
+        let spec = JobSpec::read(body).and_then(|s| s.check().map(|_| s));
+        let spec = match spec {
+            Ok(s) => s,
+            Err(e) => return self.reply(&origin, Verdict::error(400, "wrongJob", e.to_string())),
+        };
+        if !self.record.open.contains(&spec.id) && self.record.open.len() as u64 >= self.cfg.limits.open_jobs {
+            self.count("jobs_turned_away", 1);
+            return self.reply(
+                &origin,
+                Verdict::error(503, "full", "the system holds as many unfinished jobs as it may and took nothing of this call: come back later").retry(5 * self.cfg.bounds.back()),
+            );
+        }
+        let hash = digest(&serde_json::to_vec(&spec).unwrap_or_default());
+        let known = self.record.jobs.get(&spec.id).map(|j| j.hash).or_else(|| self.record.tombs.get(&spec.id).map(|t| t.hash));
+        let id = spec.id.clone();
+        if let Some(h) = known {
+            let ruled = (h == hash).then(|| json!({"known": true})).ok_or(Refusal::OtherBody);
+            let v = self.accepted_verdict(&id, ruled);
+            return self.reply(&origin, v);
+        }
+        let seen = self.record.place;
+        let within = self.cfg.bounds.call();
+        let call = self.open(now, origin, State::Proposed);
+        self.propose(now, &Command::Accept { spec, hash, seen }, Purpose::Call(call, Then::Accepted { id }), within);
+    }
+
+    pub(super) fn accepted_verdict(&mut self, id: &str, ruled: Ruled) -> Verdict {
+        let back = self.cfg.bounds.back();
+        match ruled {
+            Ok(v) => {
+                self.count("jobs_accepted", 1);
+                let state = self
+                    .record
+                    .jobs
+                    .get(id)
+                    .map(|j| j.state)
+                    .or_else(|| self.record.tombs.get(id).map(|t| t.state))
+                    .unwrap_or(JobState::Waiting);
+                Verdict::new(if v["known"] == json!(true) { 200 } else { 202 }, json!({"id": id, "state": state, "poll": format!("/v1/jobs/{id}")}))
+            }
+            Err(r) => {
+                self.count("jobs_refused", 1);
+                match r {
+                    Refusal::OtherBody => Verdict::error(409, "otherBody", r.to_string()),
+                    Refusal::OverQuota { .. } | Refusal::TurnedAway => Verdict::error(429, "overQuota", r.to_string()).retry(2 * back),
+                    _ => Verdict::error(400, "wrongJob", r.to_string()),
+                }
+            }
+        }
+    }
+
+    pub(super) fn job_verdict(&self, id: &str) -> Option<Verdict> {
+        let kept = self.record.jobs.get(id).map(describe);
+        kept.or_else(|| self.record.tombs.get(id).map(|t| json!({"id": id, "state": t.state, "retained": false}))).map(|mut v| {
+            v["asOf"] = json!(self.record.at);
+            Verdict::new(200, v)
+        })
+    }
+
+    /// A job this node knows is answered at once; for one it doesn't, the core is asked before it says 404.
+    pub(super) fn poll(&mut self, now: Now, origin: Origin, id: &str) {
+        match self.job_verdict(id) {
+            Some(v) => self.reply(&origin, v),
+            None => self.read(now, origin, ReadThen::Job { id: id.into() }),
+        }
+    }
+
+    pub(super) fn jobs_verdict(&self, query: &str) -> Verdict {
+        let limit = param(query, "limit").map_or(Ok(100), str::parse::<usize>);
+        let Some(limit) = limit.ok().filter(|l| (1..=PAGE).contains(l)) else {
+            return Verdict::error(400, "wrongQuery", format!("limit: give a number from 1 to {PAGE}"));
+        };
+        let (queue, after) = (param(query, "queue"), param(query, "after").unwrap_or(""));
+        let mut of = self
+            .record
+            .jobs
+            .range::<str, _>((std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded))
+            .map(|(_, j)| j)
+            .filter(|j| queue.is_none_or(|q| q == j.spec.queue));
+        let page: Vec<Value> = of
+            .by_ref()
+            .take(limit)
+            .map(|j| json!({"id": j.spec.id, "queue": j.spec.queue, "state": j.state, "accepted": j.accepted, "ended": j.ended}))
+            .collect();
+        let next = of.next().and(page.last().map(|l| l["id"].clone()));
+        Verdict::new(200, json!({"jobs": page, "next": next}))
+    }
+
+    pub(super) fn cancel(&mut self, now: Now, origin: Origin, id: &str) {
+        let within = self.cfg.bounds.call();
+        let call = self.open(now, origin, State::Proposed);
+        self.propose(now, &Command::Cancel { job: id.into() }, Purpose::Call(call, Then::Cancelled { id: id.into() }), within);
+    }
+
+    pub(super) fn cancelled_verdict(&mut self, id: &str, ruled: Ruled) -> Verdict {
+        ruled.map_or_else(|r| Verdict::error(404, "unknownJob", r.to_string()), |v| Verdict::new(200, json!({"id": id, "state": v["state"]})))
+    }
+
+    pub(super) fn resolve(&mut self, now: Now, origin: Origin, id: &str, task: &str, body: &[u8]) {
+        let well = serde_json::from_slice::<Value>(body)
+            .ok()
+            .and_then(|v| v["outcome"].as_str().and_then(|o| ["well", "defect"].contains(&o).then(|| o == "well")));
+        let Some(well) = well else {
+            return self.reply(&origin, Verdict::error(400, "wrongOutcome", "outcome: give 'well' or 'defect'"));
+        };
+        let within = self.cfg.bounds.call();
+        let call = self.open(now, origin, State::Proposed);
+        self.propose(
+            now,
+            &Command::Resolve {
+                job: id.into(),
+                task: task.into(),
+                well,
+            },
+            Purpose::Call(call, Then::Resolved { id: id.into() }),
+            within,
+        );
+    }
+}
--- /dev/null
+++ b/landingdrift/src/node/calls/mod.rs
@@ -0,0 +1,343 @@
+//! Calls over HTTP, each with its origin; any node takes any call.
+
+mod desired;
+mod jobs;
+mod status;
+
+use super::cell::Beat;
+use super::propose::Ruled;
+use super::Node;
+use crate::kernel::{Effect, Now, Request, Verdict};
+use crate::record::cell_duty;
+use crate::wire::{Body, Forward, Forwarded, NodePlace, ReadAsk, ReadPlace};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// Where a call came from, and where its verdict goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Origin {
+    Local(u64),
+    /// Another node passed it on: its address and token.
+    Remote(String, u64),
+}
+
+/// What is done once the core has ruled on a proposal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Then {
+    Accepted { id: String },
+    Cancelled { id: String },
+    Configured { change: String },
+    Resolved { id: String },
+}
+
+/// What is done once this node has followed to a place that the core named.
+#[derive(Clone, Debug, PartialEq)]
+enum ReadThen {
+    Job { id: String },
+    Jobs { query: String },
+    Desired,
+    Change { id: String },
+    Status,
+    Workers,
+}
+
+enum State {
+    /// Waits for a ruling of the record.
+    Proposed,
+    /// Asked a core how far the record goes.
+    Asked { then: ReadThen, next: u64 },
+    /// Waits until the feed has come to a place.
+    Following { then: ReadThen, place: u64, nodes: Vec<NodePlace> },
+    /// Passed on to another node.
+    Passed,
+}
+
+struct Open {
+    origin: Origin,
+    until: u64,
+    state: State,
+}
+
+/// The calls under way.
+#[derive(Default)]
+pub struct Calls {
+    open: BTreeMap<u64, Open>,
+}
+
+impl Calls {
+    /// How many calls are under way.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+    /// Whether no call is under way.
+    pub fn idle(&self) -> bool {
+        self.open.is_empty()
+    }
+}
+
+/// One value of a query.
+fn param<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').filter_map(|kv| kv.split_once('=')).find(|(k, _)| *k == name).map(|(_, v)| v)
+}
+
+impl Node {
+    pub(super) fn on_call(&mut self, now: Now, origin: Origin, req: Request) {
+        self.count("calls", 1);
+        let path = req.path.trim_end_matches('/').to_string();
+        let parts: Vec<&str> = path.split('/').filter(|p| !p.is_empty()).collect();
+        let probe = !matches!(parts.first(), Some(&"v1"));
+        if !probe && parts != ["v1", "beats"] && self.calls.len() as u64 >= self.cfg.limits.calls {
+            self.count("calls_turned_away", 1);
+            return self.reply(
+                &origin,
+                Verdict::error(
+                    503,
+                    "busy",
+                    "this node works on as many calls as it may and took nothing of this one: come back later, or go to another node",
+                )
+                .retry(self.cfg.bounds.back()),
+            );
+        }
+        match (req.method.as_str(), parts.as_slice()) {
+            ("GET", ["live"]) => self.reply(&origin, Verdict::new(200, json!({"live": true}))),
+            ("GET", ["ready"]) => {
+                let ready = self.ready(now);
+                self.reply(&origin, Verdict::new(if ready { 200 } else { 503 }, json!({"ready": ready, "place": self.record.place})));
+            }
+            ("GET", ["metrics"]) => {
+                let text = crate::kernel::Part::counters(self).iter().map(|(k, v)| format!("landingdrift_{k} {v}\n")).collect::<String>();
+                self.reply(&origin, Verdict::new(200, Value::String(text)));
+            }
+            ("POST", ["v1", "jobs"]) => self.submit(now, origin, &req.body),
+            ("GET", ["v1", "jobs"]) => self.read(now, origin, ReadThen::Jobs { query: req.query }),
+            ("GET", ["v1", "jobs", id]) => self.poll(now, origin, id),
+            ("DELETE", ["v1", "jobs", id]) | ("POST", ["v1", "jobs", id, "cancel"]) => self.cancel(now, origin, id),
+            ("POST", ["v1", "jobs", id, "tasks", task, "resolve"]) => self.resolve(now, origin, id, task, &req.body),
+            ("GET", ["v1", "desired"]) => self.read(now, origin, ReadThen::Desired),
+            ("PUT", ["v1", "desired"]) => self.configure(now, origin, &req, false),
+            ("PATCH", ["v1", "desired"]) => self.configure(now, origin, &req, true),
+            ("GET", ["v1", "changes", id]) => self.read(now, origin, ReadThen::Change { id: id.to_string() }),
+            ("GET", ["v1", "status"]) => self.read(now, origin, ReadThen::Status),
+            ("GET", ["v1", "workers"]) => self.read(now, origin, ReadThen::Workers),
+            ("POST", ["v1", "beats"]) => self.on_beat(now, origin, req),
+            (_, ["v1", "jobs" | "desired" | "beats" | "status" | "workers", ..] | ["live" | "ready" | "metrics"]) => self.reply(
+                &origin,
+                Verdict::error(405, "wrongMethod", format!("{} is not served here: docs/operators/api.md lists the methods of each route", req.method)),
+            ),
+            _ => self.reply(&origin, Verdict::error(404, "noSuchRoute", "no such route: docs/operators/api.md lists them")),
+        }
+    }
+
+    pub(super) fn reply(&mut self, origin: &Origin, v: Verdict) {
+        match origin {
+            Origin::Local(call) => self.out.push(Effect::Answer(*call, v)),
+            Origin::Remote(to, token) => {
+                let body = serde_json::to_vec(&v.body).unwrap_or_default();
+                let m = Forwarded {
+                    token: *token,
+                    status: v.status,
+                    retry_ms: v.retry_ms,
+                    body,
+                };
+                self.send(&to.clone(), Body::Forwarded(Box::new(m)));
+            }
+        }
+    }
+
+    /// Opens a call that can't be answered at once.
+    fn open(&mut self, now: Now, origin: Origin, state: State) -> u64 {
+        let call = self.token();
+        let until = now.mono + self.cfg.bounds.call();
+        self.calls.open.insert(call, Open { origin, until, state });
+        call
+    }
+
+    pub(super) fn finish(&mut self, now: Now, call: u64, v: Verdict) {
+        let _ = now;
+        if let Some(o) = self.calls.open.remove(&call) {
+            self.reply(&o.origin, v);
+        }
+    }
+
+    /// Reads what is surely not old: the core names the place to follow to.
+    fn read(&mut self, now: Now, origin: Origin, then: ReadThen) {
+        let call = self.open(now, origin, State::Asked { then, next: now.mono });
+        self.ask_place(now, call, None);
+    }
+
+    fn ask_place(&mut self, now: Now, call: u64, hint: Option<String>) {
+        let cores = self.cores();
+        let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty());
+        let to = hint.filter(|h| !h.is_empty()).or(leader).or_else(|| self.draw.pick(&cores).cloned()).unwrap_or_default();
+        let again = 5 * self.cfg.bounds.heartbeat();
+        if let Some(Open { state: State::Asked { next, .. }, .. }) = self.calls.open.get_mut(&call) {
+            *next = now.mono + again;
+            self.send(&to, Body::ReadAsk(Box::new(ReadAsk { token: call })));
+        }
+    }
+
+    pub(super) fn on_read_place(&mut self, now: Now, m: ReadPlace) {
+        let Some(o) = self.calls.open.get_mut(&m.token) else { return };
+        let State::Asked { then, next } = &mut o.state else { return };
+        if m.ok {
+            let then = then.clone();
+            o.state = State::Following { then, place: m.place, nodes: m.nodes };
+            self.calls_on_place(now);
+        } else {
+            *next = now.mono + self.cfg.bounds.heartbeat() / 2;
+            if !m.leader.is_empty() && m.leader != self.feed.leader {
+                self.ask_place(now, m.token, Some(m.leader));
+            } else {
+                let cores = self.cores();
+                self.feed.leader = self.draw.pick(&cores).cloned().unwrap_or_default();
+            }
+        }
+    }
+
+    pub(super) fn calls_on_place(&mut self, now: Now) {
+        let place = self.record.place;
+        let ready: Vec<(u64, ReadThen, Vec<NodePlace>)> = self
+            .calls
+            .open
+            .iter()
+            .filter_map(|(k, o)| match &o.state {
+                State::Following { then, place: p, nodes } if *p <= place => Some((*k, then.clone(), nodes.clone())),
+                _ => None,
+            })
+            .collect();
+        for (call, then, nodes) in ready {
+            let v = self.answer_read(&then, &nodes);
+            self.finish(now, call, v);
+        }
+    }
+
+    fn answer_read(&self, then: &ReadThen, nodes: &[NodePlace]) -> Verdict {
+        match then {
+            ReadThen::Job { id } => self
+                .job_verdict(id)
+                .unwrap_or_else(|| Verdict::error(404, "unknownJob", format!("no job '{id}' was accepted: hand it in, or check the id"))),
+            ReadThen::Jobs { query } => self.jobs_verdict(query),
+            ReadThen::Desired => Verdict::new(200, json!({"version": self.record.version, "desired": self.record.desired})),
+            ReadThen::Change { id } => self.change_verdict(id, nodes),
+            ReadThen::Status => self.status_verdict(nodes),
+            ReadThen::Workers => self.workers_verdict(),
+        }
+    }
+
+    pub(super) fn calls_tick(&mut self, now: Now) {
+        let over: Vec<u64> = self
+            .calls
+            .open
+            .iter()
+            .filter(|(_, o)| now.mono >= o.until && !matches!(o.state, State::Proposed))
+            .map(|(k, _)| *k)
+            .collect();
+        for call in over {
+            let passed = matches!(self.calls.open.get(&call).map(|o| &o.state), Some(State::Passed));
+            let v = if passed {
+                self.unsure_verdict()
+            } else {
+                Verdict::error(503, "noCore", "no core answered in time, so nothing sure can be said: come back later").retry(self.cfg.bounds.back())
+            };
+            self.finish(now, call, v);
+        }
+        let ask: Vec<u64> = self
+            .calls
+            .open
+            .iter()
+            .filter(|(_, o)| matches!(&o.state, State::Asked { next, .. } if now.mono >= *next))
+            .map(|(k, _)| *k)
+            .collect();
+        ask.into_iter().for_each(|c| self.ask_place(now, c, None));
+    }
+
+    /// The record has ruled on what a call proposed.
+    pub(super) fn call_ruled(&mut self, now: Now, call: u64, then: Then, place: u64, ruled: Ruled) {
+        let v = match then {
+            Then::Accepted { id } => self.accepted_verdict(&id, ruled),
+            Then::Cancelled { id } => self.cancelled_verdict(&id, ruled),
+            Then::Configured { change } => self.configured_verdict(&change, place, ruled),
+            Then::Resolved { id } => ruled.map_or_else(|r| Verdict::error(409, "refused", r.to_string()), |_| Verdict::new(200, json!({"id": id, "resolved": true}))),
+        };
+        self.finish(now, call, v);
+    }
+
+    fn on_beat(&mut self, now: Now, origin: Origin, req: Request) {
+        let de = &mut serde_json::Deserializer::from_slice(&req.body);
+        let beat: Beat = match serde_path_to_error::deserialize(de) {
+            Ok(b) => b,
+            Err(e) => {
+                return self.reply(
+                    &origin,
+                    Verdict::error(400, "wrongBeat", format!("{}: {}; docs/operators/workers.md shows a beat", e.path(), e.inner())),
+                )
+            }
+        };
+        if beat.facts.worker.is_empty() || beat.facts.zone.is_empty() || beat.facts.service.is_empty() {
+            return self.reply(&origin, Verdict::error(400, "wrongBeat", "facts.worker, facts.zone and facts.service need a value: name them"));
+        }
+        let holder = self.record.holder(&cell_duty(&beat.facts.zone)).map(|g| g.holder.clone());
+        let remote = matches!(origin, Origin::Remote(..));
+        match holder {
+            Some(h) if h != self.name && !h.is_empty() && !remote => self.pass_on(now, origin, &h, &req),
+            None => {
+                let v = self.found_zone(&beat);
+                self.reply(&origin, v);
+            }
+            _ => {
+                let v = self.beat(now, beat);
+                self.reply(&origin, v);
+            }
+        }
+    }
+
+    /// A zone that nobody declared and no node stands in has no cell.
+    fn found_zone(&mut self, beat: &Beat) -> Verdict {
+        Verdict::error(
+            503,
+            "noCell",
+            format!("zone '{}' has no cell yet: declare the zone in the desired state, then beat again", beat.facts.zone),
+        )
+        .retry(self.cfg.bounds.beat())
+    }
+
+    fn pass_on(&mut self, now: Now, origin: Origin, to: &str, req: &Request) {
+        let call = self.open(now, origin, State::Passed);
+        let m = Forward {
+            token: call,
+            method: req.method.clone(),
+            path: req.path.clone(),
+            query: req.query.clone(),
+            body: req.body.clone(),
+            hops: 1,
+        };
+        self.count("calls_passed_on", 1);
+        self.send(to, Body::Forward(Box::new(m)));
+    }
+
+    pub(super) fn on_forward(&mut self, now: Now, from: &str, m: Forward) {
+        self.on_call(
+            now,
+            Origin::Remote(from.into(), m.token),
+            Request {
+                method: m.method,
+                path: m.path,
+                query: m.query,
+                body: m.body,
+            },
+        );
+    }
+
+    pub(super) fn on_forwarded(&mut self, now: Now, m: Forwarded) {
+        let body = serde_json::from_slice(&m.body).unwrap_or(Value::Null);
+        self.finish(
+            now,
+            m.token,
+            Verdict {
+                status: m.status,
+                retry_ms: m.retry_ms,
+                body,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/landingdrift/src/node/cell.rs
@@ -0,0 +1,427 @@
+//! A cell: a zone's workers, their beats and their reservation queues. Hopper's worker side.
+
+use super::propose::Purpose;
+use super::Node;
+use crate::kernel::{Now, Verdict};
+use crate::record::{cell_duty, Command, EndReport, SendState, WorkerFacts};
+use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a worker says in a beat.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct Beat {
+    pub facts: WorkerFacts,
+    #[serde(default)]
+    pub running: Vec<Running>,
+    /// Repeated until the answer says that they are settled.
+    #[serde(default)]
+    pub ended: Vec<EndReport>,
+}
+
+/// A send that is running on a worker.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct Running {
+    pub no: u64,
+    /// How far it is, in parts of a thousand, where the worker knows.
+    #[serde(default)]
+    pub progress: u32,
+}
+
+/// A cell that this node holds.
+#[derive(Default)]
+pub struct Cell {
+    pub epoch: u64,
+    pub workers: BTreeMap<String, Held>,
+}
+
+/// A worker of a cell.
+#[derive(Default)]
+pub struct Held {
+    pub last_beat: u64,
+    leaving: bool,
+    room: u32,
+    queue: Vec<Reservation>,
+    episode: Option<Episode>,
+    /// Room promised to accepted offers that the record does not show yet: job, room, until when.
+    pending: Vec<(String, u32, u64)>,
+    idle_until: u64,
+    facts_asked: bool,
+    report_asked: bool,
+    pub progress: BTreeMap<u64, u32>,
+}
+
+/// The offering of one free slot.
+struct Episode {
+    token: u64,
+    since: u64,
+    refusals: u32,
+    asked: BTreeSet<String>,
+    unsatisfied: Option<Sizes>,
+    forced: bool,
+    job: String,
+}
+
+impl Node {
+    /// Takes cells over and gives them up, as the record says.
+    pub(super) fn hold_cells(&mut self, now: Now) {
+        let mine: BTreeMap<String, u64> = self
+            .record
+            .grants
+            .iter()
+            .filter(|(_, g)| g.holder == self.name)
+            .filter_map(|(d, g)| d.strip_prefix("cell/").map(|z| (z.to_string(), g.epoch)))
+            .collect();
+        self.cells.retain(|z, c| mine.get(z) == Some(&c.epoch));
+        for (zone, epoch) in mine {
+            if !self.cells.contains_key(&zone) {
+                self.line(format!("holds the cell of zone {zone}, epoch {epoch}"));
+                self.cells.insert(zone.clone(), Cell { epoch, ..Cell::default() });
+            }
+            let known: Vec<(String, u32)> = self.record.workers.iter().filter(|(_, w)| w.facts.zone == zone).map(|(k, w)| (k.clone(), w.facts.room)).collect();
+            let cell = self.cells.entry(zone.clone()).or_default();
+            cell.workers.retain(|k, _| known.iter().any(|(n, _)| n == k));
+            for (k, room) in known {
+                cell.workers.entry(k).or_insert_with(|| Held {
+                    last_beat: now.mono,
+                    room,
+                    ..Held::default()
+                });
+            }
+        }
+    }
+
+    /// The verdict on a beat, by the holder of the worker's cell.
+    pub(super) fn beat(&mut self, now: Now, beat: Beat) -> Verdict {
+        let zone = beat.facts.zone.clone();
+        let id = beat.facts.worker.clone();
+        let Some(epoch) = self.epoch(&cell_duty(&zone)).filter(|_| self.fresh(now)) else {
+            return Verdict::error(503, "notReady", "this node can't speak for the cell now: beat again, here or at another node").retry(self.cfg.bounds.beat());
+        };
+        self.hold_cells(now);
+        self.count("beats", 1);
+        let known = self.record.workers.get(&id).cloned().unwrap_or_default();
+        if beat.facts.incarnation < known.facts.incarnation {
+            return Verdict::error(409, "oldIncarnation", "a newer process of this worker has reported: end this one");
+        }
+        let new_facts = known.facts != beat.facts || known.lost;
+        let ends: Vec<EndReport> = beat.ended.iter().filter(|e| self.record.live.contains_key(&e.no)).cloned().collect();
+        let running: Vec<u64> = beat
+            .running
+            .iter()
+            .map(|r| r.no)
+            .filter(|no| self.record.send(*no).is_some_and(|(_, _, s)| s.state != SendState::Running && s.worker == id))
+            .collect();
+        let held = self.cells.entry(zone.clone()).or_default().workers.entry(id.clone()).or_default();
+        held.last_beat = now.mono;
+        held.leaving = beat.facts.leaving;
+        held.room = beat.facts.room;
+        held.progress = beat.running.iter().map(|r| (r.no, r.progress)).collect();
+        let ask_facts = new_facts && !held.facts_asked;
+        held.facts_asked |= new_facts;
+        let has_report = !ends.is_empty() || !running.is_empty();
+        let ask_report = has_report && !held.report_asked;
+        held.report_asked |= has_report;
+        let within = self.cfg.bounds.call();
+        if ask_facts {
+            self.propose(
+                now,
+                &Command::Facts {
+                    facts: beat.facts.clone(),
+                    cell_epoch: epoch,
+                },
+                Purpose::Facts { worker: id.clone() },
+                within,
+            );
+        }
+        if ask_report {
+            let incarnation = beat.facts.incarnation;
+            self.propose(
+                now,
+                &Command::Report {
+                    worker: id.clone(),
+                    incarnation,
+                    running,
+                    ends,
+                },
+                Purpose::Report { worker: id.clone() },
+                within,
+            );
+        }
+        self.orders(&beat)
+    }
+
+    /// Start and stop orders, derived from the record; repeated until beats confirm them.
+    fn orders(&mut self, beat: &Beat) -> Verdict {
+        let f = &beat.facts;
+        let reported: BTreeSet<u64> = beat.running.iter().map(|r| r.no).chain(beat.ended.iter().map(|e| e.no)).collect();
+        let open = !f.leaving && self.record.desired.open(&f.zone, &f.worker) && self.record.workers.get(&f.worker).is_some_and(|w| w.facts.incarnation == f.incarnation && !w.lost);
+        let room_of = |no: &u64| self.record.live.get(no).and_then(|(j, i)| self.record.jobs.get(j).map(|j| j.spec.tasks[*i as usize].room)).unwrap_or(0);
+        let mut left = f.room.saturating_sub(beat.running.iter().map(|r| room_of(&r.no)).sum());
+        let (mut starts, mut stops) = (Vec::new(), BTreeSet::new());
+        for no in self.record.workers.get(&f.worker).map(|w| w.sends.clone()).unwrap_or_default() {
+            let Some((job, task, send)) = self.record.send(no) else { continue };
+            let spec = self.record.live.get(&no).map(|(_, i)| &job.spec.tasks[*i as usize]);
+            let Some(spec) = spec.filter(|_| send.incarnation == f.incarnation) else { continue };
+            if send.stop || (send.state == SendState::Unsure && !reported.contains(&no)) {
+                stops.insert(no);
+            } else if send.state == SendState::Ordered && !reported.contains(&no) && open && !job.cancel && task.state == crate::record::TaskState::Waiting && spec.room <= left {
+                left -= spec.room;
+                starts.push(json!({"no": no, "job": job.spec.id, "task": spec.name, "room": spec.room, "copy": send.copy, "payload": spec.payload}));
+            }
+        }
+        // What runs without the record knowing it as live is over for us.
+        stops.extend(beat.running.iter().map(|r| r.no).filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send));
+        let settled: Vec<u64> = beat.ended.iter().map(|e| e.no).filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send).collect();
+        self.count("start_orders", starts.len() as u64);
+        self.count("stop_orders", stops.len() as u64);
+        Verdict::new(
+            200,
+            json!({"starts": starts, "stops": stops, "settled": settled, "beatMs": self.cfg.bounds.beat(), "obeyMs": self.cfg.bounds.obey()}),
+        )
+    }
+
+    pub(super) fn proposal_over(&mut self, worker: &str, facts: bool) {
+        self.cells
+            .values_mut()
+            .filter_map(|c| c.workers.get_mut(worker))
+            .for_each(|w| *(if facts { &mut w.facts_asked } else { &mut w.report_asked }) = false);
+    }
+
+    /// A start entered the record: the room promised for it is now counted there.
+    pub(super) fn unhold(&mut self, worker: &str, job: &str) {
+        self.cells.values_mut().filter_map(|c| c.workers.get_mut(worker)).for_each(|w| {
+            w.pending.iter().position(|(j, _, _)| j == job).into_iter().for_each(|i| {
+                w.pending.remove(i);
+            });
+        });
+    }
+
+    pub(super) fn cells_tick(&mut self, now: Now) {
+        let (lost_after, offer) = (self.cfg.bounds.worker_lost(), self.cfg.bounds.offer());
+        if !self.fresh(now) {
+            // Nothing is decided on old news, and silence is not held against workers meanwhile.
+            self.cells
+                .values_mut()
+                .flat_map(|c| c.workers.values_mut())
+                .for_each(|w| w.last_beat = w.last_beat.max(now.mono.saturating_sub(lost_after / 2)));
+            return;
+        }
+        let mut lost = Vec::new();
+        for c in self.cells.values_mut() {
+            for (k, w) in &mut c.workers {
+                w.pending.retain(|(_, _, until)| now.mono < *until);
+                if w.episode.as_ref().is_some_and(|e| now.mono >= e.since + offer) {
+                    w.episode = None;
+                }
+                let silent = now.mono.saturating_sub(w.last_beat) > lost_after;
+                if silent && !w.facts_asked && self.record.workers.get(k).is_some_and(|r| !r.lost) {
+                    w.facts_asked = true;
+                    lost.push((k.clone(), c.epoch));
+                }
+            }
+        }
+        for (worker, cell_epoch) in lost {
+            let incarnation = self.record.workers.get(&worker).map_or(0, |w| w.facts.incarnation);
+            self.line(format!("worker {worker} is silent: its sends are unsure"));
+            self.count("workers_lost", 1);
+            self.propose(
+                now,
+                &Command::Lost {
+                    worker: worker.clone(),
+                    incarnation,
+                    cell_epoch,
+                },
+                Purpose::Facts { worker },
+                self.cfg.bounds.call(),
+            );
+        }
+        self.offer_all(now);
+    }
+
+    pub(super) fn on_reserve(&mut self, now: Now, m: Reserve) {
+        self.count("reservations", m.reservations.len() as u64);
+        for r in m.reservations {
+            let Some(w) = self.cells.values_mut().find_map(|c| c.workers.get_mut(&r.worker)) else { continue };
+            w.idle_until = 0;
+            match w.queue.iter_mut().find(|q| q.job == r.job) {
+                Some(q) => *q = r,
+                None => w.queue.push(r),
+            }
+        }
+        self.offer_all(now);
+    }
+
+    /// Offers every free slot for its worker.
+    pub(super) fn offer_all(&mut self, now: Now) {
+        if !self.fresh(now) || self.cells.is_empty() {
+            return;
+        }
+        let record = &self.record;
+        let idle: Vec<(String, String)> = self
+            .cells
+            .iter_mut()
+            .flat_map(|(z, c)| c.workers.iter_mut().map(move |(k, w)| (z, k, w)))
+            .filter_map(|(z, k, w)| {
+                w.queue.retain(|r| record.open.contains(&r.job));
+                (w.episode.is_none() && !w.queue.is_empty() && now.mono >= w.idle_until && !w.leaving).then(|| (z.clone(), k.clone()))
+            })
+            .collect();
+        for (zone, worker) in idle {
+            if self.free_room(&zone, &worker) > 0 {
+                self.begin(now, &zone, &worker);
+            }
+        }
+    }
+
+    fn free_room(&self, zone: &str, worker: &str) -> u32 {
+        let Some(r) = self.record.workers.get(worker).filter(|r| !r.lost && !r.facts.leaving && self.record.desired.open(zone, worker)) else {
+            return 0;
+        };
+        let Some(w) = self.cells.get(zone).and_then(|c| c.workers.get(worker)) else { return 0 };
+        if r.probation > 0 && !(r.sends.is_empty() && w.pending.is_empty()) {
+            return 0;
+        }
+        r.facts.room.min(w.room).saturating_sub(r.used).saturating_sub(w.pending.iter().map(|(_, room, _)| room).sum())
+    }
+
+    fn begin(&mut self, now: Now, zone: &str, worker: &str) {
+        let token = self.token();
+        let Some(w) = self.cells.get_mut(zone).and_then(|c| c.workers.get_mut(worker)) else { return };
+        w.episode = Some(Episode {
+            token,
+            since: now.mono,
+            refusals: 0,
+            asked: BTreeSet::new(),
+            unsatisfied: None,
+            forced: false,
+            job: String::new(),
+        });
+        self.offer_next(now, zone, worker);
+    }
+
+    /// The next scheduler to offer a slot to: the smallest job first, then what refusals named, then a draw by V.
+    fn offer_next(&mut self, now: Now, zone: &str, worker: &str) {
+        let refusals = self.cfg.hopper.refusals;
+        let locality = self.cfg.hopper.locality;
+        let draw = self.draw.unit();
+        let room = self.free_room(zone, worker);
+        let incarnation = self.record.workers.get(worker).map_or(0, |w| w.facts.incarnation);
+        let Some(c) = self.cells.get_mut(zone) else { return };
+        let epoch = c.epoch;
+        let Some(w) = c.workers.get_mut(worker) else { return };
+        let Some(e) = w.episode.as_mut() else { return };
+        if room == 0 || e.forced {
+            w.episode = None;
+            w.idle_until = now.mono + self.cfg.bounds.heartbeat();
+            return;
+        }
+        let mut open: Vec<&Reservation> = w.queue.iter().filter(|r| !e.asked.contains(&r.scheduler)).collect();
+        open.sort_by(|a, b| b.starved.cmp(&a.starved).then(a.size.total_cmp(&b.size)).then(a.asked.cmp(&b.asked)).then(a.job.cmp(&b.job)));
+        let refusable = e.refusals < refusals && !open.is_empty();
+        let target = if refusable {
+            // Any of the smallest share may go first when its data is near.
+            let near = ((open.len() as f64 * locality).ceil() as usize).max(1);
+            let r = open[..near.min(open.len())].iter().find(|r| r.local).unwrap_or(&open[0]);
+            Some((r.job.clone(), r.scheduler.clone()))
+        } else if let Some(u) = &e.unsatisfied {
+            Some((u.job.clone(), u.scheduler.clone()))
+        } else {
+            let sum: f64 = w.queue.iter().map(|r| r.size.max(0.01)).sum();
+            let mut mark = draw * sum;
+            w.queue
+                .iter()
+                .find(|r| {
+                    mark -= r.size.max(0.01);
+                    mark <= 0.0
+                })
+                .or(w.queue.last())
+                .map(|r| (r.job.clone(), r.scheduler.clone()))
+        };
+        let Some((job, scheduler)) = target else {
+            w.episode = None;
+            return;
+        };
+        e.forced = !refusable;
+        e.job = job.clone();
+        e.asked.insert(scheduler.clone());
+        let (token, refusals) = (e.token, e.refusals);
+        self.count("offers", 1);
+        self.count("offers_not_refusable", u64::from(!refusable));
+        let offer = Offer {
+            token,
+            job,
+            worker: worker.into(),
+            incarnation,
+            cell: zone.into(),
+            epoch,
+            room,
+            refusable,
+            refusals,
+            held: Vec::new(),
+        };
+        self.send(&scheduler, Body::Offer(Box::new(offer)));
+    }
+
+    pub(super) fn on_offer_verdict(&mut self, now: Now, m: OfferVerdict) {
+        let until = now.mono + self.cfg.bounds.offer() * 2;
+        // Sizes travel on messages that are sent anyway.
+        for s in &m.sizes {
+            self.cells
+                .values_mut()
+                .flat_map(|c| c.workers.values_mut())
+                .flat_map(|w| w.queue.iter_mut())
+                .filter(|q| q.job == s.job)
+                .for_each(|q| {
+                    q.size = s.size;
+                    q.remaining = s.remaining;
+                    q.starved = s.starved;
+                    q.scheduler = s.scheduler.clone();
+                });
+        }
+        let Some((zone, w)) = self.cells.iter_mut().find_map(|(z, c)| c.workers.get_mut(&m.worker).map(|w| (z.clone(), w))) else {
+            return;
+        };
+        let Some(e) = w.episode.as_mut().filter(|e| e.token == m.token) else { return };
+        let job = e.job.clone();
+        if m.accepted {
+            w.episode = None;
+            w.pending.push((job.clone(), m.room, until));
+            let spent = w.queue.iter_mut().position(|q| {
+                if q.job == job {
+                    q.remaining = q.remaining.saturating_sub(1);
+                }
+                q.job == job && q.remaining == 0
+            });
+            spent.into_iter().for_each(|i| {
+                w.queue.remove(i);
+            });
+            self.count("offers_accepted", 1);
+            self.offer_all(now);
+            return;
+        }
+        e.refusals += 1;
+        let better = m.sizes.iter().filter(|s| s.unsatisfied).min_by(|a, b| a.size.total_cmp(&b.size));
+        if let Some(s) = better.filter(|s| e.unsatisfied.as_ref().is_none_or(|u| s.size < u.size)) {
+            e.unsatisfied = Some(s.clone());
+        }
+        if m.gone {
+            w.queue.retain(|q| q.job != job);
+        }
+        self.count("offers_refused", 1);
+        self.offer_next(now, &zone, &m.worker);
+    }
+
+    /// What was accepted came to nothing: the slot is free again.
+    pub(super) fn on_offer_done(&mut self, now: Now, m: OfferDone) {
+        if !m.placed {
+            self.cells.values_mut().filter_map(|c| c.workers.get_mut(&m.worker)).for_each(|w| {
+                w.pending.pop();
+            });
+            self.offer_all(now);
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/node/feed.rs
@@ -0,0 +1,189 @@
+//! How a node follows the record.
+
+use super::Node;
+use crate::kernel::Now;
+use crate::record::{Command, Record};
+use crate::wire::{Body, FeedBatch, FeedPull};
+
+/// Where a node stands in the feed.
+pub struct Feed {
+    pub boot: u64,
+    /// A capture was read, or the feed followed from its beginning.
+    pub captured: bool,
+    /// The feed told all that was committed at this moment, by this node's clock.
+    pub fresh_at: u64,
+    pub core: String,
+    pub leader: String,
+    pub next_pull: u64,
+    pub answered: u64,
+    /// The agreed clock, and when it was read.
+    clock: (u64, u64),
+}
+
+impl Feed {
+    pub fn new(now: Now, boot: u64) -> Self {
+        Self {
+            boot,
+            captured: false,
+            fresh_at: 0,
+            core: String::new(),
+            leader: String::new(),
+            next_pull: 0,
+            answered: now.mono,
+            clock: (0, 0),
+        }
+    }
+}
+
+impl Node {
+    /// The agreed time, as well as a node can know it; never ahead of what a core said.
+    pub(crate) fn agreed(&self, now: Now) -> u64 {
+        let (clock, at) = self.feed.clock;
+        self.record.at.max(clock + now.mono.saturating_sub(at))
+    }
+
+    pub(crate) fn cores(&self) -> Vec<String> {
+        self.views.cores.iter().chain(&self.cfg.seeds).filter(|a| **a != self.name).cloned().collect()
+    }
+
+    /// Turns to another core.
+    pub(crate) fn turn(&mut self) {
+        let all = self.cores();
+        let others: Vec<String> = all.into_iter().filter(|a| *a != self.feed.core).collect();
+        self.feed.core = self.draw.pick(&others).cloned().unwrap_or_default();
+    }
+
+    pub(super) fn feed_tick(&mut self, now: Now) {
+        if now.mono < self.feed.next_pull {
+            return;
+        }
+        let beat = self.cfg.bounds.heartbeat();
+        self.feed.next_pull = now.mono + beat;
+        if self.feed.core.is_empty() || now.mono.saturating_sub(self.feed.answered) > 4 * beat {
+            self.turn();
+            self.feed.answered = now.mono;
+        }
+        let to = self.feed.core.clone();
+        let successor = if self.stopping.is_some() { self.successor() } else { String::new() };
+        let pull = FeedPull {
+            node: self.name.clone(),
+            zone: self.cfg.zone.clone(),
+            http: self.cfg.http.clone(),
+            place: self.record.place,
+            sent: now.mono,
+            leaving: self.stopping.is_some(),
+            successor,
+            boot: self.feed.boot,
+        };
+        if !to.is_empty() {
+            self.send(&to, Body::FeedPull(Box::new(pull)));
+        }
+    }
+
+    /// Whom this node names to take over its duties: a living node, of its own zone if there is one.
+    fn successor(&mut self) -> String {
+        let me = self.name.clone();
+        let zone = self.cfg.zone.clone();
+        let alive: Vec<(bool, String)> = self.record.nodes.iter().filter(|(k, n)| n.alive && **k != me).map(|(k, n)| (n.zone == zone, k.clone())).collect();
+        let near: Vec<String> = alive.iter().filter(|(near, _)| *near).map(|(_, k)| k.clone()).collect();
+        near.into_iter().next().or_else(|| alive.into_iter().next().map(|(_, k)| k)).unwrap_or_default()
+    }
+
+    /// Another process took this node for a core: it says whom it follows.
+    pub(super) fn on_stray_pull(&mut self, from: &str, sent: u64) {
+        let batch = FeedBatch {
+            core: self.name.clone(),
+            leader: self.feed.leader.clone(),
+            ok: false,
+            sent,
+            quorum_age: 0,
+            clock: 0,
+            commit: 0,
+            capture: Vec::new(),
+            capture_index: 0,
+            entries: Vec::new(),
+            cores: self.views.cores.iter().cloned().collect(),
+        };
+        self.send(from, Body::FeedBatch(Box::new(batch)));
+    }
+
+    pub(super) fn on_batch(&mut self, now: Now, from: &str, m: FeedBatch) {
+        if !m.ok {
+            if from == self.feed.core {
+                let hint = m.leader.clone();
+                self.views.cores.extend(m.cores);
+                if hint.is_empty() || hint == from {
+                    self.turn();
+                } else {
+                    self.feed.core = hint;
+                    self.feed.next_pull = self.feed.next_pull.min(now.mono + self.cfg.bounds.tick());
+                }
+            }
+            return;
+        }
+        self.feed.core = from.into();
+        self.feed.leader = from.into();
+        self.feed.answered = now.mono;
+        self.views.set_cores(m.cores);
+        let mut changed = false;
+        if !m.capture.is_empty() && (m.capture_index > self.record.place || m.commit < self.record.place) {
+            match Record::unpack(&m.capture) {
+                Ok(r) => {
+                    self.record = r;
+                    self.count("feed_captures", 1);
+                    self.sched.all_dirty = true;
+                    changed = true;
+                }
+                Err(why) => self.line(why),
+            }
+        }
+        for e in &m.entries {
+            if e.index == self.record.place + 1 {
+                self.follow_entry(e.index, e.at, &e.command);
+                changed = true;
+            }
+        }
+        if self.record.place >= m.commit && m.commit > 0 {
+            if !self.feed.captured {
+                self.line(format!("follows the feed from place {}", self.record.place));
+            }
+            self.feed.captured = true;
+            self.feed.fresh_at = self.feed.fresh_at.max(m.sent.saturating_sub(m.quorum_age).min(now.mono));
+            self.feed.clock = (m.clock, now.mono);
+        } else if self.record.place < m.commit {
+            self.feed.next_pull = now.mono;
+        }
+        if changed {
+            self.hold_cells(now);
+            self.calls_on_place(now);
+            self.schedule(now);
+            self.offer_all(now);
+        }
+    }
+
+    /// Applies one entry and lets the parts take note of what it touches.
+    fn follow_entry(&mut self, index: u64, at: u64, bytes: &[u8]) {
+        let command = serde_json::from_slice::<Command>(bytes).ok();
+        let version = self.record.version;
+        match &command {
+            Some(Command::Report { ends, .. }) => {
+                let touched: Vec<String> = ends.iter().filter_map(|e| self.record.live.get(&e.no)).map(|(j, _)| j.clone()).collect();
+                self.sched.dirty.extend(touched);
+            }
+            Some(Command::Accept { spec, .. }) => {
+                self.sched.dirty.insert(spec.id.clone());
+            }
+            Some(Command::Start { .. } | Command::Opened { .. } | Command::Cancel { .. } | Command::Node { .. }) => {}
+            _ => self.sched.all_dirty = true,
+        }
+        let ruling = self.record.apply_bytes(index, at, bytes);
+        self.count("feed_entries", 1);
+        if let Some(Command::Start { job, placements, .. }) = &command {
+            placements.iter().for_each(|p| self.unhold(&p.worker, job));
+            self.count("starts_refused", u64::from(ruling.is_err()));
+        }
+        if self.record.version != version {
+            self.line(format!("configuration version {} in force", self.record.version));
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/node/mod.rs
@@ -0,0 +1,186 @@
+//! A node: follows the feed, serves calls, owns queues and may hold cells.
+
+mod calls;
+mod cell;
+mod feed;
+mod gangs;
+mod neighbours;
+mod propose;
+mod scheduler;
+
+use crate::kernel::{digest, Draw, Effect, Msg, Now, Part, Verdict};
+use crate::record::Record;
+use crate::settings::Settings;
+use crate::views::Views;
+use crate::wire::Body;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A node.
+pub struct Node {
+    pub(crate) cfg: Settings,
+    pub(crate) name: String,
+    pub(crate) draw: Draw,
+    pub(crate) record: Record,
+    pub(crate) feed: feed::Feed,
+    pub(crate) views: Views,
+    pub(crate) cells: BTreeMap<String, cell::Cell>,
+    pub(crate) sched: scheduler::Scheduler,
+    pub(crate) calls: calls::Calls,
+    pub(crate) proposals: BTreeMap<u64, propose::Proposal>,
+    next_token: u64,
+    last_tick: u64,
+    stopping: Option<u64>,
+    local: VecDeque<Body>,
+    counters: BTreeMap<&'static str, u64>,
+    out: Vec<Effect>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(cfg: Settings, now: Now, seed: u64) -> Self {
+        let name = cfg.listen.clone();
+        let mut draw = Draw::new(seed ^ digest(name.as_bytes()));
+        let boot = draw.number();
+        Self {
+            record: Record::new(&cfg.cluster),
+            feed: feed::Feed::new(now, boot),
+            views: Views::new(&name, "node", &cfg.zone, &cfg.seeds),
+            cells: BTreeMap::new(),
+            sched: scheduler::Scheduler::default(),
+            calls: calls::Calls::default(),
+            proposals: BTreeMap::new(),
+            next_token: boot >> 16,
+            last_tick: now.mono,
+            stopping: None,
+            local: VecDeque::new(),
+            counters: BTreeMap::new(),
+            out: Vec::new(),
+            draw,
+            name,
+            cfg,
+        }
+    }
+
+    pub(crate) fn count(&mut self, name: &'static str, n: u64) {
+        *self.counters.entry(name).or_default() += n;
+    }
+
+    pub(crate) fn line(&mut self, text: String) {
+        self.out.push(Effect::Line(text));
+    }
+
+    pub(crate) fn token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    /// Sends to another process, or to a part of this one without the way round.
+    pub(crate) fn send(&mut self, to: &str, body: Body) {
+        if to == self.name {
+            self.local.push_back(body);
+        } else {
+            self.out.push(Effect::Send(to.into(), body));
+        }
+    }
+
+    /// Whether the feed is fresh enough to act on.
+    pub(crate) fn fresh(&self, now: Now) -> bool {
+        self.feed.captured && now.mono.saturating_sub(self.feed.fresh_at) <= self.cfg.bounds.fresh()
+    }
+
+    fn ready(&self, now: Now) -> bool {
+        self.fresh(now) && self.stopping.is_none()
+    }
+
+    /// The epoch under which this node holds a duty, if it does.
+    pub(crate) fn epoch(&self, duty: &str) -> Option<u64> {
+        self.record.holder(duty).filter(|g| g.holder == self.name).map(|g| g.epoch)
+    }
+
+    fn on_tick(&mut self, now: Now) {
+        let gap = now.mono.saturating_sub(self.last_tick);
+        self.last_tick = now.mono;
+        if gap > self.cfg.bounds.election() / 2 {
+            // Frozen: the silence was this node's own, nobody else's.
+            self.count("own_freezes", 1);
+            self.cells.values_mut().flat_map(|c| c.workers.values_mut()).for_each(|w| w.last_beat = now.mono);
+        }
+        self.feed_tick(now);
+        self.views_tick(now);
+        self.proposals_tick(now);
+        self.calls_tick(now);
+        self.cells_tick(now);
+        self.scheduler_tick(now);
+        if let Some(until) = self.stopping {
+            let holds = self.record.grants.values().any(|g| g.holder == self.name) || self.record.nodes.get(&self.name).is_some_and(|n| n.alive);
+            if now.mono >= until || (!holds && self.calls.idle()) {
+                self.out.push(Effect::Exit);
+            }
+        }
+    }
+
+    fn on_wire(&mut self, now: Now, from: &str, body: Body) {
+        match body {
+            Body::FeedBatch(m) => self.on_batch(now, from, *m),
+            Body::FeedPull(m) => self.on_stray_pull(from, m.sent),
+            Body::Proposed(m) => self.on_proposed(now, from, *m),
+            Body::ReadPlace(m) => self.on_read_place(now, *m),
+            Body::Shuffle(m) => self.on_shuffle(from, *m),
+            Body::Reserve(m) => self.on_reserve(now, *m),
+            Body::Offer(m) => self.on_offer(now, from, *m),
+            Body::OfferVerdict(m) => self.on_offer_verdict(now, *m),
+            Body::OfferDone(m) => self.on_offer_done(now, *m),
+            Body::Forward(m) => self.on_forward(now, from, *m),
+            Body::Forwarded(m) => self.on_forwarded(now, *m),
+            Body::Hello(_) | Body::Join(_) => {}
+            _ => self.count("messages_out_of_place", 1),
+        }
+    }
+
+    /// The record as this node follows it.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Whether this node would say that it is ready.
+    pub fn is_ready(&self, now: Now) -> bool {
+        self.ready(now)
+    }
+
+    pub(crate) fn unsure_verdict(&self) -> Verdict {
+        Verdict::error(503, "unsure", "it is not known whether this was taken: ask again with the same id, or poll").retry(self.cfg.bounds.back())
+    }
+}
+
+impl Part for Node {
+    fn step(&mut self, now: Now, msg: Msg) -> Vec<Effect> {
+        match msg {
+            Msg::Tick => self.on_tick(now),
+            Msg::Wire(from, body) => self.on_wire(now, &from, body),
+            Msg::Call(call, req) => self.on_call(now, calls::Origin::Local(call), req),
+            Msg::Changed(new) => self.cfg = *new,
+            Msg::Stop => {
+                self.stopping = Some(now.mono + self.cfg.bounds.node_lost());
+                self.feed.next_pull = now.mono;
+                self.feed_tick(now);
+            }
+            Msg::Saved(_) | Msg::DiskDefect(_) => {}
+        }
+        while let Some(body) = self.local.pop_front() {
+            let me = self.name.clone();
+            self.on_wire(now, &me, body);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn counters(&self) -> Vec<(String, u64)> {
+        let mut all: Vec<(String, u64)> = self.counters.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+        all.push(("feed_place".into(), self.record.place));
+        all.push(("version_in_force".into(), self.record.version));
+        all.push(("cells_held".into(), self.cells.len() as u64));
+        all.push(("calls_open".into(), self.calls.len() as u64));
+        all.push(("jobs_open".into(), self.record.open.len() as u64));
+        all.push(("view_size".into(), self.views.len() as u64));
+        all
+    }
+}
--- /dev/null
+++ b/landingdrift/src/node/neighbours.rs
@@ -0,0 +1,14 @@
+use super::Node;
+use crate::kernel::Now;
+use crate::wire::{Body, Shuffle};
+
+impl Node {
+    pub(super) fn views_tick(&mut self, now: Now) {
+        let every = self.cfg.bounds.shuffle();
+        self.views.tick(now, every, &mut self.draw).into_iter().for_each(|(to, m)| self.send(&to, Body::Shuffle(Box::new(m))));
+    }
+
+    pub(super) fn on_shuffle(&mut self, from: &str, m: Shuffle) {
+        self.views.take(m, &mut self.draw).into_iter().for_each(|back| self.send(from, Body::Shuffle(Box::new(back))));
+    }
+}
--- /dev/null
+++ b/landingdrift/src/node/scheduler.rs
@@ -0,0 +1,371 @@
+//! The scheduler of the queues this node owns. Hopper's scheduler side.
+
+use super::gangs;
+use super::propose::Purpose;
+use super::Node;
+use crate::kernel::Now;
+use crate::record::derive::Sizing;
+use crate::record::{cell_duty, queue_duty, Command, Job, Placement, SendState};
+use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the scheduler keeps beside the record.
+#[derive(Default)]
+pub struct Scheduler {
+    /// Jobs that changed since they were last looked at.
+    pub dirty: BTreeSet<String>,
+    pub all_dirty: bool,
+    /// When a job last placed reservations, and for how many tasks.
+    reserved: BTreeMap<String, (u64, u32)>,
+    /// Starts proposed and not yet seen in the feed.
+    pending: BTreeMap<u64, Pending>,
+    claim: Option<gangs::Claim>,
+    next_full: u64,
+}
+
+struct Pending {
+    job: String,
+    placements: Vec<Placement>,
+    rooms: Vec<u32>,
+    until: u64,
+    /// The place of the entry, once it is known.
+    place: u64,
+}
+
+/// What a job wants of a slot now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Wants {
+    originals: u32,
+    copies: u32,
+}
+
+impl Node {
+    fn owns(&self, queue: &str) -> Option<u64> {
+        self.epoch(&queue_duty(queue))
+    }
+
+    pub(super) fn scheduler_tick(&mut self, now: Now) {
+        let place = self.record.place;
+        self.sched.pending.retain(|_, p| now.mono < p.until && (p.place == 0 || p.place > place));
+        if now.mono >= self.sched.next_full {
+            self.sched.next_full = now.mono + self.cfg.bounds.heartbeat();
+            self.sched.all_dirty = true;
+            let patience = 2 * self.cfg.bounds.reserve();
+            self.sched.claim = gangs::claim(&self.record, patience);
+            let open = &self.record.open;
+            self.sched.reserved.retain(|j, _| open.contains(j));
+        }
+        self.schedule(now);
+    }
+
+    /// Places reservations for what waits: the probe ratio's number for each task, on workers that fit.
+    pub(super) fn schedule(&mut self, now: Now) {
+        if !self.fresh(now) {
+            return;
+        }
+        let dirty = std::mem::take(&mut self.sched.dirty);
+        let ids: Vec<String> = if std::mem::take(&mut self.sched.all_dirty) {
+            self.record.open.iter().cloned().collect()
+        } else {
+            dirty.into_iter().collect()
+        };
+        let mut out: BTreeMap<String, Vec<Reservation>> = BTreeMap::new();
+        for id in ids {
+            let Some(job) = self.record.jobs.get(&id).filter(|j| !j.state.ended() && !j.cancel && self.owns(&j.spec.queue).is_some()) else {
+                continue;
+            };
+            let wants = self.wants(now, &id, job);
+            let number = wants.originals + wants.copies;
+            let (last, before) = self.sched.reserved.get(&id).copied().unwrap_or((0, 0));
+            let again = now.mono >= last + self.cfg.bounds.reserve() || last == 0;
+            if number == 0 || !(number > before || again) {
+                if number < before {
+                    self.sched.reserved.insert(id, (last, number));
+                }
+                continue;
+            }
+            let fresh = if again { number } else { number - before };
+            self.sched.reserved.insert(id.clone(), (now.mono, number));
+            for r in self.reservations(now, &id, fresh) {
+                let zone = self.record.workers.get(&r.worker).map_or(String::new(), |w| w.facts.zone.clone());
+                let holder = self.record.holder(&cell_duty(&zone)).map(|g| g.holder.clone());
+                holder.into_iter().for_each(|h| out.entry(h).or_default().push(r.clone()));
+            }
+        }
+        for (to, reservations) in out {
+            self.send(&to, Body::Reserve(Box::new(Reserve { reservations })));
+        }
+    }
+
+    fn reservations(&mut self, now: Now, id: &str, tasks: u32) -> Vec<Reservation> {
+        let Some(job) = self.record.jobs.get(id) else { return Vec::new() };
+        let sizes = self.sizes(job);
+        let needs: Vec<(&str, &Vec<String>, &str)> = job
+            .spec
+            .tasks
+            .iter()
+            .zip(&job.tasks)
+            .filter(|(_, t)| t.state == crate::record::TaskState::Waiting)
+            .map(|(s, _)| (s.service.as_str(), &s.labels, s.near.as_str()))
+            .collect();
+        let mut fit: Vec<(String, bool)> = self
+            .record
+            .workers
+            .iter()
+            .filter(|(k, w)| !w.lost && !w.facts.leaving && self.record.desired.open(&w.facts.zone, k))
+            .filter_map(|(k, w)| {
+                let own: Vec<&(&str, &Vec<String>, &str)> = needs.iter().filter(|(s, l, _)| *s == w.facts.service && l.iter().all(|x| w.facts.labels.contains(x))).collect();
+                let local = own.iter().any(|(_, _, near)| !near.is_empty() && (*near == k || *near == w.facts.zone));
+                (!own.is_empty()).then(|| (k.clone(), local))
+            })
+            .collect();
+        let number = (u64::from(tasks) * u64::from(self.cfg.hopper.probe_ratio)).min(fit.len() as u64) as usize;
+        // Workers near the data first, then drawn at random.
+        for i in 0..number {
+            let j = i + self.draw.below((fit.len() - i) as u64) as usize;
+            fit.swap(i, j);
+        }
+        let (near, far): (Vec<_>, Vec<_>) = fit.into_iter().partition(|(_, local)| *local);
+        near.into_iter()
+            .chain(far)
+            .take(number)
+            .map(|(worker, local)| Reservation {
+                job: id.into(),
+                worker,
+                scheduler: self.name.clone(),
+                remaining: sizes.remaining.max(1),
+                size: sizes.size,
+                starved: sizes.starved,
+                local,
+                asked: now.mono,
+            })
+            .collect()
+    }
+
+    /// Sends of a job that were proposed and are not yet in the record.
+    fn underway<'a>(&'a self, job: &'a str) -> impl Iterator<Item = &'a Placement> + 'a {
+        self.sched.pending.values().filter(move |p| p.job == job).flat_map(|p| p.placements.iter())
+    }
+
+    fn wants(&self, now: Now, id: &str, job: &Job) -> Wants {
+        let agreed = self.agreed(now);
+        let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
+        let originals = (0..job.tasks.len() as u32)
+            .filter(|i| !pending.contains(i) && job.spec.tasks[*i as usize].due <= agreed && self.record.may_start(id, *i, false).is_ok())
+            .count() as u32;
+        Wants {
+            originals,
+            copies: if originals == 0 { self.slow(now, id, job).len() as u32 } else { 0 },
+        }
+    }
+
+    /// Running sends that are worth a spare copy, the slowest first: what is left would take longer than a new run.
+    fn slow(&self, now: Now, id: &str, job: &Job) -> Vec<u32> {
+        let queue = &job.spec.queue;
+        let Some(median) = self
+            .record
+            .duration_quantile(queue, 0.5)
+            .filter(|_| self.record.queues.get(queue).is_some_and(|t| t.durations.len() >= 5))
+        else {
+            return Vec::new();
+        };
+        let agreed = self.agreed(now);
+        let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
+        let mut slow: Vec<(u64, u32)> = job
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| job.spec.tasks[*i].may_repeat && !pending.contains(&(*i as u32)))
+            .filter_map(|(i, t)| t.live().find(|s| s.state == SendState::Running && !s.stop).map(|s| (agreed.saturating_sub(s.started), i as u32)))
+            .filter(|(ran, i)| *ran as f64 > self.cfg.hopper.slow_factor * median && self.record.may_start(id, *i, true).is_ok())
+            .collect();
+        slow.sort_by(|a, b| b.cmp(a));
+        slow.into_iter().map(|(_, i)| i).collect()
+    }
+
+    fn weight(&self, job: &Job, s: &Sizing) -> f64 {
+        // Larger priority counts as smaller size.
+        let priority = self.record.desired.queues.get(&job.spec.queue).map_or(0, |q| q.priority);
+        s.rank / (1.0 + f64::from(priority))
+    }
+
+    fn sizes(&self, job: &Job) -> Sizes {
+        let s = self.record.sizing(job);
+        let occupied = f64::from(s.occupied) + self.underway(&job.spec.id).count() as f64;
+        let floor = self.floor();
+        Sizes {
+            job: job.spec.id.clone(),
+            scheduler: self.name.clone(),
+            remaining: s.remaining,
+            size: self.weight(job, &s),
+            starved: occupied < floor.floor() && s.remaining > 0,
+            unsatisfied: occupied < s.size,
+        }
+    }
+
+    /// The least share of every job, in slots of the mean task's room.
+    fn floor(&self) -> f64 {
+        let jobs = self.record.open.len().max(1) as f64;
+        let (sends, used) = self.record.workers.values().fold((0usize, 0u32), |(n, u), w| (n + w.sends.len(), u + w.used));
+        let mean = if sends == 0 { 1.0 } else { (f64::from(used) / sends as f64).max(1.0) };
+        (1.0 - self.cfg.hopper.epsilon) * f64::from(self.record.total_room()) / mean / jobs
+    }
+
+    pub(super) fn on_offer(&mut self, now: Now, from: &str, m: Offer) {
+        let verdict = self.consider(now, from, &m);
+        self.send(from, Body::OfferVerdict(Box::new(verdict)));
+    }
+
+    fn consider(&mut self, now: Now, from: &str, m: &Offer) -> OfferVerdict {
+        let refuse = |gone: bool, sizes: Vec<Sizes>| OfferVerdict {
+            token: m.token,
+            worker: m.worker.clone(),
+            accepted: false,
+            task: String::new(),
+            room: 0,
+            gone,
+            sizes,
+        };
+        let Some((job, epoch)) = self
+            .record
+            .jobs
+            .get(&m.job)
+            .filter(|j| !j.state.ended() && !j.cancel && self.fresh(now))
+            .and_then(|j| self.owns(&j.spec.queue).map(|e| (j, e)))
+        else {
+            return refuse(true, self.smallest_unsatisfied(now, m));
+        };
+        let sizes = self.sizes(job);
+        let occupied = f64::from(self.record.sizing(job).occupied) + self.underway(&m.job).count() as f64;
+        let willing = !m.refusable || occupied < self.record.sizing(job).size.max(self.floor().floor()).max(1.0);
+        let picked = willing.then(|| self.pick(now, job, m)).flatten();
+        let Some(placements) = picked else {
+            let wants = self.wants(now, &m.job, job);
+            let mut all = self.smallest_unsatisfied(now, m);
+            all.push(Sizes { unsatisfied: false, ..sizes });
+            return refuse(wants == Wants::default(), all);
+        };
+        let rooms: Vec<u32> = placements.iter().map(|p| job.spec.tasks[p.task as usize].room).collect();
+        let room = placements.iter().zip(&rooms).filter(|(p, _)| p.worker == m.worker).map(|(_, r)| r).sum();
+        let task = placements.first().map_or(String::new(), |p| job.spec.tasks[p.task as usize].name.clone());
+        let until = now.mono + self.cfg.bounds.offer() * 2;
+        let command = Command::Start {
+            job: m.job.clone(),
+            owner_epoch: epoch,
+            placements: placements.clone(),
+        };
+        let purpose = Purpose::Start {
+            offer: m.token,
+            cell: from.into(),
+            worker: m.worker.clone(),
+        };
+        let within = self.cfg.bounds.offer() * 2;
+        let copy = placements.iter().any(|p| p.copy);
+        let token = self.propose(now, &command, purpose, within);
+        self.sched.pending.insert(
+            token,
+            Pending {
+                job: m.job.clone(),
+                placements,
+                rooms,
+                until,
+                place: 0,
+            },
+        );
+        self.count("placements_proposed", 1);
+        self.count("copies_proposed", u64::from(copy));
+        let sizes = self.record.jobs.get(&m.job).map(|j| self.sizes(j)).into_iter().collect();
+        OfferVerdict {
+            token: m.token,
+            worker: m.worker.clone(),
+            accepted: true,
+            task,
+            room,
+            gone: false,
+            sizes,
+        }
+    }
+
+    /// Which of the job's tasks goes to the offered slot.
+    fn pick(&self, now: Now, job: &Job, m: &Offer) -> Option<Vec<Placement>> {
+        let id = job.spec.id.as_str();
+        // Room is kept for a gang that has waited too long; others make way.
+        if self.sched.claim.as_ref().is_some_and(|c| c.job != id && c.workers.contains(&m.worker)) {
+            return None;
+        }
+        let agreed = self.agreed(now);
+        let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
+        let zone = self.record.workers.get(&m.worker).map_or("", |w| w.facts.zone.as_str());
+        let mut waiting: Vec<u32> = (0..job.tasks.len() as u32)
+            .filter(|i| !pending.contains(i) && job.spec.tasks[*i as usize].due <= agreed && self.record.may_start(id, *i, false).is_ok())
+            .collect();
+        waiting.sort_by_key(|i| {
+            let near = &job.spec.tasks[*i as usize].near;
+            !(near == &m.worker || near == zone)
+        });
+        let room_of = |i: u32| job.spec.tasks[i as usize].room;
+        for i in waiting {
+            let gang = &job.spec.tasks[i as usize].gang;
+            if gang.is_empty() {
+                let p = self.placement(&m.worker, i, false);
+                if room_of(i) <= m.room && p.cell_epoch == m.epoch && self.record.fits(id, &p).is_ok() {
+                    return Some(vec![p]);
+                }
+            } else {
+                let mut held: BTreeMap<String, u32> = BTreeMap::new();
+                self.sched
+                    .pending
+                    .values()
+                    .flat_map(|p| p.placements.iter().zip(&p.rooms))
+                    .for_each(|(p, r)| *held.entry(p.worker.clone()).or_default() += r);
+                let placed = self.place_gang(id, gang, &m.worker, &held).filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
+                if placed.is_some() {
+                    return placed;
+                }
+            }
+        }
+        self.slow(now, id, job)
+            .into_iter()
+            .map(|i| self.placement(&m.worker, i, true))
+            .find(|p| room_of(p.task) <= m.room && p.cell_epoch == m.epoch && self.record.fits(id, p).is_ok())
+            .map(|p| vec![p])
+    }
+
+    /// The smallest unsatisfied job of this scheduler that could use the slot.
+    fn smallest_unsatisfied(&self, now: Now, m: &Offer) -> Vec<Sizes> {
+        let mut of: Vec<Sizes> = self
+            .record
+            .open
+            .iter()
+            .filter(|id| **id != m.job)
+            .filter_map(|id| self.record.jobs.get(id))
+            .filter(|j| !j.cancel && self.owns(&j.spec.queue).is_some())
+            .map(|j| self.sizes(j))
+            .filter(|s| s.unsatisfied)
+            .collect();
+        of.sort_by(|a, b| a.size.total_cmp(&b.size));
+        of.into_iter()
+            .find(|s| self.record.jobs.get(&s.job).is_some_and(|j| self.pick(now, j, m).is_some()))
+            .into_iter()
+            .collect()
+    }
+
+    pub(super) fn start_ruled(&mut self, token: u64, offer: u64, cell: &str, worker: &str, place: u64, placed: bool) {
+        if placed && place > self.record.place {
+            self.sched.pending.get_mut(&token).into_iter().for_each(|p| p.place = place);
+        } else {
+            self.sched.pending.remove(&token);
+        }
+        if !placed {
+            self.count("placements_refused", 1);
+            self.send(
+                cell,
+                Body::OfferDone(Box::new(OfferDone {
+                    token: offer,
+                    worker: worker.into(),
+                    placed,
+                })),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/record/apply/jobs.rs
@@ -0,0 +1,219 @@
+use super::Ruling;
+use crate::record::{Job, JobSpec, JobState, Record, Refusal, SendState, Task, TaskState};
+use serde_json::{json, Value};
+
+impl Record {
+    /// A job that is turned away leaves a mark, so that an older call of the same id can't bring it in afterwards.
+    pub(super) fn accept(&mut self, spec: &JobSpec, hash: u64, seen: u64) -> Ruling {
+        let ruling = self.admit(spec, hash, seen);
+        let known = self.jobs.contains_key(&spec.id) || self.tombs.contains_key(&spec.id);
+        if ruling.is_err() && !known {
+            self.refusals.insert(spec.id.clone(), (self.place, self.at));
+        }
+        ruling
+    }
+
+    fn admit(&mut self, spec: &JobSpec, hash: u64, seen: u64) -> Ruling {
+        if let Some(known) = self.jobs.get(&spec.id).map(|j| j.hash).or_else(|| self.tombs.get(&spec.id).map(|t| t.hash)) {
+            return (known == hash).then(|| json!({"known": true})).ok_or(Refusal::OtherBody);
+        }
+        (self.refusals.get(&spec.id).is_none_or(|(place, _)| *place <= seen)).then_some(()).ok_or(Refusal::TurnedAway)?;
+        let waits = spec
+            .check()
+            .and_then(|w| spec.satisfiable(&self.desired).map(|()| w))
+            .map_err(|e| Refusal::Invalid { path: e.path, remedy: e.remedy })?;
+        let quota = self.desired.queues.get(&spec.queue).map_or(0, |q| q.quota);
+        let tally = self.queues.entry(spec.queue.clone()).or_default();
+        (tally.unfinished < quota).then_some(()).ok_or(Refusal::OverQuota { quota })?;
+        tally.unfinished += 1;
+        self.refusals.remove(&spec.id);
+        let tasks = waits.into_iter().map(|waits| Task { waits, ..Task::default() }).collect();
+        self.jobs.insert(
+            spec.id.clone(),
+            Job {
+                spec: spec.clone(),
+                hash,
+                accepted: self.at,
+                tasks,
+                ..Job::default()
+            },
+        );
+        self.open.insert(spec.id.clone());
+        Ok(json!({"known": false}))
+    }
+
+    pub(super) fn cancel(&mut self, id: &str) -> Ruling {
+        if let Some(t) = self.tombs.get(id) {
+            return Ok(json!({"state": t.state}));
+        }
+        let job = self.jobs.get_mut(id).ok_or(Refusal::Unknown { what: format!("job '{id}'") })?;
+        if job.state.ended() || job.cancel {
+            return Ok(json!({"state": job.state}));
+        }
+        job.cancel = true;
+        job.reason = "cancelled by the caller".into();
+        let live: Vec<u64> = job.tasks.iter().flat_map(Task::live).map(|s| s.no).collect();
+        live.into_iter().for_each(|no| self.want_stop(no));
+        self.settle(id);
+        Ok(json!({"state": self.jobs.get(id).map(|j| j.state)}))
+    }
+
+    pub(super) fn resolve(&mut self, id: &str, task: &str, well: bool) -> Ruling {
+        let job = self.jobs.get(id).ok_or(Refusal::Unknown { what: format!("job '{id}'") })?;
+        let i = job.spec.tasks.iter().position(|t| t.name == task).ok_or(Refusal::Unknown { what: format!("task '{task}'") })?;
+        let numbers: Vec<u64> = job.tasks[i].live().filter(|s| s.state == SendState::Unsure).map(|s| s.no).collect();
+        (!numbers.is_empty()).then_some(()).ok_or(Refusal::Invalid {
+            path: "task".into(),
+            remedy: "no send of the task is unsure: only unsure ones can be resolved".into(),
+        })?;
+        numbers
+            .iter()
+            .for_each(|no| self.close(*no, if well { SendState::Well } else { SendState::Defect }, 0, "resolved by the operator"));
+        self.settle(id);
+        Ok(Value::Null)
+    }
+
+    /// Marks a send to be stopped by its worker.
+    pub(super) fn want_stop(&mut self, no: u64) {
+        if let Some((job, task)) = self.live.get(&no).cloned() {
+            self.jobs
+                .get_mut(&job)
+                .and_then(|j| j.tasks.get_mut(task as usize))
+                .and_then(|t| t.sends.iter_mut().find(|s| s.no == no))
+                .iter_mut()
+                .for_each(|s| s.stop = true);
+        }
+    }
+
+    /// Ends a live send, frees its room and writes the task's ledger on.
+    pub(super) fn close(&mut self, no: u64, state: SendState, ran_ms: u64, note: &str) {
+        let Some((id, i)) = self.live.remove(&no) else { return };
+        let at = self.at;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let room = job.spec.tasks[i as usize].room;
+        let queue = job.spec.queue.clone();
+        let tries = self.desired.queues.get(&queue).map_or(1, |q| q.tries);
+        let cancel = job.cancel;
+        let task = &mut job.tasks[i as usize];
+        let Some(send) = task.sends.iter_mut().find(|s| s.no == no) else { return };
+        send.state = state;
+        send.ended = at;
+        send.ran_ms = ran_ms;
+        send.note = note.into();
+        let (worker, copy) = (send.worker.clone(), send.copy);
+        let first_well = state == SendState::Well && task.state != TaskState::Done;
+        if first_well {
+            task.state = TaskState::Done;
+        }
+        if state == SendState::Defect {
+            task.defects += 1;
+            if task.defects >= tries && task.state == TaskState::Waiting {
+                task.state = if cancel { TaskState::Cancelled } else { TaskState::Failed };
+            }
+        }
+        let rest: Vec<u64> = if task.state == TaskState::Waiting { Vec::new() } else { task.live().map(|s| s.no).collect() };
+        self.workers.get_mut(&worker).iter_mut().for_each(|w| {
+            if w.sends.remove(&no) {
+                w.used = w.used.saturating_sub(room);
+            }
+        });
+        let tally = self.queues.entry(queue).or_default();
+        tally.running = tally.running.saturating_sub(1);
+        tally.copies -= u32::from(copy).min(tally.copies);
+        tally.copies_won += u64::from(copy && first_well);
+        if first_well && ran_ms > 0 {
+            tally.durations.push_back(ran_ms.min(u64::from(u32::MAX)) as u32);
+            if tally.durations.len() > 256 {
+                tally.durations.pop_front();
+            }
+        }
+        rest.into_iter().for_each(|n| self.want_stop(n));
+        if !matches!(state, SendState::Well) {
+            self.recall_gang(&id, i);
+        }
+    }
+
+    /// When a gang member has to start again, the rest of the gang is stopped so that it starts whole.
+    pub(super) fn recall_gang(&mut self, id: &str, i: u32) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let gang = &job.spec.tasks[i as usize].gang;
+        if gang.is_empty() {
+            return;
+        }
+        let rest: Vec<u64> = job
+            .spec
+            .tasks
+            .iter()
+            .zip(&job.tasks)
+            .filter(|(s, t)| &s.gang == gang && t.state != TaskState::Done)
+            .flat_map(|(_, t)| t.live().map(|s| s.no).collect::<Vec<_>>())
+            .collect();
+        rest.into_iter().for_each(|no| self.want_stop(no));
+    }
+
+    /// Derives the job's state from its tasks.
+    pub(super) fn settle(&mut self, id: &str) {
+        let at = self.at;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.state.ended() {
+            return;
+        }
+        let failed = job.tasks.iter().any(|t| t.state == TaskState::Failed);
+        if job.cancel || failed {
+            job.tasks
+                .iter_mut()
+                .filter(|t| t.state == TaskState::Waiting && t.live().next().is_none())
+                .for_each(|t| t.state = TaskState::Cancelled);
+        }
+        let live: Vec<u64> = job.tasks.iter().flat_map(Task::live).map(|s| s.no).collect();
+        let done = job.tasks.iter().all(|t| t.state == TaskState::Done);
+        job.state = if !live.is_empty() {
+            if job.cancel {
+                JobState::Cancelling
+            } else {
+                JobState::Running
+            }
+        } else if done {
+            JobState::Done
+        } else if failed {
+            JobState::Failed
+        } else if job.cancel {
+            JobState::Cancelled
+        } else if job.tasks.iter().any(|t| !t.sends.is_empty()) {
+            JobState::Running
+        } else {
+            JobState::Waiting
+        };
+        if failed && !job.cancel {
+            job.reason = job.spec.tasks.iter().zip(&job.tasks).find(|(_, t)| t.state == TaskState::Failed).map_or(String::new(), |(s, t)| {
+                format!("task '{}' failed {} times: {}", s.name, t.defects, t.sends.last().map_or("", |s| s.note.as_str()))
+            });
+        }
+        if !job.state.ended() {
+            if failed {
+                live.into_iter().for_each(|no| self.want_stop(no));
+            }
+            return;
+        }
+        job.ended = at;
+        let (state, queue, took) = (
+            job.state,
+            job.spec.queue.clone(),
+            at.saturating_sub(job.accepted.max(job.spec.tasks.iter().map(|t| t.due).max().unwrap_or(0))),
+        );
+        self.open.remove(id);
+        self.expiry.insert((at, id.to_string()));
+        let promise = self.desired.queues.get(&queue).map_or(0, |q| q.finish_within_ms);
+        let tally = self.queues.entry(queue).or_default();
+        tally.unfinished = tally.unfinished.saturating_sub(1);
+        if state != JobState::Cancelled {
+            let kept = state == JobState::Done && (promise == 0 || took <= promise);
+            tally.promises.push_back((at, kept));
+            tally.kept += u64::from(kept);
+            tally.missed += u64::from(!kept);
+            if tally.promises.len() > 4096 {
+                tally.promises.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/record/command.rs
@@ -0,0 +1,203 @@
+use super::JobSpec;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct WorkerFacts {
+    pub worker: String,
+    /// Grows with each start of the worker's process.
+    pub incarnation: u64,
+    pub service: String,
+    pub labels: BTreeSet<String>,
+    pub zone: String,
+    pub room: u32,
+    pub leaving: bool,
+}
+
+/// A task placed on a worker.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Placement {
+    pub task: u32,
+    pub worker: String,
+    pub incarnation: u64,
+    /// The epoch of the cell that offered the slot.
+    pub cell_epoch: u64,
+    pub copy: bool,
+}
+
+/// How a send ended, by its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Outcome {
+    Well,
+    Defect,
+    Stopped,
+    /// Never started, and never will be.
+    Void,
+}
+
+/// The end of a send.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndReport {
+    pub no: u64,
+    pub outcome: Outcome,
+    pub ran_ms: u64,
+    #[serde(default)]
+    pub note: String,
+}
+
+/// What can be entered into the record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// The first entry of a term.
+    Opened {
+        leader: String,
+    },
+    Configure {
+        change: String,
+        base: u64,
+        patch: bool,
+        value: serde_json::Value,
+    },
+    /// `seen` is the place that the admitting node had followed to when the call came.
+    Accept {
+        spec: JobSpec,
+        hash: u64,
+        seen: u64,
+    },
+    Cancel {
+        job: String,
+    },
+    Start {
+        job: String,
+        owner_epoch: u64,
+        placements: Vec<Placement>,
+    },
+    /// A worker's facts have changed.
+    Facts {
+        facts: WorkerFacts,
+        cell_epoch: u64,
+    },
+    /// What a worker has started and ended.
+    Report {
+        worker: String,
+        incarnation: u64,
+        running: Vec<u64>,
+        ends: Vec<EndReport>,
+    },
+    /// A worker's beats are missing.
+    Lost {
+        worker: String,
+        incarnation: u64,
+        cell_epoch: u64,
+    },
+    /// The operator says how an unsure send ended.
+    Resolve {
+        job: String,
+        task: String,
+        well: bool,
+    },
+    Grant {
+        duty: String,
+        holder: String,
+        from_epoch: u64,
+    },
+    Node {
+        node: String,
+        zone: String,
+        http: String,
+    },
+    NodeGone {
+        node: String,
+    },
+    /// The first cores, all at once.
+    Found {
+        cores: Vec<String>,
+    },
+    Core {
+        core: String,
+        voter: bool,
+        disk: u64,
+    },
+    CoreGone {
+        core: String,
+    },
+    /// Lets bounds that have passed take effect.
+    Sweep {
+        retain_ms: u64,
+        identity_ms: u64,
+    },
+}
+
+/// Why the record refused an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The base version is no longer the current one.
+    Rival {
+        current: u64,
+    },
+    /// The same identity came with another body.
+    OtherBody,
+    Invalid {
+        path: String,
+        remedy: String,
+    },
+    Unknown {
+        what: String,
+    },
+    OverQuota {
+        quota: u32,
+    },
+    /// The same id was turned away after this call was made.
+    TurnedAway,
+    /// The proposer's grant has passed to another.
+    StaleGrant,
+    Ended,
+    Cancelled,
+    NotDue,
+    Waiting,
+    NoRoom,
+    Repeat,
+    Spent,
+    Unfit {
+        why: String,
+    },
+    GangSplit,
+    Budget,
+}
+
+impl std::fmt::Display for Refusal {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Self::Rival { current } => write!(f, "another change came first: read version {current} and send the change again on top of it"),
+            Self::OtherBody => write!(f, "this id was used with another body: give the new request an id of its own"),
+            Self::Invalid { path, remedy } => write!(f, "{path}: {remedy}"),
+            Self::Unknown { what } => write!(f, "{what} is not known: check the name"),
+            Self::OverQuota { quota } => write!(f, "the queue holds its quota of {quota} unfinished jobs: come back later"),
+            Self::TurnedAway => write!(f, "the same id was turned away while this call was under way: hand it in again"),
+            Self::StaleGrant => write!(f, "the duty has passed to another node: propose again through its holder"),
+            Self::Ended => write!(f, "it has ended already: nothing more can be done to it"),
+            Self::Cancelled => write!(f, "the job is cancelled: hand in a new one"),
+            Self::NotDue => write!(f, "its appointed time has not come: wait"),
+            Self::Waiting => write!(f, "a step it depends on is not done: wait"),
+            Self::NoRoom => write!(f, "the worker has no room left: offer another"),
+            Self::Repeat => write!(f, "it may be running already and may not be repeated: wait for its end"),
+            Self::Spent => write!(f, "it has failed as often as its queue permits: look at the defects"),
+            Self::Unfit { why } => write!(f, "the worker does not fit ({why}): offer another"),
+            Self::GangSplit => write!(f, "the gang must be placed whole: propose all its members"),
+            Self::Budget => write!(f, "the queue's speculation budget is in use: wait"),
+        }
+    }
+}
+
+/// One change of configuration and what came of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    pub change: String,
+    pub hash: u64,
+    pub version: u64,
+    pub place: u64,
+    pub at: u64,
+}
--- /dev/null
+++ b/landingdrift/src/record/mod.rs
@@ -0,0 +1,172 @@
+//! The record: the one replicated state, and the rules that every entry is checked against.
+//!
+//! Admission proposes, the record disposes: [`Record::apply`] is the only place
+//! where anything changes, and it is the same code on cores and nodes.
+
+pub mod command;
+pub mod derive;
+pub mod job;
+
+mod apply;
+
+pub use apply::{pack_ruling, Ruling};
+pub use command::{Change, Command, EndReport, Outcome, Placement, Refusal, WorkerFacts};
+pub use job::{Job, JobSpec, JobState, Send, SendState, Task, TaskSpec, TaskState};
+
+use crate::desired::Desired;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Version of the record's format; another one is refused.
+pub const RECORD_VERSION: u16 = 1;
+
+/// How many changes of configuration are remembered one by one.
+pub const CHANGES_KEPT: usize = 200;
+
+/// A worker as the record knows it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    pub facts: WorkerFacts,
+    /// Its beats are missing.
+    pub lost: bool,
+    /// Good ends needed before it is trusted again; 0 when trusted.
+    pub probation: u32,
+    /// Its last ends, true for good ones.
+    pub ends: VecDeque<bool>,
+    pub since: u64,
+    /// Room taken by sends that may be running.
+    pub used: u32,
+    /// Sends that may be running.
+    pub sends: BTreeSet<u64>,
+}
+
+/// A duty given to one node.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    pub holder: String,
+    pub epoch: u64,
+}
+
+/// A node as the record knows it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NodeMember {
+    pub zone: String,
+    pub http: String,
+    pub alive: bool,
+}
+
+/// A core as the record knows it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CoreMember {
+    pub voter: bool,
+    pub disk: u64,
+}
+
+/// What is left of a job after it was retained for its time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Tomb {
+    pub hash: u64,
+    pub state: JobState,
+    pub until: u64,
+}
+
+/// What a queue has lived through.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct QueueTally {
+    /// How long good runs took, the latest last.
+    pub durations: VecDeque<u32>,
+    /// Ends of jobs within the window: when, and whether the promise was kept.
+    pub promises: VecDeque<(u64, bool)>,
+    pub unfinished: u32,
+    pub kept: u64,
+    pub missed: u64,
+    pub running: u32,
+    pub copies: u32,
+    pub copies_ever: u64,
+    pub copies_won: u64,
+}
+
+/// The whole state that the cores agree on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub format: u16,
+    pub cluster: String,
+    /// The index of the last entry applied.
+    pub place: u64,
+    /// The agreed clock, in milliseconds since 1970; it never goes back.
+    pub at: u64,
+    pub version: u64,
+    pub desired: Desired,
+    pub changes: VecDeque<Change>,
+    pub jobs: BTreeMap<String, Job>,
+    pub tombs: BTreeMap<String, Tomb>,
+    /// Jobs and tombs to drop, by time.
+    pub expiry: BTreeSet<(u64, String)>,
+    /// Ids turned away: at which place, and when.
+    pub refusals: BTreeMap<String, (u64, u64)>,
+    /// Unfinished jobs.
+    pub open: BTreeSet<String>,
+    pub workers: BTreeMap<String, Worker>,
+    pub grants: BTreeMap<String, Grant>,
+    pub nodes: BTreeMap<String, NodeMember>,
+    pub cores: BTreeMap<String, CoreMember>,
+    pub queues: BTreeMap<String, QueueTally>,
+    /// The sends that may be running, by number.
+    pub live: BTreeMap<u64, (String, u32)>,
+    pub next_send: u64,
+    pub next_epoch: u64,
+}
+
+/// The name of the duty of keeping a zone's cell.
+pub fn cell_duty(zone: &str) -> String {
+    format!("cell/{zone}")
+}
+
+/// The name of the duty of owning a queue.
+pub fn queue_duty(queue: &str) -> String {
+    format!("queue/{queue}")
+}
+
+impl Record {
+    /// An empty record.
+    pub fn new(cluster: &str) -> Self {
+        Self {
+            format: RECORD_VERSION,
+            cluster: cluster.into(),
+            next_send: 1,
+            next_epoch: 1,
+            ..Self::default()
+        }
+    }
+
+    /// The record as bytes for a capture.
+    pub fn pack(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// The record from a capture.
+    pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
+        let r: Self = serde_json::from_slice(bytes).map_err(|e| format!("the capture can't be read ({e}): fetch it again from another core"))?;
+        (r.format == RECORD_VERSION)
+            .then_some(())
+            .ok_or_else(|| format!("the capture has format {}, this build reads {RECORD_VERSION}: run the build that wrote it", r.format))?;
+        Ok(r)
+    }
+
+    /// The holder of a duty.
+    pub fn holder(&self, duty: &str) -> Option<&Grant> {
+        self.grants.get(duty)
+    }
+
+    /// A task by its job and number.
+    pub fn task(&self, job: &str, no: u32) -> Option<(&Job, &Task)> {
+        self.jobs.get(job).and_then(|j| j.tasks.get(no as usize).map(|t| (j, t)))
+    }
+
+    /// A send by its number, while it may be running.
+    pub fn send(&self, no: u64) -> Option<(&Job, &Task, &Send)> {
+        let (job, task) = self.live.get(&no)?;
+        let (j, t) = self.task(job, *task)?;
+        t.sends.iter().find(|s| s.no == no).map(|s| (j, t, s))
+    }
+}
--- /dev/null
+++ b/landingdrift/src/settings/mod.rs
@@ -0,0 +1,238 @@
+//! Settings of a process, from a file and from flags, checked as a whole.
+
+mod read;
+
+pub use read::{from_words, SettingsDefect, FLAGS};
+
+use serde::{Deserialize, Serialize};
+
+/// Bounds that operators are promised; every duration inside is a ratio of one of them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// A job's state can be asked for within this time of its acceptance.
+    pub state_ms: u64,
+    /// Nothing of a cancelled job starts after this time.
+    pub cancel_ms: u64,
+    /// A leaving worker gets nothing new after this time.
+    pub leave_ms: u64,
+    /// An emptied zone gets nothing new after this time.
+    pub empty_ms: u64,
+    /// A change of configuration takes hold within this time.
+    pub desired_ms: u64,
+    /// Service returns within this time after a total outage.
+    pub outage_ms: u64,
+    /// A core that is silent for this long is replaced by a waiting one.
+    pub replace_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            state_ms: 3000,
+            cancel_ms: 3000,
+            leave_ms: 2000,
+            empty_ms: 5000,
+            desired_ms: 2000,
+            outage_ms: 12_000,
+            replace_ms: 10_000,
+        }
+    }
+}
+
+impl Bounds {
+    /// How often parts look at the time.
+    pub fn tick(&self) -> u64 {
+        self.desired_ms / 100
+    }
+    /// How often a leader is heard.
+    pub fn heartbeat(&self) -> u64 {
+        self.desired_ms / 20
+    }
+    /// The shortest silence after which a core stands for election.
+    pub fn election(&self) -> u64 {
+        self.desired_ms / 4
+    }
+    /// How long a waking core waits for all others.
+    pub fn wake(&self) -> u64 {
+        self.outage_ms / 8
+    }
+    /// How old a node's feed may be while it gives start orders.
+    pub fn fresh(&self) -> u64 {
+        self.cancel_ms / 3
+    }
+    /// How old a beat's answer may be when its worker obeys a start order.
+    pub fn obey(&self) -> u64 {
+        self.cancel_ms / 6
+    }
+    /// The silence after which a node's duties pass to others; longer than `fresh` and `obey` together.
+    pub fn node_lost(&self) -> u64 {
+        self.cancel_ms * 2 / 3
+    }
+    /// How often workers beat.
+    pub fn beat(&self) -> u64 {
+        self.leave_ms / 8
+    }
+    /// The silence after which a worker is lost.
+    pub fn worker_lost(&self) -> u64 {
+        self.cancel_ms
+    }
+    /// How long a call is worked on before its verdict is "unsure".
+    pub fn call(&self) -> u64 {
+        self.state_ms * 4 / 5
+    }
+    /// How long an offer waits for its verdict.
+    pub fn offer(&self) -> u64 {
+        self.desired_ms / 4
+    }
+    /// How often views are shuffled.
+    pub fn shuffle(&self) -> u64 {
+        self.desired_ms / 4
+    }
+    /// How often reservations are looked through and placed anew.
+    pub fn reserve(&self) -> u64 {
+        self.desired_ms / 2
+    }
+    /// When a caller told to come back should do so.
+    pub fn back(&self) -> u64 {
+        self.state_ms / 3
+    }
+}
+
+/// Limits on what is held and taken.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The largest body of a job.
+    pub job_bytes: u64,
+    /// The largest configuration.
+    pub desired_bytes: u64,
+    /// Unfinished jobs in the whole system.
+    pub open_jobs: u64,
+    /// Calls that one node works on at once.
+    pub calls: u64,
+    /// How long a finished job is kept in full.
+    pub retain_ms: u64,
+    /// How long a finished job's identity is kept after that.
+    pub identity_ms: u64,
+    /// Entries between two captures.
+    pub capture_every: u64,
+    /// Size at which a log segment is closed.
+    pub segment_bytes: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            job_bytes: 1 << 20,
+            desired_bytes: 4 << 20,
+            open_jobs: 20_000,
+            calls: 2000,
+            retain_ms: 600_000,
+            identity_ms: 86_400_000,
+            capture_every: 5000,
+            segment_bytes: 8 << 20,
+        }
+    }
+}
+
+/// Free values of admission.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Hopper {
+    /// Reservations per waiting task.
+    pub probe_ratio: u32,
+    /// Refusals after which an offer can't be refused.
+    pub refusals: u32,
+    /// ε of the fairness floor.
+    pub epsilon: f64,
+    /// Share of the smallest jobs among which a local one may go first.
+    pub locality: f64,
+    /// A running send is slow when it has run this many times the median of its queue.
+    pub slow_factor: f64,
+}
+
+impl Default for Hopper {
+    fn default() -> Self {
+        Self {
+            probe_ratio: 4,
+            refusals: 3,
+            epsilon: 0.1,
+            locality: 0.03,
+            slow_factor: 2.0,
+        }
+    }
+}
+
+/// All settings of a process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Processes of different clusters don't talk.
+    pub cluster: String,
+    /// Address for the system's own processes; it is also this process's name.
+    pub listen: String,
+    /// Address for callers, workers and operators.
+    pub http: String,
+    pub zone: String,
+    /// Addresses of other processes to start from.
+    pub seeds: Vec<String>,
+    /// The first cores of a new cluster; the seeds when left empty.
+    pub founders: Vec<String>,
+    /// The data folder of a core.
+    pub data: String,
+    /// `error`, `warn`, `info` or `debug`.
+    pub log: String,
+    pub bounds: Bounds,
+    pub limits: Limits,
+    pub hopper: Hopper,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            cluster: "landingdrift".into(),
+            listen: String::new(),
+            http: String::new(),
+            zone: String::new(),
+            seeds: Vec::new(),
+            founders: Vec::new(),
+            data: String::new(),
+            log: "info".into(),
+            bounds: Bounds::default(),
+            limits: Limits::default(),
+            hopper: Hopper::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// The first cores of a new cluster.
+    pub fn founders(&self) -> Vec<String> {
+        if self.founders.is_empty() {
+            self.seeds.clone()
+        } else {
+            self.founders.clone()
+        }
+    }
+    /// The settings with those of `new` that can change while the process runs; the names of the others that differ.
+    pub fn take_live(&self, new: &Settings) -> (Settings, Vec<&'static str>) {
+        let fixed = [
+            ("cluster", self.cluster != new.cluster),
+            ("listen", self.listen != new.listen),
+            ("http", self.http != new.http),
+            ("zone", self.zone != new.zone),
+            ("seeds", self.seeds != new.seeds),
+            ("founders", self.founders != new.founders),
+            ("data", self.data != new.data),
+        ];
+        let live = Settings {
+            log: new.log.clone(),
+            bounds: new.bounds.clone(),
+            limits: new.limits.clone(),
+            hopper: new.hopper.clone(),
+            ..self.clone()
+        };
+        (live, fixed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect())
+    }
+}
--- /dev/null
+++ b/landingdrift/src/wire/mod.rs
@@ -0,0 +1,57 @@
+//! Messages between the system's own processes, as flatbuffers.
+
+#[allow(warnings, clippy::all)]
+mod generated {
+    include!(concat!(env!("OUT_DIR"), "/wire.rs"));
+}
+
+pub use generated::wire::*;
+
+use std::fmt;
+
+/// The version of the wire format that this build speaks.
+pub const WIRE_VERSION: u16 = 1;
+
+/// Why a frame was refused.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WireDefect {
+    /// The bytes are no envelope.
+    Malformed(String),
+    /// The sender speaks another version.
+    Version(u16),
+    /// The sender belongs to another cluster.
+    Cluster(String),
+}
+
+impl fmt::Display for WireDefect {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Malformed(why) => write!(f, "not a frame of this system ({why}): point the sender at this process's HTTP address instead"),
+            Self::Version(v) => write!(f, "the sender speaks wire version {v}, this build speaks {WIRE_VERSION}: upgrade the older of the two"),
+            Self::Cluster(c) => write!(f, "the sender belongs to cluster '{c}': correct `cluster` or `seeds` in one of the two settings"),
+        }
+    }
+}
+
+/// Turns an envelope into bytes.
+pub fn pack(cluster: &str, from: &str, body: &Body) -> Vec<u8> {
+    let env = Envelope {
+        version: WIRE_VERSION,
+        cluster: cluster.into(),
+        from: from.into(),
+        body: body.clone(),
+    };
+    planus::Builder::new().finish(env, None).to_vec()
+}
+
+/// Reads an envelope and checks its version and cluster.
+pub fn unpack(cluster: &str, bytes: &[u8]) -> Result<Envelope, WireDefect> {
+    let read = || -> planus::Result<Envelope> {
+        let env: EnvelopeRef = planus::ReadAsRoot::read_as_root(bytes)?;
+        env.try_into()
+    };
+    let env = read().map_err(|e| WireDefect::Malformed(e.to_string()))?;
+    (env.version == WIRE_VERSION).then_some(()).ok_or(WireDefect::Version(env.version))?;
+    (env.cluster == cluster).then_some(()).ok_or(WireDefect::Cluster(env.cluster.clone()))?;
+    Ok(env)
+}
--- /dev/null
+++ b/rehearsal/src/checkers/runs.rs
@@ -0,0 +1,346 @@
+use super::{Broken, Promised};
+use crate::history::{Event, History};
+use landingdrift::record::{JobSpec, Outcome, TaskSpec};
+use std::collections::{BTreeMap, BTreeSet};
+
+type Specs<'a> = BTreeMap<&'a str, &'a JobSpec>;
+
+fn specs(h: &History) -> Specs<'_> {
+    h.events
+        .iter()
+        .filter_map(|a| if let Event::Offered { spec } = &a.e { Some((spec.id.as_str(), spec)) } else { None })
+        .collect()
+}
+
+fn task<'a>(s: &Specs<'a>, job: &str, task: &str) -> Option<&'a TaskSpec> {
+    s.get(job).and_then(|j| j.tasks.iter().find(|t| t.name == task))
+}
+
+/// One run of a task on a worker.
+struct Run<'a> {
+    worker: &'a str,
+    job: &'a str,
+    task: &'a str,
+    from: u64,
+    to: u64,
+    outcome: Option<Outcome>,
+}
+
+/// All runs; those that never ended go on to the end of time, and a dead worker's end with it.
+fn runs(h: &History) -> Vec<Run<'_>> {
+    let mut out: Vec<Run> = Vec::new();
+    let mut open: BTreeMap<(&str, u64), usize> = BTreeMap::new();
+    for a in &h.events {
+        match &a.e {
+            Event::Started { worker, no, job, task, .. } => {
+                open.insert((worker, *no), out.len());
+                out.push(Run {
+                    worker,
+                    job,
+                    task,
+                    from: a.t,
+                    to: u64::MAX,
+                    outcome: None,
+                });
+            }
+            Event::Ended { worker, no, outcome, .. } if *outcome != Outcome::Void => {
+                if let Some(i) = open.remove(&(worker.as_str(), *no)) {
+                    out[i].to = a.t;
+                    out[i].outcome = Some(*outcome);
+                }
+            }
+            Event::WorkerDied { worker } => {
+                let dead: Vec<(&str, u64)> = open.keys().filter(|(w, _)| w == worker).copied().collect();
+                dead.into_iter().filter_map(|k| open.remove(&k)).for_each(|i| out[i].to = a.t);
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+/// Without leave to repeat, a task never runs twice at once and never again after it finished well.
+pub fn no_repeat(h: &History, _: &Promised) -> Vec<Broken> {
+    let s = specs(h);
+    let mut by_task: BTreeMap<(&str, &str), Vec<Run>> = BTreeMap::new();
+    for r in runs(h) {
+        if task(&s, r.job, r.task).is_some_and(|t| !t.may_repeat) {
+            by_task.entry((r.job, r.task)).or_default().push(r);
+        }
+    }
+    let mut out = Vec::new();
+    for ((job, name), of) in by_task {
+        for (i, r) in of.iter().enumerate() {
+            for before in &of[..i] {
+                if before.to > r.from {
+                    out.push(Broken {
+                        rule: "no repeat without leave",
+                        t: r.from,
+                        what: format!("{job}/{name} started on {} while it ran on {}", r.worker, before.worker),
+                    });
+                } else if before.outcome == Some(Outcome::Well) {
+                    out.push(Broken {
+                        rule: "no repeat without leave",
+                        t: r.from,
+                        what: format!("{job}/{name} started again on {} after it had finished well", r.worker),
+                    });
+                }
+            }
+        }
+    }
+    out
+}
+
+/// No task starts before the steps it depends on are done.
+pub fn steps_in_order(h: &History, _: &Promised) -> Vec<Broken> {
+    let s = specs(h);
+    let mut well: BTreeSet<(&str, &str)> = BTreeSet::new();
+    let mut out = Vec::new();
+    for a in &h.events {
+        match &a.e {
+            Event::Ended {
+                job, task, outcome: Outcome::Well, ..
+            } => {
+                well.insert((job, task));
+            }
+            Event::Started { job, task: name, .. } => {
+                let missing = task(&s, job, name).into_iter().flat_map(|t| &t.depends_on).find(|d| !well.contains(&(job.as_str(), d.as_str())));
+                out.extend(missing.map(|d| Broken {
+                    rule: "steps in order",
+                    t: a.t,
+                    what: format!("{job}/{name} started before {d} was done"),
+                }));
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+/// No task starts noticeably before its appointed time.
+pub fn not_early(h: &History, p: &Promised) -> Vec<Broken> {
+    let s = specs(h);
+    h.events
+        .iter()
+        .filter_map(|a| match &a.e {
+            Event::Started { job, task: name, .. } => task(&s, job, name).filter(|t| a.t + p.epoch + p.early < t.due).map(|t| Broken {
+                rule: "not before its time",
+                t: a.t,
+                what: format!("{job}/{name} started {} ms early", t.due - a.t - p.epoch),
+            }),
+            _ => None,
+        })
+        .collect()
+}
+
+/// No worker holds more than its room.
+pub fn room(h: &History, _: &Promised) -> Vec<Broken> {
+    let mut rooms: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut held: BTreeMap<&str, BTreeMap<u64, u32>> = BTreeMap::new();
+    let mut out = Vec::new();
+    for a in &h.events {
+        match &a.e {
+            Event::WorkerUp { worker, room, .. } => {
+                rooms.insert(worker, *room);
+                held.remove(worker.as_str());
+            }
+            Event::WorkerDied { worker } => {
+                held.remove(worker.as_str());
+            }
+            Event::Ended { worker, no, .. } => {
+                held.get_mut(worker.as_str()).iter_mut().for_each(|w| {
+                    w.remove(no);
+                });
+            }
+            Event::Started { worker, no, room, .. } => {
+                let w = held.entry(worker).or_default();
+                w.insert(*no, *room);
+                let sum: u32 = w.values().sum();
+                if sum > rooms.get(worker.as_str()).copied().unwrap_or(0) {
+                    out.push(Broken {
+                        rule: "room",
+                        t: a.t,
+                        what: format!("{worker} holds {sum} of {:?}", rooms.get(worker.as_str())),
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+/// Tasks run only on workers of their service that carry their labels.
+pub fn fitting(h: &History, _: &Promised) -> Vec<Broken> {
+    let s = specs(h);
+    let mut up: BTreeMap<&str, (&str, &Vec<String>)> = BTreeMap::new();
+    let mut out = Vec::new();
+    for a in &h.events {
+        match &a.e {
+            Event::WorkerUp { worker, service, labels, .. } => {
+                up.insert(worker, (service, labels));
+            }
+            Event::Started { worker, job, task: name, .. } => {
+                let fits = task(&s, job, name)
+                    .zip(up.get(worker.as_str()))
+                    .is_some_and(|(t, (service, labels))| t.service == *service && t.labels.iter().all(|l| labels.contains(l)));
+                if !fits {
+                    out.push(Broken {
+                        rule: "fitting workers",
+                        t: a.t,
+                        what: format!("{job}/{name} started on {worker}, which does not fit"),
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+/// A task that has failed as often as its queue permits is not tried again.
+pub fn tries(h: &History, _: &Promised) -> Vec<Broken> {
+    let s = specs(h);
+    let mut permitted: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut defects: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+    let mut out = Vec::new();
+    for a in &h.events {
+        match &a.e {
+            Event::Configured { status: 200, tries, .. } => tries.iter().for_each(|(q, t)| {
+                let most = permitted.entry(q).or_default();
+                *most = (*most).max(*t);
+            }),
+            Event::Ended {
+                job, task, outcome: Outcome::Defect, ..
+            } => *defects.entry((job, task)).or_default() += 1,
+            Event::Started { job, task, copy, .. } => {
+                let most = s.get(job.as_str()).and_then(|j| permitted.get(j.queue.as_str())).copied().unwrap_or(u32::MAX);
+                let had = defects.get(&(job.as_str(), task.as_str())).copied().unwrap_or(0);
+                // A copy that was ordered beside its original may still be on its way when the last defect happens.
+                if had >= most && !copy {
+                    out.push(Broken {
+                        rule: "tries",
+                        t: a.t,
+                        what: format!("{job}/{task} started after {had} defects of {most}"),
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+/// A worker that said it is leaving gets nothing new soon after.
+pub fn leaving(h: &History, p: &Promised) -> Vec<Broken> {
+    let mut left: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut out = Vec::new();
+    for a in &h.events {
+        match &a.e {
+            Event::WorkerUp { worker, .. } => {
+                left.remove(worker.as_str());
+            }
+            Event::WorkerLeaving { worker } => {
+                left.insert(worker, a.t);
+            }
+            Event::Started { worker, .. } if left.get(worker.as_str()).is_some_and(|t| a.t > t + p.leave) => out.push(Broken {
+                rule: "leaving workers",
+                t: a.t,
+                what: format!("{worker} got work {} ms after it said it leaves", a.t - left[worker.as_str()]),
+            }),
+            _ => {}
+        }
+    }
+    out
+}
+
+/// An emptied zone gets nothing new soon after.
+pub fn emptied(h: &History, p: &Promised) -> Vec<Broken> {
+    let mut zone_of: BTreeMap<&str, &str> = BTreeMap::new();
+    let mut closed: BTreeMap<&str, u64> = BTreeMap::new();
+    // What is closed is known at the latest when the change is acknowledged; a lost answer opens earlier than it says.
+    let mut out = Vec::new();
+    let mut newest = 0;
+    for a in &h.events {
+        match &a.e {
+            Event::WorkerUp { worker, zone, .. } => {
+                zone_of.insert(worker, zone);
+            }
+            Event::Configured { status: 200, zones, version, .. } if *version > newest => {
+                newest = *version;
+                for (z, state) in zones {
+                    if ["draining", "evacuated"].contains(&state.as_str()) {
+                        closed.entry(z).or_insert(a.t);
+                    } else {
+                        closed.remove(z.as_str());
+                    }
+                }
+            }
+            Event::Fault { what } if what.starts_with("restore ") => {
+                closed.remove(what.trim_start_matches("restore "));
+            }
+            Event::Started { worker, .. } => {
+                let since = zone_of.get(worker.as_str()).and_then(|z| closed.get(z));
+                if since.is_some_and(|t| a.t > t + p.empty) {
+                    out.push(Broken {
+                        rule: "emptied zones",
+                        t: a.t,
+                        what: format!("{worker} got work {} ms after its zone was emptied", a.t - since.unwrap_or(&0)),
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+/// Members of a gang are never left waiting alone: whoever runs for long, runs with all that are not done.
+pub fn gangs(h: &History, p: &Promised) -> Vec<Broken> {
+    let s = specs(h);
+    let all = runs(h);
+    let mut of: BTreeMap<(&str, &str), Vec<&Run>> = BTreeMap::new();
+    for r in &all {
+        if let Some(t) = task(&s, r.job, r.task).filter(|t| !t.gang.is_empty()) {
+            of.entry((r.job, t.gang.as_str())).or_default().push(r);
+        }
+    }
+    let dark = dark_times(h);
+    let mut out = Vec::new();
+    for ((job, gang), runs) in &of {
+        let names: Vec<&str> = s[job].tasks.iter().filter(|t| t.gang == *gang).map(|t| t.name.as_str()).collect();
+        for r in runs {
+            for other in names.iter().filter(|n| **n != r.task) {
+                let partners: Vec<&&Run> = runs.iter().filter(|x| x.task == *other).collect();
+                // With it: a run that overlaps its first moments, or the other was done well before.
+                let together = partners.iter().any(|x| x.from <= r.from + p.alone && (x.to >= r.from || x.outcome == Some(Outcome::Well)));
+                let short = r.to <= r.from + p.alone;
+                // A worker that nobody can reach can't be told to stop.
+                let unreachable = dark.iter().any(|(w, from, to)| *w == r.worker && *from <= r.from + p.alone && *to >= r.from);
+                if !together && !short && !unreachable {
+                    out.push(Broken {
+                        rule: "gangs together",
+                        t: r.from,
+                        what: format!("{job}/{} ran without {other} on {}", r.task, r.worker),
+                    });
+                }
+            }
+        }
+    }
+    out
+}
+
+/// Times in which a worker could not be reached, as the faults say.
+fn dark_times(h: &History) -> Vec<(&str, u64, u64)> {
+    let mut out: Vec<(&str, u64, u64)> = Vec::new();
+    for a in &h.events {
+        if let Event::Fault { what } = &a.e {
+            if let Some(w) = what.strip_prefix("dark ") {
+                out.push((w, a.t, u64::MAX));
+            } else if let Some(w) = what.strip_prefix("light ") {
+                out.iter_mut().filter(|(n, _, to)| *n == w && *to == u64::MAX).for_each(|d| d.2 = a.t + 2000);
+            }
+        }
+    }
+    out
+}
--- /dev/null
+++ b/rehearsal/src/lib.rs
@@ -0,0 +1,9 @@
+//! The rehearsal kit: a simulator, stand-in workers and clients, a fleet on one machine,
+//! and checkers of what must never happen.
+
+pub mod checkers;
+pub mod fleet;
+pub mod history;
+pub mod scenario;
+pub mod simulator;
+pub mod standin;
--- /dev/null
+++ b/rehearsal/src/scenario/mod.rs
@@ -0,0 +1,139 @@
+//! Days to rehearse: shapes of deployments, mixes of jobs, faults.
+
+mod faults;
+mod mixes;
+
+pub use faults::{random_faults, Fault, Kind};
+pub use mixes::{job, Mix};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::fmt;
+
+/// A deployment's shape.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Shape {
+    /// 17 machines: three cores, three nodes, 11 workers of 64.
+    Odvoza,
+    /// 18 machines: three cores, four nodes, 11 workers of 16.
+    Gunasekera,
+}
+
+impl Shape {
+    /// A shape by its name.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "odvoza" => Some(Self::Odvoza),
+            "gunasekera" => Some(Self::Gunasekera),
+            _ => None,
+        }
+    }
+    pub fn nodes(self) -> usize {
+        match self {
+            Self::Odvoza => 3,
+            Self::Gunasekera => 4,
+        }
+    }
+    pub fn workers(self) -> usize {
+        11
+    }
+    pub fn room(self) -> u32 {
+        match self {
+            Self::Odvoza => 64,
+            Self::Gunasekera => 16,
+        }
+    }
+    /// The mix of jobs that the deployment sees, at its rate.
+    pub fn mix(self) -> Mix {
+        match self {
+            Self::Odvoza => Mix {
+                rate: 11.0,
+                queues: vec!["calendars".into(), "reminders".into(), "residents".into()],
+                services: vec!["municipal".into(), "notices".into()],
+                ..Mix::default()
+            },
+            Self::Gunasekera => Mix {
+                rate: 9.0,
+                queues: vec!["quotations".into(), "recounts".into(), "pickups".into()],
+                services: vec!["trade".into(), "stock".into()],
+                ..Mix::default()
+            },
+        }
+    }
+    /// The deployment's configuration.
+    pub fn desired(self) -> Value {
+        let mix = self.mix();
+        let queue = |within: u64, priority: u32| json!({"finishWithinMs": within, "defectAllowancePercent": 10, "tries": 3, "quota": 2000, "priority": priority, "speculationPercent": 20, "windowMs": 600_000, "unsureBoundMs": 15_000});
+        let service = json!({"labels": ["ssd", "printer"], "taskRoom": self.room() / 2, "gangRoom": self.room()});
+        json!({
+            "queues": {(mix.queues[0].as_str()): queue(60_000, 0), (mix.queues[1].as_str()): queue(30_000, 1), (mix.queues[2].as_str()): queue(5_000, 4)},
+            "services": {(mix.services[0].as_str()): service, (mix.services[1].as_str()): service},
+            "zones": {"z0": {"state": "serving"}, "z1": {"state": "serving"}, "z2": {"state": "serving"}},
+        })
+    }
+}
+
+/// A day to rehearse.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub shape: Shape,
+    /// How long jobs are offered.
+    pub seconds: u64,
+    /// How long the day goes on after that, with all faults healed.
+    #[serde(default = "settle")]
+    pub settle: u64,
+    /// Jobs a second; the shape's own where 0.
+    #[serde(default)]
+    pub rate: f64,
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+    /// Further faults, drawn by the seed.
+    #[serde(default)]
+    pub random: usize,
+    /// Seeds to run in tests.
+    #[serde(default = "seeds")]
+    pub seeds: Vec<u64>,
+}
+
+fn settle() -> u64 {
+    40
+}
+
+fn seeds() -> Vec<u64> {
+    vec![1, 2]
+}
+
+/// Why a scenario can't be rehearsed.
+#[derive(Debug)]
+pub enum ScenarioDefect {
+    File { path: String, why: String },
+    Text { path: String, why: String },
+}
+
+impl fmt::Display for ScenarioDefect {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::File { path, why } => write!(f, "'{path}' can't be read ({why}): name a scenario file"),
+            Self::Text { path, why } => write!(f, "'{path}' is no scenario: {why}"),
+        }
+    }
+}
+
+impl Scenario {
+    /// Reads a scenario file.
+    pub fn load(path: &str) -> Result<Self, ScenarioDefect> {
+        std::fs::read_to_string(path)
+            .map_err(|e| ScenarioDefect::File {
+                path: path.into(),
+                why: e.to_string(),
+            })
+            .and_then(|t| {
+                toml::from_str(&t).map_err(|e| ScenarioDefect::Text {
+                    path: path.into(),
+                    why: e.to_string(),
+                })
+            })
+    }
+}
--- /dev/null
+++ b/rehearsal/src/simulator/disk.rs
@@ -0,0 +1,73 @@
+use landingdrift::agreement::Loaded;
+use landingdrift::kernel::Save;
+use std::collections::VecDeque;
+
+/// A core's disk: what is durable, and what is on its way.
+#[derive(Clone, Debug)]
+pub struct SimDisk {
+    base: Loaded,
+    saves: VecDeque<Save>,
+    pub pending: VecDeque<Save>,
+    pub delay: u64,
+}
+
+fn fold(l: &mut Loaded, s: &Save) {
+    s.hard.iter().for_each(|h| l.hard = h.clone());
+    if let Some(c) = s.cut {
+        l.entries.retain(|e| e.index < c);
+    }
+    if let Some(c) = &s.capture {
+        l.entries.retain(|e| e.index > c.index);
+        l.capture = Some(c.clone());
+    }
+    for e in &s.entries {
+        l.entries.retain(|x| x.index < e.index);
+        l.entries.push(e.clone());
+    }
+    if !s.notes.is_empty() {
+        l.notes = s.notes.clone();
+    }
+}
+
+impl SimDisk {
+    pub fn new(disk: u64) -> Self {
+        Self {
+            base: Loaded { disk, ..Loaded::default() },
+            saves: VecDeque::new(),
+            pending: VecDeque::new(),
+            delay: 2,
+        }
+    }
+
+    /// All up to this ticket is durable now.
+    pub fn done(&mut self, ticket: u64) {
+        while let Some(s) = self.pending.pop_front_if(|s| s.ticket <= ticket) {
+            self.saves.push_back(s);
+        }
+        while self.saves.len() > 64 {
+            if let Some(s) = self.saves.pop_front() {
+                fold(&mut self.base, &s);
+            }
+        }
+    }
+
+    /// The power goes: of what was on its way, the first few may have arrived.
+    pub fn crash(&mut self, arrived: usize) {
+        let n = arrived.min(self.pending.len());
+        self.saves.extend(self.pending.drain(..n));
+        self.pending.clear();
+    }
+
+    /// The disk loses the last saves it had confirmed; how many entries went.
+    pub fn lose(&mut self, saves: usize) -> usize {
+        let n = saves.min(self.saves.len());
+        let keep = self.saves.len() - n;
+        self.saves.drain(keep..).map(|s| s.entries.len()).sum()
+    }
+
+    pub fn load(&self) -> Loaded {
+        let mut l = self.base.clone();
+        self.saves.iter().for_each(|s| fold(&mut l, s));
+        l
+    }
+}
--- /dev/null
+++ b/rehearsal/src/simulator/faults.rs
@@ -0,0 +1,275 @@
+use super::world::{Ent, Happening, Kind as Part, World};
+use crate::history::Event;
+use crate::scenario::{job, Fault, Kind, Mix};
+use landingdrift::kernel::Msg;
+use serde_json::json;
+
+impl World {
+    fn cores(&self) -> Vec<usize> {
+        (0..self.procs.len()).filter(|i| self.procs[*i].is_core() && !self.procs[*i].gone).collect()
+    }
+
+    fn nodes(&self) -> Vec<usize> {
+        (0..self.procs.len()).filter(|i| !self.procs[*i].is_core() && !self.procs[*i].gone).collect()
+    }
+
+    /// Which process, worker or zone a fault strikes.
+    fn target(&mut self, f: &Fault) -> usize {
+        use Kind::*;
+        let number = |s: &str| s.rsplit(':').next().and_then(|n| n.parse::<usize>().ok());
+        let (cores, nodes) = (self.cores(), self.nodes());
+        if f.who == "leader" {
+            return self.leader().unwrap_or(cores[0]);
+        }
+        if let Some(n) = number(&f.who).filter(|_| !f.who.is_empty()) {
+            return match f.who.split(':').next() {
+                Some("core") => cores[n % cores.len()],
+                Some("node") => nodes[n % nodes.len()],
+                _ => n,
+            };
+        }
+        let of: Vec<usize> = match f.kind {
+            SplitCore | SlowDisk | LoseTail | ReplaceCore => cores,
+            SwapNode => nodes,
+            LoseZone | Drain | Evacuate => vec![0, 1, 2],
+            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut | WorkerLeaves => (0..self.hands.len()).collect(),
+            _ => cores.into_iter().chain(nodes).collect(),
+        };
+        *self.draw.pick(&of).unwrap_or(&0)
+    }
+
+    pub(super) fn strike(&mut self, i: usize) {
+        use Kind::*;
+        if self.calm {
+            return;
+        }
+        let f = self.faults[i].clone();
+        let x = self.target(&f);
+        self.targets.insert(i, vec![x]);
+        self.say(format!("fault {:?} {} for {} ms", f.kind, x, f.lasts));
+        self.note(Event::Fault { what: format!("{:?} {x}", f.kind) });
+        let all: Vec<usize> = (0..self.procs.len()).collect();
+        match f.kind {
+            Kill => self.kill(x),
+            Freeze => self.procs[x].frozen = true,
+            Cut => all.iter().filter(|j| **j != x).for_each(|j| self.block(x, *j, true)),
+            CutOneWay => all.iter().filter(|j| **j != x).for_each(|j| self.block(x, *j, false)),
+            SplitCore => self.cores().iter().filter(|j| **j != x).for_each(|j| self.block(x, *j, true)),
+            CutCores => {
+                for c in self.cores() {
+                    for n in self.nodes() {
+                        self.block(c, n, true);
+                    }
+                }
+            }
+            LoseZone => {
+                let of: Vec<usize> = all.into_iter().filter(|j| self.procs[*j].zone == x && !self.procs[*j].gone && self.procs[*j].up()).collect();
+                of.iter().for_each(|j| self.kill(*j));
+                (0..self.hands.len())
+                    .filter(|h| self.hands[*h].zone == x)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|h| self.crash_worker(h));
+                self.targets.insert(i, of);
+            }
+            SlowLink => self.procs[x].slow = 8,
+            SlowDisk => self.set_delay(x, 120),
+            LoseTail => {
+                self.kill(x);
+                self.lose_tail(x);
+            }
+            ReplaceCore => {
+                self.kill(x);
+                self.procs[x].gone = true;
+                let n = self.procs.len();
+                let zone = self.procs[x].zone;
+                self.add_core(zone, format!("10.0.{zone}.{}:7000", 50 + n));
+            }
+            SwapNode => {
+                self.kill(x);
+                self.procs[x].gone = true;
+                let n = self.procs.len();
+                let zone = self.procs[x].zone;
+                self.add_node(zone, format!("10.0.{zone}.{}:7000", 50 + n));
+            }
+            Outage => {
+                all.iter().for_each(|j| self.kill(*j));
+                let cores = self.cores();
+                let lost: Vec<usize> = (0..f.amount as usize).map(|k| cores[(x + k) % cores.len()]).collect();
+                lost.into_iter().for_each(|c| self.lose_tail(c));
+            }
+            ClockJump => self.procs[x].wall_off = if f.lasts.is_multiple_of(2) { 3_600_000 } else { -3_600_000 },
+            WorkerCrash | WorkerGone => self.crash_worker(x),
+            WorkerFreeze => {
+                self.hands[x].frozen = true;
+                self.dark_note(x, true);
+            }
+            WorkerSlow => self.manner(x, |m| m.slow = 6.0),
+            WorkerFailing => self.manner(x, |m| m.failing = 0.9),
+            WorkerCut => {
+                self.hands[x].cut = true;
+                self.dark_note(x, true);
+            }
+            WorkerLeaves => {
+                let t = self.t;
+                let life = self.hands[x].life;
+                let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.leave(t));
+                self.asked(Ent::Worker(x, life), asks);
+            }
+            Crowd => self.crowd(if f.amount > 0 { f.amount } else { 60 }, &self.shape.mix()),
+            Huge => {
+                let mut m = self.shape.mix();
+                m.plain = true;
+                let t = self.t;
+                let mut spec = job(&mut self.draw, &m, &format!("huge-{t}"), super::EPOCH + t);
+                let one = spec.tasks[0].clone();
+                spec.tasks = (0..200).map(|n| landingdrift::record::TaskSpec { name: format!("t{n}"), ..one.clone() }).collect();
+                let asks = self.client.offer(t, spec);
+                self.asked(Ent::Client, asks);
+            }
+            Doomed => self.crowd(40, &Mix { doomed: 1.0, ..self.shape.mix() }),
+            Storm => (0..30).for_each(|n| self.operators[n % 2].apply(true, json!({"notes": {"storm": format!("{n}")}}))),
+            Rivals => {
+                let base = self.operators[0].version.max(self.operators[1].version);
+                self.operators[0].race(base, json!({"notes": {"rival": "a"}}));
+                self.operators[1].race(base, json!({"notes": {"rival": "b"}}));
+            }
+            LargeConfig => {
+                let notes: serde_json::Map<String, serde_json::Value> = (0..2000).map(|n| (format!("n{n}"), json!("x".repeat(50)))).collect();
+                self.operators[0].apply(true, json!({"notes": notes}));
+            }
+            Drain => self.operators[0].zone(&format!("z{x}"), "draining"),
+            Evacuate => self.operators[0].zone(&format!("z{x}"), "evacuated"),
+            Restart => self.reach(x, Msg::Stop),
+        }
+        let at = self.t + f.lasts;
+        self.at(at, Happening::Heal(i));
+    }
+
+    pub(super) fn heal(&mut self, i: usize) {
+        use Kind::*;
+        let Some(of) = self.targets.remove(&i) else { return };
+        let f = self.faults[i].clone();
+        let x = of.first().copied().unwrap_or(0);
+        self.say(format!("healed {:?} {x}", f.kind));
+        let all: Vec<usize> = (0..self.procs.len()).collect();
+        match f.kind {
+            Kill | LoseTail | Restart => self.start(x),
+            Freeze => self.wake(x),
+            Cut | CutOneWay => all.iter().for_each(|j| self.unblock(x, *j)),
+            SplitCore => self.cores().iter().for_each(|j| self.unblock(x, *j)),
+            CutCores => {
+                for c in self.cores() {
+                    for n in self.nodes() {
+                        self.unblock(c, n);
+                    }
+                }
+            }
+            LoseZone => {
+                of.iter().for_each(|j| self.start(*j));
+                (0..self.hands.len())
+                    .filter(|h| self.hands[*h].worker.is_none())
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|h| self.start_worker(h));
+            }
+            SlowLink => self.procs[x].slow = 1,
+            SlowDisk => self.set_delay(x, 2),
+            Outage => {
+                all.iter().for_each(|j| self.start(*j));
+                self.note(Event::OutageOver);
+            }
+            ClockJump => self.procs[x].wall_off = 0,
+            WorkerCrash if self.hands[x].worker.is_none() => self.start_worker(x),
+            WorkerFreeze => self.wake_worker(x),
+            WorkerSlow => self.manner(x, |m| m.slow = 1.0),
+            WorkerFailing => self.manner(x, |m| m.failing = 0.0),
+            WorkerCut => {
+                self.hands[x].cut = false;
+                self.dark_note(x, false);
+            }
+            WorkerLeaves => {
+                self.crash_worker(x);
+                self.start_worker(x);
+            }
+            Drain | Evacuate => {
+                self.note(Event::Fault { what: format!("restore z{x}") });
+                self.operators[0].zone(&format!("z{x}"), "serving");
+            }
+            _ => {}
+        }
+    }
+
+    fn block(&mut self, a: usize, b: usize, both: bool) {
+        self.blocked.insert((a, b));
+        if both {
+            self.blocked.insert((b, a));
+        }
+    }
+
+    fn unblock(&mut self, a: usize, b: usize) {
+        self.blocked.remove(&(a, b));
+        self.blocked.remove(&(b, a));
+    }
+
+    fn wake(&mut self, x: usize) {
+        if !std::mem::replace(&mut self.procs[x].frozen, false) {
+            return;
+        }
+        let inbox = std::mem::take(&mut self.procs[x].inbox);
+        // What waited may come before the process has looked at the time, or after.
+        if self.draw.below(2) == 0 {
+            self.reach(x, Msg::Tick);
+        }
+        inbox.into_iter().for_each(|m| self.reach(x, m));
+    }
+
+    fn wake_worker(&mut self, x: usize) {
+        self.hands[x].frozen = false;
+        self.dark_note(x, false);
+        let t = self.t;
+        let life = self.hands[x].life;
+        for (call, v) in std::mem::take(&mut self.hands[x].inbox) {
+            let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.answer(t, call, &v));
+            self.asked(Ent::Worker(x, life), asks);
+        }
+    }
+
+    fn dark_note(&mut self, x: usize, dark: bool) {
+        let what = format!("{} w{x}", if dark { "dark" } else { "light" });
+        self.note(Event::Fault { what });
+    }
+
+    fn crash_worker(&mut self, x: usize) {
+        if self.hands[x].worker.take().is_some() {
+            self.hands[x].life += 1;
+            let worker = self.hands[x].facts.worker.clone();
+            self.note(Event::WorkerDied { worker });
+        }
+    }
+
+    fn manner(&mut self, x: usize, f: impl Fn(&mut crate::standin::worker::Manner)) {
+        self.hands[x].worker.iter_mut().for_each(|w| f(&mut w.manner));
+    }
+
+    fn set_delay(&mut self, x: usize, ms: u64) {
+        if let Part::Core(_, disk) = &mut self.procs[x].kind {
+            disk.delay = ms;
+        }
+    }
+
+    fn lose_tail(&mut self, x: usize) {
+        let n = 1 + self.draw.below(4) as usize;
+        let lost = if let Part::Core(_, disk) = &mut self.procs[x].kind { disk.lose(n) } else { 0 };
+        self.say(format!("the disk of {} lost {lost} confirmed entries", self.procs[x].addr));
+    }
+
+    fn crowd(&mut self, number: u64, mix: &Mix) {
+        let t = self.t;
+        for n in 0..number {
+            let spec = job(&mut self.draw, mix, &format!("crowd-{t}-{n}"), super::EPOCH + t);
+            let asks = self.client.offer(t, spec);
+            self.asked(Ent::Client, asks);
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/simulator/mod.rs
@@ -0,0 +1,20 @@
+//! The same parts as the daemons run, in virtual time; one seed decides all.
+
+mod disk;
+mod faults;
+mod world;
+
+pub use world::{Report, World};
+
+use crate::checkers::{check, Broken, Promised};
+use crate::scenario::Scenario;
+
+/// What the clocks of the system show at time 0.
+pub const EPOCH: u64 = 1_700_000_000_000;
+
+/// Rehearses a day with a seed and checks its history.
+pub fn rehearse(s: &Scenario, seed: u64) -> (Report, Vec<Broken>) {
+    let report = World::new(s, seed).run();
+    let broken = check(&report.history, &Promised { epoch: EPOCH, ..Promised::default() });
+    (report, broken)
+}
--- /dev/null
+++ b/rehearsal/src/standin/worker.rs
@@ -0,0 +1,247 @@
+//! A stand-in worker: it beats, runs what it is told to and says how it ended.
+
+use super::{request, Ask};
+use crate::history::Event;
+use landingdrift::kernel::{digest, Draw, Verdict};
+use landingdrift::record::{EndReport, Outcome, WorkerFacts};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How a worker behaves.
+#[derive(Clone, Debug)]
+pub struct Manner {
+    /// Runs take this many times as long.
+    pub slow: f64,
+    /// Share of runs that fail quietly.
+    pub failing: f64,
+    pub leaving: bool,
+}
+
+impl Default for Manner {
+    fn default() -> Self {
+        Self {
+            slow: 1.0,
+            failing: 0.0,
+            leaving: false,
+        }
+    }
+}
+
+struct Run {
+    job: String,
+    task: String,
+    room: u32,
+    started: u64,
+    until: u64,
+    outcome: Outcome,
+}
+
+/// A worker.
+pub struct Worker {
+    pub facts: WorkerFacts,
+    pub manner: Manner,
+    nodes: Vec<String>,
+    at: usize,
+    draw: Draw,
+    seed: u64,
+    running: BTreeMap<u64, Run>,
+    ended: Vec<EndReport>,
+    /// Sends that ended or were called off before they came: never to be started.
+    over: BTreeSet<u64>,
+    beat_ms: u64,
+    next_beat: u64,
+    asked: Option<(u64, u64)>,
+    calls: u64,
+    patience: u64,
+}
+
+impl Worker {
+    /// A worker that has just started.
+    pub fn new(facts: WorkerFacts, nodes: Vec<String>, seed: u64) -> Self {
+        let mut draw = Draw::new(seed ^ digest(facts.worker.as_bytes()) ^ facts.incarnation);
+        let at = draw.below(nodes.len() as u64) as usize;
+        Self {
+            facts,
+            manner: Manner::default(),
+            nodes,
+            at,
+            draw,
+            seed,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            over: BTreeSet::new(),
+            beat_ms: 250,
+            next_beat: 0,
+            asked: None,
+            calls: 0,
+            patience: 800,
+        }
+    }
+
+    /// What is written down when it comes up.
+    pub fn up(&self) -> Event {
+        let f = &self.facts;
+        Event::WorkerUp {
+            worker: f.worker.clone(),
+            incarnation: f.incarnation,
+            service: f.service.clone(),
+            labels: f.labels.iter().cloned().collect(),
+            zone: f.zone.clone(),
+            room: f.room,
+        }
+    }
+
+    /// Announces that it is about to leave.
+    pub fn leave(&mut self, now: u64) -> Vec<Ask> {
+        self.manner.leaving = true;
+        self.facts.leaving = true;
+        self.asked = None;
+        self.next_beat = now;
+        let mut out = vec![Ask::Note(Event::WorkerLeaving { worker: self.facts.worker.clone() })];
+        out.extend(self.tick(now));
+        out
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: u64) -> Vec<Ask> {
+        let mut out = Vec::new();
+        let done: Vec<u64> = self.running.iter().filter(|(_, r)| now >= r.until).map(|(no, _)| *no).collect();
+        for no in done {
+            let outcome = self.running.get(&no).map_or(Outcome::Defect, |r| r.outcome);
+            out.extend(self.end(now, no, outcome));
+        }
+        if self.asked.is_some_and(|(_, sent)| now >= sent + self.patience) {
+            self.asked = None;
+            self.turn(now);
+        }
+        if self.asked.is_none() && now >= self.next_beat {
+            out.push(self.beat(now));
+        }
+        out
+    }
+
+    fn turn(&mut self, now: u64) {
+        let step = 1 + self.draw.below(self.nodes.len().max(2) as u64 - 1) as usize;
+        self.at = (self.at + step) % self.nodes.len().max(1);
+        self.next_beat = now + 20;
+    }
+
+    fn beat(&mut self, now: u64) -> Ask {
+        self.calls += 1;
+        let call = self.calls;
+        self.asked = Some((call, now));
+        let running: Vec<Value> = self
+            .running
+            .iter()
+            .map(|(no, r)| json!({"no": no, "progress": (now - r.started) * 1000 / (r.until - r.started).max(1)}))
+            .collect();
+        let body = json!({"facts": self.facts, "running": running, "ended": self.ended});
+        Ask::Call {
+            to: self.nodes[self.at].clone(),
+            call,
+            req: request("POST", "/v1/beats", "", Some(&body)),
+        }
+    }
+
+    fn end(&mut self, now: u64, no: u64, outcome: Outcome) -> Vec<Ask> {
+        let Some(r) = self.running.remove(&no) else { return Vec::new() };
+        self.over.insert(no);
+        let note = if outcome == Outcome::Defect { "the run failed" } else { "" };
+        self.ended.push(EndReport {
+            no,
+            outcome,
+            ran_ms: now - r.started,
+            note: note.into(),
+        });
+        // Ends are told soon, so that the slot is used again.
+        self.next_beat = self.next_beat.min(now + 20);
+        vec![Ask::Note(Event::Ended {
+            worker: self.facts.worker.clone(),
+            no,
+            job: r.job,
+            task: r.task,
+            outcome,
+        })]
+    }
+
+    /// A node has answered.
+    pub fn answer(&mut self, now: u64, call: u64, v: &Verdict) -> Vec<Ask> {
+        let Some((_, sent)) = self.asked.filter(|(c, _)| *c == call) else { return Vec::new() };
+        self.asked = None;
+        self.next_beat = now + self.beat_ms;
+        if v.status != 200 {
+            self.turn(now);
+            return Vec::new();
+        }
+        self.beat_ms = v.body["beatMs"].as_u64().unwrap_or(250);
+        let numbers = |key: &str| -> Vec<u64> { v.body[key].as_array().into_iter().flatten().filter_map(Value::as_u64).collect() };
+        let settled = numbers("settled");
+        self.ended.retain(|e| !settled.contains(&e.no));
+        let mut out = Vec::new();
+        for no in numbers("stops") {
+            if self.running.contains_key(&no) {
+                out.extend(self.end(now, no, Outcome::Stopped));
+            } else if self.over.insert(no) {
+                self.ended.push(EndReport {
+                    no,
+                    outcome: Outcome::Void,
+                    ran_ms: 0,
+                    note: String::new(),
+                });
+                self.next_beat = now + 20;
+            }
+        }
+        // An answer that took too long may be old news.
+        if now.saturating_sub(sent) <= v.body["obeyMs"].as_u64().unwrap_or(0) && !self.facts.leaving {
+            for s in v.body["starts"].as_array().into_iter().flatten() {
+                out.extend(self.start(now, s));
+            }
+        }
+        out
+    }
+
+    fn start(&mut self, now: u64, s: &Value) -> Vec<Ask> {
+        let no = s["no"].as_u64().unwrap_or(0);
+        if self.running.contains_key(&no) || self.over.contains(&no) {
+            return Vec::new();
+        }
+        let mut draw = Draw::new(self.seed ^ (no << 20));
+        let p = &s["payload"];
+        let ms = p["ms"].as_f64().unwrap_or(200.0);
+        let tail = p["tail"].as_f64().unwrap_or(0.0);
+        // Pareto with the shape named, as the paper has it; without one, as long as it says.
+        let long = if tail > 0.0 { (1.0 - draw.unit()).powf(-1.0 / tail).min(20.0) } else { 1.0 };
+        let took = (ms * long * self.manner.slow).max(1.0) as u64;
+        let fails = p["doomed"] == json!(true) || draw.unit() < self.manner.failing.max(p["failing"].as_f64().unwrap_or(0.0));
+        let (job, task, room) = (
+            s["job"].as_str().unwrap_or("").to_string(),
+            s["task"].as_str().unwrap_or("").to_string(),
+            s["room"].as_u64().unwrap_or(0) as u32,
+        );
+        self.running.insert(
+            no,
+            Run {
+                job: job.clone(),
+                task: task.clone(),
+                room,
+                started: now,
+                until: now + took,
+                outcome: if fails { Outcome::Defect } else { Outcome::Well },
+            },
+        );
+        self.next_beat = self.next_beat.min(now + 50);
+        vec![Ask::Note(Event::Started {
+            worker: self.facts.worker.clone(),
+            no,
+            job,
+            task,
+            room,
+            copy: s["copy"] == json!(true),
+        })]
+    }
+
+    /// How many runs there are, and the room they take.
+    pub fn load(&self) -> (usize, u32) {
+        (self.running.len(), self.running.values().map(|r| r.room).sum())
+    }
+}
