--- /dev/null
+++ b/rehearsal/src/cli/mod.rs
@@ -0,0 +1,91 @@
+//! The command line of the rehearsal kit.
+
+mod fleet;
+mod run;
+mod sweep;
+
+use std::ffi::OsString;
+
+/// The words of a command: flags with their values, and the rest.
+pub(crate) struct Words {
+    flags: Vec<(String, String)>,
+    pub rest: Vec<String>,
+}
+
+impl Words {
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.flags.iter().rev().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+    pub fn has(&self, name: &str) -> bool {
+        self.flags.iter().any(|(n, _)| n == name)
+    }
+    pub fn number(&self, name: &str, or: u64) -> Result<u64, String> {
+        self.text(name).map_or(Ok(or), |v| v.parse().map_err(|_| format!("--{name} takes a whole number, not '{v}'")))
+    }
+}
+
+const HELP: &str = "rehearsal COMMAND ...
+
+  run FILE [--seed N] [--log] [--history FILE]   rehearse a scenario in virtual time
+  sweep FILE [--from N] [--seeds N] [--random N] [--threads N]
+                                                 rehearse it with many seeds; a failing one is shrunk
+  fleet [--shape odvoza|gunasekera] [--seconds N] [--settle N] [--rate N] [--folder DIR]
+        [--program FILE] [--scenario FILE] [--history FILE]
+                                                 real processes on this machine; a leader and a node are killed midway
+
+Exit codes: 0 no rule was broken, 1 a rule was broken, 2 wrong command line.";
+
+fn read(words: Vec<OsString>) -> Result<Words, String> {
+    let bad = |e: lexopt::Error| e.to_string();
+    let mut p = lexopt::Parser::from_args(words);
+    let mut w = Words { flags: Vec::new(), rest: Vec::new() };
+    let plain = ["log", "help"];
+    let valued = ["seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate", "folder", "program", "scenario", "out"];
+    while let Some(arg) = p.next().map_err(bad)? {
+        match arg {
+            lexopt::Arg::Long(n) if plain.contains(&n) => w.flags.push((n.to_string(), String::new())),
+            lexopt::Arg::Short('h') => w.flags.push(("help".into(), String::new())),
+            lexopt::Arg::Long(n) if valued.contains(&n) => {
+                let n = n.to_string();
+                let v = p.value().map_err(bad)?.into_string().map_err(|_| format!("--{n} takes text in UTF-8"))?;
+                w.flags.push((n, v));
+            }
+            lexopt::Arg::Value(v) => w.rest.push(v.into_string().map_err(|_| "arguments are text in UTF-8".to_string())?),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    Ok(w)
+}
+
+/// Runs a command; the result is the exit code.
+pub fn run(words: Vec<OsString>) -> i32 {
+    let done = read(words).and_then(|w| {
+        if w.has("help") {
+            println!("{HELP}");
+            return Ok(true);
+        }
+        match w.rest.first().map(String::as_str) {
+            Some("run") => run::run(&w),
+            Some("sweep") => sweep::run(&w),
+            Some("fleet") => fleet::run(&w),
+            Some(other) => Err(format!("no command is called '{other}'")),
+            None => Err("no command was given".into()),
+        }
+    });
+    match done {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(why) => {
+            eprintln!("rehearsal: {why}\n\n{HELP}");
+            2
+        }
+    }
+}
+
+pub(crate) fn quantiles(of: &[u64]) -> String {
+    let mut s = of.to_vec();
+    s.sort_unstable();
+    let at = |q: f64| s.get(((s.len().saturating_sub(1)) as f64 * q) as usize).copied().unwrap_or(0);
+    let mean = s.iter().sum::<u64>().checked_div(s.len() as u64).unwrap_or(0);
+    format!("{} done: mean {mean} ms, median {} ms, p95 {} ms, p99 {} ms", s.len(), at(0.5), at(0.95), at(0.99))
+}
--- /dev/null
+++ b/rehearsal/src/cli/run.rs
@@ -0,0 +1,22 @@
+use super::{quantiles, Words};
+use crate::scenario::Scenario;
+use crate::simulator::rehearse;
+
+pub fn run(w: &Words) -> Result<bool, String> {
+    let file = w.rest.get(1).ok_or("run needs a scenario FILE")?;
+    let s = Scenario::load(file).map_err(|e| e.to_string())?;
+    let seed = w.number("seed", 1)?;
+    let (report, broken) = rehearse(&s, seed);
+    if w.has("log") {
+        report.log.iter().for_each(|l| println!("{l}"));
+    }
+    if let Some(path) = w.text("history") {
+        std::fs::write(path, report.history.text()).map_err(|e| format!("'{path}' can't be written ({e})"))?;
+    }
+    println!("{}", serde_json::to_string(&report.summary).unwrap_or_default());
+    println!("{}", quantiles(&report.latencies));
+    println!("counters {}", serde_json::to_string(&report.counters).unwrap_or_default());
+    println!("history {:016x}, {} events, {} faults", report.history.digest(), report.history.events.len(), report.faults.len());
+    broken.iter().take(20).for_each(|b| println!("BROKEN {b}"));
+    Ok(broken.is_empty())
+}
--- /dev/null
+++ b/rehearsal/src/cli/sweep.rs
@@ -0,0 +1,77 @@
+use super::Words;
+use crate::scenario::{Fault, Scenario};
+use crate::simulator::rehearse;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// Leaves faults out one by one as long as the same rule still breaks.
+fn shrink(s: &Scenario, seed: u64, all: Vec<Fault>, rule: &str) -> Vec<Fault> {
+    let breaks = |faults: &[Fault]| {
+        let t = Scenario { faults: faults.to_vec(), random: 0, ..s.clone() };
+        rehearse(&t, seed).1.iter().any(|b| b.rule == rule)
+    };
+    if !breaks(&all) {
+        return all;
+    }
+    let mut kept = all;
+    let mut i = 0;
+    while i < kept.len() {
+        let mut fewer = kept.clone();
+        fewer.remove(i);
+        if breaks(&fewer) {
+            kept = fewer;
+        } else {
+            i += 1;
+        }
+    }
+    kept
+}
+
+pub fn run(w: &Words) -> Result<bool, String> {
+    let file = w.rest.get(1).ok_or("sweep needs a scenario FILE")?;
+    let mut s = Scenario::load(file).map_err(|e| e.to_string())?;
+    s.random = w.number("random", s.random as u64)? as usize;
+    let (from, number, threads) = (w.number("from", 1)?, w.number("seeds", 100)?, w.number("threads", 8)?.max(1));
+    let next = AtomicU64::new(from);
+    let bad: Mutex<Vec<(u64, String)>> = Mutex::new(Vec::new());
+    let margins: Mutex<BTreeMap<&str, u64>> = Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + number {
+                    return;
+                }
+                let (report, broken) = rehearse(&s, seed);
+                if let Ok(mut m) = margins.lock() {
+                    let sum = &report.summary;
+                    let seen = [
+                        ("accepted", sum.accepted as u64, true),
+                        ("starts", sum.starts as u64, true),
+                        ("unsure", sum.unsure as u64, true),
+                        ("latest start after a cancel, ms", sum.latest_start_after_cancel_ms, false),
+                        ("latest start after leaving, ms", sum.latest_start_after_leaving_ms, false),
+                        ("longest outage, ms", sum.longest_outage_ms, false),
+                    ];
+                    for (k, v, sums) in seen {
+                        let e = m.entry(k).or_default();
+                        *e = if sums { *e + v } else { (*e).max(v) };
+                    }
+                }
+                if let Some(b) = broken.first() {
+                    let kept = shrink(&s, seed, report.faults.clone(), b.rule);
+                    let faults: Vec<String> = kept.iter().map(|f| format!("[[faults]]\n{}", toml::to_string(f).unwrap_or_default())).collect();
+                    let text = format!("seed {seed}: {b}\n  repeat: rehearsal run {file} --seed {seed} --log\n  shrunk to {} of {} faults:\n{}", kept.len(), report.faults.len(), faults.join(""));
+                    bad.lock().iter_mut().for_each(|l| l.push((seed, text.clone())));
+                }
+            });
+        }
+    });
+    let mut bad = bad.into_inner().unwrap_or_default();
+    bad.sort();
+    bad.iter().take(10).for_each(|(_, text)| println!("{text}"));
+    println!("{number} seeds from {from}: {} broke a rule {:?}", bad.len(), bad.iter().map(|(s, _)| *s).take(40).collect::<Vec<_>>());
+    println!("{}", serde_json::to_string(&margins.into_inner().unwrap_or_default()).unwrap_or_default());
+    Ok(bad.is_empty())
+}
--- /dev/null
+++ b/rehearsal/src/fleet/drive.rs
@@ -0,0 +1,385 @@
+use super::launch::Fleet;
+use super::{FleetDefect, Options};
+use crate::checkers::{check, summary, Broken, Promised, Summary};
+use crate::history::{Event, History};
+use crate::scenario::{Fault, Kind};
+use crate::standin::client::Client;
+use crate::standin::operator::Operator;
+use crate::standin::worker::Worker;
+use crate::standin::{request, Ask};
+use landingdrift::kernel::{Draw, Request, Verdict};
+use landingdrift::record::WorkerFacts;
+use reqwest::blocking::Client as Http;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// What a fleet's day came to.
+pub struct Outcome {
+    pub history: History,
+    pub summary: Summary,
+    pub broken: Vec<Broken>,
+    pub latencies: Vec<u64>,
+    pub kept: u64,
+    pub missed: u64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Ent {
+    Worker(usize, u64),
+    Client,
+    Operator,
+    Probe(usize),
+}
+
+type Answer = (Ent, u64, Verdict);
+
+/// Makes one call and gives what came back; a lost answer has status 0.
+fn call(http: &Http, to: &str, req: &Request) -> Verdict {
+    let method = reqwest::Method::from_bytes(req.method.as_bytes()).unwrap_or_default();
+    let query = if req.query.is_empty() { String::new() } else { format!("?{}", req.query) };
+    let sent = http.request(method, format!("http://{to}{}{query}", req.path)).body(req.body.clone()).send();
+    sent.map_or_else(
+        |_| Verdict::default(),
+        |r| {
+            let status = r.status().as_u16();
+            let body: Value = r.json().unwrap_or(Value::Null);
+            Verdict { status, retry_ms: body["retryMs"].as_u64().unwrap_or(0), body }
+        },
+    )
+}
+
+struct Hand {
+    worker: Option<Worker>,
+    facts: WorkerFacts,
+    life: u64,
+    cut: bool,
+}
+
+struct Day<'a> {
+    o: &'a Options,
+    fleet: Fleet,
+    start: Instant,
+    history: History,
+    tx: Sender<(Ent, String, u64, Request)>,
+    hands: Vec<Hand>,
+    client: Client,
+    operator: Operator,
+    draw: Draw,
+    healing: Vec<(u64, Fault, usize)>,
+    http: Http,
+}
+
+fn callers(rx: Receiver<(Ent, String, u64, Request)>, back: Sender<Answer>) {
+    let rx = Arc::new(Mutex::new(rx));
+    for _ in 0..24 {
+        let (rx, back) = (rx.clone(), back.clone());
+        let http = Http::builder().timeout(Duration::from_millis(2500)).no_proxy().build().unwrap_or_default();
+        thread::spawn(move || loop {
+            let Ok((ent, to, n, req)) = rx.lock().map_or(Err(std::sync::mpsc::RecvError), |r| r.recv()) else { return };
+            if back.send((ent, n, call(&http, &to, &req))).is_err() {
+                return;
+            }
+        });
+    }
+}
+
+/// Runs a fleet's day and checks its history.
+pub fn run(o: &Options) -> Result<Outcome, FleetDefect> {
+    let fleet = Fleet::start(o)?;
+    let nodes: Vec<String> = fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
+    let (tx, rx) = channel();
+    let (back, answers) = channel();
+    callers(rx, back);
+    let http = Http::builder().timeout(Duration::from_millis(1000)).no_proxy().build().unwrap_or_default();
+    let waiting = Instant::now();
+    while !nodes.iter().all(|n| call(&http, n, &request("GET", "/ready", "", None)).status == 200) {
+        if waiting.elapsed() > Duration::from_secs(60) {
+            return Err(FleetDefect::NotReady("not all nodes became ready within a minute".into()));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    let start = Instant::now();
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let mut mix = o.shape.mix();
+    if o.rate > 0.0 {
+        mix.rate = o.rate;
+    }
+    let services = mix.services.clone();
+    let hands = (0..o.shape.workers())
+        .map(|i| Hand {
+            worker: None,
+            facts: WorkerFacts {
+                worker: format!("w{i}"),
+                incarnation: 0,
+                service: services[i % 2].clone(),
+                labels: [(i % 3 != 0).then(|| "ssd".to_string())].into_iter().flatten().collect(),
+                zone: format!("z{}", i % 3),
+                room: o.shape.room(),
+                leaving: false,
+            },
+            life: 0,
+            cut: false,
+        })
+        .collect();
+    let mut operator = Operator::new("op", nodes.clone(), o.seed);
+    operator.apply(false, o.shape.desired());
+    let day = Day {
+        o,
+        fleet,
+        start,
+        history: History::default(),
+        tx,
+        hands,
+        client: Client::new("j", nodes, mix, o.seed, epoch),
+        operator,
+        draw: Draw::new(o.seed ^ 77),
+        healing: Vec::new(),
+        http,
+    };
+    day.live(&answers, epoch)
+}
+
+impl Day<'_> {
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn note(&mut self, e: Event) {
+        let t = self.now();
+        self.history.add(t, e);
+    }
+
+    fn talk(&self, text: &str) {
+        if self.o.talk {
+            println!("{:>7} {text}", self.now());
+        }
+    }
+
+    fn asked(&mut self, from: Ent, asks: Vec<Ask>) {
+        for a in asks {
+            match a {
+                Ask::Note(e) => self.note(e),
+                // A cut is made here, in the stand-ins' own transport.
+                Ask::Call { .. } if matches!(from, Ent::Worker(i, _) if self.hands[i].cut) => {}
+                Ask::Call { to, call, req } => {
+                    let _ = self.tx.send((from, to, call, req));
+                }
+            }
+        }
+    }
+
+    fn worker_up(&mut self, i: usize) {
+        let nodes: Vec<String> = self.fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
+        let seed = self.draw.number();
+        let h = &mut self.hands[i];
+        h.life += 1;
+        h.facts.incarnation = h.life;
+        let w = Worker::new(h.facts.clone(), nodes, seed);
+        let up = w.up();
+        h.worker = Some(w);
+        self.note(up);
+    }
+
+    fn live(mut self, answers: &Receiver<Answer>, epoch: u64) -> Result<Outcome, FleetDefect> {
+        (0..self.hands.len()).for_each(|i| self.worker_up(i));
+        let mut faults = self.o.faults.clone();
+        faults.sort_by_key(|f| f.at);
+        faults.reverse();
+        let (load, end) = (self.o.seconds * 1000, (self.o.seconds + self.o.settle) * 1000);
+        let mut next_probe = 0;
+        let mut calm = false;
+        loop {
+            let now = self.now();
+            while let Some(f) = faults.pop_if(|f| f.at <= now) {
+                self.strike(&f);
+            }
+            for (_, f, x) in self.healing.extract_if(.., |(t, _, _)| *t <= now || calm).collect::<Vec<_>>() {
+                self.heal(&f, x)?;
+            }
+            if now >= load && faults.is_empty() && self.healing.is_empty() && !calm {
+                calm = true;
+                self.client.offering = false;
+                self.note(Event::Calm);
+                self.talk("load has ended");
+            }
+            for i in 0..self.hands.len() {
+                let life = self.hands[i].life;
+                let asks = self.hands[i].worker.as_mut().map_or(Vec::new(), |w| w.tick(now));
+                self.asked(Ent::Worker(i, life), asks);
+            }
+            let asks = self.client.tick(now);
+            self.asked(Ent::Client, asks);
+            let asks = self.operator.tick(now);
+            self.asked(Ent::Operator, asks);
+            if now >= next_probe {
+                next_probe = now + 500;
+                for (i, p) in self.fleet.procs.iter().enumerate().filter(|(_, p)| !p.core) {
+                    let _ = self.tx.send((Ent::Probe(i), p.http.clone(), 0, request("GET", "/ready", "", None)));
+                }
+                if now % 3000 < 500 {
+                    self.operator.read();
+                }
+            }
+            while let Ok((ent, n, v)) = answers.try_recv() {
+                self.answered(ent, n, &v);
+            }
+            if calm && ((self.client.waiting() == 0 && self.operator.idle()) || now >= end) {
+                break;
+            }
+            if let Ok((ent, n, v)) = answers.recv_timeout(Duration::from_millis(10)) {
+                self.answered(ent, n, &v);
+            }
+        }
+        self.close(epoch)
+    }
+
+    fn answered(&mut self, ent: Ent, n: u64, v: &Verdict) {
+        if v.status == 0 && !matches!(ent, Ent::Probe(_)) {
+            return;
+        }
+        let now = self.now();
+        let asks = match ent {
+            Ent::Worker(i, life) if self.hands[i].life == life && !self.hands[i].cut => self.hands[i].worker.as_mut().map_or(Vec::new(), |w| w.answer(now, n, v)),
+            Ent::Worker(..) => Vec::new(),
+            Ent::Client => self.client.answer(now, n, v),
+            Ent::Operator => self.operator.answer(now, n, v),
+            Ent::Probe(i) if v.status == 200 => vec![Ask::Note(Event::NodeVersion { node: self.fleet.procs[i].http.clone(), version: v.body["version"].as_u64().unwrap_or(0) })],
+            Ent::Probe(_) => Vec::new(),
+        };
+        self.asked(ent, asks);
+    }
+
+    fn leader(&self) -> usize {
+        let role = |p: &super::launch::Running| call(&self.http, &p.http, &request("GET", "/v1/status", "", None)).body["role"] == "Leader";
+        self.fleet.procs.iter().position(|p| p.core && role(p)).unwrap_or(0)
+    }
+
+    fn strike(&mut self, f: &Fault) {
+        let number = f.who.rsplit(':').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+        let x = match f.who.split(':').next() {
+            Some("leader") => self.leader(),
+            Some("node") => 3 + number % (self.fleet.procs.len() - 3),
+            Some("core") => number % 3,
+            _ => number,
+        };
+        self.talk(&format!("fault {:?} {}", f.kind, f.who));
+        self.note(Event::Fault { what: format!("{:?} {x}", f.kind) });
+        let node_down = |d: &mut Self| {
+            if !d.fleet.procs[x].core {
+                let node = d.fleet.procs[x].http.clone();
+                d.note(Event::NodeDown { node });
+            }
+        };
+        match f.kind {
+            Kind::Kill => {
+                self.fleet.kill(x);
+                node_down(self);
+            }
+            Kind::Freeze => self.fleet.freeze(x),
+            Kind::Restart => {
+                let orderly = self.fleet.stop(x, Duration::from_secs(10));
+                self.talk(if orderly { "stopped in order" } else { "did not stop in order" });
+                node_down(self);
+            }
+            Kind::Outage => {
+                (0..self.fleet.procs.len()).for_each(|i| self.fleet.kill(i));
+                for i in 3..self.fleet.procs.len() {
+                    let node = self.fleet.procs[i].http.clone();
+                    self.note(Event::NodeDown { node });
+                }
+            }
+            Kind::WorkerCrash => {
+                self.hands[x].worker = None;
+                self.hands[x].life += 1;
+                let worker = self.hands[x].facts.worker.clone();
+                self.note(Event::WorkerDied { worker });
+            }
+            Kind::WorkerCut => {
+                self.hands[x].cut = true;
+                self.note(Event::Fault { what: format!("dark w{x}") });
+            }
+            Kind::WorkerLeaves => {
+                let now = self.now();
+                let life = self.hands[x].life;
+                let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.leave(now));
+                self.asked(Ent::Worker(x, life), asks);
+            }
+            Kind::Drain => self.operator.zone(&format!("z{x}"), "draining"),
+            Kind::Evacuate => self.operator.zone(&format!("z{x}"), "evacuated"),
+            other => self.talk(&format!("{other:?} is for the simulator only: left out")),
+        }
+        self.healing.push((self.now() + f.lasts, f.clone(), x));
+    }
+
+    fn heal(&mut self, f: &Fault, x: usize) -> Result<(), FleetDefect> {
+        match f.kind {
+            Kind::Kill | Kind::Restart => self.fleet.up(x)?,
+            Kind::Freeze => self.fleet.wake(x),
+            Kind::Outage => {
+                (0..self.fleet.procs.len()).try_for_each(|i| self.fleet.up(i))?;
+                self.note(Event::OutageOver);
+            }
+            Kind::WorkerCrash if self.hands[x].worker.is_none() => self.worker_up(x),
+            Kind::WorkerCut => {
+                self.hands[x].cut = false;
+                self.note(Event::Fault { what: format!("light w{x}") });
+            }
+            Kind::WorkerLeaves => {
+                self.hands[x].worker = None;
+                let worker = self.hands[x].facts.worker.clone();
+                self.note(Event::WorkerDied { worker });
+                self.worker_up(x);
+            }
+            Kind::Drain | Kind::Evacuate => {
+                self.note(Event::Fault { what: format!("restore z{x}") });
+                self.operator.zone(&format!("z{x}"), "serving");
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn close(mut self, epoch: u64) -> Result<Outcome, FleetDefect> {
+        let nodes: Vec<String> = self.fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
+        let ask = |path: &str, query: &str| {
+            let tries = (0..30).map(|i| {
+                if i > 0 {
+                    thread::sleep(Duration::from_millis(200));
+                }
+                call(&self.http, &nodes[i % nodes.len()], &request("GET", path, query, None))
+            });
+            tries.filter(|v| v.status == 200).map(|v| v.body).next().ok_or_else(|| FleetDefect::NotReady(format!("{path} could not be read at the end of the day")))
+        };
+        let mut jobs: BTreeMap<String, (String, bool)> = BTreeMap::new();
+        let mut after = String::new();
+        loop {
+            let page = ask("/v1/jobs", &format!("limit=500&after={after}"))?;
+            for j in page["jobs"].as_array().into_iter().flatten() {
+                let (id, state) = (j["id"].as_str().unwrap_or("").to_string(), j["state"].as_str().unwrap_or("").to_string());
+                let ended = ["done", "failed", "cancelled"].contains(&state.as_str());
+                let unsure = !ended && ask(&format!("/v1/jobs/{id}"), "")?["unsure"] == true;
+                jobs.insert(id, (state, unsure));
+            }
+            match page["next"].as_str() {
+                Some(n) => after = n.to_string(),
+                None => break,
+            }
+        }
+        let version = ask("/v1/desired", "")?["version"].as_u64().unwrap_or(0);
+        let status = ask("/v1/status", "")?;
+        let sum = |key: &str| status["queues"].as_object().into_iter().flatten().filter_map(|(_, q)| q[key].as_u64()).sum();
+        let (kept, missed) = (sum("kept"), sum("missed"));
+        self.note(Event::Closed { version, jobs });
+        for i in 0..self.fleet.procs.len() {
+            if self.fleet.ended(i) {
+                return Err(FleetDefect::NotReady(format!("{} ended by itself", self.fleet.procs[i].listen)));
+            }
+        }
+        let broken = check(&self.history, &Promised { epoch, ..Promised::default() });
+        Ok(Outcome { summary: summary(&self.history), broken, latencies: std::mem::take(&mut self.client.told.latencies), history: self.history, kept, missed })
+    }
+}
--- /dev/null
+++ b/rehearsal/src/fleet/launch.rs
@@ -0,0 +1,126 @@
+use super::{FleetDefect, Options};
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::{self, File};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+/// Where the program stands beside the one that runs now.
+pub fn program() -> PathBuf {
+    let exe = std::env::current_exe().unwrap_or_default();
+    let here = exe.ancestors().skip(1).map(|d| d.join("landingdrift")).find(|p| p.is_file());
+    here.unwrap_or_else(|| PathBuf::from("landingdrift"))
+}
+
+/// A process of the fleet.
+pub struct Running {
+    pub core: bool,
+    pub listen: String,
+    pub http: String,
+    zone: usize,
+    child: Option<Child>,
+    log: PathBuf,
+    data: Option<PathBuf>,
+}
+
+/// All processes of the fleet.
+pub struct Fleet {
+    pub procs: Vec<Running>,
+    program: PathBuf,
+    seeds: String,
+    cluster: String,
+}
+
+impl Fleet {
+    /// Starts all processes.
+    pub fn start(o: &Options) -> Result<Self, FleetDefect> {
+        o.program.is_file().then_some(()).ok_or_else(|| FleetDefect::NoProgram(o.program.clone()))?;
+        fs::create_dir_all(&o.folder).map_err(|why| FleetDefect::Io { what: o.folder.display().to_string(), why })?;
+        // Addresses of the loopback range, so that fleets side by side don't meet.
+        let net = 10 + std::process::id() % 200;
+        let at = |zone: usize, n: usize| format!("127.{net}.{zone}.{n}");
+        let seeds: Vec<String> = (0..3).map(|z| format!("{}:7000", at(z, 1))).collect();
+        let mut fleet = Self { procs: Vec::new(), program: o.program.clone(), seeds: seeds.join(","), cluster: format!("fleet-{net}") };
+        let places = (0..3).map(|z| (true, z, 1)).chain((0..o.shape.nodes()).map(|i| (false, i % 3, 10 + i)));
+        for (core, zone, n) in places {
+            let name = format!("{}-{zone}-{n}", if core { "core" } else { "node" });
+            let ip = at(zone, n);
+            fleet.procs.push(Running {
+                core,
+                listen: format!("{ip}:7000"),
+                http: format!("{ip}:8000"),
+                zone,
+                child: None,
+                log: o.folder.join(format!("{name}.log")),
+                data: core.then(|| o.folder.join(name)),
+            });
+        }
+        (0..fleet.procs.len()).try_for_each(|i| fleet.up(i))?;
+        Ok(fleet)
+    }
+
+    /// Starts a process that is down.
+    pub fn up(&mut self, i: usize) -> Result<(), FleetDefect> {
+        let p = &mut self.procs[i];
+        if p.child.is_some() {
+            return Ok(());
+        }
+        let open = || File::options().create(true).append(true).open(&p.log);
+        let log = open().map_err(|why| FleetDefect::Io { what: p.log.display().to_string(), why })?;
+        let mut c = Command::new(&self.program);
+        c.arg(if p.core { "core" } else { "node" }).args(["--listen", &p.listen, "--http", &p.http, "--zone", &format!("z{}", p.zone), "--seeds", &self.seeds, "--cluster", &self.cluster]);
+        p.data.iter().for_each(|d| {
+            c.arg("--data").arg(d);
+        });
+        let child = c.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        p.child = Some(child.map_err(|why| FleetDefect::Io { what: self.program.display().to_string(), why })?);
+        Ok(())
+    }
+
+    /// Kills a process where it stands.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut c) = self.procs[i].child.take() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+
+    /// Whether a process that should run has ended by itself.
+    pub fn ended(&mut self, i: usize) -> bool {
+        self.procs[i].child.as_mut().is_some_and(|c| c.try_wait().is_ok_and(|s| s.is_some()))
+    }
+
+    fn signal(&self, i: usize, s: Signal) {
+        if let Some(pid) = self.procs[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32)) {
+            let _ = kill_process(pid, s);
+        }
+    }
+
+    pub fn freeze(&self, i: usize) {
+        self.signal(i, Signal::STOP);
+    }
+
+    pub fn wake(&self, i: usize) {
+        self.signal(i, Signal::CONT);
+    }
+
+    /// Asks a process to stop in an orderly way and waits for its end; false where it had to be killed.
+    pub fn stop(&mut self, i: usize, patience: std::time::Duration) -> bool {
+        self.signal(i, Signal::TERM);
+        let start = std::time::Instant::now();
+        while start.elapsed() < patience {
+            if self.ended(i) {
+                let code = self.procs[i].child.take().and_then(|mut c| c.wait().ok());
+                return code.is_some_and(|c| c.success());
+            }
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+        self.kill(i);
+        false
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.procs.len()).for_each(|i| self.kill(i));
+    }
+}
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -2,6 +2,7 @@
 //! and checkers of what must never happen.
 
 pub mod checkers;
+pub mod cli;
 pub mod fleet;
 pub mod history;
 pub mod scenario;
