One batch of entries under way to a core at a time

Ruled out: the cells' offers (a stack sample showed appends only). Conclusion: a batch is acknowledged, refused or given up before the next one leaves.

--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -27,7 +27,7 @@
             });
         });
         self.clock.steer(now, span);
-        let beat_due = self.rounds.back().is_none_or(|(_, at)| now.mono >= at + self.cfg.bounds.heartbeat());
+        let beat_due = now.mono >= self.last_round + self.cfg.bounds.heartbeat();
         if beat_due || std::mem::take(&mut self.wants_round) {
             self.send_round(now);
         }
--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -167,6 +167,7 @@
             })
             .collect();
         self.rounds.clear();
+        self.last_round = 0;
         self.followers.clear();
         self.clock.reset(last_at);
         self.count("leaderships", 1);
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -51,6 +51,8 @@
     /// When it was last heard, and when entries were last sent.
     heard: u64,
     sent: u64,
+    /// The round of the batch under way; 0 for none.
+    pending: u64,
     installing: u64,
 }
 
@@ -113,6 +115,7 @@
     hard_ticket: u64,
     joins: BTreeMap<String, (u64, u64)>,
     wants_round: bool,
+    last_round: u64,
     /// How far the log agrees with that of the present leader.
     verified: u64,
     clock: AgreedClock,
@@ -181,6 +184,7 @@
             hard_ticket: 0,
             joins: BTreeMap::new(),
             wants_round: false,
+            last_round: 0,
             verified: 0,
             clock: AgreedClock::default(),
             views,
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -29,59 +29,58 @@
         index
     }
 
-    /// Sends entries, or just a beat, to all other cores.
-    pub(super) fn send_round(&mut self, now: Now) {
+    fn next_round(&mut self, now: Now) {
         self.round += 1;
         self.rounds.push_back((self.round, now.mono));
         if self.rounds.len() > 1000 {
             self.rounds.pop_front();
         }
+    }
+
+    /// Sends entries, or just a beat, to all other cores.
+    pub(super) fn send_round(&mut self, now: Now) {
+        self.next_round(now);
+        self.last_round = now.mono;
         let to: Vec<String> = self.peers.keys().cloned().collect();
         to.iter().for_each(|p| self.replicate(now, p));
     }
 
+    /// One batch of entries is under way to a core at a time; beats go out beside it.
     fn replicate(&mut self, now: Now, to: &str) {
-        let Some(p) = self.peers.get(to).cloned() else { return };
-        let (term, round, commit) = (self.hard.term, self.round, self.commit);
-        let prev = p.next - 1;
-        let Some(prev_term) = self.term_at(prev) else {
+        let patience = 4 * self.cfg.bounds.heartbeat();
+        let Some(p) = self.peers.get_mut(to) else { return };
+        if p.pending > 0 && now.mono >= p.sent + patience {
+            // It seems lost: from the last sure place again.
+            p.pending = 0;
+            p.next = p.matched + 1;
+        }
+        let p = p.clone();
+        let (term, commit) = (self.hard.term, self.commit);
+        let sure = p.pending > 0;
+        let Some((prev, prev_term)) = (if sure { Some(p.matched) } else { Some(p.next - 1) }).and_then(|i| self.term_at(i).map(|t| (i, t))).or(sure.then_some((0, 0))) else {
             // Too far behind for the log: the capture goes first, not more often than it can arrive.
             if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
                 let c = self.capture.clone();
+                let round = self.round;
                 self.count("captures_sent", 1);
                 self.peers.get_mut(to).iter_mut().for_each(|p| p.installing = now.mono.max(1));
-                self.send(
-                    to,
-                    Body::Install(Box::new(Install {
-                        term,
-                        round,
-                        index: c.index,
-                        index_term: c.term,
-                        capture: c.bytes,
-                    })),
-                );
+                self.send(to, Body::Install(Box::new(Install { term, round, index: c.index, index_term: c.term, capture: c.bytes })));
             }
             return;
         };
-        let entries = self.entries(p.next, 512);
-        let next = entries.last().map_or(p.next, |e| e.index + 1);
-        self.peers.get_mut(to).iter_mut().for_each(|p| {
-            p.next = next;
-            p.sent = now.mono;
-        });
+        let entries = if sure { Vec::new() } else { self.entries(p.next, 512) };
+        if let Some(last) = entries.last() {
+            self.next_round(now);
+            let (next, round) = (last.index + 1, self.round);
+            self.peers.get_mut(to).iter_mut().for_each(|p| {
+                p.next = next;
+                p.sent = now.mono;
+                p.pending = round;
+            });
+        }
+        let round = self.round;
         let notes: Vec<Note> = self.notes.values().cloned().collect();
-        self.send(
-            to,
-            Body::Append(Box::new(Append {
-                term,
-                prev_index: prev,
-                prev_term,
-                commit,
-                round,
-                entries,
-                notes,
-            })),
-        );
+        self.send(to, Body::Append(Box::new(Append { term, prev_index: prev, prev_term, commit, round, entries, notes })));
     }
 
     pub(super) fn on_append(&mut self, now: Now, from: &str, m: Append) {
@@ -218,6 +217,11 @@
         p.round_sent = p.round_sent.max(sent);
         p.disk = m.disk;
         p.installing = 0;
+        // A verdict on an older round says nothing about the batch under way.
+        let fresh = m.round >= p.pending;
+        if fresh {
+            p.pending = 0;
+        }
         if m.ok {
             p.matched = p.matched.max(m.matched.min(last));
             let (disk, matched) = (m.disk, p.matched);
@@ -239,7 +243,7 @@
             if more {
                 self.replicate(now, from);
             }
-        } else {
+        } else if fresh {
             // Back to where the logs may agree; a shorter log than confirmed before means its disk lost some.
             p.matched = p.matched.min(m.last_index);
             p.next = (m.last_index + 1).min(p.next.saturating_sub(1)).max(1);
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -65,6 +65,7 @@
                 p.next = m.last_index + 1;
                 p.matched = p.matched.min(m.last_index);
                 p.installing = 0;
+                p.pending = 0;
                 p.disk = m.disk;
             });
             self.hello(from, true);
--- a/rehearsal/src/standin/client.rs
+++ b/rehearsal/src/standin/client.rs
@@ -106,7 +106,7 @@
     pub fn tick(&mut self, now: u64) -> Vec<Ask> {
         let mut out = Vec::new();
         while self.offering && self.mix.rate > 0.0 && now >= self.next_job {
-            self.next_job = now.max(self.next_job) + (-(1.0 - self.draw.unit()).ln() * 1000.0 / self.mix.rate) as u64;
+            self.next_job += (-(1.0 - self.draw.unit()).ln() * 1000.0 / self.mix.rate) as u64;
             self.made += 1;
             let id = format!("{}-{}", self.prefix, self.made);
             let spec = job(&mut self.draw, &self.mix, &id, self.epoch + now);
