--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -57,14 +57,26 @@
         let p = p.clone();
         let (term, commit) = (self.hard.term, self.commit);
         let sure = p.pending > 0;
-        let Some((prev, prev_term)) = (if sure { Some(p.matched) } else { Some(p.next - 1) }).and_then(|i| self.term_at(i).map(|t| (i, t))).or(sure.then_some((0, 0))) else {
+        let Some((prev, prev_term)) = (if sure { Some(p.matched) } else { Some(p.next - 1) })
+            .and_then(|i| self.term_at(i).map(|t| (i, t)))
+            .or(sure.then_some((0, 0)))
+        else {
             // Too far behind for the log: the capture goes first, not more often than it can arrive.
             if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
                 let c = self.capture.clone();
                 let round = self.round;
                 self.count("captures_sent", 1);
                 self.peers.get_mut(to).iter_mut().for_each(|p| p.installing = now.mono.max(1));
-                self.send(to, Body::Install(Box::new(Install { term, round, index: c.index, index_term: c.term, capture: c.bytes })));
+                self.send(
+                    to,
+                    Body::Install(Box::new(Install {
+                        term,
+                        round,
+                        index: c.index,
+                        index_term: c.term,
+                        capture: c.bytes,
+                    })),
+                );
             }
             return;
         };
@@ -80,7 +92,18 @@
         }
         let round = self.round;
         let notes: Vec<Note> = self.notes.values().cloned().collect();
-        self.send(to, Body::Append(Box::new(Append { term, prev_index: prev, prev_term, commit, round, entries, notes })));
+        self.send(
+            to,
+            Body::Append(Box::new(Append {
+                term,
+                prev_index: prev,
+                prev_term,
+                commit,
+                round,
+                entries,
+                notes,
+            })),
+        );
     }
 
     pub(super) fn on_append(&mut self, now: Now, from: &str, m: Append) {
@@ -108,9 +131,9 @@
             self.notes.insert(n.core.clone(), n);
         });
         let fits = m.prev_index < self.base.0 || self.term_at(m.prev_index) == Some(m.prev_term);
-        let mut matched = 0;
+        // A refusal names the place that did not fit.
+        let mut matched = m.prev_index;
         if fits {
-            matched = m.prev_index;
             for e in m.entries {
                 matched = e.index;
                 if e.index <= self.base.0 || self.term_at(e.index) == Some(e.term) {
@@ -132,7 +155,7 @@
         }
         self.flush();
         let (term, last_index, disk) = (self.hard.term, self.last().0, self.disk);
-        let matched = matched.min(self.durable);
+        let matched = if fits { matched.min(self.durable) } else { matched };
         self.confirmed = Some((from.to_string(), m.round));
         self.send_durable_hard(
             from,
@@ -240,13 +263,13 @@
             );
             self.advance(now);
             let more = self.peers.get(from).is_some_and(|p| p.next <= last);
-            if more {
+            if more && fresh {
                 self.replicate(now, from);
             }
         } else if fresh {
             // Back to where the logs may agree; a shorter log than confirmed before means its disk lost some.
             p.matched = p.matched.min(m.last_index);
-            p.next = (m.last_index + 1).min(p.next.saturating_sub(1)).max(1);
+            p.next = (m.last_index + 1).min(m.matched).max(1);
             self.replicate(now, from);
         }
         self.answer_reads(now);
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -102,7 +102,10 @@
             ("GET", ["live"]) => self.reply(&origin, Verdict::new(200, json!({"live": true}))),
             ("GET", ["ready"]) => {
                 let ready = self.ready(now);
-                self.reply(&origin, Verdict::new(if ready { 200 } else { 503 }, json!({"ready": ready, "place": self.record.place, "version": self.record.version})));
+                self.reply(
+                    &origin,
+                    Verdict::new(if ready { 200 } else { 503 }, json!({"ready": ready, "place": self.record.place, "version": self.record.version})),
+                );
             }
             ("GET", ["metrics"]) => {
                 let text = crate::kernel::Part::counters(self).iter().map(|(k, v)| format!("landingdrift_{k} {v}\n")).collect::<String>();
--- a/rehearsal/src/cli/fleet.rs
+++ b/rehearsal/src/cli/fleet.rs
@@ -8,8 +8,20 @@
     let mut shape = Shape::named(named).ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
     let mut seconds = w.number("seconds", 20)?;
     let mut faults = vec![
-        Fault { at: seconds * 300, kind: Kind::Kill, who: "leader".into(), lasts: 2000, amount: 0 },
-        Fault { at: seconds * 600, kind: Kind::Kill, who: "node:1".into(), lasts: 2000, amount: 0 },
+        Fault {
+            at: seconds * 300,
+            kind: Kind::Kill,
+            who: "leader".into(),
+            lasts: 2000,
+            amount: 0,
+        },
+        Fault {
+            at: seconds * 600,
+            kind: Kind::Kill,
+            who: "node:1".into(),
+            lasts: 2000,
+            amount: 0,
+        },
     ];
     if let Some(file) = w.text("scenario") {
         let s = Scenario::load(file).map_err(|e| e.to_string())?;
--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -40,7 +40,9 @@
     let mut p = lexopt::Parser::from_args(words);
     let mut w = Words { flags: Vec::new(), rest: Vec::new() };
     let plain = ["log", "help"];
-    let valued = ["seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate", "folder", "program", "scenario", "out"];
+    let valued = [
+        "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate", "folder", "program", "scenario", "out",
+    ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
             lexopt::Arg::Long(n) if plain.contains(&n) => w.flags.push((n.to_string(), String::new())),
--- a/rehearsal/src/cli/sweep.rs
+++ b/rehearsal/src/cli/sweep.rs
@@ -8,7 +8,11 @@
 /// Leaves faults out one by one as long as the same rule still breaks.
 fn shrink(s: &Scenario, seed: u64, all: Vec<Fault>, rule: &str) -> Vec<Fault> {
     let breaks = |faults: &[Fault]| {
-        let t = Scenario { faults: faults.to_vec(), random: 0, ..s.clone() };
+        let t = Scenario {
+            faults: faults.to_vec(),
+            random: 0,
+            ..s.clone()
+        };
         rehearse(&t, seed).1.iter().any(|b| b.rule == rule)
     };
     if !breaks(&all) {
@@ -62,7 +66,12 @@
                 if let Some(b) = broken.first() {
                     let kept = shrink(&s, seed, report.faults.clone(), b.rule);
                     let faults: Vec<String> = kept.iter().map(|f| format!("[[faults]]\n{}", toml::to_string(f).unwrap_or_default())).collect();
-                    let text = format!("seed {seed}: {b}\n  repeat: rehearsal run {file} --seed {seed} --log\n  shrunk to {} of {} faults:\n{}", kept.len(), report.faults.len(), faults.join(""));
+                    let text = format!(
+                        "seed {seed}: {b}\n  repeat: rehearsal run {file} --seed {seed} --log\n  shrunk to {} of {} faults:\n{}",
+                        kept.len(),
+                        report.faults.len(),
+                        faults.join("")
+                    );
                     bad.lock().iter_mut().for_each(|l| l.push((seed, text.clone())));
                 }
             });
--- a/rehearsal/src/fleet/drive.rs
+++ b/rehearsal/src/fleet/drive.rs
@@ -47,7 +47,11 @@
         |r| {
             let status = r.status().as_u16();
             let body: Value = r.json().unwrap_or(Value::Null);
-            Verdict { status, retry_ms: body["retryMs"].as_u64().unwrap_or(0), body }
+            Verdict {
+                status,
+                retry_ms: body["retryMs"].as_u64().unwrap_or(0),
+                body,
+            }
         },
     )
 }
@@ -79,7 +83,9 @@
         let (rx, back) = (rx.clone(), back.clone());
         let http = Http::builder().timeout(Duration::from_millis(2500)).no_proxy().build().unwrap_or_default();
         thread::spawn(move || loop {
-            let Ok((ent, to, n, req)) = rx.lock().map_or(Err(std::sync::mpsc::RecvError), |r| r.recv()) else { return };
+            let Ok((ent, to, n, req)) = rx.lock().map_or(Err(std::sync::mpsc::RecvError), |r| r.recv()) else {
+                return;
+            };
             if back.send((ent, n, call(&http, &to, &req))).is_err() {
                 return;
             }
@@ -247,7 +253,10 @@
             Ent::Worker(..) => Vec::new(),
             Ent::Client => self.client.answer(now, n, v),
             Ent::Operator => self.operator.answer(now, n, v),
-            Ent::Probe(i) if v.status == 200 => vec![Ask::Note(Event::NodeVersion { node: self.fleet.procs[i].http.clone(), version: v.body["version"].as_u64().unwrap_or(0) })],
+            Ent::Probe(i) if v.status == 200 => vec![Ask::Note(Event::NodeVersion {
+                node: self.fleet.procs[i].http.clone(),
+                version: v.body["version"].as_u64().unwrap_or(0),
+            })],
             Ent::Probe(_) => Vec::new(),
         };
         self.asked(ent, asks);
@@ -352,7 +361,11 @@
                 }
                 call(&self.http, &nodes[i % nodes.len()], &request("GET", path, query, None))
             });
-            tries.filter(|v| v.status == 200).map(|v| v.body).next().ok_or_else(|| FleetDefect::NotReady(format!("{path} could not be read at the end of the day")))
+            tries
+                .filter(|v| v.status == 200)
+                .map(|v| v.body)
+                .next()
+                .ok_or_else(|| FleetDefect::NotReady(format!("{path} could not be read at the end of the day")))
         };
         let mut jobs: BTreeMap<String, (String, bool)> = BTreeMap::new();
         let mut after = String::new();
@@ -380,6 +393,13 @@
             }
         }
         let broken = check(&self.history, &Promised { epoch, ..Promised::default() });
-        Ok(Outcome { summary: summary(&self.history), broken, latencies: std::mem::take(&mut self.client.told.latencies), history: self.history, kept, missed })
+        Ok(Outcome {
+            summary: summary(&self.history),
+            broken,
+            latencies: std::mem::take(&mut self.client.told.latencies),
+            history: self.history,
+            kept,
+            missed,
+        })
     }
 }
--- a/rehearsal/src/fleet/launch.rs
+++ b/rehearsal/src/fleet/launch.rs
@@ -34,12 +34,20 @@
     /// Starts all processes.
     pub fn start(o: &Options) -> Result<Self, FleetDefect> {
         o.program.is_file().then_some(()).ok_or_else(|| FleetDefect::NoProgram(o.program.clone()))?;
-        fs::create_dir_all(&o.folder).map_err(|why| FleetDefect::Io { what: o.folder.display().to_string(), why })?;
+        fs::create_dir_all(&o.folder).map_err(|why| FleetDefect::Io {
+            what: o.folder.display().to_string(),
+            why,
+        })?;
         // Addresses of the loopback range, so that fleets side by side don't meet.
         let net = 10 + std::process::id() % 200;
         let at = |zone: usize, n: usize| format!("127.{net}.{zone}.{n}");
         let seeds: Vec<String> = (0..3).map(|z| format!("{}:7000", at(z, 1))).collect();
-        let mut fleet = Self { procs: Vec::new(), program: o.program.clone(), seeds: seeds.join(","), cluster: format!("fleet-{net}") };
+        let mut fleet = Self {
+            procs: Vec::new(),
+            program: o.program.clone(),
+            seeds: seeds.join(","),
+            cluster: format!("fleet-{net}"),
+        };
         let places = (0..3).map(|z| (true, z, 1)).chain((0..o.shape.nodes()).map(|i| (false, i % 3, 10 + i)));
         for (core, zone, n) in places {
             let name = format!("{}-{zone}-{n}", if core { "core" } else { "node" });
@@ -65,14 +73,31 @@
             return Ok(());
         }
         let open = || File::options().create(true).append(true).open(&p.log);
-        let log = open().map_err(|why| FleetDefect::Io { what: p.log.display().to_string(), why })?;
+        let log = open().map_err(|why| FleetDefect::Io {
+            what: p.log.display().to_string(),
+            why,
+        })?;
         let mut c = Command::new(&self.program);
-        c.arg(if p.core { "core" } else { "node" }).args(["--listen", &p.listen, "--http", &p.http, "--zone", &format!("z{}", p.zone), "--seeds", &self.seeds, "--cluster", &self.cluster]);
+        c.arg(if p.core { "core" } else { "node" }).args([
+            "--listen",
+            &p.listen,
+            "--http",
+            &p.http,
+            "--zone",
+            &format!("z{}", p.zone),
+            "--seeds",
+            &self.seeds,
+            "--cluster",
+            &self.cluster,
+        ]);
         p.data.iter().for_each(|d| {
             c.arg("--data").arg(d);
         });
         let child = c.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
-        p.child = Some(child.map_err(|why| FleetDefect::Io { what: self.program.display().to_string(), why })?);
+        p.child = Some(child.map_err(|why| FleetDefect::Io {
+            what: self.program.display().to_string(),
+            why,
+        })?);
         Ok(())
     }
 
--- a/rehearsal/src/simulator/faults.rs
+++ b/rehearsal/src/simulator/faults.rs
@@ -1,7 +1,7 @@
 use super::world::{Ent, Happening, Kind as Part, World};
 use crate::history::Event;
 use crate::scenario::{job, Fault, Kind, Mix};
-use landingdrift::kernel::Msg;
+use landingdrift::kernel::{Draw, Msg};
 use serde_json::json;
 
 impl World {
@@ -35,7 +35,8 @@
             WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut | WorkerLeaves => (0..self.hands.len()).collect(),
             _ => cores.into_iter().chain(nodes).collect(),
         };
-        *self.draw.pick(&of).unwrap_or(&0)
+        // Each fault draws for itself, so that leaving one out moves no other.
+        *Draw::new(self.seed ^ f.at).pick(&of).unwrap_or(&0)
     }
 
     pub(super) fn strike(&mut self, i: usize) {
--- a/rehearsal/src/simulator/mod.rs
+++ b/rehearsal/src/simulator/mod.rs
@@ -15,6 +15,13 @@
 /// Rehearses a day with a seed and checks its history.
 pub fn rehearse(s: &Scenario, seed: u64) -> (Report, Vec<Broken>) {
     let report = World::new(s, seed).run();
-    let broken = check(&report.history, &Promised { epoch: EPOCH, ..Promised::default() });
+    let mut broken = check(&report.history, &Promised { epoch: EPOCH, ..Promised::default() });
+    if report.circling {
+        broken.push(Broken {
+            rule: "nothing goes round in circles",
+            t: report.history.events.last().map_or(0, |a| a.t),
+            what: "more happened than a day can hold".into(),
+        });
+    }
     (report, broken)
 }
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -16,6 +16,9 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
+/// Happenings in a second of a day, at the most; a busy one has a tenth of it.
+const HAPPENINGS: u64 = 60_000;
+
 /// How often everything looks at the time.
 const TICK: u64 = 20;
 
@@ -113,6 +116,8 @@
     pub counters: BTreeMap<String, u64>,
     pub faults: Vec<Fault>,
     pub log: Vec<String>,
+    /// More happened than a day can hold: something goes round in circles.
+    pub circling: bool,
 }
 
 /// The world that the parts live in.
@@ -137,6 +142,7 @@
     next_call: u64,
     pub(super) settings: Settings,
     pub(super) calm: bool,
+    pub(super) seed: u64,
     arrivals: BTreeMap<(usize, usize), u64>,
 }
 
@@ -145,7 +151,7 @@
     pub fn new(s: &Scenario, seed: u64) -> Self {
         let mut draw = Draw::new(seed);
         let mut faults = s.faults.clone();
-        faults.extend(random_faults(&mut draw, s.random, 3000, s.seconds * 1000));
+        faults.extend(random_faults(&mut Draw::new(seed ^ 0xfa17), s.random, 3000, s.seconds * 1000));
         faults.sort_by_key(|f| f.at);
         let mut mix = s.shape.mix();
         if s.rate > 0.0 {
@@ -177,6 +183,7 @@
             next_call: 0,
             settings,
             calm: false,
+            seed,
             arrivals: BTreeMap::new(),
         };
         (0..3).for_each(|i| w.add_core(i, cores[i].clone()));
@@ -372,8 +379,9 @@
     /// Runs the day to its end.
     pub fn run(mut self) -> Report {
         let end = (self.scenario.seconds + self.scenario.settle) * 1000;
+        let most = (self.scenario.seconds + self.scenario.settle) * HAPPENINGS;
         while let Some(Reverse(due)) = self.queue.pop() {
-            if due.t > end {
+            if due.t > end || self.seq > most {
                 break;
             }
             self.t = due.t;
@@ -383,10 +391,11 @@
                 break;
             }
         }
-        self.close()
+        let circling = self.seq > most;
+        self.close(circling)
     }
 
-    fn close(mut self) -> Report {
+    fn close(mut self, circling: bool) -> Report {
         (0..self.procs.len()).for_each(|i| self.keep_counters(i));
         let best = self
             .procs
@@ -404,6 +413,7 @@
             counters,
             faults: self.faults,
             log: self.log,
+            circling,
         }
     }
 
