--- /dev/null
+++ b/landingdrift/tests/disk.rs
@@ -0,0 +1,144 @@
+//! The data folder under what disks do: torn tails, damage, strangers.
+
+use landingdrift::disk::{verify, DiskDefect, Folder};
+use landingdrift::kernel::{Capture, Hard, Save};
+use landingdrift::wire::{Entry, Note};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+fn folder(name: &str) -> PathBuf {
+    let p = std::env::temp_dir().join(format!("landingdrift-disk-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&p);
+    p
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        at: index * 10,
+        command: format!("\"e{index}\"").into_bytes(),
+    }
+}
+
+fn write(f: &mut Folder, from: u64, to: u64) {
+    for i in from..=to {
+        f.save(&[Save {
+            entries: vec![entry(i, 1)],
+            ..Save::default()
+        }])
+        .expect("saved");
+    }
+}
+
+fn segments(p: &Path) -> Vec<PathBuf> {
+    let mut s: Vec<PathBuf> = fs::read_dir(p)
+        .expect("a folder")
+        .filter_map(|e| e.ok().map(|e| e.path()))
+        .filter(|p| p.extension().is_some_and(|x| x == "segment"))
+        .collect();
+    s.sort();
+    s
+}
+
+#[test]
+fn what_was_saved_is_there_again_and_a_torn_tail_is_cut() {
+    let p = folder("torn");
+    let (mut f, loaded) = Folder::open(&p, "c", 1 << 20, 7).expect("made");
+    assert_eq!((loaded.disk, loaded.entries.len()), (7, 0));
+    write(&mut f, 1, 5);
+    let hard = Hard {
+        term: 3,
+        vote: "a".into(),
+        silent_to: 2,
+    };
+    let notes = vec![Note {
+        core: "b".into(),
+        disk: 9,
+        index: 4,
+        term: 1,
+    }];
+    f.save(&[Save {
+        hard: Some(hard.clone()),
+        notes: notes.clone(),
+        cut: Some(5),
+        entries: vec![entry(5, 2), entry(6, 2)],
+        ..Save::default()
+    }])
+    .expect("saved");
+    drop(f);
+    let last = segments(&p).pop().expect("a segment");
+    let mut bytes = fs::read(&last).expect("read");
+    bytes.extend([40, 0, 0, 0, 1, 2, 3, 4, 9, 9]);
+    fs::write(&last, &bytes).expect("written");
+    assert!(verify(&p).expect("looked").torn_tail);
+    let (_, l) = Folder::open(&p, "c", 1 << 20, 8).expect("opened");
+    assert_eq!(l.disk, 7);
+    assert!(!l.damaged);
+    assert_eq!((l.hard, l.notes), (hard, notes));
+    assert_eq!(l.entries.iter().map(|e| (e.index, e.term)).collect::<Vec<_>>(), [(1, 1), (2, 1), (3, 1), (4, 1), (5, 2), (6, 2)]);
+}
+
+#[test]
+fn damage_in_the_middle_is_told_and_the_term_survives_it() {
+    let p = folder("damage");
+    let (mut f, _) = Folder::open(&p, "c", 1 << 20, 7).expect("made");
+    write(&mut f, 1, 20);
+    f.save(&[Save {
+        hard: Some(Hard { term: 9, ..Hard::default() }),
+        ..Save::default()
+    }])
+    .expect("saved");
+    drop(f);
+    let first = segments(&p).remove(0);
+    let mut bytes = fs::read(&first).expect("read");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0xff;
+    fs::write(&first, &bytes).expect("written");
+    assert!(verify(&p).expect("looked").damaged);
+    let (f, l) = Folder::open(&p, "c", 1 << 20, 8).expect("opened");
+    assert!(l.damaged && l.hard.term == 9);
+    let n = l.entries.len() as u64;
+    assert!(n > 3 && n < 20, "kept {n}");
+    assert!(l.entries.iter().enumerate().all(|(i, e)| e.index == i as u64 + 1));
+    drop(f);
+    // What was whole is kept, and the folder can be used again.
+    let (_, again) = Folder::open(&p, "c", 1 << 20, 8).expect("opened again");
+    assert_eq!(again.entries.len() as u64, n);
+}
+
+#[test]
+fn captures_let_old_segments_go() {
+    let p = folder("captures");
+    let (mut f, _) = Folder::open(&p, "c", 600, 7).expect("made");
+    write(&mut f, 1, 60);
+    let before = segments(&p).len();
+    f.save(&[Save {
+        capture: Some(Capture {
+            index: 50,
+            term: 1,
+            bytes: b"state".to_vec(),
+        }),
+        ..Save::default()
+    }])
+    .expect("saved");
+    write(&mut f, 61, 62);
+    assert!(before > 4 && segments(&p).len() < before, "{before} segments before, {} after", segments(&p).len());
+    drop(f);
+    let (_, l) = Folder::open(&p, "c", 600, 7).expect("opened");
+    assert_eq!(l.capture.map(|c| c.index), Some(50));
+    assert_eq!(l.entries.iter().map(|e| e.index).collect::<Vec<_>>(), (51..=62).collect::<Vec<_>>());
+}
+
+#[test]
+fn strangers_and_other_clusters_are_refused() {
+    let p = folder("foreign");
+    fs::create_dir_all(&p).expect("made");
+    fs::write(p.join("photos.txt"), "mine").expect("written");
+    assert!(matches!(Folder::open(&p, "c", 600, 7), Err(DiskDefect::Foreign(_))));
+    let q = folder("cluster");
+    let kept = Folder::open(&q, "c", 600, 7).expect("made");
+    assert!(matches!(Folder::open(&q, "c", 600, 7), Err(DiskDefect::Busy(_))));
+    drop(kept);
+    assert!(matches!(Folder::open(&q, "d", 600, 7), Err(DiskDefect::Cluster { .. })));
+}
--- /dev/null
+++ b/rehearsal/tests/simulator.rs
@@ -0,0 +1,33 @@
+//! The simulator itself: the same seed gives the same history, another one another.
+
+use rehearsal::scenario::Scenario;
+use rehearsal::simulator::rehearse;
+
+fn storm() -> Scenario {
+    let mut s = Scenario::load("scenarios/storm.toml").expect("the scenario is there");
+    s.seconds = 10;
+    s
+}
+
+#[test]
+fn the_same_seed_gives_the_same_history_byte_for_byte() {
+    let (a, b) = (rehearse(&storm(), 11).0, rehearse(&storm(), 11).0);
+    assert_eq!(a.history.text(), b.history.text());
+    assert_eq!(a.counters, b.counters);
+    let c = rehearse(&storm(), 12).0;
+    assert_ne!(a.history.digest(), c.history.digest());
+}
+
+#[test]
+fn faults_bite() {
+    // What the scenarios rely on really happens: disks lose, workers are lost, leaders change.
+    let seen = |file: &str, seed: u64, counter: &str| {
+        let s = Scenario::load(&format!("scenarios/{file}.toml")).expect("the scenario is there");
+        rehearse(&s, seed).0.counters.get(counter).copied().unwrap_or(0)
+    };
+    assert!(seen("tail", 2, "core_disk_losses_seen") >= 1);
+    assert!(seen("workers", 1, "node_workers_lost") >= 3);
+    assert!(seen("core", 1, "core_leaderships") >= 4);
+    assert!(seen("core", 1, "node_own_freezes") >= 1);
+    assert!(seen("replace", 1, "core_captures_installed") + seen("replace", 1, "core_entries_applied") > 0);
+}
