--- /dev/null
+++ b/landingdrift/tests/record.rs
@@ -0,0 +1,348 @@
+//! The record disposes: whatever a stale, frozen or confused node proposes, no rule is broken in `apply`.
+
+use landingdrift::record::{Command, EndReport, JobSpec, JobState, Outcome, Placement, Record, Refusal, Ruling, SendState, TaskSpec, WorkerFacts};
+use serde_json::json;
+
+/// A record with a node, grants, a configuration and two workers.
+struct Desk {
+    r: Record,
+    n: u64,
+    at: u64,
+}
+
+impl Desk {
+    fn new() -> Self {
+        let mut d = Self {
+            r: Record::new("c"),
+            n: 0,
+            at: 1_000_000,
+        };
+        d.ok(Command::Node {
+            node: "n".into(),
+            zone: "z".into(),
+            http: "h".into(),
+        });
+        d.ok(Command::Grant {
+            duty: "cell/z".into(),
+            holder: "n".into(),
+            from_epoch: 0,
+        });
+        d.ok(Command::Grant {
+            duty: "queue/q".into(),
+            holder: "n".into(),
+            from_epoch: 0,
+        });
+        d.ok(Command::Configure {
+            change: "first".into(),
+            base: 0,
+            patch: false,
+            value: desired(2),
+        });
+        d.facts("w", 1, false);
+        d.facts("v", 1, false);
+        d
+    }
+    fn apply(&mut self, c: Command) -> Ruling {
+        self.n += 1;
+        self.at += 10;
+        self.r.apply(self.n, self.at, &c)
+    }
+    fn ok(&mut self, c: Command) -> serde_json::Value {
+        let told = format!("{c:?}");
+        self.apply(c).unwrap_or_else(|e| panic!("{told}: {e}"))
+    }
+    fn facts(&mut self, worker: &str, incarnation: u64, leaving: bool) {
+        let facts = WorkerFacts {
+            worker: worker.into(),
+            incarnation,
+            service: "s".into(),
+            labels: ["l".to_string()].into(),
+            zone: "z".into(),
+            room: 4,
+            leaving,
+        };
+        self.ok(Command::Facts { facts, cell_epoch: 1 });
+    }
+    fn accept(&mut self, id: &str, tasks: Vec<TaskSpec>) -> Ruling {
+        let seen = self.r.place;
+        self.apply(Command::Accept {
+            spec: JobSpec {
+                id: id.into(),
+                queue: "q".into(),
+                tasks,
+            },
+            hash: 1,
+            seen,
+        })
+    }
+    fn start(&mut self, job: &str, of: &[(u32, &str)]) -> Ruling {
+        self.start_as(job, of, 2, 1, false)
+    }
+    fn start_as(&mut self, job: &str, of: &[(u32, &str)], owner_epoch: u64, cell_epoch: u64, copy: bool) -> Ruling {
+        let incarnation = |w: &str| self.r.workers.get(w).map_or(0, |w| w.facts.incarnation);
+        let placements = of
+            .iter()
+            .map(|(task, w)| Placement {
+                task: *task,
+                worker: w.to_string(),
+                incarnation: incarnation(w),
+                cell_epoch,
+                copy,
+            })
+            .collect();
+        self.apply(Command::Start {
+            job: job.into(),
+            owner_epoch,
+            placements,
+        })
+    }
+    fn end(&mut self, worker: &str, no: u64, outcome: Outcome) {
+        self.ok(Command::Report {
+            worker: worker.into(),
+            incarnation: 1,
+            running: vec![],
+            ends: vec![EndReport {
+                no,
+                outcome,
+                ran_ms: 5,
+                note: String::new(),
+            }],
+        });
+    }
+    fn state(&self, job: &str) -> JobState {
+        self.r.jobs[job].state
+    }
+}
+
+fn desired(tries: u32) -> serde_json::Value {
+    json!({"queues": {"q": {"tries": tries, "quota": 3, "windowMs": 60_000, "unsureBoundMs": 5000, "speculationPercent": 50, "defectAllowancePercent": 100}},
+           "services": {"s": {"labels": ["l", "m"], "taskRoom": 4, "gangRoom": 8}}, "zones": {"z": {}}})
+}
+
+fn task(name: &str) -> TaskSpec {
+    TaskSpec {
+        name: name.into(),
+        service: "s".into(),
+        room: 3,
+        ..TaskSpec::default()
+    }
+}
+
+fn repeatable(name: &str) -> TaskSpec {
+    TaskSpec { may_repeat: true, ..task(name) }
+}
+
+#[test]
+fn a_start_that_breaks_a_rule_is_refused() {
+    let mut d = Desk::new();
+    let at = d.at;
+    d.accept(
+        "j",
+        vec![
+            task("a"),
+            TaskSpec {
+                depends_on: vec!["a".into()],
+                ..task("b")
+            },
+            TaskSpec { due: at + 5000, ..task("c") },
+            TaskSpec {
+                labels: vec!["m".into()],
+                ..task("d")
+            },
+        ],
+    )
+    .expect("accepted");
+    assert_eq!(d.start("none", &[(0, "w")]), Err(Refusal::Unknown { what: "job 'none'".into() }));
+    assert_eq!(d.start("j", &[(1, "w")]), Err(Refusal::Waiting));
+    assert_eq!(d.start("j", &[(2, "w")]), Err(Refusal::NotDue));
+    assert!(matches!(d.start("j", &[(3, "w")]), Err(Refusal::Unfit { .. })));
+    assert_eq!(d.start_as("j", &[(0, "w")], 1, 1, false), Err(Refusal::StaleGrant));
+    assert_eq!(d.start_as("j", &[(0, "w")], 2, 9, false), Err(Refusal::StaleGrant));
+    assert_eq!(d.start("j", &[(0, "w"), (0, "v")]), Err(Refusal::Repeat));
+    d.start("j", &[(0, "w")]).expect("placed");
+    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Repeat));
+    d.accept("k", vec![task("a")]).expect("accepted");
+    assert_eq!(d.start("k", &[(0, "w")]), Err(Refusal::NoRoom));
+    d.facts("v", 1, true);
+    assert!(matches!(d.start("k", &[(0, "v")]), Err(Refusal::Unfit { .. })));
+    d.facts("v", 2, false);
+    d.ok(Command::Configure {
+        change: "drain".into(),
+        base: 1,
+        patch: true,
+        value: json!({"zones": {"z": {"state": "draining"}}}),
+    });
+    assert!(matches!(d.start("k", &[(0, "v")]), Err(Refusal::Unfit { .. })));
+    d.ok(Command::Cancel { job: "k".into() });
+    assert_eq!(d.start("k", &[(0, "v")]), Err(Refusal::Ended));
+}
+
+#[test]
+fn without_leave_an_unsure_send_is_never_sent_again() {
+    let mut d = Desk::new();
+    d.accept("j", vec![task("a")]).expect("accepted");
+    d.start("j", &[(0, "w")]).expect("placed");
+    d.ok(Command::Lost {
+        worker: "w".into(),
+        incarnation: 1,
+        cell_epoch: 1,
+    });
+    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Repeat));
+    // A new process of the worker runs it no more, but it may have finished well.
+    d.facts("w", 2, false);
+    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Repeat));
+    d.at += 6000;
+    d.ok(Command::Sweep {
+        retain_ms: 60_000,
+        identity_ms: 60_000,
+    });
+    assert_eq!(d.state("j"), JobState::Failed);
+    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Ended));
+    // The late report of another one counts, whenever it comes.
+    d.accept("k", vec![task("a")]).expect("accepted");
+    d.start("k", &[(0, "v")]).expect("placed");
+    d.ok(Command::Lost {
+        worker: "v".into(),
+        incarnation: 1,
+        cell_epoch: 1,
+    });
+    d.end("v", 2, Outcome::Well);
+    assert_eq!(d.state("k"), JobState::Done);
+}
+
+#[test]
+fn with_leave_the_ledger_goes_on_and_copies_stay_in_their_budget() {
+    let mut d = Desk::new();
+    d.accept("j", vec![repeatable("a")]).expect("accepted");
+    d.start("j", &[(0, "w")]).expect("placed");
+    assert_eq!(d.start_as("j", &[(0, "w")], 2, 1, true), Err(Refusal::Repeat), "a copy beside its original");
+    d.start_as("j", &[(0, "v")], 2, 1, true).expect("a copy elsewhere");
+    d.facts("x", 1, false);
+    assert_eq!(d.start_as("j", &[(0, "x")], 2, 1, true), Err(Refusal::Repeat), "a third");
+    d.end("v", 2, Outcome::Well);
+    assert!(d.r.jobs["j"].tasks[0].sends[0].stop, "the later one is stopped");
+    assert_eq!(d.state("j"), JobState::Running);
+    d.end("w", 1, Outcome::Stopped);
+    assert_eq!(d.state("j"), JobState::Done);
+    d.ok(Command::Configure {
+        change: "none".into(),
+        base: 1,
+        patch: true,
+        value: json!({"queues": {"q": {"speculationPercent": 0}}}),
+    });
+    d.accept("k", vec![repeatable("a")]).expect("accepted");
+    d.start("k", &[(0, "w")]).expect("placed");
+    assert_eq!(d.start_as("k", &[(0, "v")], 2, 1, true), Err(Refusal::Budget));
+    d.ok(Command::Lost {
+        worker: "w".into(),
+        incarnation: 1,
+        cell_epoch: 1,
+    });
+    d.start("k", &[(0, "v")]).expect("sent again where a repeat is harmless");
+}
+
+#[test]
+fn a_task_that_failed_as_often_as_permitted_is_not_tried_again() {
+    let mut d = Desk::new();
+    d.accept("j", vec![task("a")]).expect("accepted");
+    for no in 1..=2 {
+        d.start("j", &[(0, "w")]).expect("placed");
+        d.end("w", no, Outcome::Defect);
+    }
+    assert_eq!(d.state("j"), JobState::Failed);
+    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Ended));
+}
+
+#[test]
+fn gangs_are_placed_whole_and_none_waits_alone() {
+    let mut d = Desk::new();
+    let gang = |n: &str| TaskSpec { gang: "g".into(), ..task(n) };
+    d.accept("j", vec![gang("a"), gang("b")]).expect("accepted");
+    assert_eq!(d.start("j", &[(0, "w")]), Err(Refusal::GangSplit));
+    assert_eq!(d.start("j", &[(0, "w"), (1, "w")]), Err(Refusal::NoRoom), "all or none");
+    assert!(d.r.live.is_empty());
+    d.start("j", &[(0, "w"), (1, "v")]).expect("placed whole");
+    d.end("v", 2, Outcome::Defect);
+    let kept = &d.r.jobs["j"].tasks[0].sends[0];
+    assert!(kept.stop && kept.state == SendState::Ordered, "its partner is called back");
+    d.end("w", 1, Outcome::Void);
+    d.start("j", &[(0, "w"), (1, "v")]).expect("the whole gang again");
+}
+
+#[test]
+fn identities_quotas_and_refusals_hold() {
+    let mut d = Desk::new();
+    let spec = |id: &str, room| JobSpec {
+        id: id.into(),
+        queue: "q".into(),
+        tasks: vec![TaskSpec { room, ..task("a") }],
+    };
+    let seen = d.r.place;
+    d.ok(Command::Accept { spec: spec("j", 3), hash: 1, seen });
+    assert_eq!(d.apply(Command::Accept { spec: spec("j", 3), hash: 1, seen }), Ok(json!({"known": true})));
+    assert_eq!(d.apply(Command::Accept { spec: spec("j", 2), hash: 2, seen }), Err(Refusal::OtherBody));
+    d.ok(Command::Accept { spec: spec("k", 3), hash: 1, seen });
+    d.ok(Command::Accept { spec: spec("l", 3), hash: 1, seen });
+    assert_eq!(d.apply(Command::Accept { spec: spec("m", 3), hash: 1, seen }), Err(Refusal::OverQuota { quota: 3 }));
+    d.ok(Command::Cancel { job: "k".into() });
+    // An older call of the same id, which was under way elsewhere, can't bring in what was turned away.
+    assert_eq!(d.apply(Command::Accept { spec: spec("m", 3), hash: 1, seen }), Err(Refusal::TurnedAway));
+    let seen = d.r.place;
+    d.ok(Command::Accept { spec: spec("m", 3), hash: 1, seen });
+    assert!(matches!(d.apply(Command::Accept { spec: spec("n", 99), hash: 1, seen }), Err(Refusal::Invalid { .. })));
+    // Long after its end a job's identity is still known, and not for ever.
+    d.at += 70_000;
+    d.ok(Command::Sweep {
+        retain_ms: 60_000,
+        identity_ms: 100_000,
+    });
+    assert!(!d.r.jobs.contains_key("k") && d.r.tombs.contains_key("k"));
+    assert_eq!(d.apply(Command::Accept { spec: spec("k", 2), hash: 2, seen }), Err(Refusal::OtherBody));
+    d.at += 200_000;
+    d.ok(Command::Sweep {
+        retain_ms: 60_000,
+        identity_ms: 100_000,
+    });
+    assert!(d.r.tombs.is_empty());
+}
+
+#[test]
+fn of_two_rival_changes_one_wins_and_a_lost_verdict_can_be_asked_for_again() {
+    let mut d = Desk::new();
+    let change = |id: &str, base: u64, note: &str| Command::Configure {
+        change: id.into(),
+        base,
+        patch: true,
+        value: json!({"notes": {"n": note}}),
+    };
+    d.ok(change("a", 1, "x"));
+    assert_eq!(d.apply(change("b", 1, "y")), Err(Refusal::Rival { current: 2 }));
+    assert_eq!(d.ok(change("a", 1, "x"))["version"], 2);
+    assert_eq!(d.apply(change("a", 1, "z")), Err(Refusal::OtherBody));
+    let wrong = d.apply(Command::Configure {
+        change: "c".into(),
+        base: 2,
+        patch: true,
+        value: json!({"queues": {"q": {"tries": "many"}}}),
+    });
+    assert!(matches!(&wrong, Err(Refusal::Invalid { path, .. }) if path == "queues.q.tries"), "{wrong:?}");
+    assert_eq!(d.r.version, 2);
+    let bytes = d.r.pack();
+    assert_eq!(Record::unpack(&bytes).as_ref(), Ok(&d.r), "a capture holds all of it");
+}
+
+#[test]
+fn jobs_that_can_never_run_are_named() {
+    let read = |v: serde_json::Value| JobSpec::read(v.to_string().as_bytes()).and_then(|s| s.check().map(|_| s));
+    let one = |t: serde_json::Value| read(json!({"id": "j", "queue": "q", "tasks": [t]})).map_err(|e| e.path);
+    assert_eq!(one(json!({"name": "a", "service": "s", "room": "big"})), Err("tasks[0].room".into()));
+    assert_eq!(one(json!({"name": "a", "service": "s", "room": 1, "colour": 1})), Err("tasks[0].colour".into()));
+    assert_eq!(one(json!({"name": "a", "service": "s", "room": 0})), Err("tasks[0].room".into()));
+    assert_eq!(one(json!({"name": "a", "service": "s", "room": 1, "dependsOn": ["b"]})), Err("tasks[0].dependsOn".into()));
+    let t = |n: &str, d: &[&str], g: &str| json!({"name": n, "service": "s", "room": 1, "dependsOn": d, "gang": g});
+    let many = |of: Vec<serde_json::Value>| read(json!({"id": "j", "queue": "q", "tasks": of})).map_err(|e| e.remedy);
+    assert!(many(vec![t("a", &["b"], ""), t("b", &["a"], "")]).is_err_and(|r| r.contains("circle")));
+    assert!(many(vec![t("a", &[], "g"), t("b", &["a"], "g")]).is_err_and(|r| r.contains("gang")));
+    assert!(many(vec![t("a", &[], "g"), t("x", &["a"], ""), t("b", &["x"], "g")]).is_err_and(|r| r.contains("gang")));
+    assert!(many(vec![t("a", &[], ""), t("a", &[], "")]).is_err_and(|r| r.contains("name")));
+}
