--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line of the rehearsal kit.
 
 mod fleet;
+mod measure;
 mod run;
 mod sweep;
 
@@ -32,6 +33,8 @@
   fleet [--shape odvoza|gunasekera] [--seconds N] [--settle N] [--rate N] [--folder DIR]
         [--program FILE] [--scenario FILE] [--history FILE]
                                                  real processes on this machine; a leader and a node are killed midway
+  measure [--shape S] [--seeds N] [--seconds N] [--load U,..] [--beta B,..] [--vary NAME=VALUE,..]
+                                                 admission against FIFO and SRPT with best-effort copies
 
 Exit codes: 0 no rule was broken, 1 a rule was broken, 2 wrong command line.";
 
@@ -41,7 +44,7 @@
     let mut w = Words { flags: Vec::new(), rest: Vec::new() };
     let plain = ["log", "help"];
     let valued = [
-        "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate", "folder", "program", "scenario", "out",
+        "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate", "folder", "program", "scenario", "out", "load", "beta", "vary",
     ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
@@ -70,6 +73,7 @@
             Some("run") => run::run(&w),
             Some("sweep") => sweep::run(&w),
             Some("fleet") => fleet::run(&w),
+            Some("measure") => measure::run(&w),
             Some(other) => Err(format!("no command is called '{other}'")),
             None => Err("no command was given".into()),
         }
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod fleet;
 pub mod history;
+pub mod measure;
 pub mod scenario;
 pub mod simulator;
 pub mod standin;
--- /dev/null
+++ b/rehearsal/src/measure/workload.rs
@@ -0,0 +1,61 @@
+use crate::scenario::Shape;
+use landingdrift::kernel::Draw;
+use landingdrift::record::{JobSpec, TaskSpec};
+use serde_json::json;
+
+/// Jobs with the times they are offered at.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    pub seconds: u64,
+    pub jobs: Vec<(u64, JobSpec)>,
+}
+
+/// The longest run, as a multiple of the shortest.
+const LONGEST: f64 = 20.0;
+
+/// The shortest a task runs, in milliseconds; longer where there are more slots, so that both shapes see like numbers of tasks.
+pub fn shortest(shape: Shape) -> f64 {
+    match shape {
+        Shape::Odvoza => 1600.0,
+        Shape::Gunasekera => 400.0,
+    }
+}
+
+/// Jobs of heavy-tailed sizes, whose tasks run Pareto times, at a utilisation.
+pub fn workload(shape: Shape, utilisation: f64, beta: f64, seconds: u64, seed: u64) -> Load {
+    let mut draw = Draw::new(seed ^ 0x10ad);
+    let mix = shape.mix();
+    let slots = f64::from(shape.room()) * shape.workers() as f64;
+    let ms = shortest(shape);
+    // The mean of a Pareto time cut off at its longest.
+    let mean = ms * (1.0 + (1.0 - LONGEST.powf(1.0 - beta)) / (beta - 1.0));
+    let size = |draw: &mut Draw| ((1.0 - draw.unit()).powf(-1.0 / 1.1) as u64).clamp(1, 100);
+    let mean_size = (0..20_000).map(|_| size(&mut draw)).sum::<u64>() as f64 / 20_000.0;
+    let gap = mean_size * mean / (utilisation * slots);
+    let (mut t, mut jobs) = (2000.0, Vec::new());
+    while t < (2 + seconds) as f64 * 1000.0 {
+        let n = size(&mut draw);
+        let queue = draw.pick(&mix.queues).cloned().unwrap_or_default();
+        let service = draw.pick(&mix.services).cloned().unwrap_or_default();
+        let tasks = (0..n)
+            .map(|i| TaskSpec {
+                name: format!("t{i}"),
+                service: service.clone(),
+                room: 1,
+                may_repeat: true,
+                payload: json!({"ms": ms as u64, "tail": beta}),
+                ..TaskSpec::default()
+            })
+            .collect();
+        jobs.push((
+            t as u64,
+            JobSpec {
+                id: format!("m-{}-{}", jobs.len(), n),
+                queue,
+                tasks,
+            },
+        ));
+        t += -(1.0 - draw.unit()).ln() * gap;
+    }
+    Load { seconds, jobs }
+}
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -10,11 +10,11 @@
 use landingdrift::agreement::Core;
 use landingdrift::kernel::{Draw, Effect, Msg, Now, Part, Request, Verdict};
 use landingdrift::node::Node;
-use landingdrift::record::{Record, WorkerFacts};
+use landingdrift::record::{JobSpec, Record, WorkerFacts};
 use landingdrift::settings::Settings;
 use landingdrift::wire::{pack, unpack, Body};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 /// Happenings in a second of a day, at the most; a busy one has a tenth of it.
 const HAPPENINGS: u64 = 60_000;
@@ -118,6 +118,11 @@
     pub log: Vec<String>,
     /// More happened than a day can hold: something goes round in circles.
     pub circling: bool,
+    /// Milliseconds that each job took which was done.
+    pub took: BTreeMap<String, u64>,
+    pub copies_won: u64,
+    /// Messages between the system's own processes.
+    pub messages: u64,
 }
 
 /// The world that the parts live in.
@@ -143,6 +148,8 @@
     pub(super) settings: Settings,
     pub(super) calm: bool,
     pub(super) seed: u64,
+    planned: VecDeque<(u64, JobSpec)>,
+    messages: u64,
     arrivals: BTreeMap<(usize, usize), u64>,
 }
 
@@ -184,6 +191,8 @@
             settings,
             calm: false,
             seed,
+            planned: VecDeque::new(),
+            messages: 0,
             arrivals: BTreeMap::new(),
         };
         (0..3).for_each(|i| w.add_core(i, cores[i].clone()));
@@ -238,6 +247,19 @@
         w
     }
 
+    /// Makes this a day of planned jobs alone, with free values of admission to be measured.
+    pub fn measure(&mut self, jobs: Vec<(u64, JobSpec)>, hopper: landingdrift::settings::Hopper) {
+        self.planned = jobs.into();
+        self.client.offering = false;
+        self.client.cancels = 0.0;
+        self.settings.hopper = hopper;
+        for i in 0..self.procs.len() {
+            let p = &self.procs[i];
+            let cfg = self.settings_of(&p.addr.clone(), p.zone, p.is_core());
+            self.reach(i, Msg::Changed(Box::new(cfg)));
+        }
+    }
+
     pub(super) fn node_http(&self) -> Vec<String> {
         self.procs.iter().filter(|p| !p.is_core() && !p.gone).map(|p| p.addr.clone()).collect()
     }
@@ -402,7 +424,9 @@
             .iter()
             .filter_map(|p| if let Kind::Core(Some(c), _) = &p.kind { Some(c) } else { None })
             .max_by_key(|c| (c.leads(), c.record().place));
+        let best_copies = best.map_or(0, |c| c.record().queues.values().map(|q| q.copies_won).sum());
         let (version, jobs) = best.map_or((0, BTreeMap::new()), |c| (c.record().version, states(c.record())));
+        let copies_won = best_copies;
         self.note(Event::Closed { version, jobs });
         let mut counters: BTreeMap<String, u64> = BTreeMap::new();
         self.procs.iter().flat_map(|p| &p.counters).for_each(|(k, v)| *counters.entry(k.clone()).or_default() += v);
@@ -414,6 +438,9 @@
             faults: self.faults,
             log: self.log,
             circling,
+            took: std::mem::take(&mut self.client.told.took),
+            copies_won,
+            messages: self.messages,
         }
     }
 
@@ -451,6 +478,10 @@
             }
             Happening::ClientTick => {
                 let t = self.t;
+                while let Some((_, spec)) = self.planned.pop_front_if(|(at, _)| *at <= t) {
+                    let asks = self.client.offer(t, spec);
+                    self.asked(Ent::Client, asks);
+                }
                 let asks = self.client.tick(t);
                 self.asked(Ent::Client, asks);
                 for i in 0..self.operators.len() {
@@ -579,6 +610,7 @@
         let last = self.arrivals.entry((from, j)).or_default();
         *last = at.max(*last);
         let at = *last;
+        self.messages += 1;
         let life = self.procs[j].life;
         let addr = self.procs[from].addr.clone();
         let bytes = pack(&self.settings.cluster, &addr, body);
--- a/rehearsal/src/standin/client.rs
+++ b/rehearsal/src/standin/client.rs
@@ -35,6 +35,7 @@
     pub ended: u64,
     /// Milliseconds from being offered to being seen as done.
     pub latencies: Vec<u64>,
+    pub took: BTreeMap<String, u64>,
 }
 
 /// A client with all its jobs.
@@ -193,6 +194,7 @@
                     if state == "done" {
                         let took = v.body["ended"].as_u64().unwrap_or(0).saturating_sub(self.epoch + j.offered);
                         self.told.latencies.push(took);
+                        self.told.took.insert(id.clone(), took);
                     }
                 }
             }
