--- a/landingdrift/src/node/cell.rs
+++ b/landingdrift/src/node/cell.rs
@@ -418,10 +418,12 @@
     /// What was accepted came to nothing: the slot is free again.
     pub(super) fn on_offer_done(&mut self, now: Now, m: OfferDone) {
         if !m.placed {
+            // The record knew better: its news comes before the next offer.
+            let until = now.mono + self.cfg.bounds.heartbeat();
             self.cells.values_mut().filter_map(|c| c.workers.get_mut(&m.worker)).for_each(|w| {
                 w.pending.pop();
+                w.idle_until = until;
             });
-            self.offer_all(now);
         }
     }
 }
--- /dev/null
+++ b/landingdrift/src/replay/command.rs
@@ -0,0 +1,92 @@
+use super::{rerun, Day, Story};
+use crate::desired;
+use crate::kernel::roles::Role;
+use crate::settings::Settings;
+use serde_json::json;
+use std::ffi::OsString;
+use std::path::Path;
+
+inventory::submit! { Role { name: "replay", summary: "records days and decides them anew", run } }
+
+const HELP: &str = "landingdrift replay record FOLDER OUT    record what a stopped core's data folder holds
+landingdrift replay check DAY           apply a day's entries with this build; differing verdicts are listed
+landingdrift replay run DAY [--desired FILE] [--settings FILE] [--json]
+                                        decide a day anew in virtual time and compare
+
+Exit codes: 0 done, 1 verdicts differ (check), 2 wrong command line, recording or file.";
+
+fn run(words: Vec<OsString>) -> i32 {
+    perform(words).unwrap_or_else(|why| {
+        eprintln!("landingdrift replay: {why}");
+        2
+    })
+}
+
+fn perform(words: Vec<OsString>) -> Result<i32, String> {
+    let bad = |e: lexopt::Error| format!("{e}\n\n{HELP}");
+    let (mut rest, mut new_desired, mut new_settings, mut as_json) = (Vec::new(), None, None, false);
+    let text = |p: &mut lexopt::Parser| p.value().map_err(bad).and_then(|v| v.into_string().map_err(|_| "flags take text in UTF-8".to_string()));
+    let mut p = lexopt::Parser::from_args(words);
+    while let Some(arg) = p.next().map_err(bad)? {
+        match arg {
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
+                println!("{HELP}");
+                return Ok(0);
+            }
+            lexopt::Arg::Long("desired") => new_desired = Some(text(&mut p)?),
+            lexopt::Arg::Long("settings") => new_settings = Some(text(&mut p)?),
+            lexopt::Arg::Long("json") => as_json = true,
+            lexopt::Arg::Value(v) => rest.push(v.into_string().map_err(|_| "arguments are text in UTF-8".to_string())?),
+            other => return Err(bad(other.unexpected())),
+        }
+    }
+    let arg = |i: usize| rest.get(i).map(String::as_str).ok_or_else(|| format!("a word is missing\n\n{HELP}"));
+    match arg(0)? {
+        "record" => {
+            let day = Day::record(Path::new(arg(1)?)).map_err(|e| e.to_string())?;
+            let out = arg(2)?;
+            std::fs::write(out, day.text()).map_err(|e| format!("'{out}' can't be written ({e}): name another file"))?;
+            println!("{} entries recorded", day.lines.len());
+            Ok(0)
+        }
+        "check" => {
+            let day = Day::read(arg(1)?).map_err(|e| e.to_string())?;
+            let of = day.differences();
+            of.iter().take(20).for_each(|(place, then, now)| println!("place {place}: recorded {then}, now {now}"));
+            println!("{} entries, {} verdicts differ", day.lines.len(), of.len());
+            Ok(i32::from(!of.is_empty()))
+        }
+        "run" => {
+            let day = Day::read(arg(1)?).map_err(|e| e.to_string())?;
+            let read = |f: &String| std::fs::read_to_string(f).map_err(|e| format!("'{f}' can't be read ({e}): name another file"));
+            let desired = new_desired
+                .as_ref()
+                .map(|f| read(f).and_then(|t| serde_json::from_str(&t).map_err(|e| format!("'{f}' is no JSON ({e}): correct it"))).and_then(|v| desired::read(&v).map_err(|e| e.to_string())))
+                .transpose()?;
+            let settings = new_settings.as_ref().map(|f| read(f).and_then(|t| toml::from_str::<Settings>(&t).map_err(|e| format!("'{f}' is wrong: {e}")))).transpose()?.unwrap_or_default();
+            let (then, now) = (Story::of(&day.end()), rerun(&day, desired.as_ref(), &settings));
+            tell(&then, &now, as_json);
+            Ok(0)
+        }
+        other => Err(format!("'{other}' is no word of replay\n\n{HELP}")),
+    }
+}
+
+fn tell(then: &Story, now: &Story, as_json: bool) {
+    let quantile = |s: &Story, q: f64| {
+        let mut of: Vec<u64> = s.took.values().copied().collect();
+        of.sort_unstable();
+        of.get(((of.len().saturating_sub(1)) as f64 * q) as usize).copied().unwrap_or(0)
+    };
+    let ends: Vec<_> = then.states.iter().filter(|(k, s)| now.states.get(*k) != Some(s)).map(|(k, s)| json!({"job": k, "recorded": s, "now": now.states.get(k)})).collect();
+    let moved = then.placed.iter().filter(|(k, w)| now.placed.get(*k).is_some_and(|x| x != *w)).count();
+    let sum = |s: &Story| json!({"jobs": s.states.len(), "done": s.took.len(), "medianMs": quantile(s, 0.5), "p95Ms": quantile(s, 0.95), "kept": s.kept, "missed": s.missed, "copies": s.copies});
+    if as_json {
+        println!("{}", json!({"recorded": sum(then), "now": sum(now), "otherEnds": ends, "otherWorkers": moved, "tasks": then.placed.len()}));
+        return;
+    }
+    println!("recorded {}\nnow      {}", sum(then), sum(now));
+    println!("{moved} of {} tasks ended on another worker", then.placed.len());
+    println!("{} jobs ended otherwise", ends.len());
+    ends.iter().take(20).for_each(|e| println!("  {e}"));
+}
--- /dev/null
+++ b/landingdrift/src/replay/mod.rs
@@ -0,0 +1,8 @@
+//! Recorded days, and what another build, configuration or other settings would have made of them.
+
+mod command;
+mod day;
+mod rerun;
+
+pub use day::{Day, DayDefect, Line};
+pub use rerun::{rerun, Story};
--- /dev/null
+++ b/landingdrift/src/replay/rerun.rs
@@ -0,0 +1,273 @@
+//! A day in virtual time: the jobs, cancels, changes and workers as recorded, decided anew.
+
+use super::Day;
+use crate::desired::Desired;
+use crate::kernel::{Effect, Msg, Now, Part, Request, Verdict};
+use crate::node::{Beat, Node, Running};
+use crate::record::{pack_ruling, Command, EndReport, Job, JobState, Outcome, Record, SendState, WorkerFacts};
+use crate::settings::Settings;
+use crate::wire::{Body, Entry, FeedBatch, Proposed, ReadPlace};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const STEP: u64 = 20;
+/// The only node and the only core of a rerun.
+const NODE: &str = "10.0.0.1:1";
+const CORE: &str = "10.0.0.2:1";
+
+/// What a day came to.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Story {
+    /// Jobs by how they ended.
+    pub states: BTreeMap<String, JobState>,
+    /// Milliseconds from acceptance to the end, of jobs that were done.
+    pub took: BTreeMap<String, u64>,
+    /// Workers on which tasks ended well.
+    pub placed: BTreeMap<String, String>,
+    pub kept: u64,
+    pub missed: u64,
+    pub copies: u64,
+}
+
+impl Story {
+    /// The story that a record tells.
+    pub fn of(r: &Record) -> Self {
+        let mut s = Self { kept: r.queues.values().map(|q| q.kept).sum(), missed: r.queues.values().map(|q| q.missed).sum(), copies: r.queues.values().map(|q| q.copies_ever).sum(), ..Self::default() };
+        for (id, j) in &r.jobs {
+            s.states.insert(id.clone(), j.state);
+            if j.state == JobState::Done {
+                s.took.insert(id.clone(), j.ended.saturating_sub(j.accepted));
+            }
+            for (spec, t) in j.spec.tasks.iter().zip(&j.tasks) {
+                t.sends.iter().find(|x| x.state == SendState::Well).into_iter().for_each(|x| {
+                    s.placed.insert(format!("{id}/{}", spec.name), x.worker.clone());
+                });
+            }
+        }
+        s
+    }
+}
+
+/// What a recorded task's runs were: how each ended, after how long.
+type Runs = BTreeMap<(String, u32), Vec<(Outcome, u64)>>;
+
+fn runs(end: &Record) -> Runs {
+    let one = |j: &Job, i: usize| {
+        j.tasks[i]
+            .sends
+            .iter()
+            .filter_map(|s| match s.state {
+                SendState::Well => Some((Outcome::Well, s.ran_ms)),
+                SendState::Defect => Some((Outcome::Defect, s.ran_ms.max(s.ended.saturating_sub(s.ordered)))),
+                _ => None,
+            })
+            .collect::<Vec<_>>()
+    };
+    end.jobs.iter().flat_map(|(id, j)| (0..j.tasks.len()).map(move |i| ((id.clone(), i as u32), one(j, i)))).collect()
+}
+
+struct Hand {
+    facts: WorkerFacts,
+    running: BTreeMap<u64, (u64, u64, Outcome)>,
+    ended: Vec<EndReport>,
+    over: BTreeSet<u64>,
+    next: u64,
+    silent: bool,
+}
+
+struct Stage {
+    core: Record,
+    log: VecDeque<Entry>,
+    node: Node,
+    t: u64,
+    at0: u64,
+    hands: BTreeMap<String, Hand>,
+    runs: Runs,
+    used: BTreeMap<(String, u32), usize>,
+    calls: BTreeMap<u64, String>,
+    next_call: u64,
+}
+
+/// Decides a day anew, under another configuration or other settings where they are given.
+pub fn rerun(day: &Day, desired: Option<&Desired>, settings: &Settings) -> Story {
+    let runs = runs(&day.end());
+    // The first entries of a new cluster come before its clock is set.
+    let at0 = day.lines.iter().map(|l| l.at).find(|at| *at > 0).unwrap_or(0);
+    let cfg = Settings { listen: NODE.into(), http: NODE.into(), zone: "replay".into(), seeds: vec![CORE.into()], cluster: day.start.cluster.clone(), ..settings.clone() };
+    let now = Now { mono: 1, wall: at0 };
+    let mut s = Stage { core: day.start.clone(), log: VecDeque::new(), node: Node::new(cfg, now, 1), t: 0, at0, hands: BTreeMap::new(), runs, used: BTreeMap::new(), calls: BTreeMap::new(), next_call: 0 };
+    s.enter(&Command::Node { node: NODE.into(), zone: "replay".into(), http: NODE.into() });
+    day.start.workers.values().for_each(|w| s.hand(&w.facts));
+    if let Some(d) = desired {
+        s.configure(d);
+    }
+    let mut inputs: VecDeque<_> = day.lines.iter().collect();
+    let until = day.lines.last().map_or(0, |l| l.at.saturating_sub(at0)) + 120_000;
+    while s.t < until {
+        s.t += STEP;
+        while let Some(l) = inputs.pop_front_if(|l| l.at <= at0 + s.t) {
+            match &l.entry {
+                Command::Configure { .. } if desired.is_none() => {
+                    s.enter(&l.entry);
+                }
+                Command::Cancel { .. } => {
+                    s.enter(&l.entry);
+                }
+                Command::Accept { spec, hash, .. } => {
+                    let seen = s.core.place;
+                    s.enter(&Command::Accept { spec: spec.clone(), hash: *hash, seen });
+                }
+                Command::Facts { facts, .. } => s.hand(facts),
+                Command::Lost { worker, .. } => s.hands.get_mut(worker).into_iter().for_each(|h| h.silent = true),
+                _ => {}
+            }
+        }
+        s.grants();
+        s.feed();
+        s.step(Msg::Tick);
+        s.work();
+        if inputs.is_empty() && s.core.open.is_empty() {
+            break;
+        }
+    }
+    Story::of(&s.core)
+}
+
+impl Stage {
+    fn now(&self) -> Now {
+        Now { mono: self.t + 1, wall: self.at0 + self.t }
+    }
+
+    fn enter(&mut self, c: &Command) -> (u64, Vec<u8>) {
+        let (index, at) = (self.core.place + 1, self.at0 + self.t);
+        let ruling = self.core.apply(index, at, c);
+        self.log.push_back(Entry { index, term: 1, at, command: serde_json::to_vec(c).unwrap_or_default() });
+        (index, pack_ruling(&ruling))
+    }
+
+    fn configure(&mut self, d: &Desired) {
+        let (base, value) = (self.core.version, serde_json::to_value(d).unwrap_or_default());
+        self.enter(&Command::Configure { change: "replay".into(), base, patch: false, value });
+    }
+
+    fn hand(&mut self, facts: &WorkerFacts) {
+        let h = self.hands.entry(facts.worker.clone()).or_insert_with(|| Hand { facts: facts.clone(), running: BTreeMap::new(), ended: Vec::new(), over: BTreeSet::new(), next: 0, silent: false });
+        if facts.incarnation > h.facts.incarnation {
+            h.running.clear();
+        }
+        h.facts = facts.clone();
+        h.silent = false;
+    }
+
+    fn grants(&mut self) {
+        let zones: BTreeSet<String> = self.hands.values().map(|h| crate::record::cell_duty(&h.facts.zone)).collect();
+        let queues: BTreeSet<String> = self.core.desired.queues.keys().map(|q| crate::record::queue_duty(q)).collect();
+        for duty in zones.into_iter().chain(queues) {
+            let current = self.core.holder(&duty).map(|g| (g.holder.clone(), g.epoch));
+            if current.as_ref().is_none_or(|(h, _)| h != NODE) {
+                self.enter(&Command::Grant { duty, holder: NODE.into(), from_epoch: current.map_or(0, |(_, e)| e) });
+            }
+        }
+        let (retain, identity) = (u64::MAX / 4, u64::MAX / 4);
+        if self.core.sweep_due(retain, identity).is_some_and(|due| due <= self.at0 + self.t) {
+            self.enter(&Command::Sweep { retain_ms: retain, identity_ms: identity });
+        }
+    }
+
+    fn feed(&mut self) {
+        let behind = self.node.record().place == 0 && self.core.place > self.log.len() as u64;
+        let (capture, capture_index) = if behind { (self.core.pack(), self.core.place) } else { (Vec::new(), 0) };
+        let entries = if behind { Vec::new() } else { self.log.iter().cloned().collect() };
+        self.log.clear();
+        let batch = FeedBatch {
+            core: CORE.into(),
+            leader: CORE.into(),
+            ok: true,
+            sent: self.now().mono,
+            quorum_age: 0,
+            clock: self.at0 + self.t,
+            commit: self.core.place,
+            capture,
+            capture_index,
+            entries,
+            cores: vec![CORE.into()],
+        };
+        self.step(Msg::Wire(CORE.into(), Body::FeedBatch(Box::new(batch))));
+    }
+
+    fn step(&mut self, msg: Msg) {
+        let now = self.now();
+        for e in self.node.step(now, msg) {
+            match e {
+                Effect::Send(_, Body::Propose(p)) => {
+                    let Ok(c) = serde_json::from_slice::<Command>(&p.command) else { continue };
+                    let (place, verdict) = self.enter(&c);
+                    let back = Proposed { token: p.token, outcome: 0, place, leader: CORE.into(), verdict };
+                    self.step(Msg::Wire(CORE.into(), Body::Proposed(Box::new(back))));
+                }
+                Effect::Send(_, Body::ReadAsk(r)) => {
+                    let back = ReadPlace { token: r.token, ok: true, place: self.core.place, leader: CORE.into(), nodes: Vec::new() };
+                    self.step(Msg::Wire(CORE.into(), Body::ReadPlace(Box::new(back))));
+                }
+                Effect::Answer(call, v) => {
+                    if let Some(w) = self.calls.remove(&call) {
+                        self.told(&w, &v);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The workers' part: runs end as recorded, beats go out.
+    fn work(&mut self) {
+        let t = self.t;
+        let due: Vec<String> = self.hands.iter().filter(|(_, h)| !h.silent && (t >= h.next || h.running.values().any(|(_, to, _)| t >= *to))).map(|(k, _)| k.clone()).collect();
+        for k in due {
+            let Some(h) = self.hands.get_mut(&k) else { continue };
+            h.next = t + 240;
+            let done: Vec<u64> = h.running.iter().filter(|(_, (_, to, _))| t >= *to).map(|(no, _)| *no).collect();
+            for no in done {
+                let Some((from, _, outcome)) = h.running.remove(&no) else { continue };
+                h.over.insert(no);
+                h.ended.push(EndReport { no, outcome, ran_ms: t - from, note: String::new() });
+            }
+            let running = h.running.keys().map(|no| Running { no: *no, progress: 0 }).collect();
+            let beat = Beat { facts: h.facts.clone(), running, ended: h.ended.clone() };
+            let body = serde_json::to_vec(&beat).unwrap_or_default();
+            self.next_call += 1;
+            let call = self.next_call;
+            self.calls.insert(call, k);
+            self.step(Msg::Call(call, Request { method: "POST".into(), path: "/v1/beats".into(), query: String::new(), body }));
+        }
+    }
+
+    fn told(&mut self, worker: &str, v: &Verdict) {
+        let t = self.t;
+        let numbers = |key: &str| -> Vec<u64> { v.body[key].as_array().into_iter().flatten().filter_map(Value::as_u64).collect() };
+        let Some(h) = self.hands.get_mut(worker) else { return };
+        let settled = numbers("settled");
+        h.ended.retain(|e| !settled.contains(&e.no));
+        for no in numbers("stops") {
+            let outcome = h.running.remove(&no).map(|_| Outcome::Stopped).or_else(|| (!h.over.contains(&no)).then_some(Outcome::Void));
+            if let Some(outcome) = outcome {
+                h.over.insert(no);
+                h.ended.push(EndReport { no, outcome, ran_ms: 0, note: String::new() });
+            }
+        }
+        for no in v.body["starts"].as_array().into_iter().flatten().filter_map(|s| s["no"].as_u64()) {
+            if h.running.contains_key(&no) || h.over.contains(&no) {
+                continue;
+            }
+            let Some(key) = self.core.live.get(&no).cloned() else { continue };
+            let of = self.runs.get(&key).cloned().unwrap_or_default();
+            let n = self.used.entry(key).or_default();
+            // The same number of the task's runs as recorded; beyond them, like its last good one.
+            let last = of.iter().rev().find(|(o, _)| *o == Outcome::Well).copied().unwrap_or((Outcome::Well, 100));
+            let (outcome, ran) = of.get(*n).copied().unwrap_or(last);
+            *n += 1;
+            h.running.insert(no, (t, t + ran.max(1), outcome));
+        }
+    }
+}
