An appointed task starts in a quiet system too

Ruled out: lost reservations (they were placed every second) and room (workers were idle). Conclusion: schedulers ask with the agreed clock, the record with the entry's.

--- a/landingdrift/src/disk/mod.rs
+++ b/landingdrift/src/disk/mod.rs
@@ -244,7 +244,17 @@
     path.join(MARK).exists().then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
     let mark = read_mark(path)?;
     let f = load::load(path, false)?;
-    Ok((mark.cluster, Loaded { disk: mark.disk, hard: f.hard, capture: f.capture, entries: f.entries, notes: f.notes, damaged: f.damaged }))
+    Ok((
+        mark.cluster,
+        Loaded {
+            disk: mark.disk,
+            hard: f.hard,
+            capture: f.capture,
+            entries: f.entries,
+            notes: f.notes,
+            damaged: f.damaged,
+        },
+    ))
 }
 
 /// Looks through a data folder without changing it.
--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -20,18 +20,18 @@
 }
 
 /// Whether the whole gang could start now, workers aside.
-pub fn startable(record: &Record, job: &str, gang: &str) -> bool {
+pub fn startable(record: &Record, at: u64, job: &str, gang: &str) -> bool {
     let m = members(record, job, gang);
-    !m.is_empty() && m.iter().all(|i| record.may_start(job, *i, false).is_ok())
+    !m.is_empty() && m.iter().all(|i| record.may_start(job, *i, false, at).is_ok())
 }
 
 /// The one gang that others make way for: every node derives the same from the same record, so two never wait for each other.
-pub fn claim(record: &Record, patience: u64) -> Option<Claim> {
-    let waiting = record.open.iter().filter_map(|id| record.jobs.get(id)).filter(|j| !j.cancel && record.at >= j.accepted + patience);
+pub fn claim(record: &Record, at: u64, patience: u64) -> Option<Claim> {
+    let waiting = record.open.iter().filter_map(|id| record.jobs.get(id)).filter(|j| !j.cancel && at >= j.accepted + patience);
     let oldest = waiting
         .filter_map(|j| {
             let gangs: BTreeSet<&str> = j.spec.tasks.iter().map(|t| t.gang.as_str()).filter(|g| !g.is_empty()).collect();
-            gangs.into_iter().find(|g| startable(record, &j.spec.id, g)).map(|g| (j.accepted, j, g.to_string()))
+            gangs.into_iter().find(|g| startable(record, at, &j.spec.id, g)).map(|g| (j.accepted, j, g.to_string()))
         })
         .min_by(|a, b| (a.0, &a.1.spec.id).cmp(&(b.0, &b.1.spec.id)))?;
     let (_, job, gang) = oldest;
@@ -70,9 +70,9 @@
 
 impl Node {
     /// A placement of the whole gang by the record's view of the room, the offered worker first.
-    pub(super) fn place_gang(&self, job: &str, gang: &str, offered: &str, held: &BTreeMap<String, u32>) -> Option<Vec<Placement>> {
+    pub(super) fn place_gang(&self, at: u64, (job, gang): (&str, &str), offered: &str, held: &BTreeMap<String, u32>) -> Option<Vec<Placement>> {
         let record = &self.record;
-        if !startable(record, job, gang) {
+        if !startable(record, at, job, gang) {
             return None;
         }
         let j = record.jobs.get(job)?;
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -51,7 +51,7 @@
             self.sched.next_full = now.mono + self.cfg.bounds.heartbeat();
             self.sched.all_dirty = true;
             let patience = 2 * self.cfg.bounds.reserve();
-            self.sched.claim = gangs::claim(&self.record, patience);
+            self.sched.claim = gangs::claim(&self.record, self.agreed(now), patience);
             let open = &self.record.open;
             self.sched.reserved.retain(|j, _| open.contains(j));
         }
@@ -151,7 +151,7 @@
         let agreed = self.agreed(now);
         let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
         let originals = (0..job.tasks.len() as u32)
-            .filter(|i| !pending.contains(i) && job.spec.tasks[*i as usize].due <= agreed && self.record.may_start(id, *i, false).is_ok())
+            .filter(|i| !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok())
             .count() as u32;
         Wants {
             originals,
@@ -177,7 +177,7 @@
             .enumerate()
             .filter(|(i, _)| job.spec.tasks[*i].may_repeat && !pending.contains(&(*i as u32)))
             .filter_map(|(i, t)| t.live().find(|s| s.state == SendState::Running && !s.stop).map(|s| (agreed.saturating_sub(s.started), i as u32)))
-            .filter(|(ran, i)| *ran as f64 > self.cfg.hopper.slow_factor * median && self.record.may_start(id, *i, true).is_ok())
+            .filter(|(ran, i)| *ran as f64 > self.cfg.hopper.slow_factor * median && self.record.may_start(id, *i, true, agreed).is_ok())
             .collect();
         slow.sort_by(|a, b| b.cmp(a));
         slow.into_iter().map(|(_, i)| i).collect()
@@ -297,7 +297,7 @@
         let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
         let zone = self.record.workers.get(&m.worker).map_or("", |w| w.facts.zone.as_str());
         let mut waiting: Vec<u32> = (0..job.tasks.len() as u32)
-            .filter(|i| !pending.contains(i) && job.spec.tasks[*i as usize].due <= agreed && self.record.may_start(id, *i, false).is_ok())
+            .filter(|i| !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok())
             .collect();
         waiting.sort_by_key(|i| {
             let near = &job.spec.tasks[*i as usize].near;
@@ -318,7 +318,7 @@
                     .values()
                     .flat_map(|p| p.placements.iter().zip(&p.rooms))
                     .for_each(|(p, r)| *held.entry(p.worker.clone()).or_default() += r);
-                let placed = self.place_gang(id, gang, &m.worker, &held).filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
+                let placed = self.place_gang(agreed, (id, gang), &m.worker, &held).filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
                 if placed.is_some() {
                     return placed;
                 }
--- a/landingdrift/src/record/apply/start.rs
+++ b/landingdrift/src/record/apply/start.rs
@@ -14,7 +14,7 @@
         let mut taken: BTreeMap<&str, u32> = BTreeMap::new();
         for (n, p) in placements.iter().enumerate() {
             (!placements[..n].iter().any(|q| q.task == p.task)).then_some(()).ok_or(Refusal::Repeat)?;
-            self.may_start(id, p.task, p.copy)?;
+            self.may_start(id, p.task, p.copy, self.at)?;
             self.fits(id, p)?;
             let sum = taken.entry(p.worker.as_str()).or_default();
             *sum = sum.saturating_add(job.spec.tasks[p.task as usize].room);
@@ -27,8 +27,8 @@
         Ok(json!({"sends": numbers}))
     }
 
-    /// Whether a task may get a send now, leaving the worker aside.
-    pub fn may_start(&self, id: &str, no: u32, copy: bool) -> Result<(), Refusal> {
+    /// Whether a task may get a send at a moment, leaving the worker aside.
+    pub fn may_start(&self, id: &str, no: u32, copy: bool, at: u64) -> Result<(), Refusal> {
         let (job, task) = self.task(id, no).ok_or(Refusal::Unknown { what: format!("task {no}") })?;
         let spec = &job.spec.tasks[no as usize];
         let queue = self.desired.queues.get(&job.spec.queue).ok_or(Refusal::Unknown {
@@ -36,7 +36,7 @@
         })?;
         (task.state == crate::record::TaskState::Waiting).then_some(()).ok_or(Refusal::Ended)?;
         (task.defects < queue.tries).then_some(()).ok_or(Refusal::Spent)?;
-        (self.at >= spec.due).then_some(()).ok_or(Refusal::NotDue)?;
+        (at >= spec.due).then_some(()).ok_or(Refusal::NotDue)?;
         task.waits
             .iter()
             .all(|d| job.tasks[*d as usize].state == crate::record::TaskState::Done)
--- a/landingdrift/src/replay/command.rs
+++ b/landingdrift/src/replay/command.rs
@@ -61,9 +61,17 @@
             let read = |f: &String| std::fs::read_to_string(f).map_err(|e| format!("'{f}' can't be read ({e}): name another file"));
             let desired = new_desired
                 .as_ref()
-                .map(|f| read(f).and_then(|t| serde_json::from_str(&t).map_err(|e| format!("'{f}' is no JSON ({e}): correct it"))).and_then(|v| desired::read(&v).map_err(|e| e.to_string())))
+                .map(|f| {
+                    read(f)
+                        .and_then(|t| serde_json::from_str(&t).map_err(|e| format!("'{f}' is no JSON ({e}): correct it")))
+                        .and_then(|v| desired::read(&v).map_err(|e| e.to_string()))
+                })
                 .transpose()?;
-            let settings = new_settings.as_ref().map(|f| read(f).and_then(|t| toml::from_str::<Settings>(&t).map_err(|e| format!("'{f}' is wrong: {e}")))).transpose()?.unwrap_or_default();
+            let settings = new_settings
+                .as_ref()
+                .map(|f| read(f).and_then(|t| toml::from_str::<Settings>(&t).map_err(|e| format!("'{f}' is wrong: {e}"))))
+                .transpose()?
+                .unwrap_or_default();
             let (then, now) = (Story::of(&day.end()), rerun(&day, desired.as_ref(), &settings));
             tell(&then, &now, as_json);
             Ok(0)
@@ -78,11 +86,19 @@
         of.sort_unstable();
         of.get(((of.len().saturating_sub(1)) as f64 * q) as usize).copied().unwrap_or(0)
     };
-    let ends: Vec<_> = then.states.iter().filter(|(k, s)| now.states.get(*k) != Some(s)).map(|(k, s)| json!({"job": k, "recorded": s, "now": now.states.get(k)})).collect();
+    let ends: Vec<_> = then
+        .states
+        .iter()
+        .filter(|(k, s)| now.states.get(*k) != Some(s))
+        .map(|(k, s)| json!({"job": k, "recorded": s, "now": now.states.get(k)}))
+        .collect();
     let moved = then.placed.iter().filter(|(k, w)| now.placed.get(*k).is_some_and(|x| x != *w)).count();
     let sum = |s: &Story| json!({"jobs": s.states.len(), "done": s.took.len(), "medianMs": quantile(s, 0.5), "p95Ms": quantile(s, 0.95), "kept": s.kept, "missed": s.missed, "copies": s.copies});
     if as_json {
-        println!("{}", json!({"recorded": sum(then), "now": sum(now), "otherEnds": ends, "otherWorkers": moved, "tasks": then.placed.len()}));
+        println!(
+            "{}",
+            json!({"recorded": sum(then), "now": sum(now), "otherEnds": ends, "otherWorkers": moved, "tasks": then.placed.len()})
+        );
         return;
     }
     println!("recorded {}\nnow      {}", sum(then), sum(now));
--- a/landingdrift/src/replay/day.rs
+++ b/landingdrift/src/replay/day.rs
@@ -11,11 +11,23 @@
 /// What is wrong with a recording.
 #[derive(Debug)]
 pub enum DayDefect {
-    Read { file: String, why: String },
-    Foreign { file: String },
-    Version { found: u64 },
-    Line { line: usize, why: String },
-    Truncated { lines: usize },
+    Read {
+        file: String,
+        why: String,
+    },
+    Foreign {
+        file: String,
+    },
+    Version {
+        found: u64,
+    },
+    Line {
+        line: usize,
+        why: String,
+    },
+    Truncated {
+        lines: usize,
+    },
     Disk(DiskDefect),
     /// The folder's log no longer reaches back to a state that can be read.
     Damaged,
@@ -60,9 +72,17 @@
         let mut r = start.clone();
         let mut lines = Vec::new();
         for e in loaded.entries {
-            let entry: Command = serde_json::from_slice(&e.command).map_err(|x| DayDefect::Line { line: e.index as usize, why: x.to_string() })?;
+            let entry: Command = serde_json::from_slice(&e.command).map_err(|x| DayDefect::Line {
+                line: e.index as usize,
+                why: x.to_string(),
+            })?;
             let ruled = ruled(&mut r, e.index, e.at, &entry);
-            lines.push(Line { place: e.index, at: e.at, entry, ruled });
+            lines.push(Line {
+                place: e.index,
+                at: e.at,
+                entry,
+                ruled,
+            });
         }
         Ok(Self { start, lines })
     }
@@ -76,7 +96,10 @@
 
     /// Reads a recording.
     pub fn read(file: &str) -> Result<Self, DayDefect> {
-        let text = std::fs::read_to_string(file).map_err(|e| DayDefect::Read { file: file.into(), why: e.to_string() })?;
+        let text = std::fs::read_to_string(file).map_err(|e| DayDefect::Read {
+            file: file.into(),
+            why: e.to_string(),
+        })?;
         let mut of = text.lines().enumerate();
         let head: Value = of.next().and_then(|(_, l)| serde_json::from_str(l).ok()).ok_or_else(|| DayDefect::Foreign { file: file.into() })?;
         let version = head["landingdriftDay"].as_u64().ok_or_else(|| DayDefect::Foreign { file: file.into() })?;
@@ -86,7 +109,10 @@
         for (i, l) in of {
             let v: Value = serde_json::from_str(l).map_err(|e| DayDefect::Line { line: i + 1, why: e.to_string() })?;
             if let Some(n) = v.get("end") {
-                return (n.as_u64() == Some(lines.len() as u64)).then_some(Self { start, lines }).ok_or(DayDefect::Line { line: i + 1, why: "entries are missing".into() });
+                return (n.as_u64() == Some(lines.len() as u64)).then_some(Self { start, lines }).ok_or(DayDefect::Line {
+                    line: i + 1,
+                    why: "entries are missing".into(),
+                });
             }
             lines.push(serde_json::from_value(v).map_err(|e| DayDefect::Line { line: i + 1, why: e.to_string() })?);
         }
--- a/landingdrift/src/replay/rerun.rs
+++ b/landingdrift/src/replay/rerun.rs
@@ -33,7 +33,12 @@
 impl Story {
     /// The story that a record tells.
     pub fn of(r: &Record) -> Self {
-        let mut s = Self { kept: r.queues.values().map(|q| q.kept).sum(), missed: r.queues.values().map(|q| q.missed).sum(), copies: r.queues.values().map(|q| q.copies_ever).sum(), ..Self::default() };
+        let mut s = Self {
+            kept: r.queues.values().map(|q| q.kept).sum(),
+            missed: r.queues.values().map(|q| q.missed).sum(),
+            copies: r.queues.values().map(|q| q.copies_ever).sum(),
+            ..Self::default()
+        };
         for (id, j) in &r.jobs {
             s.states.insert(id.clone(), j.state);
             if j.state == JobState::Done {
@@ -94,10 +99,32 @@
     let runs = runs(&day.end());
     // The first entries of a new cluster come before its clock is set.
     let at0 = day.lines.iter().map(|l| l.at).find(|at| *at > 0).unwrap_or(0);
-    let cfg = Settings { listen: NODE.into(), http: NODE.into(), zone: "replay".into(), seeds: vec![CORE.into()], cluster: day.start.cluster.clone(), ..settings.clone() };
+    let cfg = Settings {
+        listen: NODE.into(),
+        http: NODE.into(),
+        zone: "replay".into(),
+        seeds: vec![CORE.into()],
+        cluster: day.start.cluster.clone(),
+        ..settings.clone()
+    };
     let now = Now { mono: 1, wall: at0 };
-    let mut s = Stage { core: day.start.clone(), log: VecDeque::new(), node: Node::new(cfg, now, 1), t: 0, at0, hands: BTreeMap::new(), runs, used: BTreeMap::new(), calls: BTreeMap::new(), next_call: 0 };
-    s.enter(&Command::Node { node: NODE.into(), zone: "replay".into(), http: NODE.into() });
+    let mut s = Stage {
+        core: day.start.clone(),
+        log: VecDeque::new(),
+        node: Node::new(cfg, now, 1),
+        t: 0,
+        at0,
+        hands: BTreeMap::new(),
+        runs,
+        used: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        next_call: 0,
+    };
+    s.enter(&Command::Node {
+        node: NODE.into(),
+        zone: "replay".into(),
+        http: NODE.into(),
+    });
     day.start.workers.values().for_each(|w| s.hand(&w.facts));
     if let Some(d) = desired {
         s.configure(d);
@@ -116,7 +143,11 @@
                 }
                 Command::Accept { spec, hash, .. } => {
                     let seen = s.core.place;
-                    s.enter(&Command::Accept { spec: spec.clone(), hash: *hash, seen });
+                    s.enter(&Command::Accept {
+                        spec: spec.clone(),
+                        hash: *hash,
+                        seen,
+                    });
                 }
                 Command::Facts { facts, .. } => s.hand(facts),
                 Command::Lost { worker, .. } => s.hands.get_mut(worker).into_iter().for_each(|h| h.silent = true),
@@ -136,23 +167,43 @@
 
 impl Stage {
     fn now(&self) -> Now {
-        Now { mono: self.t + 1, wall: self.at0 + self.t }
+        Now {
+            mono: self.t + 1,
+            wall: self.at0 + self.t,
+        }
     }
 
     fn enter(&mut self, c: &Command) -> (u64, Vec<u8>) {
         let (index, at) = (self.core.place + 1, self.at0 + self.t);
         let ruling = self.core.apply(index, at, c);
-        self.log.push_back(Entry { index, term: 1, at, command: serde_json::to_vec(c).unwrap_or_default() });
+        self.log.push_back(Entry {
+            index,
+            term: 1,
+            at,
+            command: serde_json::to_vec(c).unwrap_or_default(),
+        });
         (index, pack_ruling(&ruling))
     }
 
     fn configure(&mut self, d: &Desired) {
         let (base, value) = (self.core.version, serde_json::to_value(d).unwrap_or_default());
-        self.enter(&Command::Configure { change: "replay".into(), base, patch: false, value });
+        self.enter(&Command::Configure {
+            change: "replay".into(),
+            base,
+            patch: false,
+            value,
+        });
     }
 
     fn hand(&mut self, facts: &WorkerFacts) {
-        let h = self.hands.entry(facts.worker.clone()).or_insert_with(|| Hand { facts: facts.clone(), running: BTreeMap::new(), ended: Vec::new(), over: BTreeSet::new(), next: 0, silent: false });
+        let h = self.hands.entry(facts.worker.clone()).or_insert_with(|| Hand {
+            facts: facts.clone(),
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            over: BTreeSet::new(),
+            next: 0,
+            silent: false,
+        });
         if facts.incarnation > h.facts.incarnation {
             h.running.clear();
         }
@@ -166,12 +217,19 @@
         for duty in zones.into_iter().chain(queues) {
             let current = self.core.holder(&duty).map(|g| (g.holder.clone(), g.epoch));
             if current.as_ref().is_none_or(|(h, _)| h != NODE) {
-                self.enter(&Command::Grant { duty, holder: NODE.into(), from_epoch: current.map_or(0, |(_, e)| e) });
+                self.enter(&Command::Grant {
+                    duty,
+                    holder: NODE.into(),
+                    from_epoch: current.map_or(0, |(_, e)| e),
+                });
             }
         }
         let (retain, identity) = (u64::MAX / 4, u64::MAX / 4);
         if self.core.sweep_due(retain, identity).is_some_and(|due| due <= self.at0 + self.t) {
-            self.enter(&Command::Sweep { retain_ms: retain, identity_ms: identity });
+            self.enter(&Command::Sweep {
+                retain_ms: retain,
+                identity_ms: identity,
+            });
         }
     }
 
@@ -203,11 +261,23 @@
                 Effect::Send(_, Body::Propose(p)) => {
                     let Ok(c) = serde_json::from_slice::<Command>(&p.command) else { continue };
                     let (place, verdict) = self.enter(&c);
-                    let back = Proposed { token: p.token, outcome: 0, place, leader: CORE.into(), verdict };
+                    let back = Proposed {
+                        token: p.token,
+                        outcome: 0,
+                        place,
+                        leader: CORE.into(),
+                        verdict,
+                    };
                     self.step(Msg::Wire(CORE.into(), Body::Proposed(Box::new(back))));
                 }
                 Effect::Send(_, Body::ReadAsk(r)) => {
-                    let back = ReadPlace { token: r.token, ok: true, place: self.core.place, leader: CORE.into(), nodes: Vec::new() };
+                    let back = ReadPlace {
+                        token: r.token,
+                        ok: true,
+                        place: self.core.place,
+                        leader: CORE.into(),
+                        nodes: Vec::new(),
+                    };
                     self.step(Msg::Wire(CORE.into(), Body::ReadPlace(Box::new(back))));
                 }
                 Effect::Answer(call, v) => {
@@ -223,7 +293,12 @@
     /// The workers' part: runs end as recorded, beats go out.
     fn work(&mut self) {
         let t = self.t;
-        let due: Vec<String> = self.hands.iter().filter(|(_, h)| !h.silent && (t >= h.next || h.running.values().any(|(_, to, _)| t >= *to))).map(|(k, _)| k.clone()).collect();
+        let due: Vec<String> = self
+            .hands
+            .iter()
+            .filter(|(_, h)| !h.silent && (t >= h.next || h.running.values().any(|(_, to, _)| t >= *to)))
+            .map(|(k, _)| k.clone())
+            .collect();
         for k in due {
             let Some(h) = self.hands.get_mut(&k) else { continue };
             h.next = t + 240;
@@ -231,15 +306,32 @@
             for no in done {
                 let Some((from, _, outcome)) = h.running.remove(&no) else { continue };
                 h.over.insert(no);
-                h.ended.push(EndReport { no, outcome, ran_ms: t - from, note: String::new() });
+                h.ended.push(EndReport {
+                    no,
+                    outcome,
+                    ran_ms: t - from,
+                    note: String::new(),
+                });
             }
             let running = h.running.keys().map(|no| Running { no: *no, progress: 0 }).collect();
-            let beat = Beat { facts: h.facts.clone(), running, ended: h.ended.clone() };
+            let beat = Beat {
+                facts: h.facts.clone(),
+                running,
+                ended: h.ended.clone(),
+            };
             let body = serde_json::to_vec(&beat).unwrap_or_default();
             self.next_call += 1;
             let call = self.next_call;
             self.calls.insert(call, k);
-            self.step(Msg::Call(call, Request { method: "POST".into(), path: "/v1/beats".into(), query: String::new(), body }));
+            self.step(Msg::Call(
+                call,
+                Request {
+                    method: "POST".into(),
+                    path: "/v1/beats".into(),
+                    query: String::new(),
+                    body,
+                },
+            ));
         }
     }
 
@@ -253,7 +345,12 @@
             let outcome = h.running.remove(&no).map(|_| Outcome::Stopped).or_else(|| (!h.over.contains(&no)).then_some(Outcome::Void));
             if let Some(outcome) = outcome {
                 h.over.insert(no);
-                h.ended.push(EndReport { no, outcome, ran_ms: 0, note: String::new() });
+                h.ended.push(EndReport {
+                    no,
+                    outcome,
+                    ran_ms: 0,
+                    note: String::new(),
+                });
             }
         }
         for no in v.body["starts"].as_array().into_iter().flatten().filter_map(|s| s["no"].as_u64()) {
--- a/landingdrift/tests/command_line.rs
+++ b/landingdrift/tests/command_line.rs
@@ -61,7 +61,9 @@
         &["node", "--help"],
         &["operator", "--help"],
         &["operator", "drain", "--help"],
-        &["verify", "--help"], &["replay", "--help"]] {
+        &["verify", "--help"],
+        &["replay", "--help"],
+    ] {
         let (code, said) = run(words);
         assert!(code == 0 && said.len() > 20, "{words:?}: {code} {said}");
     }
@@ -73,7 +75,11 @@
         &["operator", "apply"],
         &["operator", "apply", "/no/such"],
         &["verify"],
-        &["verify", "/no/such"], &["replay"], &["replay", "check", "/no/such"], &["replay", "record", "/no/such", "x"]] {
+        &["verify", "/no/such"],
+        &["replay"],
+        &["replay", "check", "/no/such"],
+        &["replay", "record", "/no/such", "x"],
+    ] {
         let (code, said) = run(words);
         assert!(code == 2 && !said.contains("panicked"), "{words:?}: {code} {said}");
     }
