--- a/rehearsal/src/cli/measure.rs
+++ b/rehearsal/src/cli/measure.rs
@@ -1,5 +1,5 @@
 use super::Words;
-use crate::measure::{compare, order_delay, product, workload, Figures, Policy};
+use crate::measure::{compare, order_delay, product, workload, Figures, Policy, SPECULATION};
 use crate::scenario::Shape;
 use landingdrift::settings::Hopper;
 use std::sync::Mutex;
@@ -53,21 +53,22 @@
     let (loads, betas) = (list("load", "0.6,0.8,0.95")?, list("beta", "1.2,1.6")?);
     let delay = order_delay(shape);
     println!("{named}: {seeds} seeds, {seconds} s of load, order delay of the comparators {delay} ms; milliseconds, mean [least..most] over seeds");
-    let mut variants: Vec<(String, Hopper)> = vec![("hopper".into(), Hopper::default())];
+    let mut variants: Vec<(String, Hopper, u32)> = vec![("hopper".into(), Hopper::default(), SPECULATION)];
     // One free value at a time, as name=value.
     for v in w.text("vary").unwrap_or("").split(',').filter(|v| !v.is_empty()) {
         let (name, value) = v.split_once('=').ok_or("--vary takes name=value,...")?;
         let n: f64 = value.parse().map_err(|_| format!("--vary {name} takes a number, not '{value}'"))?;
-        let mut h = Hopper::default();
+        let (mut h, mut speculation) = (Hopper::default(), SPECULATION);
         match name {
             "probe_ratio" => h.probe_ratio = n as u32,
             "refusals" => h.refusals = n as u32,
             "epsilon" => h.epsilon = n,
             "locality" => h.locality = n,
             "slow_factor" => h.slow_factor = n,
+            "speculation" => speculation = n as u32,
             other => return Err(format!("no free value is called '{other}'")),
         }
-        variants.push((v.into(), h));
+        variants.push((v.into(), h, speculation));
     }
     for u in &loads {
         for b in &betas {
@@ -77,13 +78,13 @@
             let (fifo, srpt) = (of(Policy::Fifo), of(Policy::SrptBestEffort));
             row("fifo", &fifo, &srpt);
             row("srpt+best-effort", &srpt, &srpt);
-            for (name, h) in &variants {
+            for (name, h, speculation) in &variants {
                 let got: Mutex<Vec<(u64, Figures)>> = Mutex::new(Vec::new());
                 std::thread::scope(|scope| {
                     for (s, l) in &sets {
                         let got = &got;
                         scope.spawn(move || {
-                            let f = product(shape, l, *s, h);
+                            let f = product(shape, l, *s, (h, *speculation));
                             got.lock().iter_mut().for_each(|g| g.push((*s, f.clone())));
                         });
                     }
--- a/rehearsal/src/measure/mod.rs
+++ b/rehearsal/src/measure/mod.rs
@@ -34,7 +34,10 @@
     }
 }
 
-fn world(shape: Shape, load: &Load, seed: u64, hopper: &Hopper) -> World {
+/// The share of running sends that may be copies, where nothing else is said.
+pub const SPECULATION: u32 = 40;
+
+fn world(shape: Shape, load: &Load, seed: u64, (hopper, speculation): (&Hopper, u32)) -> World {
     let s = Scenario {
         shape,
         seconds: load.seconds + 3,
@@ -45,24 +48,13 @@
         seeds: Vec::new(),
     };
     let mut w = World::new(&s, seed);
-    w.measure(load.jobs.clone(), hopper.clone());
+    w.measure(load.jobs.clone(), hopper.clone(), speculation);
     w
 }
 
 /// The product in the simulator, under a load.
-pub fn product(shape: Shape, load: &Load, seed: u64, hopper: &Hopper) -> Figures {
-    let s = Scenario {
-        shape,
-        seconds: load.seconds + 3,
-        settle: 300,
-        rate: 0.0,
-        faults: Vec::new(),
-        random: 0,
-        seeds: Vec::new(),
-    };
-    let mut w = World::new(&s, seed);
-    w.measure(load.jobs.clone(), hopper.clone());
-    let r = w.run();
+pub fn product(shape: Shape, load: &Load, seed: u64, values: (&Hopper, u32)) -> Figures {
+    let r = world(shape, load, seed, values).run();
     let count = |k: &str| r.counters.get(k).copied().unwrap_or(0);
     Figures {
         took: r.took,
@@ -77,7 +69,7 @@
 /// How long an order takes, in the mean, from a job's being offered to its task's start where nothing is in its way.
 pub fn order_delay(shape: Shape) -> u64 {
     let load = workload(shape, 0.05, 1.5, 40, 7);
-    let h = world(shape, &load, 7, &Hopper::default()).run().history;
+    let h = world(shape, &load, 7, (&Hopper::default(), SPECULATION)).run().history;
     let mut offered: BTreeMap<&str, u64> = BTreeMap::new();
     let mut ways: Vec<u64> = Vec::new();
     for a in &h.events {
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -248,11 +248,12 @@
     }
 
     /// Makes this a day of planned jobs alone, with free values of admission to be measured.
-    pub fn measure(&mut self, jobs: Vec<(u64, JobSpec)>, hopper: landingdrift::settings::Hopper) {
+    pub fn measure(&mut self, jobs: Vec<(u64, JobSpec)>, hopper: landingdrift::settings::Hopper, speculation_percent: u32) {
         // Promises that such a load can't keep would spend the queues' allowances, and with them all copies.
         let mut desired = self.shape.desired();
         desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["finishWithinMs"] = 0.into());
         desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["quota"] = 20_000.into());
+        desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["speculationPercent"] = speculation_percent.into());
         let (nodes, seed) = (self.node_http(), self.draw.number());
         self.operators[0] = Operator::new("op0", nodes, seed);
         self.operators[0].apply(false, desired);
