A failed copy fails no task whose original still runs

Ruled out: the original's report (it arrived and was settled). Conclusion: a task fails when its defects are spent and no send of it may still end well.

--- a/landingdrift/src/record/apply/jobs.rs
+++ b/landingdrift/src/record/apply/jobs.rs
@@ -105,11 +105,10 @@
         if first_well {
             task.state = TaskState::Done;
         }
-        if state == SendState::Defect {
-            task.defects += 1;
-            if task.defects >= tries && task.state == TaskState::Waiting {
-                task.state = if cancel { TaskState::Cancelled } else { TaskState::Failed };
-            }
+        task.defects += u32::from(state == SendState::Defect);
+        // As long as another send may still end well, the task has not failed.
+        if task.state == TaskState::Waiting && task.defects >= tries && task.live().next().is_none() {
+            task.state = if cancel { TaskState::Cancelled } else { TaskState::Failed };
         }
         let rest: Vec<u64> = if task.state == TaskState::Waiting { Vec::new() } else { task.live().map(|s| s.no).collect() };
         self.workers.get_mut(&worker).iter_mut().for_each(|w| {
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -346,3 +346,29 @@
     assert!(many(vec![t("a", &[], "g"), t("x", &["a"], ""), t("b", &["x"], "g")]).is_err_and(|r| r.contains("gang")));
     assert!(many(vec![t("a", &[], ""), t("a", &[], "")]).is_err_and(|r| r.contains("name")));
 }
+
+#[test]
+fn a_failed_copy_does_not_fail_a_task_whose_original_still_runs() {
+    let mut d = Desk::new();
+    d.accept(
+        "j",
+        vec![
+            repeatable("a"),
+            TaskSpec {
+                depends_on: vec!["a".into()],
+                ..task("b")
+            },
+        ],
+    )
+    .expect("accepted");
+    d.start("j", &[(0, "w")]).expect("placed");
+    d.end("w", 1, Outcome::Defect);
+    d.start("j", &[(0, "w")]).expect("placed again");
+    d.start_as("j", &[(0, "v")], 2, 1, true).expect("a copy");
+    d.end("v", 3, Outcome::Defect);
+    assert_eq!(d.state("j"), JobState::Running);
+    d.end("w", 2, Outcome::Well);
+    d.start("j", &[(1, "w")]).expect("the next step");
+    d.end("w", 4, Outcome::Well);
+    assert_eq!(d.state("j"), JobState::Done);
+}
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -253,7 +253,11 @@
         let mut desired = self.shape.desired();
         desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["finishWithinMs"] = 0.into());
         desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["quota"] = 20_000.into());
-        desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["speculationPercent"] = speculation_percent.into());
+        desired["queues"]
+            .as_object_mut()
+            .into_iter()
+            .flatten()
+            .for_each(|(_, q)| q["speculationPercent"] = speculation_percent.into());
         let (nodes, seed) = (self.node_http(), self.draw.number());
         self.operators[0] = Operator::new("op0", nodes, seed);
         self.operators[0].apply(false, desired);
