What may be running counts as a try

The checker had excused copies; it doesn't any more. Ruled out: reports lost on the way (the worker was still cut off when the task started). Conclusion: the smallest exception to copies: none where its failure could be one too many.

--- a/landingdrift/src/daemon/http.rs
+++ b/landingdrift/src/daemon/http.rs
@@ -78,6 +78,14 @@
     }
 }
 
+/// What the library refuses before it reaches us is told as JSON, too.
+fn refused<'r>(status: Status, req: &'r rocket::Request<'_>) -> rocket::catcher::BoxFuture<'r> {
+    let message = format!("the request is no HTTP that is served here ({}): docs/operators/api.md lists methods and routes", status.reason_lossy());
+    let v = Verdict::error(status.code, "wrongRequest", message);
+    let _ = req;
+    Box::pin(async move { Ok(respond(v)) })
+}
+
 /// Serves HTTP at an address, on threads of its own, until the process ends.
 pub fn start(addr: SocketAddr, inputs: Sender<Input>, waiting: Waiting, patience: Duration, most: u64) -> Result<(), String> {
     let door = Door {
@@ -100,7 +108,7 @@
     std::thread::spawn(move || {
         let methods = [Method::Get, Method::Put, Method::Post, Method::Delete, Method::Patch, Method::Options, Method::Head];
         let routes: Vec<Route> = methods.into_iter().map(|m| Route::ranked(0, m, "/<path..>", door.clone())).collect();
-        let result = rocket::execute(rocket::custom(config).mount("/", routes).launch());
+        let result = rocket::execute(rocket::custom(config).mount("/", routes).register("/", vec![rocket::Catcher::new(None, refused)]).launch());
         if let Err(e) = result {
             log::error!("HTTP at {addr} ended: {e}");
             std::process::exit(1);
--- a/landingdrift/src/record/apply/start.rs
+++ b/landingdrift/src/record/apply/start.rs
@@ -35,23 +35,27 @@
             what: format!("queue '{}'", job.spec.queue),
         })?;
         (task.state == crate::record::TaskState::Waiting).then_some(()).ok_or(Refusal::Ended)?;
-        (task.defects < queue.tries).then_some(()).ok_or(Refusal::Spent)?;
         (at >= spec.due).then_some(()).ok_or(Refusal::NotDue)?;
         task.waits
             .iter()
             .all(|d| job.tasks[*d as usize].state == crate::record::TaskState::Done)
             .then_some(())
             .ok_or(Refusal::Waiting)?;
-        let (mut sure, mut unsure) = (0usize, 0usize);
+        let (mut sure, mut unsure) = (0u32, 0u32);
         task.live().for_each(|s| if s.state == SendState::Unsure { unsure += 1 } else { sure += 1 });
-        if !spec.may_repeat {
+        let repeat = if spec.may_repeat {
+            // A first or next try, or one copy beside one run.
+            sure != u32::from(copy) || (copy && !spec.gang.is_empty())
+        } else {
             // Never again while a send may be running, and no copies at all.
-            return (!copy && sure == 0 && unsure == 0).then_some(()).ok_or(Refusal::Repeat);
-        }
+            copy || sure + unsure > 0
+        };
+        (!repeat).then_some(()).ok_or(Refusal::Repeat)?;
+        // What may be running may fail, or has failed where nobody saw it: it counts as a try.
+        (task.defects + sure + unsure < queue.tries).then_some(()).ok_or(Refusal::Spent)?;
         if !copy {
-            return (sure == 0 && unsure < queue.tries as usize).then_some(()).ok_or(Refusal::Repeat);
+            return Ok(());
         }
-        (sure == 1 && spec.gang.is_empty()).then_some(()).ok_or(Refusal::Repeat)?;
         let tally = self.queues.get(&job.spec.queue).cloned().unwrap_or_default();
         let budget = (tally.running * queue.speculation_percent).div_ceil(100);
         (tally.copies < budget && !self.allowance_spent(&job.spec.queue)).then_some(()).ok_or(Refusal::Budget)
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -350,6 +350,13 @@
 #[test]
 fn a_failed_copy_does_not_fail_a_task_whose_original_still_runs() {
     let mut d = Desk::new();
+    let tries = |base: u64, n: u32| Command::Configure {
+        change: format!("tries{n}"),
+        base,
+        patch: true,
+        value: json!({"queues": {"q": {"tries": n}}}),
+    };
+    d.ok(tries(1, 3));
     d.accept(
         "j",
         vec![
@@ -365,6 +372,8 @@
     d.end("w", 1, Outcome::Defect);
     d.start("j", &[(0, "w")]).expect("placed again");
     d.start_as("j", &[(0, "v")], 2, 1, true).expect("a copy");
+    // Two tries are all from now on, and both are spent when the copy fails.
+    d.ok(tries(2, 2));
     d.end("v", 3, Outcome::Defect);
     assert_eq!(d.state("j"), JobState::Running);
     d.end("w", 2, Outcome::Well);
@@ -372,3 +381,21 @@
     d.end("w", 4, Outcome::Well);
     assert_eq!(d.state("j"), JobState::Done);
 }
+
+#[test]
+fn what_may_be_running_counts_as_a_try() {
+    let mut d = Desk::new();
+    d.accept("j", vec![repeatable("a")]).expect("accepted");
+    d.start("j", &[(0, "w")]).expect("placed");
+    d.end("w", 1, Outcome::Defect);
+    d.start("j", &[(0, "w")]).expect("the second and last try");
+    assert_eq!(d.start_as("j", &[(0, "v")], 2, 1, true), Err(Refusal::Spent), "a copy would be a third");
+    d.ok(Command::Lost {
+        worker: "w".into(),
+        incarnation: 1,
+        cell_epoch: 1,
+    });
+    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Spent), "it may have failed unseen");
+    d.end("w", 2, Outcome::Well);
+    assert_eq!(d.state("j"), JobState::Done);
+}
--- a/rehearsal/src/checkers/runs.rs
+++ b/rehearsal/src/checkers/runs.rs
@@ -213,11 +213,10 @@
             Event::Ended {
                 job, task, outcome: Outcome::Defect, ..
             } => *defects.entry((job, task)).or_default() += 1,
-            Event::Started { job, task, copy, .. } => {
+            Event::Started { job, task, .. } => {
                 let most = s.get(job.as_str()).and_then(|j| permitted.get(j.queue.as_str())).copied().unwrap_or(u32::MAX);
                 let had = defects.get(&(job.as_str(), task.as_str())).copied().unwrap_or(0);
-                // A copy that was ordered beside its original may still be on its way when the last defect happens.
-                if had >= most && !copy {
+                if had >= most {
                     out.push(Broken {
                         rule: "tries",
                         t: a.t,
