Roll-out in stages with halt and return as a new version; operators' work tested end to end

Found on the way: nodes that were gone held a change's inForceEverywhere up for ever. Only living ones count now; the drain and roll-out test would wait in vain otherwise.

--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -151,6 +151,8 @@
         let nodes: Vec<NodePlace> = self
             .followers
             .iter()
+            // Those that are gone hold no change up.
+            .filter(|(k, _)| self.record.nodes.get(*k).is_some_and(|n| n.alive))
             .map(|(k, f)| NodePlace {
                 node: k.clone(),
                 place: f.place,
--- a/landingdrift/src/operator/ask.rs
+++ b/landingdrift/src/operator/ask.rs
@@ -7,8 +7,20 @@
 #[derive(Debug)]
 pub enum AskDefect {
     Usage(String),
-    Unreachable { at: Vec<String>, why: String },
-    Refused { status: u16, body: Value },
+    Unreachable {
+        at: Vec<String>,
+        why: String,
+    },
+    Refused {
+        status: u16,
+        body: Value,
+    },
+    /// A roll-out was halted, and what was in force before is so again, as a new version.
+    Halted {
+        stage: String,
+        why: String,
+        version: u64,
+    },
 }
 
 impl AskDefect {
@@ -17,6 +29,7 @@
         match self {
             Self::Usage(_) => 2,
             Self::Unreachable { .. } => 3,
+            Self::Halted { .. } => 5,
             Self::Refused { status: 409, .. } => 4,
             Self::Refused { .. } => 1,
         }
@@ -28,6 +41,10 @@
         match self {
             Self::Usage(why) => write!(f, "{why}: see 'landingdrift operator --help'"),
             Self::Unreachable { at, why } => write!(f, "no node answered at {} ({why}): check --at, or name other nodes", at.join(", ")),
+            Self::Halted { stage, why, version } => write!(
+                f,
+                "halted at stage '{stage}' ({why}); the former state is in force again as version {version}: look at status, then roll out anew"
+            ),
             Self::Refused { status, body } => write!(f, "refused ({status}): {}", body["message"].as_str().unwrap_or(&body.to_string())),
         }
     }
--- a/landingdrift/src/operator/commands.rs
+++ b/landingdrift/src/operator/commands.rs
@@ -9,6 +9,10 @@
 
 const COMMANDS: &[(&str, &str)] = &[
     ("apply", "FILE [--base N] [--patch] [--wait]  put a configuration into force (base: the current version when left out)"),
+    (
+        "rollout",
+        "FILE --stages Q,.. [--watch SECONDS]  put it into force queue by queue, the rest last; halt and go back when a queue spends its allowance or a node stays behind",
+    ),
     ("get", "the desired state in force, with its version"),
     ("change", "ID  how far a change has come, node by node"),
     ("status", "queues, promises, zones, nodes, cores"),
@@ -26,7 +30,7 @@
 fn usage() -> String {
     let list: String = COMMANDS.iter().map(|(c, what)| format!("  {c:<9} {what}\n")).collect();
     format!(
-        "landingdrift operator [--at IP:PORT,...] [--json] [--within SECONDS] COMMAND ...\n\n{list}\n  --at      nodes to ask, one after the other (default 127.0.0.1:8000)\n  --json    print JSON instead of text\n  --within  how long to try (default 10)\n\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no node answered, 4 a rival change came first."
+        "landingdrift operator [--at IP:PORT,...] [--json] [--within SECONDS] COMMAND ...\n\n{list}\n  --at      nodes to ask, one after the other (default 127.0.0.1:8000)\n  --json    print JSON instead of text\n  --within  how long to try (default 10)\n\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no node answered, 4 a rival change came first, 5 a roll-out was halted."
     )
 }
 
@@ -39,6 +43,8 @@
     wait: bool,
     help: bool,
     base: Option<u64>,
+    stages: Vec<String>,
+    watch: u64,
     queue: String,
     limit: String,
     after: String,
@@ -51,6 +57,7 @@
     let mut w = Words {
         at: vec!["127.0.0.1:8000".into()],
         within: 10,
+        watch: 5,
         ..Words::default()
     };
     let mut p = lexopt::Parser::from_args(words);
@@ -65,6 +72,8 @@
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => w.help = true,
             lexopt::Arg::Long("within") => w.within = number("within", text(&mut p)?)?,
             lexopt::Arg::Long("base") => w.base = Some(number("base", text(&mut p)?)?),
+            lexopt::Arg::Long("stages") => w.stages = text(&mut p)?.split(',').filter(|s| !s.is_empty()).map(str::to_string).collect(),
+            lexopt::Arg::Long("watch") => w.watch = number("watch", text(&mut p)?)?,
             lexopt::Arg::Long("queue") => w.queue = text(&mut p)?,
             lexopt::Arg::Long("limit") => w.limit = text(&mut p)?,
             lexopt::Arg::Long("after") => w.after = text(&mut p)?,
@@ -108,6 +117,7 @@
     let arg = |i: usize, what: &str| w.rest.get(i).cloned().ok_or_else(|| AskDefect::Usage(format!("{command} needs {what}")));
     match command {
         "apply" => apply(&ask, w, &file(&arg(1, "a FILE")?)?, w.patch),
+        "rollout" => super::rollout::rollout(&ask, &w.stages, Duration::from_secs(w.watch), w.within, &file(&arg(1, "a FILE")?)?),
         "get" => ask.ask("GET", "/v1/desired", None),
         "change" => ask.ask("GET", &format!("/v1/changes/{}", arg(1, "an ID")?), None),
         "status" => ask.ask("GET", "/v1/status", None),
@@ -133,7 +143,7 @@
     }
 }
 
-fn change_id() -> String {
+pub(super) fn change_id() -> String {
     let t = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_nanos());
     format!("op-{t:x}-{}", std::process::id())
 }
@@ -186,7 +196,7 @@
     }
 }
 
-fn wait(within: u64, mut look: impl FnMut() -> Result<(bool, Value), AskDefect>) -> Result<Value, AskDefect> {
+pub(super) fn wait(within: u64, mut look: impl FnMut() -> Result<(bool, Value), AskDefect>) -> Result<Value, AskDefect> {
     let start = Instant::now();
     loop {
         let (done, v) = look()?;
--- a/landingdrift/src/operator/mod.rs
+++ b/landingdrift/src/operator/mod.rs
@@ -2,5 +2,6 @@
 
 mod ask;
 mod commands;
+mod rollout;
 mod show;
 mod verify;
--- a/rehearsal/src/cli/run.rs
+++ b/rehearsal/src/cli/run.rs
@@ -15,6 +15,13 @@
     }
     println!("{}", serde_json::to_string(&report.summary).unwrap_or_default());
     println!("{}", quantiles(&report.latencies));
+    let starts = report.summary.starts.max(1) as f64;
+    let bytes = report.counters.get("core_log_bytes").copied().unwrap_or(0) as f64;
+    println!(
+        "{:.1} messages a start, {:.0} bytes of log a job",
+        report.messages as f64 / starts,
+        bytes / report.summary.accepted.max(1) as f64
+    );
     println!("counters {}", serde_json::to_string(&report.counters).unwrap_or_default());
     println!("history {:016x}, {} events, {} faults", report.history.digest(), report.history.events.len(), report.faults.len());
     broken.iter().take(20).for_each(|b| println!("BROKEN {b}"));
--- a/rehearsal/src/fleet/mod.rs
+++ b/rehearsal/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod launch;
 
 pub use drive::{run, Outcome};
-pub use launch::program;
+pub use launch::{program, Fleet};
 
 use crate::scenario::{Fault, Shape};
 use std::fmt;
--- a/rehearsal/src/scenario/mod.rs
+++ b/rehearsal/src/scenario/mod.rs
@@ -84,6 +84,11 @@
     /// How long the day goes on after that, with all faults healed.
     #[serde(default = "settle")]
     pub settle: u64,
+    /// Nodes and workers; the shape's own where 0.
+    #[serde(default)]
+    pub nodes: usize,
+    #[serde(default)]
+    pub workers: usize,
     /// Jobs a second; the shape's own where 0.
     #[serde(default)]
     pub rate: f64,
