--- a/rehearsal/tests/checkers.rs
+++ b/rehearsal/tests/checkers.rs
@@ -85,8 +85,10 @@
     h
 }
 
+type Day = Vec<(u64, Event)>;
+
 /// For each rule: events that break it, and the same day as it should have been.
-fn cases() -> Vec<(&'static str, Vec<(u64, Event)>, Vec<(u64, Event)>)> {
+fn cases() -> Vec<(&'static str, Day, Day)> {
     let polled = |status| Event::Polled {
         id: "j".into(),
         status,
