--- a/rehearsal/src/simulator/faults.rs
+++ b/rehearsal/src/simulator/faults.rs
@@ -92,6 +92,11 @@
                 let n = self.procs.len();
                 let zone = self.procs[x].zone;
                 self.add_node(zone, format!("10.0.{zone}.{}:7000", 50 + n));
+                // The platform names the new one to all who call.
+                let nodes = self.node_http();
+                self.client.nodes = nodes.clone();
+                self.operators.iter_mut().for_each(|o| o.nodes = nodes.clone());
+                self.hands.iter_mut().filter_map(|h| h.worker.as_mut()).for_each(|w| w.nodes = nodes.clone());
             }
             Outage => {
                 all.iter().for_each(|j| self.kill(*j));
--- a/rehearsal/src/standin/client.rs
+++ b/rehearsal/src/standin/client.rs
@@ -40,7 +40,8 @@
 
 /// A client with all its jobs.
 pub struct Client {
-    nodes: Vec<String>,
+    /// Addresses of the nodes that the platform names.
+    pub nodes: Vec<String>,
     draw: Draw,
     mix: Mix,
     prefix: String,
--- a/rehearsal/src/standin/operator.rs
+++ b/rehearsal/src/standin/operator.rs
@@ -22,7 +22,8 @@
 
 /// An operator.
 pub struct Operator {
-    nodes: Vec<String>,
+    /// Addresses of the nodes that the platform names.
+    pub nodes: Vec<String>,
     draw: Draw,
     name: String,
     wishes: VecDeque<Wish>,
--- a/rehearsal/src/standin/worker.rs
+++ b/rehearsal/src/standin/worker.rs
@@ -40,7 +40,8 @@
 pub struct Worker {
     pub facts: WorkerFacts,
     pub manner: Manner,
-    nodes: Vec<String>,
+    /// Addresses of the nodes that the platform names.
+    pub nodes: Vec<String>,
     at: usize,
     draw: Draw,
     seed: u64,
@@ -137,7 +138,7 @@
             .collect();
         let body = json!({"facts": self.facts, "running": running, "ended": self.ended});
         Ask::Call {
-            to: self.nodes[self.at].clone(),
+            to: self.nodes[self.at % self.nodes.len().max(1)].clone(),
             call,
             req: request("POST", "/v1/beats", "", Some(&body)),
         }
