A queue that holds unfinished jobs is not removed

Cause: without its queue a job can't start, be owned or end, and waited for ever. Found by reading what a configuration may take away; ruled out: services and zones, whose jobs still run. Before: the new test in record.rs failed. After: the change is refused with the remedy.

--- a/landingdrift/src/record/apply/config.rs
+++ b/landingdrift/src/record/apply/config.rs
@@ -21,6 +21,13 @@
             path: e.path().to_string(),
             remedy: e.to_string(),
         })?;
+        let held = |q: &&String| !desired.queues.contains_key(*q) && self.queues.get(*q).is_some_and(|t| t.unfinished > 0);
+        if let Some(q) = self.desired.queues.keys().find(held) {
+            return Err(Refusal::Invalid {
+                path: format!("queues.{q}"),
+                remedy: format!("queues.{q}: it holds unfinished jobs: let them end or cancel them, then remove it"),
+            });
+        }
         self.desired = desired;
         self.version += 1;
         self.changes.push_back(Change {
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -399,3 +399,19 @@
     d.end("w", 2, Outcome::Well);
     assert_eq!(d.state("j"), JobState::Done);
 }
+
+#[test]
+fn a_queue_that_holds_unfinished_jobs_is_not_removed() {
+    let mut d = Desk::new();
+    d.accept("j", vec![task("a")]).expect("accepted");
+    let without = |change: &str| Command::Configure {
+        change: change.into(),
+        base: 1,
+        patch: true,
+        value: json!({"queues": {"q": null}}),
+    };
+    let refused = d.apply(without("a"));
+    assert!(matches!(&refused, Err(Refusal::Invalid { path, .. }) if path == "queues.q"), "{refused:?}");
+    d.ok(Command::Cancel { job: "j".into() });
+    d.ok(without("b"));
+}
