A leader tells how far its own disk is, and the others remember that

Cause: the others took all that a leader had sent for confirmed by it. Ruled out: the replacement of the lost core (the learner had caught up) and the wait on waking. Conclusion: what was never on the disk was never confirmed, and must not bind.

--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -91,7 +91,14 @@
             });
         }
         let round = self.round;
-        let notes: Vec<Note> = self.notes.values().cloned().collect();
+        // The leader's own place counts towards the majority, so the others remember it as well.
+        let own = Note {
+            core: self.name.clone(),
+            disk: self.disk,
+            index: self.durable,
+            term: self.term_at(self.durable).unwrap_or(0),
+        };
+        let notes: Vec<Note> = self.notes.values().cloned().chain([own]).collect();
         self.send(
             to,
             Body::Append(Box::new(Append {
@@ -147,9 +154,6 @@
                 }
             }
             self.verified = self.verified.max(matched);
-            // What a leader sent it may itself have confirmed.
-            let (core, term) = (from.to_string(), self.term_at(matched).unwrap_or(0));
-            self.remember(Note { core, disk: 0, index: matched, term });
             self.commit = self.commit.max(m.commit.min(matched));
             self.apply_committed();
             self.rise();
@@ -291,6 +295,8 @@
         if mark > self.commit && self.term_at(mark) == Some(self.hard.term) {
             self.commit = mark;
             self.apply_committed();
+            // The others hear at once what was confirmed.
+            self.wants_round = true;
             self.push_feed(now);
             self.answer_reads(now);
         }
