--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -28,9 +28,9 @@
 }
 
 fn usage(role: &str) {
-    println!("landingdrift {role} [flags]\n\nFlags win over the settings file.\n");
-    FLAGS.iter().filter(|(f, _)| role == "core" || *f != "data").for_each(|(f, what)| println!("  --{f} {what}"));
-    println!("  --check  check the settings and end\n  --help");
+    crate::say!("landingdrift {role} [flags]\n\nFlags win over the settings file.\n");
+    FLAGS.iter().filter(|(f, _)| role == "core" || *f != "data").for_each(|(f, what)| crate::say!("  --{f} {what}"));
+    crate::say!("  --check  check the settings and end\n  --help");
 }
 
 fn run(role: &'static str, words: Vec<OsString>) -> i32 {
@@ -47,7 +47,7 @@
         return 0;
     }
     if asked.check_only {
-        println!("settings are right");
+        crate::say!("settings are right");
         return 0;
     }
     start(role, asked.settings, words).unwrap_or_else(|why| {
--- a/landingdrift/src/lib.rs
+++ b/landingdrift/src/lib.rs
@@ -16,3 +16,12 @@
 pub mod settings;
 pub mod views;
 pub mod wire;
+
+/// Prints a line; a reader that went away is no reason to panic.
+#[macro_export]
+macro_rules! say {
+    ($($text:tt)*) => {{
+        use std::io::Write;
+        let _ = writeln!(std::io::stdout(), $($text)*);
+    }};
+}
--- a/landingdrift/src/main.rs
+++ b/landingdrift/src/main.rs
@@ -7,13 +7,13 @@
     let code = roles::all().into_iter().find(|r| r.name == name).map(|r| (r.run)(rest)).unwrap_or_else(|| {
         let help = ["", "--help", "-h", "help"].contains(&name.as_str());
         if name == "--version" {
-            println!("landingdrift {}", env!("CARGO_PKG_VERSION"));
+            landingdrift::say!("landingdrift {}", env!("CARGO_PKG_VERSION"));
             return 0;
         }
         let text: String = roles::all().iter().map(|r| format!("  {:<10} {}\n", r.name, r.summary)).collect();
         let text = format!("landingdrift ROLE [flags]\n\nRoles:\n{text}\n'landingdrift ROLE --help' lists a role's flags.");
         if help && !name.is_empty() {
-            println!("{text}");
+            landingdrift::say!("{text}");
             return 0;
         }
         eprintln!("{}{text}", if name.is_empty() { String::new() } else { format!("no role is called '{name}'\n\n") });
--- a/landingdrift/src/operator/commands.rs
+++ b/landingdrift/src/operator/commands.rs
@@ -90,11 +90,11 @@
         let command = w.rest.first().cloned().unwrap_or_default();
         if w.help || command.is_empty() {
             let one = COMMANDS.iter().find(|(c, _)| *c == command).map(|(c, what)| format!("landingdrift operator {c} {what}"));
-            println!("{}", one.unwrap_or_else(usage));
+            crate::say!("{}", one.unwrap_or_else(usage));
             return if w.help { Ok(()) } else { Err(AskDefect::Usage("no command was given".into())) };
         }
         let v = perform(&command, &w)?;
-        println!("{}", if w.json { v.to_string() } else { show(&command, &v) });
+        crate::say!("{}", if w.json { v.to_string() } else { show(&command, &v) });
         Ok(())
     });
     done.map_or_else(
--- a/landingdrift/src/operator/verify.rs
+++ b/landingdrift/src/operator/verify.rs
@@ -9,12 +9,12 @@
     let folder = words.first().and_then(|w| w.to_str()).filter(|w| !w.starts_with('-') && words.len() == 1);
     let Some(folder) = folder else {
         let help = words.first().is_some_and(|w| w == "--help" || w == "-h");
-        println!("landingdrift verify FOLDER\n\nPrints what the data folder of a stopped core holds, as JSON.\nExit codes: 0 whole, 1 damaged, 2 wrong command line or no data folder.");
+        crate::say!("landingdrift verify FOLDER\n\nPrints what the data folder of a stopped core holds, as JSON.\nExit codes: 0 whole, 1 damaged, 2 wrong command line or no data folder.");
         return if help { 0 } else { 2 };
     };
     match disk::verify(Path::new(folder)) {
         Ok(f) => {
-            println!("{}", serde_json::to_string(&f).unwrap_or_default());
+            crate::say!("{}", serde_json::to_string(&f).unwrap_or_default());
             if f.damaged {
                 eprintln!("landingdrift verify: confirmed entries can't be read: start the core, it fetches them from the other two, or replace it by an empty one");
             }
--- a/landingdrift/src/replay/command.rs
+++ b/landingdrift/src/replay/command.rs
@@ -30,7 +30,7 @@
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
-                println!("{HELP}");
+                crate::say!("{HELP}");
                 return Ok(0);
             }
             lexopt::Arg::Long("desired") => new_desired = Some(text(&mut p)?),
@@ -46,14 +46,14 @@
             let day = Day::record(Path::new(arg(1)?)).map_err(|e| e.to_string())?;
             let out = arg(2)?;
             std::fs::write(out, day.text()).map_err(|e| format!("'{out}' can't be written ({e}): name another file"))?;
-            println!("{} entries recorded", day.lines.len());
+            crate::say!("{} entries recorded", day.lines.len());
             Ok(0)
         }
         "check" => {
             let day = Day::read(arg(1)?).map_err(|e| e.to_string())?;
             let of = day.differences();
-            of.iter().take(20).for_each(|(place, then, now)| println!("place {place}: recorded {then}, now {now}"));
-            println!("{} entries, {} verdicts differ", day.lines.len(), of.len());
+            of.iter().take(20).for_each(|(place, then, now)| crate::say!("place {place}: recorded {then}, now {now}"));
+            crate::say!("{} entries, {} verdicts differ", day.lines.len(), of.len());
             Ok(i32::from(!of.is_empty()))
         }
         "run" => {
@@ -95,14 +95,14 @@
     let moved = then.placed.iter().filter(|(k, w)| now.placed.get(*k).is_some_and(|x| x != *w)).count();
     let sum = |s: &Story| json!({"jobs": s.states.len(), "done": s.took.len(), "medianMs": quantile(s, 0.5), "p95Ms": quantile(s, 0.95), "kept": s.kept, "missed": s.missed, "copies": s.copies});
     if as_json {
-        println!(
+        crate::say!(
             "{}",
             json!({"recorded": sum(then), "now": sum(now), "otherEnds": ends, "otherWorkers": moved, "tasks": then.placed.len()})
         );
         return;
     }
-    println!("recorded {}\nnow      {}", sum(then), sum(now));
-    println!("{moved} of {} tasks ended on another worker", then.placed.len());
-    println!("{} jobs ended otherwise", ends.len());
-    ends.iter().take(20).for_each(|e| println!("  {e}"));
+    crate::say!("recorded {}\nnow      {}", sum(then), sum(now));
+    crate::say!("{moved} of {} tasks ended on another worker", then.placed.len());
+    crate::say!("{} jobs ended otherwise", ends.len());
+    ends.iter().take(20).for_each(|e| crate::say!("  {e}"));
 }
--- a/rehearsal/src/checkers/system.rs
+++ b/rehearsal/src/checkers/system.rs
@@ -118,24 +118,46 @@
     pub latest_start_after_cancel_ms: u64,
     pub latest_start_after_leaving_ms: u64,
     pub longest_outage_ms: u64,
+    pub latest_start_after_emptying_ms: u64,
+    /// The latest moment after a change was accepted at which a ready node had not got it.
+    pub latest_old_version_ms: u64,
+    /// The latest moment after a job was accepted at which its state could not be told.
+    pub latest_unknown_state_ms: u64,
 }
 
 /// Sums a history up.
 pub fn summary(h: &History) -> Summary {
     let mut s = Summary::default();
-    let (mut accepted, mut cancel, mut leave, mut out_since) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new(), None);
+    let (mut accepted, mut cancel, mut leave, mut out_since) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), None);
+    let (mut zone_of, mut emptied, mut versions) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
     for a in &h.events {
         match &a.e {
             Event::Offered { .. } => s.offered += 1,
             Event::Submitted { id, status: 200 | 202 } => {
-                accepted.insert(id);
+                accepted.entry(id).or_insert(a.t);
             }
             Event::GaveUp { .. } => s.given_up += 1,
             Event::CancelAcked { id } => {
                 cancel.entry(id).or_insert(a.t);
             }
-            Event::WorkerUp { worker, .. } => {
+            Event::WorkerUp { worker, zone, .. } => {
                 leave.remove(worker);
+                zone_of.insert(worker, zone);
+            }
+            Event::Polled { id, status: 404 | 503, .. } => s.latest_unknown_state_ms = s.latest_unknown_state_ms.max(accepted.get(id).map_or(0, |t| a.t - t)),
+            Event::Configured { status: 200, version, zones, .. } => {
+                versions.push((a.t, *version));
+                for (z, state) in zones {
+                    if state == "serving" || state.is_empty() {
+                        emptied.remove(z);
+                    } else {
+                        emptied.entry(z).or_insert(a.t);
+                    }
+                }
+            }
+            Event::NodeVersion { version, .. } => {
+                let late = versions.iter().filter(|(_, v)| v > version).map(|(t, _)| a.t - t).max().unwrap_or(0);
+                s.latest_old_version_ms = s.latest_old_version_ms.max(late);
             }
             Event::WorkerLeaving { worker } => {
                 leave.insert(worker, a.t);
@@ -146,6 +168,7 @@
                 s.copies += usize::from(*copy);
                 s.latest_start_after_cancel_ms = s.latest_start_after_cancel_ms.max(cancel.get(job).map_or(0, |t| a.t - t));
                 s.latest_start_after_leaving_ms = s.latest_start_after_leaving_ms.max(leave.get(worker).map_or(0, |t| a.t - t));
+                s.latest_start_after_emptying_ms = s.latest_start_after_emptying_ms.max(zone_of.get(worker).and_then(|z| emptied.get(z)).map_or(0, |t| a.t - t));
                 s.longest_outage_ms = s.longest_outage_ms.max(out_since.take().map_or(0, |t| a.t - t));
             }
             Event::Closed { jobs, .. } => {
--- a/rehearsal/src/cli/fleet.rs
+++ b/rehearsal/src/cli/fleet.rs
@@ -39,21 +39,21 @@
         seed: w.number("seed", 1)?,
         talk: true,
     };
-    println!("folder {}", o.folder.display());
+    landingdrift::say!("folder {}", o.folder.display());
     let outcome = match drive(&o) {
         Ok(x) => x,
         Err(e) => {
-            println!("the fleet could not be rehearsed: {e}");
+            landingdrift::say!("the fleet could not be rehearsed: {e}");
             return Ok(false);
         }
     };
     if let Some(path) = w.text("history") {
         std::fs::write(path, outcome.history.text()).map_err(|e| format!("'{path}' can't be written ({e})"))?;
     }
-    println!("{}", serde_json::to_string(&outcome.summary).unwrap_or_default());
-    println!("{}", quantiles(&outcome.latencies));
-    println!("promises kept {}, missed {}", outcome.kept, outcome.missed);
-    outcome.broken.iter().take(20).for_each(|b| println!("BROKEN {b}"));
-    println!("{}", if outcome.broken.is_empty() { "no rule was broken" } else { "rules were broken" });
+    landingdrift::say!("{}", serde_json::to_string(&outcome.summary).unwrap_or_default());
+    landingdrift::say!("{}", quantiles(&outcome.latencies));
+    landingdrift::say!("promises kept {}, missed {}", outcome.kept, outcome.missed);
+    outcome.broken.iter().take(20).for_each(|b| landingdrift::say!("BROKEN {b}"));
+    landingdrift::say!("{}", if outcome.broken.is_empty() { "no rule was broken" } else { "rules were broken" });
     Ok(outcome.broken.is_empty())
 }
--- a/rehearsal/src/cli/measure.rs
+++ b/rehearsal/src/cli/measure.rs
@@ -25,7 +25,7 @@
         .collect();
     let share: Vec<f64> = of.iter().map(|x| 100.0 * x.copies as f64 / x.starts.max(1) as f64).collect();
     let won: Vec<f64> = of.iter().map(|x| 100.0 * x.copies_won as f64 / x.copies.max(1) as f64).collect();
-    println!(
+    landingdrift::say!(
         "  {name:<22} mean {}  median {}  p95 {}  p99 {}  small {}  large {}  copies% {}  won% {}  slowed% {}",
         spread(&q(0, &all)),
         spread(&q(1, &all)),
@@ -52,7 +52,7 @@
     };
     let (loads, betas) = (list("load", "0.6,0.8,0.95")?, list("beta", "1.2,1.6")?);
     let delay = order_delay(shape);
-    println!("{named}: {seeds} seeds, {seconds} s of load, order delay of the comparators {delay} ms; milliseconds, mean [least..most] over seeds");
+    landingdrift::say!("{named}: {seeds} seeds, {seconds} s of load, order delay of the comparators {delay} ms; milliseconds, mean [least..most] over seeds");
     let mut variants: Vec<(String, Hopper, u32)> = vec![("hopper".into(), Hopper::default(), SPECULATION)];
     // One free value at a time, as name=value.
     for v in w.text("vary").unwrap_or("").split(',').filter(|v| !v.is_empty()) {
@@ -72,7 +72,7 @@
     }
     for u in &loads {
         for b in &betas {
-            println!("utilisation {u}, beta {b}");
+            landingdrift::say!("utilisation {u}, beta {b}");
             let sets: Vec<_> = (1..=seeds).map(|s| (s, workload(shape, *u, *b, seconds, s))).collect();
             let of = |p: Policy| sets.iter().map(|(s, l)| compare(shape, l, *s, p, delay)).collect::<Vec<_>>();
             let (fifo, srpt) = (of(Policy::Fifo), of(Policy::SrptBestEffort));
@@ -94,7 +94,7 @@
                 let figures: Vec<Figures> = got.into_iter().map(|(_, f)| f).collect();
                 row(name, &figures, &srpt);
                 let sum = |f: &dyn Fn(&Figures) -> u64| figures.iter().map(f).sum::<u64>() as f64;
-                println!(
+                landingdrift::say!(
                     "  {:<22} {:.1} messages a start, {:.0} bytes of log a job",
                     "",
                     sum(&|f| f.messages) / sum(&|f| f.starts).max(1.0),
--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -66,7 +66,7 @@
 pub fn run(words: Vec<OsString>) -> i32 {
     let done = read(words).and_then(|w| {
         if w.has("help") {
-            println!("{HELP}");
+            landingdrift::say!("{HELP}");
             return Ok(true);
         }
         match w.rest.first().map(String::as_str) {
--- a/rehearsal/src/cli/sweep.rs
+++ b/rehearsal/src/cli/sweep.rs
@@ -57,6 +57,9 @@
                         ("latest start after a cancel, ms", sum.latest_start_after_cancel_ms, false),
                         ("latest start after leaving, ms", sum.latest_start_after_leaving_ms, false),
                         ("longest outage, ms", sum.longest_outage_ms, false),
+                        ("latest start after emptying a zone, ms", sum.latest_start_after_emptying_ms, false),
+                        ("latest old version on a ready node, ms", sum.latest_old_version_ms, false),
+                        ("latest unknown state of an accepted job, ms", sum.latest_unknown_state_ms, false),
                     ];
                     for (k, v, sums) in seen {
                         let e = m.entry(k).or_default();
@@ -72,7 +75,7 @@
                         report.faults.len(),
                         faults.join("")
                     );
-                    println!("{text}");
+                    landingdrift::say!("{text}");
                     bad.lock().iter_mut().for_each(|l| l.push(seed));
                 }
             });
@@ -80,7 +83,7 @@
     });
     let mut bad = bad.into_inner().unwrap_or_default();
     bad.sort();
-    println!("{number} seeds from {from}: {} broke a rule {:?}", bad.len(), bad.iter().take(40).collect::<Vec<_>>());
-    println!("{}", serde_json::to_string(&margins.into_inner().unwrap_or_default()).unwrap_or_default());
+    landingdrift::say!("{number} seeds from {from}: {} broke a rule {:?}", bad.len(), bad.iter().take(40).collect::<Vec<_>>());
+    landingdrift::say!("{}", serde_json::to_string(&margins.into_inner().unwrap_or_default()).unwrap_or_default());
     Ok(bad.is_empty())
 }
--- a/rehearsal/src/fleet/drive.rs
+++ b/rehearsal/src/fleet/drive.rs
@@ -161,7 +161,7 @@
 
     fn talk(&self, text: &str) {
         if self.o.talk {
-            println!("{:>7} {text}", self.now());
+            landingdrift::say!("{:>7} {text}", self.now());
         }
     }
 
