--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -415,3 +415,42 @@
     d.ok(Command::Cancel { job: "j".into() });
     d.ok(without("b"));
 }
+
+#[test]
+fn evidence_puts_a_quiet_failer_on_probation_and_takes_it_off() {
+    let mut d = Desk::new();
+    d.ok(Command::Configure {
+        change: "more".into(),
+        base: 1,
+        patch: true,
+        value: json!({"queues": {"q": {"tries": 100, "quota": 100}}}),
+    });
+    let mut no = 0;
+    let mut run = |d: &mut Desk, worker: &str, outcome: Outcome| {
+        no += 1;
+        d.accept(&format!("j{no}"), vec![TaskSpec { room: 1, ..task("a") }]).expect("accepted");
+        d.start(&format!("j{no}"), &[(0, worker)]).expect("placed");
+        d.end(worker, no, outcome);
+    };
+    (0..8).for_each(|_| run(&mut d, "v", Outcome::Well));
+    (0..3).for_each(|_| run(&mut d, "w", Outcome::Defect));
+    assert_eq!(d.r.workers["w"].probation, 0, "three are too few to tell");
+    run(&mut d, "w", Outcome::Defect);
+    assert!(d.r.workers["w"].probation > 0 && d.r.workers["v"].probation == 0);
+    // One at a time now, and three good ends in a row bring it back.
+    d.accept("x", vec![TaskSpec { room: 1, ..task("a") }, TaskSpec { room: 1, ..task("b") }]).expect("accepted");
+    d.start("x", &[(0, "w")]).expect("one");
+    assert!(matches!(d.start("x", &[(1, "w")]), Err(Refusal::Unfit { .. })));
+    d.end("w", 13, Outcome::Well);
+    no = 13;
+    let mut run = |d: &mut Desk, outcome: Outcome| {
+        no += 1;
+        d.accept(&format!("k{no}"), vec![TaskSpec { room: 1, ..task("a") }]).expect("accepted");
+        d.start(&format!("k{no}"), &[(0, "w")]).expect("placed");
+        d.end("w", no, outcome);
+    };
+    run(&mut d, Outcome::Well);
+    assert!(d.r.workers["w"].probation > 0);
+    run(&mut d, Outcome::Well);
+    assert_eq!(d.r.workers["w"].probation, 0);
+}
--- a/rehearsal/src/checkers/system.rs
+++ b/rehearsal/src/checkers/system.rs
@@ -121,15 +121,15 @@
     pub latest_start_after_emptying_ms: u64,
     /// The latest moment after a change was accepted at which a ready node had not got it.
     pub latest_old_version_ms: u64,
-    /// The latest moment after a job was accepted at which its state could not be told.
-    pub latest_unknown_state_ms: u64,
+    /// The longest that an accepted job's state could not be told, by its client's polls.
+    pub longest_unknown_state_ms: u64,
 }
 
 /// Sums a history up.
 pub fn summary(h: &History) -> Summary {
     let mut s = Summary::default();
     let (mut accepted, mut cancel, mut leave, mut out_since) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), None);
-    let (mut zone_of, mut emptied, mut versions) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+    let (mut zone_of, mut emptied, mut versions, mut unknown) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), BTreeMap::new());
     for a in &h.events {
         match &a.e {
             Event::Offered { .. } => s.offered += 1,
@@ -144,7 +144,10 @@
                 leave.remove(worker);
                 zone_of.insert(worker, zone);
             }
-            Event::Polled { id, status: 404 | 503, .. } => s.latest_unknown_state_ms = s.latest_unknown_state_ms.max(accepted.get(id).map_or(0, |t| a.t - t)),
+            Event::Polled { id, status: 404 | 503, .. } => {
+                unknown.entry(id).or_insert(a.t);
+            }
+            Event::Polled { id, .. } => s.longest_unknown_state_ms = s.longest_unknown_state_ms.max(unknown.remove(id).map_or(0, |t| a.t - t)),
             Event::Configured { status: 200, version, zones, .. } => {
                 versions.push((a.t, *version));
                 for (z, state) in zones {
--- a/rehearsal/src/cli/sweep.rs
+++ b/rehearsal/src/cli/sweep.rs
@@ -59,7 +59,7 @@
                         ("longest outage, ms", sum.longest_outage_ms, false),
                         ("latest start after emptying a zone, ms", sum.latest_start_after_emptying_ms, false),
                         ("latest old version on a ready node, ms", sum.latest_old_version_ms, false),
-                        ("latest unknown state of an accepted job, ms", sum.latest_unknown_state_ms, false),
+                        ("longest unknown state of an accepted job, ms", sum.longest_unknown_state_ms, false),
                     ];
                     for (k, v, sums) in seen {
                         let e = m.entry(k).or_default();
