Read once more: one look at a folder, one floor an offer, no arguments for nothing

Cause: verify and replay read a folder by two copies of the same lines; a scan for whole frames stood beside its twin; the fairness floor was summed over all workers for every unfinished job of every refused offer, and a job's sizes were worked out three times; verdicts carried a time that nobody read.

--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -57,10 +57,8 @@
         let p = p.clone();
         let (term, commit) = (self.hard.term, self.commit);
         let sure = p.pending > 0;
-        let Some((prev, prev_term)) = (if sure { Some(p.matched) } else { Some(p.next - 1) })
-            .and_then(|i| self.term_at(i).map(|t| (i, t)))
-            .or(sure.then_some((0, 0)))
-        else {
+        let from = if sure { p.matched } else { p.next - 1 };
+        let Some((prev, prev_term)) = self.term_at(from).map(|t| (from, t)).or(sure.then_some((0, 0))) else {
             // Too far behind for the log: the capture goes first, not more often than it can arrive.
             if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
                 let c = self.capture.clone();
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -131,9 +131,8 @@
         let Some(w) = self.waking.take() else { return };
         let (index, term) = self.last();
         let empty = self.empty();
-        let farthest = (w.farthest.0, w.farthest.1);
         // What others remember of us; where nobody does and our disk is new or damaged, the farthest that anybody has.
-        let floor = w.noted.filter(|n| *n > (term, index)).or((w.knowing && (empty || self.damaged)).then_some(farthest));
+        let floor = w.noted.filter(|n| *n > (term, index)).or((w.knowing && (empty || self.damaged)).then_some(w.farthest));
         if let Some(f) = floor.filter(|f| *f > (term, index)) {
             self.floor = f;
             self.hard.silent_to = self.hard.silent_to.max(w.highest_term).max(self.hard.term);
--- a/landingdrift/src/daemon/http.rs
+++ b/landingdrift/src/daemon/http.rs
@@ -79,10 +79,9 @@
 }
 
 /// What the library refuses before it reaches us is told as JSON, too.
-fn refused<'r>(status: Status, req: &'r rocket::Request<'_>) -> rocket::catcher::BoxFuture<'r> {
+fn refused<'r>(status: Status, _: &'r rocket::Request<'_>) -> rocket::catcher::BoxFuture<'r> {
     let message = format!("the request is no HTTP that is served here ({}): docs/operators/api.md lists methods and routes", status.reason_lossy());
     let v = Verdict::error(status.code, "wrongRequest", message);
-    let _ = req;
     Box::pin(async move { Ok(respond(v)) })
 }
 
--- a/landingdrift/src/disk/frames.rs
+++ b/landingdrift/src/disk/frames.rs
@@ -80,11 +80,6 @@
         Some((frame, HEAD + len))
     }
 
-    /// Whether a whole frame stands anywhere in `bytes`.
-    pub fn any_in(bytes: &[u8]) -> bool {
-        (1..bytes.len().saturating_sub(HEAD)).any(|i| Self::read(&bytes[i..]).is_some())
-    }
-
     /// The next whole frame in `bytes` after damage: where it stands.
     pub fn resync(bytes: &[u8]) -> Option<usize> {
         (1..bytes.len().saturating_sub(HEAD)).find(|i| Self::read(&bytes[*i..]).is_some())
--- a/landingdrift/src/disk/load.rs
+++ b/landingdrift/src/disk/load.rs
@@ -62,7 +62,7 @@
                     at += len;
                 }
                 // Nothing whole follows: the last write was cut short and was never confirmed.
-                None if i + 1 == segments.len() && !Frame::any_in(&bytes[at..]) => {
+                None if i + 1 == segments.len() && Frame::resync(&bytes[at..]).is_none() => {
                     found.torn = true;
                     if mend {
                         fs::OpenOptions::new()
--- a/landingdrift/src/disk/mod.rs
+++ b/landingdrift/src/disk/mod.rs
@@ -239,11 +239,15 @@
     Ok(mark)
 }
 
+/// Reads a data folder without changing it.
+fn look(path: &Path) -> Result<(Mark, load::Found), DiskDefect> {
+    path.join(MARK).exists().then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
+    Ok((read_mark(path)?, load::load(path, false)?))
+}
+
 /// All that a data folder holds, with its cluster, without changing it.
 pub fn read_whole(path: &Path) -> Result<(String, Loaded), DiskDefect> {
-    path.join(MARK).exists().then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
-    let mark = read_mark(path)?;
-    let f = load::load(path, false)?;
+    let (mark, f) = look(path)?;
     Ok((
         mark.cluster,
         Loaded {
@@ -259,9 +263,7 @@
 
 /// Looks through a data folder without changing it.
 pub fn verify(path: &Path) -> Result<Findings, DiskDefect> {
-    path.join(MARK).exists().then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
-    let mark = read_mark(path)?;
-    let found = load::load(path, false)?;
+    let (mark, found) = look(path)?;
     Ok(Findings {
         cluster: mark.cluster,
         disk: mark.disk,
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -155,8 +155,7 @@
         call
     }
 
-    pub(super) fn finish(&mut self, now: Now, call: u64, v: Verdict) {
-        let _ = now;
+    pub(super) fn finish(&mut self, call: u64, v: Verdict) {
         if let Some(o) = self.calls.open.remove(&call) {
             self.reply(&o.origin, v);
         }
@@ -185,7 +184,7 @@
         if m.ok {
             let then = then.clone();
             o.state = State::Following { then, place: m.place, nodes: m.nodes };
-            self.calls_on_place(now);
+            self.calls_on_place();
         } else {
             *next = now.mono + self.cfg.bounds.heartbeat() / 2;
             if !m.leader.is_empty() && m.leader != self.feed.leader {
@@ -197,7 +196,7 @@
         }
     }
 
-    pub(super) fn calls_on_place(&mut self, now: Now) {
+    pub(super) fn calls_on_place(&mut self) {
         let place = self.record.place;
         let ready: Vec<(u64, ReadThen, Vec<NodePlace>)> = self
             .calls
@@ -210,7 +209,7 @@
             .collect();
         for (call, then, nodes) in ready {
             let v = self.answer_read(&then, &nodes);
-            self.finish(now, call, v);
+            self.finish(call, v);
         }
     }
 
@@ -242,7 +241,7 @@
             } else {
                 Verdict::error(503, "noCore", "no core answered in time, so nothing sure can be said: come back later").retry(self.cfg.bounds.back())
             };
-            self.finish(now, call, v);
+            self.finish(call, v);
         }
         let ask: Vec<u64> = self
             .calls
@@ -255,14 +254,14 @@
     }
 
     /// The record has ruled on what a call proposed.
-    pub(super) fn call_ruled(&mut self, now: Now, call: u64, then: Then, place: u64, ruled: Ruled) {
+    pub(super) fn call_ruled(&mut self, call: u64, then: Then, place: u64, ruled: Ruled) {
         let v = match then {
             Then::Accepted { id } => self.accepted_verdict(&id, ruled),
             Then::Cancelled { id } => self.cancelled_verdict(&id, ruled),
             Then::Configured { change } => self.configured_verdict(&change, place, ruled),
             Then::Resolved { id } => ruled.map_or_else(|r| Verdict::error(409, "refused", r.to_string()), |_| Verdict::new(200, json!({"id": id, "resolved": true}))),
         };
-        self.finish(now, call, v);
+        self.finish(call, v);
     }
 
     fn on_beat(&mut self, now: Now, origin: Origin, req: Request) {
@@ -331,10 +330,9 @@
         );
     }
 
-    pub(super) fn on_forwarded(&mut self, now: Now, m: Forwarded) {
+    pub(super) fn on_forwarded(&mut self, m: Forwarded) {
         let body = serde_json::from_slice(&m.body).unwrap_or(Value::Null);
         self.finish(
-            now,
             m.token,
             Verdict {
                 status: m.status,
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -155,7 +155,7 @@
         }
         if changed {
             self.hold_cells(now);
-            self.calls_on_place(now);
+            self.calls_on_place();
             self.schedule(now);
             self.offer_all(now);
         }
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -133,7 +133,7 @@
             Body::OfferVerdict(m) => self.on_offer_verdict(now, *m),
             Body::OfferDone(m) => self.on_offer_done(now, *m),
             Body::Forward(m) => self.on_forward(now, from, *m),
-            Body::Forwarded(m) => self.on_forwarded(now, *m),
+            Body::Forwarded(m) => self.on_forwarded(*m),
             Body::Hello(_) | Body::Join(_) => {}
             _ => self.count("messages_out_of_place", 1),
         }
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -94,7 +94,7 @@
         let Some(p) = self.proposals.get(&token) else { return };
         match p.next(now, beat) {
             Move::Wait => {}
-            Move::GiveUp => self.give_up(now, token),
+            Move::GiveUp => self.give_up(token),
             Move::SendOn => {
                 let cores = self.cores();
                 let last = p.sends.last().map(|(to, _, _)| to.clone()).unwrap_or_default();
@@ -128,14 +128,14 @@
         let Some(p) = self.proposals.remove(&m.token) else { return };
         let Some(ruled) = read_ruling(&m.verdict) else { return };
         match p.purpose {
-            Purpose::Call(call, then) => self.call_ruled(now, call, then, m.place, ruled),
+            Purpose::Call(call, then) => self.call_ruled(call, then, m.place, ruled),
             Purpose::Start { offer, cell, worker } => self.start_ruled(m.token, offer, &cell, &worker, m.place, ruled.is_ok()),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
         }
     }
 
-    fn give_up(&mut self, now: Now, token: u64) {
+    fn give_up(&mut self, token: u64) {
         let Some(p) = self.proposals.remove(&token) else { return };
         self.count("proposals_given_up", 1);
         let taken = p.maybe_taken();
@@ -146,7 +146,7 @@
                 } else {
                     crate::kernel::Verdict::error(503, "noCore", "no core could be reached and nothing was taken: come back later").retry(self.cfg.bounds.back())
                 };
-                self.finish(now, call, verdict);
+                self.finish(call, verdict);
             }
             Purpose::Start { offer, cell, worker } => self.start_ruled(token, offer, &cell, &worker, 0, false),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -99,7 +99,7 @@
 
     fn reservations(&mut self, now: Now, id: &str, tasks: u32) -> Vec<Reservation> {
         let Some(job) = self.record.jobs.get(id) else { return Vec::new() };
-        let sizes = self.sizes(job);
+        let sizes = self.sizes(job, self.floor());
         let needs: Vec<(&str, &Vec<String>, &str)> = job
             .spec
             .tasks
@@ -189,26 +189,32 @@
         s.rank / (1.0 + f64::from(priority))
     }
 
-    fn sizes(&self, job: &Job) -> Sizes {
+    /// A job's sizes, and the slots it holds or is about to.
+    fn standing(&self, job: &Job) -> (Sizing, f64) {
         let s = self.record.sizing(job);
         let occupied = f64::from(s.occupied) + self.underway(&job.spec.id).count() as f64;
-        let floor = self.floor();
+        (s, occupied)
+    }
+
+    /// What is told of a job, given the least share of every one.
+    fn sizes(&self, job: &Job, floor: f64) -> Sizes {
+        let (s, occupied) = self.standing(job);
         Sizes {
             job: job.spec.id.clone(),
             scheduler: self.name.clone(),
             remaining: s.remaining,
             size: self.weight(job, &s),
-            starved: occupied < floor.floor() && s.remaining > 0,
+            starved: occupied < floor && s.remaining > 0,
             unsatisfied: occupied < s.size,
         }
     }
 
-    /// The least share of every job, in slots of the mean task's room.
+    /// The least share of every job, in whole slots of the mean task's room.
     fn floor(&self) -> f64 {
         let jobs = self.record.open.len().max(1) as f64;
         let (sends, used) = self.record.workers.values().fold((0usize, 0u32), |(n, u), w| (n + w.sends.len(), u + w.used));
         let mean = if sends == 0 { 1.0 } else { (f64::from(used) / sends as f64).max(1.0) };
-        (1.0 - self.cfg.hopper.epsilon) * f64::from(self.record.total_room()) / mean / jobs
+        ((1.0 - self.cfg.hopper.epsilon) * f64::from(self.record.total_room()) / mean / jobs).floor()
     }
 
     pub(super) fn on_offer(&mut self, now: Now, from: &str, m: Offer) {
@@ -235,20 +241,23 @@
         else {
             return refuse(true, self.smallest_unsatisfied(now, m));
         };
-        let sizes = self.sizes(job);
-        let occupied = f64::from(self.record.sizing(job).occupied) + self.underway(&m.job).count() as f64;
-        let willing = !m.refusable || occupied < self.record.sizing(job).size.max(self.floor().floor()).max(1.0);
+        let floor = self.floor();
+        let (s, occupied) = self.standing(job);
+        let willing = !m.refusable || occupied < s.size.max(floor).max(1.0);
         let picked = willing.then(|| self.pick(now, job, m)).flatten();
         let Some(placements) = picked else {
             let wants = self.wants(now, &m.job, job);
             let mut all = self.smallest_unsatisfied(now, m);
-            all.push(Sizes { unsatisfied: false, ..sizes });
+            all.push(Sizes {
+                unsatisfied: false,
+                ..self.sizes(job, floor)
+            });
             return refuse(wants == Wants::default(), all);
         };
         let rooms: Vec<u32> = placements.iter().map(|p| job.spec.tasks[p.task as usize].room).collect();
         let room = placements.iter().zip(&rooms).filter(|(p, _)| p.worker == m.worker).map(|(_, r)| r).sum();
         let task = placements.first().map_or(String::new(), |p| job.spec.tasks[p.task as usize].name.clone());
-        let until = now.mono + self.cfg.bounds.offer() * 2;
+        let within = self.cfg.bounds.offer() * 2;
         let command = Command::Start {
             job: m.job.clone(),
             owner_epoch: epoch,
@@ -259,7 +268,6 @@
             cell: from.into(),
             worker: m.worker.clone(),
         };
-        let within = self.cfg.bounds.offer() * 2;
         let copy = placements.iter().any(|p| p.copy);
         let token = self.propose(now, &command, purpose, within);
         self.sched.pending.insert(
@@ -268,13 +276,13 @@
                 job: m.job.clone(),
                 placements,
                 rooms,
-                until,
+                until: now.mono + within,
                 place: 0,
             },
         );
         self.count("placements_proposed", 1);
         self.count("copies_proposed", u64::from(copy));
-        let sizes = self.record.jobs.get(&m.job).map(|j| self.sizes(j)).into_iter().collect();
+        let sizes = self.record.jobs.get(&m.job).map(|j| self.sizes(j, floor)).into_iter().collect();
         OfferVerdict {
             token: m.token,
             worker: m.worker.clone(),
@@ -333,6 +341,7 @@
 
     /// The smallest unsatisfied job of this scheduler that could use the slot.
     fn smallest_unsatisfied(&self, now: Now, m: &Offer) -> Vec<Sizes> {
+        let floor = self.floor();
         let mut of: Vec<Sizes> = self
             .record
             .open
@@ -340,7 +349,7 @@
             .filter(|id| **id != m.job)
             .filter_map(|id| self.record.jobs.get(id))
             .filter(|j| !j.cancel && self.owns(&j.spec.queue).is_some())
-            .map(|j| self.sizes(j))
+            .map(|j| self.sizes(j, floor))
             .filter(|s| s.unsatisfied)
             .collect();
         of.sort_by(|a, b| a.size.total_cmp(&b.size));
