--- a/rehearsal/src/scenario/faults.rs
+++ b/rehearsal/src/scenario/faults.rs
@@ -49,6 +49,47 @@
     Restart,
 }
 
+impl Kind {
+    /// Every kind there is.
+    pub const ALL: &[Kind] = &[
+        Kind::Kill,
+        Kind::Freeze,
+        Kind::Cut,
+        Kind::CutOneWay,
+        Kind::SplitCore,
+        Kind::CutCores,
+        Kind::LoseZone,
+        Kind::SlowLink,
+        Kind::SlowDisk,
+        Kind::LoseTail,
+        Kind::ReplaceCore,
+        Kind::SwapNode,
+        Kind::Outage,
+        Kind::ClockJump,
+        Kind::WorkerCrash,
+        Kind::WorkerGone,
+        Kind::WorkerFreeze,
+        Kind::WorkerSlow,
+        Kind::WorkerFailing,
+        Kind::WorkerCut,
+        Kind::WorkerLeaves,
+        Kind::Crowd,
+        Kind::Huge,
+        Kind::Doomed,
+        Kind::Storm,
+        Kind::Rivals,
+        Kind::LargeConfig,
+        Kind::Drain,
+        Kind::Evacuate,
+        Kind::Restart,
+    ];
+
+    /// Its name in scenario files.
+    pub fn name(self) -> String {
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_string)).unwrap_or_default()
+    }
+}
+
 /// A fault at a time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
