A state told once is not taken back: a node answers from news as new as the question

Ruled out: asking the leader on every poll (a message and a round each). The feed's own freshness mark is enough: an end is told at once, else the node waits until the feed is as new as the question, half of bounds.fresh() at most, then says 'stale': true; a node that has not caught up since its start asks the core.

--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -85,19 +85,32 @@
         }
     }
 
-    pub(super) fn job_verdict(&self, id: &str) -> Option<Verdict> {
+    /// What this node knows of a job; `stale` tells the caller that there may be news it has not heard.
+    pub(super) fn job_verdict(&self, id: &str, stale: bool) -> Option<Verdict> {
         let kept = self.record.jobs.get(id).map(describe);
         kept.or_else(|| self.record.tombs.get(id).map(|t| json!({"id": id, "state": t.state, "retained": false}))).map(|mut v| {
             v["asOf"] = json!(self.record.at);
+            v["stale"] = json!(stale);
             Verdict::new(200, v)
         })
     }
 
-    /// A job this node knows is answered at once; for one it doesn't, the core is asked before it says 404.
+    /// An end is told at once; else the feed must be as new as the question, so that no state told elsewhere is taken back.
+    /// For a job it doesn't know, or before it has caught up with the feed, the core is asked.
     pub(super) fn poll(&mut self, now: Now, origin: Origin, id: &str) {
-        match self.job_verdict(id) {
-            Some(v) => self.reply(&origin, v),
-            None => self.read(now, origin, ReadThen::Job { id: id.into() }),
+        let kept = self.record.jobs.get(id).map(|j| j.state).or_else(|| self.record.tombs.get(id).map(|t| t.state));
+        match kept {
+            Some(state) if state.ended() => self.job_verdict(id, false).into_iter().for_each(|v| self.reply(&origin, v)),
+            Some(_) if self.feed.captured => {
+                let patience = now.mono + self.cfg.bounds.fresh() / 2;
+                let state = State::Fresh {
+                    id: id.into(),
+                    asked: now.mono,
+                    patience,
+                };
+                self.open(now, origin, state);
+            }
+            _ => self.read(now, origin, ReadThen::Job { id: id.into() }),
         }
     }
 
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -48,6 +48,8 @@
     Asked { then: ReadThen, next: u64 },
     /// Waits until the feed has come to a place.
     Following { then: ReadThen, place: u64, nodes: Vec<NodePlace> },
+    /// Waits until the feed has told all that was committed when the question came; after `patience` it tells what it knows.
+    Fresh { id: String, asked: u64, patience: u64 },
     /// Passed on to another node.
     Passed,
 }
@@ -216,7 +218,7 @@
     fn answer_read(&self, then: &ReadThen, nodes: &[NodePlace]) -> Verdict {
         match then {
             ReadThen::Job { id } => self
-                .job_verdict(id)
+                .job_verdict(id, false)
                 .unwrap_or_else(|| Verdict::error(404, "unknownJob", format!("no job '{id}' was accepted: hand it in, or check the id"))),
             ReadThen::Jobs { query } => self.jobs_verdict(query),
             ReadThen::Desired => Verdict::new(200, json!({"version": self.record.version, "desired": self.record.desired})),
@@ -226,7 +228,26 @@
         }
     }
 
+    /// Answers questions after jobs that the feed is now fresh enough for, or that have waited long enough.
+    pub(super) fn answer_fresh(&mut self, now: Now) {
+        let fresh_at = self.feed.fresh_at;
+        let due: Vec<(u64, String, bool)> = self
+            .calls
+            .open
+            .iter()
+            .filter_map(|(k, o)| match &o.state {
+                State::Fresh { id, asked, patience } if fresh_at >= *asked || now.mono >= *patience => Some((*k, id.clone(), fresh_at < *asked)),
+                _ => None,
+            })
+            .collect();
+        for (call, id, stale) in due {
+            let verdict = self.job_verdict(&id, stale);
+            verdict.into_iter().for_each(|v| self.finish(call, v));
+        }
+    }
+
     pub(super) fn calls_tick(&mut self, now: Now) {
+        self.answer_fresh(now);
         let over: Vec<u64> = self
             .calls
             .open
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -153,6 +153,7 @@
         } else if self.record.place < m.commit {
             self.feed.next_pull = now.mono;
         }
+        self.answer_fresh(now);
         if changed {
             self.hold_cells(now);
             self.calls_on_place();
