The time is agreed once and carried on by durations; clocks that jump together move nothing

Cause: the agreed clock walked a tenth of real time towards the median of the cores' clocks; two or three that jumped together took it with them, and after a total outage it was read from them alone. Ruled out: leaving steps out on each core (blind to a jump before its start); slower steering (the same, later).

--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -26,7 +26,7 @@
                 ..Peer::default()
             });
         });
-        self.clock.steer(now, span);
+        self.clock.steer(now, 2 * span);
         let beat_due = now.mono >= self.last_round + self.cfg.bounds.heartbeat();
         if beat_due || std::mem::take(&mut self.wants_round) {
             self.send_round(now);
--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -169,7 +169,7 @@
         self.rounds.clear();
         self.last_round = 0;
         self.followers.clear();
-        self.clock.reset(last_at);
+        self.clock.lead(now, last_at);
         self.count("leaderships", 1);
         self.line(format!("leader of term {}", self.hard.term));
         let leader = self.name.clone();
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -1,5 +1,6 @@
 //! The numbered feed: nodes follow the record from a place on, and start from a capture.
 
+use super::clock::Told;
 use super::{Core, Follower, Role};
 use crate::kernel::Now;
 use crate::wire::{Body, FeedBatch, FeedPull, NodePlace, Proposed, ReadPlace};
@@ -29,6 +30,8 @@
             self.send_batch(now, from, m.sent, false, None);
             return;
         }
+        let told = Told { at: m.clock, carried: m.carried };
+        self.clock.sample(now, &m.node, told);
         let f = self.followers.entry(m.node.clone()).or_default();
         *f = Follower {
             place: m.place,
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -1,3 +1,4 @@
+use super::clock::Told;
 use super::{Core, Role};
 use crate::kernel::{Capture, Now};
 use crate::record::{Command, Record};
@@ -97,6 +98,7 @@
             term: self.term_at(self.durable).unwrap_or(0),
         };
         let notes: Vec<Note> = self.notes.values().cloned().chain([own]).collect();
+        let clock = if self.clock.set() { self.clock.read(now) } else { 0 };
         self.send(
             to,
             Body::Append(Box::new(Append {
@@ -107,6 +109,7 @@
                 round,
                 entries,
                 notes,
+                clock,
             })),
         );
     }
@@ -114,6 +117,7 @@
     pub(super) fn on_append(&mut self, now: Now, from: &str, m: Append) {
         if m.term < self.hard.term {
             let (term, last_index, disk) = (self.hard.term, self.last().0, self.disk);
+            let told = self.clock.tell(now);
             self.send(
                 from,
                 Body::AppendVerdict(Box::new(AppendVerdict {
@@ -122,7 +126,8 @@
                     matched: 0,
                     last_index,
                     round: 0,
-                    clock: now.wall,
+                    clock: told.at,
+                    carried: told.carried,
                     disk,
                 })),
             );
@@ -132,6 +137,7 @@
         self.heard_leader = now.mono;
         self.arm_election(now);
         let me = self.name.clone();
+        self.clock.hear(now, m.clock);
         m.notes.into_iter().filter(|n| n.core != me).for_each(|n| self.remember(n));
         let fits = m.prev_index < self.base.0 || self.term_at(m.prev_index) == Some(m.prev_term);
         // A refusal names the place that did not fit.
@@ -160,6 +166,7 @@
         let (term, last_index, disk) = (self.hard.term, self.last().0, self.disk);
         let matched = if fits { matched.min(self.durable) } else { matched };
         self.confirmed = Some((from.to_string(), m.round));
+        let told = self.clock.tell(now);
         self.send_durable_hard(
             from,
             AppendVerdict {
@@ -168,7 +175,8 @@
                 matched,
                 last_index,
                 round: m.round,
-                clock: now.wall,
+                clock: told.at,
+                carried: told.carried,
                 disk,
             },
         );
@@ -227,6 +235,7 @@
                     last_index,
                     round,
                     clock: 0,
+                    carried: false,
                     disk,
                 },
             );
@@ -242,7 +251,8 @@
             return;
         }
         if m.clock > 0 {
-            self.clock.sample(now, from, m.clock);
+            let told = Told { at: m.clock, carried: m.carried };
+            self.clock.sample(now, from, told);
         }
         let sent = self.rounds.iter().find(|(r, _)| *r == m.round).map_or(0, |(_, at)| *at);
         let last = self.last().0;
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -332,7 +332,6 @@
             path: req.path.clone(),
             query: req.query.clone(),
             body: req.body.clone(),
-            hops: 1,
         };
         self.count("calls_passed_on", 1);
         self.send(to, Body::Forward(Box::new(m)));
--- a/landingdrift/src/node/cell.rs
+++ b/landingdrift/src/node/cell.rs
@@ -348,7 +348,7 @@
         e.forced = !refusable;
         e.job = job.clone();
         e.asked.insert(scheduler.clone());
-        let (token, refusals) = (e.token, e.refusals);
+        let token = e.token;
         self.count("offers", 1);
         self.count("offers_not_refusable", u64::from(!refusable));
         let offer = Offer {
@@ -360,8 +360,6 @@
             epoch,
             room,
             refusable,
-            refusals,
-            held: Vec::new(),
         };
         self.send(&scheduler, Body::Offer(Box::new(offer)));
     }
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -7,7 +7,6 @@
 
 /// Where a node stands in the feed.
 pub struct Feed {
-    pub boot: u64,
     /// A capture was read, or the feed followed from its beginning.
     pub captured: bool,
     /// The feed told all that was committed at this moment, by this node's clock.
@@ -21,9 +20,8 @@
 }
 
 impl Feed {
-    pub fn new(now: Now, boot: u64) -> Self {
+    pub fn new(now: Now) -> Self {
         Self {
-            boot,
             captured: false,
             fresh_at: 0,
             core: String::new(),
@@ -65,6 +63,7 @@
         }
         let to = self.feed.core.clone();
         let successor = if self.stopping.is_some() { self.successor() } else { String::new() };
+        let carried = self.feed.clock.0 > 0;
         let pull = FeedPull {
             node: self.name.clone(),
             zone: self.cfg.zone.clone(),
@@ -73,7 +72,8 @@
             sent: now.mono,
             leaving: self.stopping.is_some(),
             successor,
-            boot: self.feed.boot,
+            clock: if carried { self.agreed(now) } else { now.wall },
+            carried,
         };
         if !to.is_empty() {
             self.send(&to, Body::FeedPull(Box::new(pull)));
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -45,7 +45,7 @@
         let boot = draw.number();
         Self {
             record: Record::new(&cfg.cluster),
-            feed: feed::Feed::new(now, boot),
+            feed: feed::Feed::new(now),
             views: Views::new(&name, "node", &cfg.zone, &cfg.seeds),
             cells: BTreeMap::new(),
             sched: scheduler::Scheduler::default(),
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -227,7 +227,6 @@
             token: m.token,
             worker: m.worker.clone(),
             accepted: false,
-            task: String::new(),
             room: 0,
             gone,
             sizes,
@@ -256,7 +255,6 @@
         };
         let rooms: Vec<u32> = placements.iter().map(|p| job.spec.tasks[p.task as usize].room).collect();
         let room = placements.iter().zip(&rooms).filter(|(p, _)| p.worker == m.worker).map(|(_, r)| r).sum();
-        let task = placements.first().map_or(String::new(), |p| job.spec.tasks[p.task as usize].name.clone());
         let within = self.cfg.bounds.offer() * 2;
         let command = Command::Start {
             job: m.job.clone(),
@@ -287,7 +285,6 @@
             token: m.token,
             worker: m.worker.clone(),
             accepted: true,
-            task,
             room,
             gone: false,
             sizes,
