Lowered tries and changed workers: what is spent ends, what no longer fits is called back

Cause: (1) a task with as many defects as a newly lowered limit waited for ever, since only an end looked at the limit; an order not yet started was still tried. (2) Orders were given by the room of the last beat but not by its service and labels, and stayed when facts changed. (3) Runs that the record no longer knows took no room when orders were given. Ruled out: recalling running sends (a worker may finish what it holds). Also the stand-in lets go of a stopped run's room only after up to 300 ms.

--- a/landingdrift/src/node/cell.rs
+++ b/landingdrift/src/node/cell.rs
@@ -161,6 +161,10 @@
         let open = !f.leaving && self.record.desired.open(&f.zone, &f.worker) && self.record.workers.get(&f.worker).is_some_and(|w| w.facts.incarnation == f.incarnation && !w.lost);
         let room_of = |no: &u64| self.record.live.get(no).and_then(|(j, i)| self.record.jobs.get(j).map(|j| j.spec.tasks[*i as usize].room)).unwrap_or(0);
         let mut left = f.room.saturating_sub(beat.running.iter().map(|r| room_of(&r.no)).sum());
+        if beat.running.iter().any(|r| !self.record.live.contains_key(&r.no)) {
+            // What runs there without the record's knowledge takes room that nobody can tell: it ends first.
+            left = 0;
+        }
         let (mut starts, mut stops) = (Vec::new(), BTreeSet::new());
         for no in self.record.workers.get(&f.worker).map(|w| w.sends.clone()).unwrap_or_default() {
             let Some((job, task, send)) = self.record.send(no) else { continue };
@@ -168,7 +172,7 @@
             let Some(spec) = spec.filter(|_| send.incarnation == f.incarnation) else { continue };
             if send.stop || (send.state == SendState::Unsure && !reported.contains(&no)) {
                 stops.insert(no);
-            } else if send.state == SendState::Ordered && !reported.contains(&no) && open && !job.cancel && task.state == crate::record::TaskState::Waiting && spec.room <= left {
+            } else if send.state == SendState::Ordered && !reported.contains(&no) && open && f.serves(spec) && !job.cancel && task.state == crate::record::TaskState::Waiting && spec.room <= left {
                 left -= spec.room;
                 starts.push(json!({"no": no, "job": job.spec.id, "task": spec.name, "room": spec.room, "copy": send.copy, "payload": spec.payload}));
             }
--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -39,12 +39,7 @@
     tasks.sort_by_key(|t| std::cmp::Reverse(t.room));
     let mut left: BTreeMap<&String, u32> = BTreeMap::new();
     for t in tasks {
-        let fit = |k: &String| {
-            record
-                .workers
-                .get(k)
-                .is_some_and(|w| takes(record, k) && w.probation == 0 && w.facts.service == t.service && t.labels.iter().all(|l| w.facts.labels.contains(l)))
-        };
+        let fit = |k: &String| record.workers.get(k).is_some_and(|w| takes(record, k) && w.probation == 0 && w.facts.serves(t));
         // Workers already kept first, then the roomiest.
         let kept = left.iter().find(|(k, room)| fit(k) && **room >= t.room).map(|(k, _)| *k);
         let of = kept.or_else(|| {
--- a/landingdrift/src/record/apply/config.rs
+++ b/landingdrift/src/record/apply/config.rs
@@ -1,7 +1,7 @@
 use super::Ruling;
 use crate::desired::{merge, read};
 use crate::kernel::digest;
-use crate::record::{Change, Record, Refusal, CHANGES_KEPT};
+use crate::record::{Change, Record, Refusal, SendState, TaskState, CHANGES_KEPT};
 use serde_json::{json, Value};
 
 impl Record {
@@ -41,9 +41,32 @@
             self.changes.pop_front();
         }
         self.stop_where_closed();
+        self.fail_what_is_spent();
         Ok(json!({"version": self.version, "place": self.place}))
     }
 
+    /// Where a limit of tries was lowered: what has failed as often is not tried again, and does not wait for ever.
+    fn fail_what_is_spent(&mut self) {
+        let open: Vec<String> = self.open.iter().cloned().collect();
+        for id in open {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let tries = self.desired.queues.get(&job.spec.queue).map_or(1, |q| q.tries);
+            let mut recalled = Vec::new();
+            let mut failed = false;
+            for t in job.tasks.iter_mut().filter(|t| t.state == TaskState::Waiting && t.defects >= tries) {
+                recalled.extend(t.live().filter(|s| s.state == SendState::Ordered).map(|s| s.no));
+                if t.live().next().is_none() {
+                    t.state = TaskState::Failed;
+                    failed = true;
+                }
+            }
+            recalled.into_iter().for_each(|no| self.want_stop(no));
+            if failed {
+                self.settle(&id);
+            }
+        }
+    }
+
     /// Orders that have not started are called back from closed places, repeatable work from evacuated ones.
     fn stop_where_closed(&mut self) {
         let numbers: Vec<u64> = self
@@ -54,7 +77,7 @@
                 self.send(*no).is_some_and(|(j, t, s)| {
                     let zone = self.workers.get(&s.worker).map_or("", |w| w.facts.zone.as_str());
                     let may_repeat = j.tasks.iter().position(|x| std::ptr::eq(x, t)).is_some_and(|i| j.spec.tasks[i].may_repeat);
-                    let unstarted = s.state == crate::record::SendState::Ordered;
+                    let unstarted = s.state == SendState::Ordered;
                     (unstarted && !self.desired.open(zone, &s.worker)) || (may_repeat && self.desired.evacuated(zone))
                 })
             })
--- a/landingdrift/src/record/apply/workers.rs
+++ b/landingdrift/src/record/apply/workers.rs
@@ -24,10 +24,16 @@
         if anew {
             sends.iter().for_each(|no| self.restarted(*no, facts.incarnation));
         }
-        if facts.leaving || !self.desired.open(&facts.zone, &facts.worker) {
-            let unstarted: Vec<u64> = sends.into_iter().filter(|no| self.send(*no).is_some_and(|(_, _, s)| s.state == SendState::Ordered)).collect();
-            unstarted.into_iter().for_each(|no| self.want_stop(no));
-        }
+        // What has not started is called back from a worker that may not have it any more.
+        let closed = facts.leaving || !self.desired.open(&facts.zone, &facts.worker);
+        let over = self.workers.get(&facts.worker).is_some_and(|w| w.used > facts.room);
+        let fits = |(job, i): &(String, u32)| self.jobs.get(job).is_some_and(|j| facts.serves(&j.spec.tasks[*i as usize]));
+        let back: Vec<u64> = sends
+            .into_iter()
+            .filter(|no| self.send(*no).is_some_and(|(_, _, s)| s.state == SendState::Ordered))
+            .filter(|no| closed || over || !self.live.get(no).is_some_and(fits))
+            .collect();
+        back.into_iter().for_each(|no| self.want_stop(no));
         Ok(Value::Null)
     }
 
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -1,4 +1,4 @@
-use super::JobSpec;
+use super::{JobSpec, TaskSpec};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -16,6 +16,13 @@
     pub leaving: bool,
 }
 
+impl WorkerFacts {
+    /// Whether a worker with these facts is of the task's service and carries its labels.
+    pub fn serves(&self, task: &TaskSpec) -> bool {
+        self.service == task.service && task.labels.iter().all(|l| self.labels.contains(l))
+    }
+}
+
 /// A task placed on a worker.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Placement {
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -454,3 +454,54 @@
     run(&mut d, Outcome::Well);
     assert_eq!(d.r.workers["w"].probation, 0);
 }
+
+#[test]
+fn a_lowered_limit_of_tries_ends_what_is_spent_and_recalls_what_has_not_started() {
+    let mut d = Desk::new();
+    d.accept("idle", vec![task("a")]).expect("accepted");
+    d.accept("under-way", vec![task("a")]).expect("accepted");
+    d.start("idle", &[(0, "w")]).expect("started");
+    d.end("w", 1, Outcome::Defect);
+    d.start("under-way", &[(0, "v")]).expect("started");
+    d.end("v", 2, Outcome::Defect);
+    d.start("under-way", &[(0, "v")]).expect("started again");
+    let value = json!({"queues": {"q": {"tries": 1}}});
+    let lower = |base| Command::Configure {
+        change: format!("lower-{base}"),
+        base,
+        patch: true,
+        value: value.clone(),
+    };
+    d.ok(lower(1));
+    assert_eq!(d.state("idle"), JobState::Failed);
+    assert!(d.r.send(3).is_some_and(|(_, _, s)| s.stop), "an order that has not started is called back");
+    d.end("v", 3, Outcome::Void);
+    assert_eq!(d.state("under-way"), JobState::Failed);
+}
+
+#[test]
+fn orders_are_called_back_from_a_worker_that_no_longer_fits() {
+    let changed = |room, labels: &[&str]| Command::Facts {
+        facts: WorkerFacts {
+            worker: "w".into(),
+            incarnation: 1,
+            service: "s".into(),
+            labels: labels.iter().map(ToString::to_string).collect(),
+            zone: "z".into(),
+            room,
+            leaving: false,
+        },
+        cell_epoch: 1,
+    };
+    for (room, labels, stops) in [(4, vec!["l"], false), (4, vec![], true), (2, vec!["l"], true)] {
+        let mut d = Desk::new();
+        let needs = TaskSpec {
+            labels: vec!["l".into()],
+            ..task("a")
+        };
+        d.accept("j", vec![needs]).expect("accepted");
+        d.start("j", &[(0, "w")]).expect("started");
+        d.ok(changed(room, &labels));
+        assert_eq!(d.r.send(1).is_some_and(|(_, _, s)| s.stop), stops, "room {room}, labels {labels:?}");
+    }
+}
--- a/rehearsal/src/standin/worker.rs
+++ b/rehearsal/src/standin/worker.rs
@@ -194,8 +194,12 @@
         self.ended.retain(|e| !settled.contains(&e.no));
         let mut out = Vec::new();
         for no in numbers("stops") {
-            if self.running.contains_key(&no) {
-                out.extend(self.end(now, no, Outcome::Stopped));
+            if let Some(r) = self.running.get_mut(&no) {
+                // A run that is told to stop takes its time to let go of its room.
+                let ends = now + self.draw.below(300);
+                if ends < r.until {
+                    (r.until, r.outcome) = (ends, Outcome::Stopped);
+                }
             } else if self.over.insert(no) {
                 self.ended.push(EndReport {
                     no,
