--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -40,7 +40,7 @@
             let (i, t) = self.last();
             (t, i)
         };
-        if self.waking.is_some() || !self.is_voter() || self.floor > own || self.stopping.is_some() {
+        if self.waking.is_some() || !self.is_voter() || self.answerable(now) > own || self.stopping.is_some() {
             return;
         }
         self.role = Role::Asking;
@@ -86,7 +86,7 @@
             return;
         }
         let known = self.members().contains_key(from);
-        let reaches = (m.last_term, m.last_index) >= self.answerable();
+        let reaches = (m.last_term, m.last_index) >= self.answerable(now);
         if m.pre {
             let granted = known && reaches && m.term > self.hard.term && m.term > self.hard.silent_to;
             self.send(
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -95,6 +95,8 @@
     notes: BTreeMap<String, Note>,
     /// The farthest place this core has confirmed, as others remember it.
     floor: (u64, u64),
+    /// The farthest log it heard of when it woke, and until when it leaves the lead to whoever holds that.
+    yields: ((u64, u64), u64),
     damaged: bool,
     waking: Option<wake::Waking>,
     heard_leader: u64,
@@ -166,6 +168,7 @@
             unsaved: Save::default(),
             notes: loaded.notes.into_iter().map(|n| (n.core.clone(), n)).collect(),
             floor: (0, 0),
+            yields: ((0, 0), 0),
             damaged: loaded.damaged,
             waking: Some(waking),
             heard_leader: now.mono,
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -144,15 +144,21 @@
                 f.1, f.0
             ));
         }
+        // Another one's log is longer: it may hold what was confirmed and is lost here, with nobody to remember it.
+        if w.farthest > (term, index) {
+            self.yields = (w.farthest, now.mono + self.cfg.bounds.outage_ms / 6);
+        }
         self.damaged = false;
         self.heard_leader = self.heard_leader.min(now.mono);
         self.arm_election(now);
         self.line(format!("awake at {index} of term {term}, {} others heard", w.heard.len()));
     }
 
-    /// The place this core must answer for when it votes: as (term, index).
-    pub(super) fn answerable(&self) -> (u64, u64) {
+    /// The place this core must answer for when it votes or stands: as (term, index).
+    pub(super) fn answerable(&self, now: Now) -> (u64, u64) {
         let (index, term) = self.last();
-        self.floor.max((term, index))
+        let (farthest, until) = self.yields;
+        let yields = if now.mono < until { farthest } else { (0, 0) };
+        self.floor.max((term, index)).max(yields)
     }
 }
