--- a/rehearsal/src/cli/measure.rs
+++ b/rehearsal/src/cli/measure.rs
@@ -39,6 +39,33 @@
     );
 }
 
+/// The mean of differences over seeds, with its 95 % interval.
+fn interval(of: &[f64]) -> String {
+    let n = of.len().max(1) as f64;
+    let mean = of.iter().sum::<f64>() / n;
+    let sd = (of.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0)).sqrt();
+    let half = 2.09 * sd / n.sqrt();
+    format!("{mean:+.1} % [{:+.1}..{:+.1}]", mean - half, mean + half)
+}
+
+/// Against a base with the same arrivals and the same luck of every task: by how much jobs take longer, seed by seed.
+fn differences(name: &str, of: &[Figures], base: &[Figures]) {
+    let longer = |f: &dyn Fn(&str) -> bool| -> Vec<f64> { of.iter().zip(base).map(|(x, b)| 100.0 * (x.quantiles(f)[0] / b.quantiles(f)[0].max(1.0) - 1.0)).collect() };
+    let share = |worse: f64| -> Vec<f64> {
+        let slowed = |x: &Figures, b: &Figures| x.took.iter().filter(|(k, t)| b.took.get(*k).is_some_and(|o| **t as f64 > *o as f64 * worse)).count();
+        of.iter().zip(base).map(|(x, b)| 100.0 * slowed(x, b) as f64 / x.took.len().max(1) as f64).collect()
+    };
+    landingdrift::say!(
+        "  {name:<22} against srpt, paired: all {}  small {}  middle {}  large {}  slowed by 5 % {}, by 50 % {}",
+        interval(&longer(&|_| true)),
+        interval(&longer(&|k| size(k) <= 3)),
+        interval(&longer(&|k| (4..=10).contains(&size(k)))),
+        interval(&longer(&|k| size(k) > 10)),
+        interval(&share(1.05)),
+        interval(&share(1.5))
+    );
+}
+
 pub fn run(w: &Words) -> Result<bool, String> {
     let named = w.text("shape").unwrap_or("gunasekera");
     let shape = Shape::named(named).ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
@@ -77,6 +104,7 @@
             let of = |p: Policy| sets.iter().map(|(s, l)| compare(shape, l, *s, p, delay)).collect::<Vec<_>>();
             let (fifo, srpt) = (of(Policy::Fifo), of(Policy::SrptBestEffort));
             row("fifo", &fifo, &srpt);
+            differences("fifo", &fifo, &srpt);
             row("srpt+best-effort", &srpt, &srpt);
             for (name, h, speculation) in &variants {
                 let got: Mutex<Vec<(u64, Figures)>> = Mutex::new(Vec::new());
@@ -93,6 +121,7 @@
                 got.sort_by_key(|(s, _)| *s);
                 let figures: Vec<Figures> = got.into_iter().map(|(_, f)| f).collect();
                 row(name, &figures, &srpt);
+                differences(name, &figures, &srpt);
                 let sum = |f: &dyn Fn(&Figures) -> u64| figures.iter().map(f).sum::<u64>() as f64;
                 landingdrift::say!(
                     "  {:<22} {:.1} messages a start, {:.0} bytes of log a job",
--- a/rehearsal/src/measure/comparators.rs
+++ b/rehearsal/src/measure/comparators.rs
@@ -3,7 +3,7 @@
 use super::workload::Load;
 use super::Figures;
 use crate::scenario::Shape;
-use landingdrift::kernel::Draw;
+use crate::standin::worker::paired;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -33,7 +33,6 @@
     let services = shape.mix().services;
     let slots_of = |s: usize| (0..shape.workers()).filter(|i| i % services.len() == s).count() as u64 * u64::from(shape.room());
     let mut free: Vec<u64> = (0..services.len()).map(slots_of).collect();
-    let mut draw = Draw::new(seed ^ 0xc0);
     let mut out = Figures::default();
     let mut jobs: BTreeMap<usize, Job> = BTreeMap::new();
     let mut coming = load.jobs.iter().enumerate().peekable();
@@ -90,7 +89,8 @@
             let Some(j) = jobs.get_mut(&i) else { continue };
             let mut go = |j: &mut Job, task: u64, copy: bool| {
                 run += 1;
-                let long = (1.0 - draw.unit()).powf(-1.0 / j.tail).min(20.0);
+                let luck = paired(seed, &j.id, &format!("t{task}"), copy).unit();
+                let long = (1.0 - luck).powf(-1.0 / j.tail).min(20.0);
                 ends.push(Reverse((t + delay + (j.ms * long) as u64, i, task, run)));
                 j.running.entry(task).or_default().push((run, t + delay));
                 out.starts += 1;
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -283,6 +283,8 @@
         self.client.offering = false;
         self.client.cancels = 0.0;
         self.settings.hopper = hopper;
+        let seed = self.seed;
+        self.hands.iter_mut().filter_map(|h| h.worker.as_mut()).for_each(|w| w.paired = Some(seed));
         for i in 0..self.procs.len() {
             let p = &self.procs[i];
             let cfg = self.settings_of(&p.addr.clone(), p.zone, p.is_core());
--- a/rehearsal/src/standin/worker.rs
+++ b/rehearsal/src/standin/worker.rs
@@ -36,6 +36,11 @@
     outcome: Outcome,
 }
 
+/// What a run's luck is drawn from when policies are compared: each task and each copy has its own.
+pub fn paired(seed: u64, job: &str, task: &str, copy: bool) -> Draw {
+    Draw::new(seed ^ digest(format!("{job}/{task}/{copy}").as_bytes()))
+}
+
 /// A worker.
 pub struct Worker {
     pub facts: WorkerFacts,
@@ -45,6 +50,8 @@
     at: usize,
     draw: Draw,
     seed: u64,
+    /// Where set, a run's luck hangs on its job and task alone, the same under every policy.
+    pub paired: Option<u64>,
     running: BTreeMap<u64, Run>,
     ended: Vec<EndReport>,
     /// Sends that ended or were called off before they came: never to be started.
@@ -68,6 +75,7 @@
             at,
             draw,
             seed,
+            paired: None,
             running: BTreeMap::new(),
             ended: Vec::new(),
             over: BTreeSet::new(),
@@ -224,7 +232,10 @@
         if self.running.contains_key(&no) || self.over.contains(&no) {
             return Vec::new();
         }
-        let mut draw = Draw::new(self.seed ^ (no << 20));
+        let mut draw = self.paired.map_or_else(
+            || Draw::new(self.seed ^ (no << 20)),
+            |seed| paired(seed, s["job"].as_str().unwrap_or(""), s["task"].as_str().unwrap_or(""), s["copy"] == json!(true)),
+        );
         let p = &s["payload"];
         let ms = p["ms"].as_f64().unwrap_or(200.0);
         let tail = p["tail"].as_f64().unwrap_or(0.0);
