--- a/landingdrift/build.rs
+++ b/landingdrift/build.rs
@@ -3,8 +3,11 @@
 fn main() {
     let schema = Path::new("schema/wire.fbs");
     println!("cargo:rerun-if-changed=schema/wire.fbs");
-    let declarations = planus_translation::translate_files(&[schema]).expect("the schema in schema/wire.fbs is wrong");
-    let code = planus_codegen::generate_rust(&declarations, false).expect("no code for schema/wire.fbs");
-    let out = Path::new(&std::env::var("OUT_DIR").expect("OUT_DIR is set by cargo")).join("wire.rs");
+    let declarations = planus_translation::translate_files(&[schema])
+        .expect("the schema in schema/wire.fbs is wrong");
+    let code =
+        planus_codegen::generate_rust(&declarations, false).expect("no code for schema/wire.fbs");
+    let out =
+        Path::new(&std::env::var("OUT_DIR").expect("OUT_DIR is set by cargo")).join("wire.rs");
     std::fs::write(out, code).expect("the generated code could not be written");
 }
--- a/landingdrift/src/agreement/clock.rs
+++ b/landingdrift/src/agreement/clock.rs
@@ -65,7 +65,10 @@
         if self.base.is_some() {
             return;
         }
-        let own = Told { at: now.wall, carried: false };
+        let own = Told {
+            at: now.wall,
+            carried: false,
+        };
         let all: Vec<Told> = self
             .seen
             .values()
@@ -77,7 +80,11 @@
             .collect();
         let waited = now.mono.saturating_sub(self.since) >= patience;
         let carried: Vec<u64> = all.iter().filter(|t| t.carried).map(|t| t.at).collect();
-        let mut of = if carried.is_empty() { all.iter().map(|t| t.at).collect() } else { carried.clone() };
+        let mut of = if carried.is_empty() {
+            all.iter().map(|t| t.at).collect()
+        } else {
+            carried.clone()
+        };
         of.sort_unstable();
         let enough = !carried.is_empty() || of.len() >= MANY || (waited && of.len() >= 2);
         self.base = enough.then(|| (now.mono, of[(of.len() - 1) / 2].max(self.last)));
@@ -107,13 +114,19 @@
         for t in 0..200u64 {
             let mono = t * 100;
             let jump = if t > 50 { HOUR } else { 0 };
-            let now = Now { mono, wall: 1_000_000 + mono + jump };
+            let now = Now {
+                mono,
+                wall: 1_000_000 + mono + jump,
+            };
             c.sample(now, "b", told(1_000_000 + mono + jump, false));
             c.sample(now, "c", told(1_000_005 + mono + jump, false));
             c.steer(now, 100);
             let read = c.read(now);
             assert!(read >= before);
-            assert!(t < 2 || read.abs_diff(1_000_000 + mono) < 50, "drifted to {read} at {mono}");
+            assert!(
+                t < 2 || read.abs_diff(1_000_000 + mono) < 50,
+                "drifted to {read} at {mono}"
+            );
             before = read;
         }
     }
@@ -121,7 +134,10 @@
     #[test]
     fn a_process_that_starts_anew_takes_the_time_that_others_carry() {
         let mut c = AgreedClock::default();
-        let now = Now { mono: 5, wall: 9 * HOUR };
+        let now = Now {
+            mono: 5,
+            wall: 9 * HOUR,
+        };
         c.lead(now, HOUR);
         c.sample(now, "b", told(9 * HOUR, false));
         c.sample(now, "n", told(2 * HOUR, true));
@@ -132,18 +148,26 @@
     #[test]
     fn after_a_total_outage_many_clocks_outvote_the_cores_and_time_never_goes_back() {
         let mut c = AgreedClock::default();
-        let now = Now { mono: 5, wall: 9 * HOUR };
+        let now = Now {
+            mono: 5,
+            wall: 9 * HOUR,
+        };
         c.lead(now, 3 * HOUR);
         c.sample(now, "b", told(9 * HOUR, false));
         c.steer(now, 1000);
         assert!(!c.set(), "two clocks are few while more may be heard");
-        ["c", "n", "m"].iter().for_each(|p| c.sample(now, p, told(4 * HOUR, false)));
+        ["c", "n", "m"]
+            .iter()
+            .for_each(|p| c.sample(now, p, told(4 * HOUR, false)));
         c.steer(now, 1000);
         assert_eq!(c.read(now), 4 * HOUR);
         let mut d = AgreedClock::default();
         d.lead(now, 10 * HOUR);
         d.sample(now, "b", told(HOUR, false));
-        let later = Now { mono: 2000, wall: HOUR };
+        let later = Now {
+            mono: 2000,
+            wall: HOUR,
+        };
         d.steer(later, 1000);
         assert_eq!(d.read(later), 10 * HOUR);
     }
--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -46,37 +46,69 @@
     }
 
     fn next_duty(&mut self, now: Now) -> Option<Command> {
-        self.core_duty(now).or_else(|| self.node_duty(now)).or_else(|| self.grant_duty(now)).or_else(|| self.sweep_duty(now))
+        self.core_duty(now)
+            .or_else(|| self.node_duty(now))
+            .or_else(|| self.grant_duty(now))
+            .or_else(|| self.sweep_duty(now))
     }
 
     /// Founders enter the record; a waiting core becomes a learner, then takes the place of a silent one.
     fn core_duty(&mut self, now: Now) -> Option<Command> {
         if self.record.cores.is_empty() {
-            return Some(Command::Found { cores: self.cfg.founders() });
+            return Some(Command::Found {
+                cores: self.cfg.founders(),
+            });
         }
         let span = self.cfg.bounds.replace_ms;
-        self.joins.retain(|_, (at, _)| now.mono.saturating_sub(*at) < span);
+        self.joins
+            .retain(|_, (at, _)| now.mono.saturating_sub(*at) < span);
         let me = self.name.clone();
         let members = self.members();
-        if let Some((core, (_, disk))) = self.joins.iter().find(|(k, _)| !members.contains_key(*k)).map(|(k, v)| (k.clone(), *v)) {
-            return Some(Command::Core { core, voter: false, disk });
+        if let Some((core, (_, disk))) = self
+            .joins
+            .iter()
+            .find(|(k, _)| !members.contains_key(*k))
+            .map(|(k, v)| (k.clone(), *v))
+        {
+            return Some(Command::Core {
+                core,
+                voter: false,
+                disk,
+            });
         }
-        let voters: Vec<String> = members.iter().filter(|(_, v)| **v).map(|(k, _)| k.clone()).collect();
+        let voters: Vec<String> = members
+            .iter()
+            .filter(|(_, v)| **v)
+            .map(|(k, _)| k.clone())
+            .collect();
         let commit = self.commit;
-        let learner = members.iter().filter(|(_, v)| !**v).map(|(k, _)| k.clone()).find(|k| {
-            self.peers
-                .get(k)
-                .is_some_and(|p| p.matched + 64 >= commit && p.matched > 0 && now.mono.saturating_sub(p.heard) < self.cfg.bounds.election())
-        })?;
+        let learner = members
+            .iter()
+            .filter(|(_, v)| !**v)
+            .map(|(k, _)| k.clone())
+            .find(|k| {
+                self.peers.get(k).is_some_and(|p| {
+                    p.matched + 64 >= commit
+                        && p.matched > 0
+                        && now.mono.saturating_sub(p.heard) < self.cfg.bounds.election()
+                })
+            })?;
         if voters.len() < 3 {
             let disk = self.peers.get(&learner).map_or(0, |p| p.disk);
-            return Some(Command::Core { core: learner, voter: true, disk });
+            return Some(Command::Core {
+                core: learner,
+                voter: true,
+                disk,
+            });
         }
-        let silent = voters
-            .into_iter()
-            .filter(|v| *v != me)
-            .find(|v| self.peers.get(v).is_none_or(|p| now.mono.saturating_sub(p.heard) > span))?;
-        self.line(format!("core {silent} was silent for {span} ms: {learner} takes its place"));
+        let silent = voters.into_iter().filter(|v| *v != me).find(|v| {
+            self.peers
+                .get(v)
+                .is_none_or(|p| now.mono.saturating_sub(p.heard) > span)
+        })?;
+        self.line(format!(
+            "core {silent} was silent for {span} ms: {learner} takes its place"
+        ));
         Some(Command::CoreGone { core: silent })
     }
 
@@ -86,7 +118,14 @@
             .followers
             .iter()
             .filter(|(_, f)| now.mono.saturating_sub(f.heard) < span)
-            .find(|(k, f)| !f.leaving && self.record.nodes.get(*k).is_none_or(|n| !n.alive || n.zone != f.zone || n.http != f.http))
+            .find(|(k, f)| {
+                !f.leaving
+                    && self
+                        .record
+                        .nodes
+                        .get(*k)
+                        .is_none_or(|n| !n.alive || n.zone != f.zone || n.http != f.http)
+            })
             .map(|(k, f)| Command::Node {
                 node: k.clone(),
                 zone: f.zone.clone(),
@@ -100,7 +139,8 @@
                 .filter(|(_, n)| n.alive)
                 .find(|(k, _)| {
                     self.followers.get(*k).map_or(led_long, |f| {
-                        now.mono.saturating_sub(f.heard) > span || (f.leaving && !self.record.grants.values().any(|g| g.holder == **k))
+                        now.mono.saturating_sub(f.heard) > span
+                            || (f.leaving && !self.record.grants.values().any(|g| g.holder == **k))
                     })
                 })
                 .map(|(k, _)| Command::NodeGone { node: k.clone() })
@@ -110,12 +150,28 @@
     /// Every zone with workers or nodes has its cell held, every queue its owner, spread evenly.
     fn grant_duty(&mut self, now: Now) -> Option<Command> {
         let span = self.cfg.bounds.node_lost();
-        let staying = |n: &str| self.record.nodes.get(n).is_some_and(|x| x.alive) && self.followers.get(n).is_some_and(|f| !f.leaving && now.mono.saturating_sub(f.heard) < span);
-        let mut load: BTreeMap<&str, usize> = self.record.nodes.keys().filter(|n| staying(n)).map(|n| (n.as_str(), 0)).collect();
+        let staying = |n: &str| {
+            self.record.nodes.get(n).is_some_and(|x| x.alive)
+                && self
+                    .followers
+                    .get(n)
+                    .is_some_and(|f| !f.leaving && now.mono.saturating_sub(f.heard) < span)
+        };
+        let mut load: BTreeMap<&str, usize> = self
+            .record
+            .nodes
+            .keys()
+            .filter(|n| staying(n))
+            .map(|n| (n.as_str(), 0))
+            .collect();
         if load.is_empty() {
             return None;
         }
-        self.record.grants.values().for_each(|g| load.get_mut(g.holder.as_str()).into_iter().for_each(|l| *l += 1));
+        self.record.grants.values().for_each(|g| {
+            load.get_mut(g.holder.as_str())
+                .into_iter()
+                .for_each(|l| *l += 1)
+        });
         let zones: BTreeSet<&str> = self
             .record
             .desired
@@ -131,9 +187,18 @@
             .queues
             .keys()
             .map(String::as_str)
-            .chain(self.record.open.iter().filter_map(|id| self.record.jobs.get(id)).map(|j| j.spec.queue.as_str()))
+            .chain(
+                self.record
+                    .open
+                    .iter()
+                    .filter_map(|id| self.record.jobs.get(id))
+                    .map(|j| j.spec.queue.as_str()),
+            )
             .collect();
-        let duties = zones.iter().map(|z| (cell_duty(z), Some(*z))).chain(queues.iter().map(|q| (queue_duty(q), None)));
+        let duties = zones
+            .iter()
+            .map(|z| (cell_duty(z), Some(*z)))
+            .chain(queues.iter().map(|q| (queue_duty(q), None)));
         for (duty, zone) in duties {
             let current = self.record.grants.get(&duty);
             let holder = current.map_or("", |g| g.holder.as_str());
@@ -142,10 +207,23 @@
             if alive && !leaving {
                 continue;
             }
-            let named = self.followers.get(holder).filter(|f| f.leaving).map(|f| f.successor.as_str()).filter(|s| staying(s));
+            let named = self
+                .followers
+                .get(holder)
+                .filter(|f| f.leaving)
+                .map(|f| f.successor.as_str())
+                .filter(|s| staying(s));
             let to = named.map(str::to_string).or_else(|| {
                 load.iter()
-                    .min_by_key(|(n, l)| (zone.is_some_and(|z| self.record.nodes.get(**n).is_none_or(|x| x.zone != z)), **l, n.to_string()))
+                    .min_by_key(|(n, l)| {
+                        (
+                            zone.is_some_and(|z| {
+                                self.record.nodes.get(**n).is_none_or(|x| x.zone != z)
+                            }),
+                            **l,
+                            n.to_string(),
+                        )
+                    })
                     .map(|(n, _)| n.to_string())
             })?;
             return Some(Command::Grant {
@@ -163,7 +241,10 @@
         self.record
             .sweep_due(retain_ms, identity_ms)
             .filter(|due| *due <= at)
-            .map(|_| Command::Sweep { retain_ms, identity_ms })
+            .map(|_| Command::Sweep {
+                retain_ms,
+                identity_ms,
+            })
     }
 
     pub(super) fn on_join(&mut self, now: Now, from: &str, disk: u64) {
--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -40,7 +40,11 @@
             let (i, t) = self.last();
             (t, i)
         };
-        if self.waking.is_some() || !self.is_voter() || self.answerable(now) > own || self.stopping.is_some() {
+        if self.waking.is_some()
+            || !self.is_voter()
+            || self.answerable(now) > own
+            || self.stopping.is_some()
+        {
             return;
         }
         self.role = Role::Asking;
@@ -81,19 +85,26 @@
     }
 
     pub(super) fn on_vote(&mut self, now: Now, from: &str, m: &Vote) {
-        let led = self.role == Role::Leader || (!self.leader.is_empty() && now.mono.saturating_sub(self.heard_leader) < self.cfg.bounds.election());
+        let led = self.role == Role::Leader
+            || (!self.leader.is_empty()
+                && now.mono.saturating_sub(self.heard_leader) < self.cfg.bounds.election());
         if self.waking.is_some() || (led && !m.handed) {
             return;
         }
         let known = self.members().contains_key(from);
         let reaches = (m.last_term, m.last_index) >= self.answerable(now);
         if m.pre {
-            let granted = known && reaches && m.term > self.hard.term && m.term > self.hard.silent_to;
+            let granted =
+                known && reaches && m.term > self.hard.term && m.term > self.hard.silent_to;
             self.send(
                 from,
                 Body::VoteVerdict(Box::new(VoteVerdict {
                     pre: true,
-                    term: if granted { m.term } else { self.hard.term.max(self.hard.silent_to) },
+                    term: if granted {
+                        m.term
+                    } else {
+                        self.hard.term.max(self.hard.silent_to)
+                    },
                     granted,
                 })),
             );
@@ -103,14 +114,22 @@
             self.follow(now, m.term, "");
         }
         let free = self.hard.vote.is_empty() || self.hard.vote == from;
-        let granted = known && reaches && m.term == self.hard.term && m.term > self.hard.silent_to && free;
+        let granted =
+            known && reaches && m.term == self.hard.term && m.term > self.hard.silent_to && free;
         if granted {
             self.hard.vote = from.into();
             self.unsaved.hard = Some(self.hard.clone());
             self.arm_election(now);
         }
         let term = self.hard.term;
-        self.send_durable(from, Body::VoteVerdict(Box::new(VoteVerdict { pre: false, term, granted })));
+        self.send_durable(
+            from,
+            Body::VoteVerdict(Box::new(VoteVerdict {
+                pre: false,
+                term,
+                granted,
+            })),
+        );
     }
 
     pub(super) fn on_vote_verdict(&mut self, now: Now, from: &str, m: &VoteVerdict) {
@@ -138,7 +157,9 @@
         match self.role {
             Role::Asking => self.campaign(now, false),
             // Its own vote counts once it is durable.
-            Role::Candidate if self.unsaved.hard.is_none() && self.saved >= self.ticket => self.lead(now),
+            Role::Candidate if self.unsaved.hard.is_none() && self.saved >= self.ticket => {
+                self.lead(now)
+            }
             _ => {}
         }
     }
@@ -150,7 +171,11 @@
         self.duty_index = 0;
         let next = self.last().0 + 1;
         let me = self.name.clone();
-        let last_at = self.log.back().map_or(self.record.at, |e| e.at).max(self.record.at);
+        let last_at = self
+            .log
+            .back()
+            .map_or(self.record.at, |e| e.at)
+            .max(self.record.at);
         self.peers = self
             .members()
             .into_keys()
@@ -181,8 +206,14 @@
     pub(super) fn hand_over(&mut self) {
         let voters = self.voters();
         let term = self.hard.term;
-        let to = self.peers.iter().filter(|(k, _)| voters.contains(k)).max_by_key(|(_, p)| (p.matched, p.heard)).map(|(k, _)| k.clone());
-        to.iter().for_each(|to| self.send(to, Body::HandOver(Box::new(HandOver { term }))));
+        let to = self
+            .peers
+            .iter()
+            .filter(|(k, _)| voters.contains(k))
+            .max_by_key(|(_, p)| (p.matched, p.heard))
+            .map(|(k, _)| k.clone());
+        to.iter()
+            .for_each(|to| self.send(to, Body::HandOver(Box::new(HandOver { term }))));
     }
 
     pub(super) fn on_hand_over(&mut self, now: Now, term: u64) {
@@ -190,7 +221,12 @@
             let (i, t) = self.last();
             (t, i)
         };
-        if term == self.hard.term && self.role == Role::Follower && self.waking.is_none() && self.is_voter() && self.floor <= own {
+        if term == self.hard.term
+            && self.role == Role::Follower
+            && self.waking.is_none()
+            && self.is_voter()
+            && self.floor <= own
+        {
             self.campaign(now, true);
         }
     }
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -16,13 +16,28 @@
     /// Until when this leader surely led: a majority answered a round sent then.
     pub(super) fn quorum_at(&mut self, now: Now) -> u64 {
         let me = self.name.clone();
-        let mut at: Vec<u64> = self.voters().iter().map(|v| if *v == me { now.mono } else { self.peers.get(v).map_or(0, |p| p.round_sent) }).collect();
+        let mut at: Vec<u64> = self
+            .voters()
+            .iter()
+            .map(|v| {
+                if *v == me {
+                    now.mono
+                } else {
+                    self.peers.get(v).map_or(0, |p| p.round_sent)
+                }
+            })
+            .collect();
         at.sort_unstable();
-        at.get((at.len().saturating_sub(1)) / 2).copied().unwrap_or(0)
+        at.get((at.len().saturating_sub(1)) / 2)
+            .copied()
+            .unwrap_or(0)
     }
 
     fn settled(&self) -> bool {
-        self.role == Role::Leader && self.opened > 0 && self.commit >= self.opened && self.record.place >= self.opened
+        self.role == Role::Leader
+            && self.opened > 0
+            && self.commit >= self.opened
+            && self.record.place >= self.opened
     }
 
     pub(super) fn on_pull(&mut self, now: Now, from: &str, m: FeedPull) {
@@ -30,7 +45,10 @@
             self.send_batch(now, from, m.sent, false, None);
             return;
         }
-        let told = Told { at: m.clock, carried: m.carried };
+        let told = Told {
+            at: m.clock,
+            carried: m.carried,
+        };
         self.clock.sample(now, &m.node, told);
         let f = self.followers.entry(m.node.clone()).or_default();
         *f = Follower {
@@ -45,7 +63,10 @@
         };
         self.send_batch(now, from, m.sent, true, Some(m.place));
         let commit = self.commit;
-        self.followers.get_mut(&m.node).iter_mut().for_each(|f| f.sent = commit.min(f.sent + 512).max(f.sent));
+        self.followers
+            .get_mut(&m.node)
+            .iter_mut()
+            .for_each(|f| f.sent = commit.min(f.sent + 512).max(f.sent));
     }
 
     /// New entries go out as soon as they are committed.
@@ -55,17 +76,26 @@
         let due: Vec<(String, u64, u64)> = self
             .followers
             .iter()
-            .filter(|(_, f)| f.sent < commit && now.mono.saturating_sub(f.heard) < span && f.sent >= self.base.0)
+            .filter(|(_, f)| {
+                f.sent < commit && now.mono.saturating_sub(f.heard) < span && f.sent >= self.base.0
+            })
             .map(|(k, f)| (k.clone(), f.echo, f.sent))
             .collect();
         for (to, echo, place) in due {
             self.send_batch(now, &to, echo, true, Some(place));
-            self.followers.get_mut(&to).iter_mut().for_each(|f| f.sent = commit.min(place + 512));
+            self.followers
+                .get_mut(&to)
+                .iter_mut()
+                .for_each(|f| f.sent = commit.min(place + 512));
         }
     }
 
     fn send_batch(&mut self, now: Now, to: &str, sent: u64, ok: bool, place: Option<u64>) {
-        let age = if ok { now.mono.saturating_sub(self.quorum_at(now)) } else { 0 };
+        let age = if ok {
+            now.mono.saturating_sub(self.quorum_at(now))
+        } else {
+            0
+        };
         let (mut capture, mut capture_index, mut entries) = (Vec::new(), 0, Vec::new());
         if let Some(p) = place {
             // A place behind the log, or ahead of it (of a cluster that was), starts over from a capture.
@@ -99,7 +129,11 @@
 
     pub(super) fn on_propose(&mut self, now: Now, from: &str, token: u64, command: Vec<u8>) {
         if !self.settled() || self.stopping.is_some() {
-            let leader = if self.role == Role::Leader { String::new() } else { self.leader.clone() };
+            let leader = if self.role == Role::Leader {
+                String::new()
+            } else {
+                self.leader.clone()
+            };
             self.send(
                 from,
                 Body::Proposed(Box::new(Proposed {
@@ -120,7 +154,11 @@
 
     pub(super) fn on_read(&mut self, now: Now, from: &str, token: u64) {
         if !self.settled() {
-            let leader = if self.role == Role::Leader { String::new() } else { self.leader.clone() };
+            let leader = if self.role == Role::Leader {
+                String::new()
+            } else {
+                self.leader.clone()
+            };
             self.send(
                 from,
                 Body::ReadPlace(Box::new(ReadPlace {
@@ -149,7 +187,9 @@
             return;
         }
         let quorum = self.quorum_at(now);
-        let (ready, rest): (Vec<Read>, Vec<Read>) = std::mem::take(&mut self.reads).into_iter().partition(|r| r.asked <= quorum);
+        let (ready, rest): (Vec<Read>, Vec<Read>) = std::mem::take(&mut self.reads)
+            .into_iter()
+            .partition(|r| r.asked <= quorum);
         self.reads = rest;
         let nodes: Vec<NodePlace> = self
             .followers
@@ -159,7 +199,13 @@
             .map(|(k, f)| NodePlace {
                 node: k.clone(),
                 place: f.place,
-                version: self.record.changes.iter().rev().find(|c| c.place <= f.place).map_or(0, |c| c.version),
+                version: self
+                    .record
+                    .changes
+                    .iter()
+                    .rev()
+                    .find(|c| c.place <= f.place)
+                    .map_or(0, |c| c.version),
                 age: now.mono.saturating_sub(f.heard),
             })
             .collect();
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -133,15 +133,25 @@
 impl Core {
     /// A core from what its disk holds.
     pub fn new(cfg: Settings, loaded: Loaded, now: Now, seed: u64) -> Result<Self, String> {
-        let record = loaded.capture.as_ref().map_or_else(|| Ok(Record::new(&cfg.cluster)), |c| Record::unpack(&c.bytes))?;
+        let record = loaded.capture.as_ref().map_or_else(
+            || Ok(Record::new(&cfg.cluster)),
+            |c| Record::unpack(&c.bytes),
+        )?;
         (record.cluster == cfg.cluster).then_some(()).ok_or_else(|| {
             format!(
                 "the data folder belongs to cluster '{}', not '{}': correct 'cluster' or 'data' in the settings",
                 record.cluster, cfg.cluster
             )
         })?;
-        let base = loaded.capture.as_ref().map_or((0, 0), |c| (c.index, c.term));
-        let log: VecDeque<Entry> = loaded.entries.into_iter().filter(|e| e.index > base.0).collect();
+        let base = loaded
+            .capture
+            .as_ref()
+            .map_or((0, 0), |c| (c.index, c.term));
+        let log: VecDeque<Entry> = loaded
+            .entries
+            .into_iter()
+            .filter(|e| e.index > base.0)
+            .collect();
         let last = log.back().map_or(base.0, |e| e.index);
         let name = cfg.listen.clone();
         let waking = wake::Waking::new(now, cfg.bounds.wake());
@@ -166,7 +176,11 @@
             held: VecDeque::new(),
             saving: VecDeque::new(),
             unsaved: Save::default(),
-            notes: loaded.notes.into_iter().map(|n| (n.core.clone(), n)).collect(),
+            notes: loaded
+                .notes
+                .into_iter()
+                .map(|n| (n.core.clone(), n))
+                .collect(),
             floor: (0, 0),
             yields: ((0, 0), 0),
             damaged: loaded.damaged,
@@ -225,7 +239,9 @@
     }
 
     fn entry(&self, index: u64) -> Option<&Entry> {
-        index.checked_sub(self.base.0 + 1).and_then(|i| self.log.get(i as usize))
+        index
+            .checked_sub(self.base.0 + 1)
+            .and_then(|i| self.log.get(i as usize))
     }
 
     fn entries(&self, from: u64, most: usize) -> Vec<Entry> {
@@ -248,14 +264,21 @@
         if let Some(m) = &self.members_cache {
             return m.clone();
         }
-        let mut m: BTreeMap<String, bool> = self.record.cores.iter().map(|(k, c)| (k.clone(), c.voter)).collect();
+        let mut m: BTreeMap<String, bool> = self
+            .record
+            .cores
+            .iter()
+            .map(|(k, c)| (k.clone(), c.voter))
+            .collect();
         if m.is_empty() {
             m = self.cfg.founders().into_iter().map(|a| (a, true)).collect();
         }
         let place = self.record.place;
         for e in self.log.iter().filter(|e| e.index > place) {
             match serde_json::from_slice::<MemberCommand>(&e.command) {
-                Ok(MemberCommand::Found { cores }) => m = cores.into_iter().map(|c| (c, true)).collect(),
+                Ok(MemberCommand::Found { cores }) => {
+                    m = cores.into_iter().map(|c| (c, true)).collect()
+                }
                 Ok(MemberCommand::Core { core, voter, .. }) => {
                     m.insert(core, voter);
                 }
@@ -270,7 +293,11 @@
     }
 
     fn voters(&mut self) -> Vec<String> {
-        self.members().into_iter().filter(|(_, v)| *v).map(|(k, _)| k).collect()
+        self.members()
+            .into_iter()
+            .filter(|(_, v)| *v)
+            .map(|(k, _)| k)
+            .collect()
     }
 
     fn majority(&mut self) -> usize {
@@ -297,7 +324,9 @@
         save.notes = self.notes.values().cloned().collect();
         if let Some(cut) = save.cut {
             self.durable = self.durable.min(cut.saturating_sub(1));
-            self.saving.iter_mut().for_each(|(_, last)| *last = (*last).min(cut.saturating_sub(1)));
+            self.saving
+                .iter_mut()
+                .for_each(|(_, last)| *last = (*last).min(cut.saturating_sub(1)));
         }
         let last = self.last().0;
         self.saving.push_back((self.ticket, last));
@@ -335,7 +364,9 @@
     fn apply_committed(&mut self) {
         while self.record.place < self.commit {
             let next = self.record.place + 1;
-            let Some(e) = self.entry(next).cloned() else { break };
+            let Some(e) = self.entry(next).cloned() else {
+                break;
+            };
             let ruling = self.record.apply_bytes(e.index, e.at, &e.command);
             self.count("entries_applied", 1);
             self.count("entries_refused", u64::from(ruling.is_err()));
@@ -363,7 +394,9 @@
         if place < self.captured + every || self.unsaved.capture.is_some() {
             return;
         }
-        let Some(term) = self.term_at(place) else { return };
+        let Some(term) = self.term_at(place) else {
+            return;
+        };
         self.capture = Capture {
             index: place,
             term,
@@ -375,7 +408,10 @@
         // A tail stays in memory for those that are only a little behind.
         let keep_from = place.saturating_sub(every / 2);
         while self.log.front().is_some_and(|e| e.index <= keep_from) {
-            self.base = self.log.pop_front().map_or(self.base, |e| (e.index, e.term));
+            self.base = self
+                .log
+                .pop_front()
+                .map_or(self.base, |e| (e.index, e.term));
         }
         self.flush();
     }
@@ -402,7 +438,10 @@
             _ if now.mono >= self.election_at => self.stand(now),
             _ => {}
         }
-        if self.stopping.is_some_and(|until| now.mono >= until || self.role != Role::Leader) {
+        if self
+            .stopping
+            .is_some_and(|until| now.mono >= until || self.role != Role::Leader)
+        {
             self.out.push(Effect::Exit);
         }
     }
@@ -416,10 +455,20 @@
 
     /// What the core says of itself over HTTP.
     fn on_call(&mut self, now: Now, call: u64, req: &crate::kernel::Request) {
-        let ready = !self.disk_dead && self.waking.is_none() && (self.role == Role::Leader || now.mono.saturating_sub(self.heard_leader) < 2 * self.cfg.bounds.election());
+        let ready = !self.disk_dead
+            && self.waking.is_none()
+            && (self.role == Role::Leader
+                || now.mono.saturating_sub(self.heard_leader) < 2 * self.cfg.bounds.election());
         let verdict = match (req.method.as_str(), req.path.as_str()) {
             ("GET", "/live") => Verdict::new(200, json!({"live": true})),
-            ("GET", "/ready") => Verdict::new(if ready && self.stopping.is_none() { 200 } else { 503 }, json!({"ready": ready && self.stopping.is_none()})),
+            ("GET", "/ready") => Verdict::new(
+                if ready && self.stopping.is_none() {
+                    200
+                } else {
+                    503
+                },
+                json!({"ready": ready && self.stopping.is_none()}),
+            ),
             ("GET", "/metrics") => self.metrics(),
             ("GET", "/v1/status") => {
                 let members = self.members();
@@ -429,7 +478,11 @@
                            "last": self.last().0, "members": members, "version": self.record.version}),
                 )
             }
-            _ => Verdict::error(404, "noSuchRoute", "a core serves /live, /ready, /metrics and /v1/status: send all else to a node"),
+            _ => Verdict::error(
+                404,
+                "noSuchRoute",
+                "a core serves /live, /ready, /metrics and /v1/status: send all else to a node",
+            ),
         };
         self.out.push(Effect::Answer(call, verdict));
     }
@@ -484,7 +537,10 @@
                 Body::Shuffle(m) => {
                     let members = self.members().into_keys().collect();
                     self.views.set_cores(members);
-                    self.views.take(*m, &mut self.draw).into_iter().for_each(|back| self.send(&from, Body::Shuffle(Box::new(back))));
+                    self.views
+                        .take(*m, &mut self.draw)
+                        .into_iter()
+                        .for_each(|back| self.send(&from, Body::Shuffle(Box::new(back))));
                 }
                 Body::Propose(m) => self.on_propose(now, &from, m.token, m.command),
                 Body::ReadAsk(m) => self.on_read(now, &from, m.token),
@@ -499,7 +555,11 @@
     }
 
     fn counters(&self) -> Vec<(String, u64)> {
-        let mut all: Vec<(String, u64)> = self.counters.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+        let mut all: Vec<(String, u64)> = self
+            .counters
+            .iter()
+            .map(|(k, v)| (k.to_string(), *v))
+            .collect();
         all.push(("term".into(), self.hard.term));
         all.push(("commit".into(), self.commit));
         all.push(("leads".into(), u64::from(self.role == Role::Leader)));
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -8,14 +8,21 @@
     /// Enters a command into the log; returns its index.
     pub(super) fn push(&mut self, now: Now, command: &Command) -> u64 {
         let bytes = serde_json::to_vec(command).unwrap_or_default();
-        if matches!(command, Command::Found { .. } | Command::Core { .. } | Command::CoreGone { .. }) {
+        if matches!(
+            command,
+            Command::Found { .. } | Command::Core { .. } | Command::CoreGone { .. }
+        ) {
             self.members_cache = None;
         }
         self.push_bytes(now, bytes)
     }
 
     pub(super) fn push_bytes(&mut self, now: Now, command: Vec<u8>) -> u64 {
-        let before = self.log.back().map_or(self.record.at, |e| e.at).max(self.record.at);
+        let before = self
+            .log
+            .back()
+            .map_or(self.record.at, |e| e.at)
+            .max(self.record.at);
         let at = self.clock.read(now).max(before);
         let index = self.last().0 + 1;
         self.count("log_bytes", command.len() as u64);
@@ -49,7 +56,9 @@
     /// One batch of entries is under way to a core at a time; beats go out beside it.
     fn replicate(&mut self, now: Now, to: &str) {
         let patience = 4 * self.cfg.bounds.heartbeat();
-        let Some(p) = self.peers.get_mut(to) else { return };
+        let Some(p) = self.peers.get_mut(to) else {
+            return;
+        };
         if p.pending > 0 && now.mono >= p.sent + patience {
             // It seems lost: from the last sure place again.
             p.pending = 0;
@@ -59,13 +68,20 @@
         let (term, commit) = (self.hard.term, self.commit);
         let sure = p.pending > 0;
         let from = if sure { p.matched } else { p.next - 1 };
-        let Some((prev, prev_term)) = self.term_at(from).map(|t| (from, t)).or(sure.then_some((0, 0))) else {
+        let Some((prev, prev_term)) = self
+            .term_at(from)
+            .map(|t| (from, t))
+            .or(sure.then_some((0, 0)))
+        else {
             // Too far behind for the log: the capture goes first, not more often than it can arrive.
             if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
                 let c = self.capture.clone();
                 let round = self.round;
                 self.count("captures_sent", 1);
-                self.peers.get_mut(to).iter_mut().for_each(|p| p.installing = now.mono.max(1));
+                self.peers
+                    .get_mut(to)
+                    .iter_mut()
+                    .for_each(|p| p.installing = now.mono.max(1));
                 self.send(
                     to,
                     Body::Install(Box::new(Install {
@@ -79,7 +95,11 @@
             }
             return;
         };
-        let entries = if sure { Vec::new() } else { self.entries(p.next, 512) };
+        let entries = if sure {
+            Vec::new()
+        } else {
+            self.entries(p.next, 512)
+        };
         if let Some(last) = entries.last() {
             self.next_round(now);
             let (next, round) = (last.index + 1, self.round);
@@ -98,7 +118,11 @@
             term: self.term_at(self.durable).unwrap_or(0),
         };
         let notes: Vec<Note> = self.notes.values().cloned().chain([own]).collect();
-        let clock = if self.clock.set() { self.clock.read(now) } else { 0 };
+        let clock = if self.clock.set() {
+            self.clock.read(now)
+        } else {
+            0
+        };
         self.send(
             to,
             Body::Append(Box::new(Append {
@@ -138,7 +162,10 @@
         self.arm_election(now);
         let me = self.name.clone();
         self.clock.hear(now, m.clock);
-        m.notes.into_iter().filter(|n| n.core != me).for_each(|n| self.remember(n));
+        m.notes
+            .into_iter()
+            .filter(|n| n.core != me)
+            .for_each(|n| self.remember(n));
         let fits = m.prev_index < self.base.0 || self.term_at(m.prev_index) == Some(m.prev_term);
         // A refusal names the place that did not fit.
         let mut matched = m.prev_index;
@@ -164,7 +191,11 @@
         }
         self.flush();
         let (term, last_index, disk) = (self.hard.term, self.last().0, self.disk);
-        let matched = if fits { matched.min(self.durable) } else { matched };
+        let matched = if fits {
+            matched.min(self.durable)
+        } else {
+            matched
+        };
         self.confirmed = Some((from.to_string(), m.round));
         let told = self.clock.tell(now);
         self.send_durable_hard(
@@ -189,13 +220,17 @@
             self.send(to, body);
         } else {
             let t = self.hard_ticket;
-            self.held.push_back((t, crate::kernel::Effect::Send(to.into(), body)));
+            self.held
+                .push_back((t, crate::kernel::Effect::Send(to.into(), body)));
         }
     }
 
     /// Keeps the farthest place that a core may have confirmed.
     fn remember(&mut self, n: Note) {
-        let farther = self.notes.get(&n.core).is_none_or(|old| (old.term, old.index) < (n.term, n.index));
+        let farther = self
+            .notes
+            .get(&n.core)
+            .is_none_or(|old| (old.term, old.index) < (n.term, n.index));
         if farther {
             self.notes.insert(n.core.clone(), n);
         }
@@ -223,7 +258,12 @@
 
     /// Tells the leader what has become durable since.
     pub(super) fn confirm(&mut self) {
-        let (term, last_index, disk, matched) = (self.hard.term, self.last().0, self.disk, self.durable.min(self.verified));
+        let (term, last_index, disk, matched) = (
+            self.hard.term,
+            self.last().0,
+            self.disk,
+            self.durable.min(self.verified),
+        );
         let told = self.confirmed.clone();
         if let Some((to, round)) = told.filter(|(to, _)| *to == self.leader && !to.is_empty()) {
             self.send_durable_hard(
@@ -251,12 +291,21 @@
             return;
         }
         if m.clock > 0 {
-            let told = Told { at: m.clock, carried: m.carried };
+            let told = Told {
+                at: m.clock,
+                carried: m.carried,
+            };
             self.clock.sample(now, from, told);
         }
-        let sent = self.rounds.iter().find(|(r, _)| *r == m.round).map_or(0, |(_, at)| *at);
+        let sent = self
+            .rounds
+            .iter()
+            .find(|(r, _)| *r == m.round)
+            .map_or(0, |(_, at)| *at);
         let last = self.last().0;
-        let Some(p) = self.peers.get_mut(from) else { return };
+        let Some(p) = self.peers.get_mut(from) else {
+            return;
+        };
         p.heard = now.mono;
         p.round_sent = p.round_sent.max(sent);
         p.disk = m.disk;
@@ -297,7 +346,16 @@
     pub(super) fn advance(&mut self, now: Now) {
         let me = self.name.clone();
         let voters = self.voters();
-        let mut marks: Vec<u64> = voters.iter().map(|v| if *v == me { self.durable } else { self.peers.get(v).map_or(0, |p| p.matched) }).collect();
+        let mut marks: Vec<u64> = voters
+            .iter()
+            .map(|v| {
+                if *v == me {
+                    self.durable
+                } else {
+                    self.peers.get(v).map_or(0, |p| p.matched)
+                }
+            })
+            .collect();
         marks.sort_unstable();
         let mark = marks[(marks.len() - 1) / 2];
         if mark > self.commit && self.term_at(mark) == Some(self.hard.term) {
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -44,7 +44,11 @@
             index: 0,
             term: 0,
         });
-        let members: Vec<String> = if self.empty() { Vec::new() } else { self.members().into_keys().collect() };
+        let members: Vec<String> = if self.empty() {
+            Vec::new()
+        } else {
+            self.members().into_keys().collect()
+        };
         let body = Hello {
             disk: self.disk,
             term: self.hard.term,
@@ -86,7 +90,10 @@
             }
             fresh = m.members;
         }
-        let others: Vec<String> = fresh.into_iter().filter(|a| *a != me && self.waking.as_ref().is_some_and(|w| !w.heard.contains(a))).collect();
+        let others: Vec<String> = fresh
+            .into_iter()
+            .filter(|a| *a != me && self.waking.as_ref().is_some_and(|w| !w.heard.contains(a)))
+            .collect();
         if self.empty() {
             others.iter().for_each(|a| self.hello(a, false));
         }
@@ -95,17 +102,26 @@
 
     pub(super) fn wake_tick(&mut self, now: Now) {
         let me = self.name.clone();
-        let due = self.waking.as_ref().is_some_and(|w| now.mono >= w.next_hello);
+        let due = self
+            .waking
+            .as_ref()
+            .is_some_and(|w| now.mono >= w.next_hello);
         if due {
             let mut targets: BTreeSet<String> = self.members().into_keys().collect();
             targets.extend(self.cfg.seeds.iter().cloned());
             targets.remove(&me);
             targets.iter().for_each(|a| self.hello(a, false));
             let beat = self.cfg.bounds.heartbeat();
-            self.waking.iter_mut().for_each(|w| w.next_hello = now.mono + beat);
+            self.waking
+                .iter_mut()
+                .for_each(|w| w.next_hello = now.mono + beat);
         }
         self.try_wake(now);
-        if self.waking.is_none() && self.role != Role::Leader && !self.members().contains_key(&me) && now.mono % (4 * self.cfg.bounds.heartbeat()) < self.cfg.bounds.tick() {
+        if self.waking.is_none()
+            && self.role != Role::Leader
+            && !self.members().contains_key(&me)
+            && now.mono % (4 * self.cfg.bounds.heartbeat()) < self.cfg.bounds.tick()
+        {
             let targets: BTreeSet<String> = self
                 .members()
                 .into_keys()
@@ -114,7 +130,9 @@
                 .filter(|a| *a != me)
                 .collect();
             let disk = self.disk;
-            targets.iter().for_each(|a| self.send(a, Body::Join(Box::new(Join { disk }))));
+            targets
+                .iter()
+                .for_each(|a| self.send(a, Body::Join(Box::new(Join { disk }))));
         }
     }
 
@@ -122,17 +140,28 @@
     fn try_wake(&mut self, now: Now) {
         let me = self.name.clone();
         let voters = self.voters();
-        let Some(w) = self.waking.as_ref() else { return };
-        let heard = voters.iter().filter(|v| **v == me || w.heard.contains(*v)).count();
+        let Some(w) = self.waking.as_ref() else {
+            return;
+        };
+        let heard = voters
+            .iter()
+            .filter(|v| **v == me || w.heard.contains(*v))
+            .count();
         let all = heard == voters.len() && !voters.is_empty();
-        if !(all || (now.mono >= w.until && heard > voters.len() / 2) || (w.member == Some(false) && self.empty())) {
+        if !(all
+            || (now.mono >= w.until && heard > voters.len() / 2)
+            || (w.member == Some(false) && self.empty()))
+        {
             return;
         }
         let Some(w) = self.waking.take() else { return };
         let (index, term) = self.last();
         let empty = self.empty();
         // What others remember of us; where nobody does and our disk is new or damaged, the farthest that anybody has.
-        let floor = w.noted.filter(|n| *n > (term, index)).or((w.knowing && (empty || self.damaged)).then_some(w.farthest));
+        let floor = w
+            .noted
+            .filter(|n| *n > (term, index))
+            .or((w.knowing && (empty || self.damaged)).then_some(w.farthest));
         if let Some(f) = floor.filter(|f| *f > (term, index)) {
             self.floor = f;
             self.hard.silent_to = self.hard.silent_to.max(w.highest_term).max(self.hard.term);
@@ -151,7 +180,10 @@
         self.damaged = false;
         self.heard_leader = self.heard_leader.min(now.mono);
         self.arm_election(now);
-        self.line(format!("awake at {index} of term {term}, {} others heard", w.heard.len()));
+        self.line(format!(
+            "awake at {index} of term {term}, {} others heard",
+            w.heard.len()
+        ));
     }
 
     /// The place this core must answer for when it votes or stands: as (term, index).
--- a/landingdrift/src/daemon/control.rs
+++ b/landingdrift/src/daemon/control.rs
@@ -27,7 +27,9 @@
     pub fn now(&self) -> Now {
         Now {
             mono: 1 + self.0.elapsed().as_millis() as u64,
-            wall: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64),
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64),
         }
     }
 }
@@ -48,7 +50,8 @@
         let mut next_tick = Instant::now();
         loop {
             let tick = Duration::from_millis(self.settings.bounds.tick());
-            let msg = match inputs.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
+            let msg = match inputs.recv_timeout(next_tick.saturating_duration_since(Instant::now()))
+            {
                 Ok(Input::Msg(m)) => m,
                 Ok(Input::Call(req, call)) => Msg::Call(call, req),
                 Err(RecvTimeoutError::Timeout) => Msg::Tick,
@@ -86,7 +89,12 @@
             }
         }
         if exit {
-            let counters: Vec<String> = self.part.counters().into_iter().map(|(k, v)| format!("{k}={v}")).collect();
+            let counters: Vec<String> = self
+                .part
+                .counters()
+                .into_iter()
+                .map(|(k, v)| format!("{k}={v}"))
+                .collect();
             log::info!("ends; counters: {}", counters.join(" "));
         }
         exit
--- a/landingdrift/src/daemon/disks.rs
+++ b/landingdrift/src/daemon/disks.rs
@@ -15,7 +15,9 @@
                 let mut batch = vec![first];
                 batch.extend(rx.try_iter());
                 let ticket = batch.last().map_or(0, |s| s.ticket);
-                let msg = folder.save(&batch).map_or_else(|e| Msg::DiskDefect(e.to_string()), |()| Msg::Saved(ticket));
+                let msg = folder
+                    .save(&batch)
+                    .map_or_else(|e| Msg::DiskDefect(e.to_string()), |()| Msg::Saved(ticket));
                 let dead = matches!(msg, Msg::DiskDefect(_));
                 if inputs.send(Input::Msg(msg)).is_err() || dead {
                     return;
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -29,7 +29,10 @@
 
 fn usage(role: &str) {
     crate::say!("landingdrift {role} [flags]\n\nFlags win over the settings file.\n");
-    FLAGS.iter().filter(|(f, _)| role == "core" || *f != "data").for_each(|(f, what)| crate::say!("  --{f} {what}"));
+    FLAGS
+        .iter()
+        .filter(|(f, _)| role == "core" || *f != "data")
+        .for_each(|(f, what)| crate::say!("  --{f} {what}"));
     crate::say!("  --check  check the settings and end\n  --help");
 }
 
@@ -68,19 +71,42 @@
     let patience = Duration::from_millis(s.bounds.election());
     let seed = seed(&s.listen, now);
     let (part, disk): (Box<dyn Part>, Option<Disk>) = if role == "core" {
-        let (folder, loaded) = Folder::open(Path::new(&s.data), &s.cluster, s.limits.segment_bytes, seed | 1).map_err(|e| e.to_string())?;
+        let (folder, loaded) = Folder::open(
+            Path::new(&s.data),
+            &s.cluster,
+            s.limits.segment_bytes,
+            seed | 1,
+        )
+        .map_err(|e| e.to_string())?;
         let part = Core::new(s.clone(), loaded, now, seed)?;
         (Box::new(part), Some(Disk::start(folder, tx.clone())))
     } else {
         (Box::new(Node::new(s.clone(), now, seed)), None)
     };
-    let transport = Transport::start(&s.cluster, &s.listen, patience, tx.clone()).map_err(|e| format!("can't listen at {} ({e}): free the address or name another with --listen", s.listen))?;
+    let transport = Transport::start(&s.cluster, &s.listen, patience, tx.clone()).map_err(|e| {
+        format!(
+            "can't listen at {} ({e}): free the address or name another with --listen",
+            s.listen
+        )
+    })?;
     let waiting: Waiting = Arc::new(DashMap::new());
-    let addr = s.http.parse().map_err(|_| format!("'{}' is no address: correct --http", s.http))?;
+    let addr = s
+        .http
+        .parse()
+        .map_err(|_| format!("'{}' is no address: correct --http", s.http))?;
     let most = s.limits.job_bytes.max(s.limits.desired_bytes) + 1024;
-    http::start(addr, tx.clone(), waiting.clone(), Duration::from_millis(s.bounds.state_ms), most)
-        .map_err(|e| format!("can't serve HTTP at {addr} ({e}): free the address or name another with --http"))?;
-    signals(role, s.clone(), words, tx, logger).map_err(|e| format!("can't listen for signals ({e})"))?;
+    http::start(
+        addr,
+        tx.clone(),
+        waiting.clone(),
+        Duration::from_millis(s.bounds.state_ms),
+        most,
+    )
+    .map_err(|e| {
+        format!("can't serve HTTP at {addr} ({e}): free the address or name another with --http")
+    })?;
+    signals(role, s.clone(), words, tx, logger)
+        .map_err(|e| format!("can't listen for signals ({e})"))?;
     log::info!("{role} {} in zone {}, HTTP at {}", s.listen, s.zone, s.http);
     Control {
         part,
@@ -96,7 +122,13 @@
     Ok(0)
 }
 
-fn signals(role: &'static str, mut current: Settings, words: Vec<OsString>, tx: Sender<Input>, logger: Option<flexi_logger::LoggerHandle>) -> std::io::Result<()> {
+fn signals(
+    role: &'static str,
+    mut current: Settings,
+    words: Vec<OsString>,
+    tx: Sender<Input>,
+    logger: Option<flexi_logger::LoggerHandle>,
+) -> std::io::Result<()> {
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     std::thread::spawn(move || {
         for signal in signals.forever() {
@@ -108,10 +140,14 @@
             match from_words(words.clone(), role == "core") {
                 Ok(asked) => {
                     let (live, fixed) = current.take_live(&asked.settings);
-                    fixed.iter().for_each(|f| log::warn!("setting '{f}' can't change while the process runs: restart it"));
+                    fixed.iter().for_each(|f| {
+                        log::warn!("setting '{f}' can't change while the process runs: restart it")
+                    });
                     if live != current {
                         log::info!("settings reread");
-                        logger.iter().for_each(|l| l.set_new_spec(logs::spec(&live.log)));
+                        logger
+                            .iter()
+                            .for_each(|l| l.set_new_spec(logs::spec(&live.log)));
                         current = live.clone();
                         let _ = tx.send(Input::Msg(Msg::Changed(Box::new(live))));
                     }
--- a/landingdrift/src/daemon/transport.rs
+++ b/landingdrift/src/daemon/transport.rs
@@ -26,7 +26,12 @@
 
 impl Transport {
     /// Listens at `me` and hands what comes to `inputs`.
-    pub fn start(cluster: &str, me: &str, patience: Duration, inputs: Sender<Input>) -> std::io::Result<Self> {
+    pub fn start(
+        cluster: &str,
+        me: &str,
+        patience: Duration,
+        inputs: Sender<Input>,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(me)?;
         let of = cluster.to_string();
         thread::spawn(move || {
@@ -46,7 +51,9 @@
 
     /// Queues a frame; a full queue drops it, as a network would.
     pub fn send(&mut self, to: &str, body: &Body) {
-        let Ok(addr) = to.parse::<SocketAddr>() else { return };
+        let Ok(addr) = to.parse::<SocketAddr>() else {
+            return;
+        };
         let bytes = pack(&self.cluster, &self.me, body);
         let patience = self.patience;
         let tx = self.out.entry(to.into()).or_insert_with(|| {
@@ -70,16 +77,22 @@
         if conn.is_none() {
             conn = TcpStream::connect_timeout(&addr, patience)
                 .ok()
-                .filter(|c| c.set_nodelay(true).and_then(|()| c.set_write_timeout(Some(patience))).is_ok());
+                .filter(|c| {
+                    c.set_nodelay(true)
+                        .and_then(|()| c.set_write_timeout(Some(patience)))
+                        .is_ok()
+                });
             if conn.is_none() {
                 // What piled up while nobody answered is old news.
                 while rx.try_recv().is_ok() {}
                 continue;
             }
         }
-        let sent = conn
-            .as_mut()
-            .is_some_and(|c| c.write_all(&(bytes.len() as u32).to_le_bytes()).and_then(|()| c.write_all(&bytes)).is_ok());
+        let sent = conn.as_mut().is_some_and(|c| {
+            c.write_all(&(bytes.len() as u32).to_le_bytes())
+                .and_then(|()| c.write_all(&bytes))
+                .is_ok()
+        });
         if !sent {
             conn = None;
         }
@@ -98,12 +111,19 @@
             return;
         }
         let mut bytes = Vec::new();
-        if r.by_ref().take(u64::from(n)).read_to_end(&mut bytes).map_or(true, |got| got != n as usize) {
+        if r.by_ref()
+            .take(u64::from(n))
+            .read_to_end(&mut bytes)
+            .map_or(true, |got| got != n as usize)
+        {
             return;
         }
         match unpack(cluster, &bytes) {
             Ok(env) => {
-                if inputs.send(Input::Msg(Msg::Wire(env.from, env.body))).is_err() {
+                if inputs
+                    .send(Input::Msg(Msg::Wire(env.from, env.body)))
+                    .is_err()
+                {
                     return;
                 }
             }
--- a/landingdrift/src/desired/check.rs
+++ b/landingdrift/src/desired/check.rs
@@ -22,7 +22,10 @@
 impl fmt::Display for DesiredDefect {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Self::Shape { path, why } => write!(f, "{path}: {why}; see docs/operators/desired-state.md for the fields"),
+            Self::Shape { path, why } => write!(
+                f,
+                "{path}: {why}; see docs/operators/desired-state.md for the fields"
+            ),
             Self::Value { path, remedy } => write!(f, "{path}: {remedy}"),
         }
     }
@@ -40,26 +43,72 @@
 
 /// Checks the values of a configuration.
 pub fn check(d: &Desired) -> Result<(), DesiredDefect> {
-    let ensure = |ok: bool, path: String, remedy: &str| ok.then_some(()).ok_or(DesiredDefect::Value { path, remedy: remedy.into() });
-    let name_ok = |n: &str| !n.is_empty() && n.len() <= 64 && n.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+    let ensure = |ok: bool, path: String, remedy: &str| {
+        ok.then_some(()).ok_or(DesiredDefect::Value {
+            path,
+            remedy: remedy.into(),
+        })
+    };
+    let name_ok = |n: &str| {
+        !n.is_empty()
+            && n.len() <= 64
+            && n.chars()
+                .all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
+    };
     for (name, q) in &d.queues {
         let at = |f: &str| format!("queues.{name}.{f}");
-        ensure(name_ok(name), format!("queues.{name}"), "use 1 to 64 letters, digits, '-', '_' or '.' for the name")?;
-        ensure((1..=100).contains(&q.tries), at("tries"), "give a number from 1 to 100")?;
+        ensure(
+            name_ok(name),
+            format!("queues.{name}"),
+            "use 1 to 64 letters, digits, '-', '_' or '.' for the name",
+        )?;
+        ensure(
+            (1..=100).contains(&q.tries),
+            at("tries"),
+            "give a number from 1 to 100",
+        )?;
         ensure(q.quota >= 1, at("quota"), "give at least 1")?;
-        ensure(q.defect_allowance_percent <= 100, at("defectAllowancePercent"), "give 0 to 100")?;
-        ensure(q.speculation_percent <= 100, at("speculationPercent"), "give 0 to 100")?;
+        ensure(
+            q.defect_allowance_percent <= 100,
+            at("defectAllowancePercent"),
+            "give 0 to 100",
+        )?;
+        ensure(
+            q.speculation_percent <= 100,
+            at("speculationPercent"),
+            "give 0 to 100",
+        )?;
         ensure(q.priority <= 100, at("priority"), "give 0 to 100")?;
         ensure(q.window_ms >= 1000, at("windowMs"), "give at least 1000")?;
-        ensure(q.unsure_bound_ms >= 1000, at("unsureBoundMs"), "give at least 1000")?;
+        ensure(
+            q.unsure_bound_ms >= 1000,
+            at("unsureBoundMs"),
+            "give at least 1000",
+        )?;
     }
     for (name, s) in &d.services {
-        ensure(name_ok(name), format!("services.{name}"), "use 1 to 64 letters, digits, '-', '_' or '.' for the name")?;
-        ensure(s.task_room >= 1, format!("services.{name}.taskRoom"), "give at least 1")?;
-        ensure(s.gang_room >= s.task_room, format!("services.{name}.gangRoom"), "give at least taskRoom")?;
+        ensure(
+            name_ok(name),
+            format!("services.{name}"),
+            "use 1 to 64 letters, digits, '-', '_' or '.' for the name",
+        )?;
+        ensure(
+            s.task_room >= 1,
+            format!("services.{name}.taskRoom"),
+            "give at least 1",
+        )?;
+        ensure(
+            s.gang_room >= s.task_room,
+            format!("services.{name}.gangRoom"),
+            "give at least taskRoom",
+        )?;
     }
     for (name, z) in &d.zones {
-        ensure(name_ok(name), format!("zones.{name}"), "use 1 to 64 letters, digits, '-', '_' or '.' for the name")?;
+        ensure(
+            name_ok(name),
+            format!("zones.{name}"),
+            "use 1 to 64 letters, digits, '-', '_' or '.' for the name",
+        )?;
         ensure(
             ["", "serving", "draining", "evacuated"].contains(&z.state.as_str()),
             format!("zones.{name}.state"),
--- a/landingdrift/src/desired/mod.rs
+++ b/landingdrift/src/desired/mod.rs
@@ -90,7 +90,9 @@
 impl Desired {
     /// Whether a worker of a zone may get new work.
     pub fn open(&self, zone: &str, worker: &str) -> bool {
-        self.zones.get(zone).is_none_or(|z| z.serving() && !z.drained_workers.iter().any(|w| w == worker))
+        self.zones
+            .get(zone)
+            .is_none_or(|z| z.serving() && !z.drained_workers.iter().any(|w| w == worker))
     }
     /// Whether repeatable work in a zone is to be stopped.
     pub fn evacuated(&self, zone: &str) -> bool {
--- a/landingdrift/src/disk/frames.rs
+++ b/landingdrift/src/disk/frames.rs
@@ -30,17 +30,24 @@
             }
             Self::Entry(e) => {
                 body.push(3);
-                [e.index, e.term, e.at].iter().for_each(|n| body.extend(n.to_le_bytes()));
+                [e.index, e.term, e.at]
+                    .iter()
+                    .for_each(|n| body.extend(n.to_le_bytes()));
                 body.extend(&e.command);
             }
             Self::Notes(notes) => {
                 body.push(4);
-                let plain: Vec<(&str, u64, u64, u64)> = notes.iter().map(|n| (n.core.as_str(), n.disk, n.index, n.term)).collect();
+                let plain: Vec<(&str, u64, u64, u64)> = notes
+                    .iter()
+                    .map(|n| (n.core.as_str(), n.disk, n.index, n.term))
+                    .collect();
                 body.extend(serde_json::to_vec(&plain).unwrap_or_default());
             }
             Self::Capture(c) => {
                 body.push(5);
-                [c.index, c.term].iter().for_each(|n| body.extend(n.to_le_bytes()));
+                [c.index, c.term]
+                    .iter()
+                    .for_each(|n| body.extend(n.to_le_bytes()));
                 body.extend(&c.bytes);
             }
         }
@@ -53,10 +60,17 @@
     pub fn read(bytes: &[u8]) -> Option<(Self, usize)> {
         let len = u32::from_le_bytes(bytes.get(0..4)?.try_into().ok()?) as usize;
         let sum = u32::from_le_bytes(bytes.get(4..8)?.try_into().ok()?);
-        let body = (1..=LONGEST).contains(&len).then(|| bytes.get(HEAD..HEAD + len)).flatten()?;
+        let body = (1..=LONGEST)
+            .contains(&len)
+            .then(|| bytes.get(HEAD..HEAD + len))
+            .flatten()?;
         (crc32fast::hash(body) == sum).then_some(())?;
         let rest = &body[1..];
-        let num = |i: usize| rest.get(i * 8..i * 8 + 8).and_then(|b| b.try_into().ok()).map(u64::from_le_bytes);
+        let num = |i: usize| {
+            rest.get(i * 8..i * 8 + 8)
+                .and_then(|b| b.try_into().ok())
+                .map(u64::from_le_bytes)
+        };
         let frame = match body[0] {
             1 => Self::Hard(serde_json::from_slice(rest).ok()?),
             2 => Self::Cut(num(0)?),
@@ -68,7 +82,17 @@
             }),
             4 => {
                 let plain: Vec<(String, u64, u64, u64)> = serde_json::from_slice(rest).ok()?;
-                Self::Notes(plain.into_iter().map(|(core, disk, index, term)| Note { core, disk, index, term }).collect())
+                Self::Notes(
+                    plain
+                        .into_iter()
+                        .map(|(core, disk, index, term)| Note {
+                            core,
+                            disk,
+                            index,
+                            term,
+                        })
+                        .collect(),
+                )
             }
             5 => Self::Capture(Capture {
                 index: num(0)?,
--- a/landingdrift/src/disk/load.rs
+++ b/landingdrift/src/disk/load.rs
@@ -29,7 +29,11 @@
             e.file_name()
                 .into_string()
                 .ok()
-                .and_then(|n| n.strip_prefix(head).and_then(|n| n.strip_suffix(tail)).and_then(|n| n.parse().ok()))
+                .and_then(|n| {
+                    n.strip_prefix(head)
+                        .and_then(|n| n.strip_suffix(tail))
+                        .and_then(|n| n.parse().ok())
+                })
                 .map(|n| (n, e.path()))
         })
         .collect();
--- a/landingdrift/src/disk/mod.rs
+++ b/landingdrift/src/disk/mod.rs
@@ -68,17 +68,24 @@
 }
 
 fn io(path: &Path) -> impl Fn(std::io::Error) -> DiskDefect + '_ {
-    move |why| DiskDefect::Io { path: path.to_path_buf(), why }
+    move |why| DiskDefect::Io {
+        path: path.to_path_buf(),
+        why,
+    }
 }
 
 fn sync_dir(path: &Path) -> Result<(), DiskDefect> {
-    File::open(path).and_then(|d| d.sync_all()).map_err(io(path))
+    File::open(path)
+        .and_then(|d| d.sync_all())
+        .map_err(io(path))
 }
 
 fn write_synced(path: &Path, bytes: &[u8]) -> Result<(), DiskDefect> {
     let tmp = path.with_extension("new");
     let mut f = File::create(&tmp).map_err(io(&tmp))?;
-    f.write_all(bytes).and_then(|()| f.sync_all()).map_err(io(&tmp))?;
+    f.write_all(bytes)
+        .and_then(|()| f.sync_all())
+        .map_err(io(&tmp))?;
     fs::rename(&tmp, path).map_err(io(path))?;
     path.parent().map_or(Ok(()), sync_dir)
 }
@@ -98,13 +105,23 @@
 
 impl Folder {
     /// Opens a folder, or makes one, and reads all it holds. `fresh` names a new disk.
-    pub fn open(path: &Path, cluster: &str, segment_bytes: u64, fresh: u64) -> Result<(Self, Loaded), DiskDefect> {
+    pub fn open(
+        path: &Path,
+        cluster: &str,
+        segment_bytes: u64,
+        fresh: u64,
+    ) -> Result<(Self, Loaded), DiskDefect> {
         fs::create_dir_all(path).map_err(io(path))?;
         let mark_path = path.join(MARK);
-        let names: Vec<String> = fs::read_dir(path).map_err(io(path))?.filter_map(|e| e.ok().and_then(|e| e.file_name().into_string().ok())).collect();
+        let names: Vec<String> = fs::read_dir(path)
+            .map_err(io(path))?
+            .filter_map(|e| e.ok().and_then(|e| e.file_name().into_string().ok()))
+            .collect();
         if !mark_path.exists() {
             let strange = names.iter().any(|n| !n.ends_with(".new") && n != "lock");
-            (!strange).then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
+            (!strange)
+                .then_some(())
+                .ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
             let mark = Mark {
                 format: FOLDER_VERSION,
                 cluster: cluster.into(),
@@ -113,13 +130,21 @@
             write_synced(&mark_path, &serde_json::to_vec(&mark).unwrap_or_default())?;
         }
         let lock_path = path.join("lock");
-        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(&lock_path).map_err(io(&lock_path))?;
-        lock.try_lock().map_err(|_| DiskDefect::Busy(path.to_path_buf()))?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&lock_path)
+            .map_err(io(&lock_path))?;
+        lock.try_lock()
+            .map_err(|_| DiskDefect::Busy(path.to_path_buf()))?;
         let mark = read_mark(path)?;
-        (mark.cluster == cluster).then_some(()).ok_or_else(|| DiskDefect::Cluster {
-            found: mark.cluster.clone(),
-            wanted: cluster.into(),
-        })?;
+        (mark.cluster == cluster)
+            .then_some(())
+            .ok_or_else(|| DiskDefect::Cluster {
+                found: mark.cluster.clone(),
+                wanted: cluster.into(),
+            })?;
         let found = load::load(path, true)?;
         let loaded = Loaded {
             disk: mark.disk,
@@ -129,7 +154,10 @@
             notes: found.notes,
             damaged: found.damaged,
         };
-        let last = loaded.entries.last().map_or(loaded.capture.as_ref().map_or(0, |c| c.index), |e| e.index);
+        let last = loaded
+            .entries
+            .last()
+            .map_or(loaded.capture.as_ref().map_or(0, |c| c.index), |e| e.index);
         let number = found.segments.last().map_or(0, |(n, _)| *n) + 1;
         let segment = Self::create(path, number)?;
         let mut folder = Self {
@@ -159,7 +187,11 @@
 
     fn create(path: &Path, number: u64) -> Result<File, DiskDefect> {
         let p = path.join(format!("log-{number:016}.segment"));
-        let f = OpenOptions::new().create(true).append(true).open(&p).map_err(io(&p))?;
+        let f = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&p)
+            .map_err(io(&p))?;
         sync_dir(path)?;
         Ok(f)
     }
@@ -189,7 +221,10 @@
             self.write_capture(c)?;
         }
         let path = self.path.clone();
-        self.segment.write_all(&bytes).and_then(|()| self.segment.sync_data()).map_err(io(&path))?;
+        self.segment
+            .write_all(&bytes)
+            .and_then(|()| self.segment.sync_data())
+            .map_err(io(&path))?;
         self.size += bytes.len() as u64;
         if let Some(c) = batch.iter().rev().find_map(|s| s.capture.as_ref()) {
             self.drop_old(c.index)?;
@@ -206,19 +241,27 @@
         self.segment = Self::create(&self.path, self.number)?;
         self.size = 0;
         let hard = self.hard.clone();
-        self.save(&[Save { hard: Some(hard), ..Save::default() }])
+        self.save(&[Save {
+            hard: Some(hard),
+            ..Save::default()
+        }])
     }
 
     fn write_capture(&mut self, c: &Capture) -> Result<(), DiskDefect> {
         let mut bytes = Vec::new();
         Frame::Capture(c.clone()).write(&mut bytes);
-        write_synced(&self.path.join(format!("capture-{:016}.capture", c.index)), &bytes)
+        write_synced(
+            &self.path.join(format!("capture-{:016}.capture", c.index)),
+            &bytes,
+        )
     }
 
     /// Segments that end before the capture, and all but the two newest captures, are not needed any more.
     fn drop_old(&mut self, index: u64) -> Result<(), DiskDefect> {
         self.roll()?;
-        let (old, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.closed).into_iter().partition(|(_, last)| *last <= index);
+        let (old, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.closed)
+            .into_iter()
+            .partition(|(_, last)| *last <= index);
         self.closed = kept;
         old.iter().for_each(|(n, _)| {
             let _ = fs::remove_file(self.path.join(format!("log-{n:016}.segment")));
@@ -234,14 +277,20 @@
 fn read_mark(path: &Path) -> Result<Mark, DiskDefect> {
     let p = path.join(MARK);
     let bytes = fs::read(&p).map_err(io(&p))?;
-    let mark: Mark = serde_json::from_slice(&bytes).map_err(|_| DiskDefect::Foreign(path.to_path_buf()))?;
-    (mark.format == FOLDER_VERSION).then_some(()).ok_or(DiskDefect::Version { found: mark.format })?;
+    let mark: Mark =
+        serde_json::from_slice(&bytes).map_err(|_| DiskDefect::Foreign(path.to_path_buf()))?;
+    (mark.format == FOLDER_VERSION)
+        .then_some(())
+        .ok_or(DiskDefect::Version { found: mark.format })?;
     Ok(mark)
 }
 
 /// Reads a data folder without changing it.
 fn look(path: &Path) -> Result<(Mark, load::Found), DiskDefect> {
-    path.join(MARK).exists().then_some(()).ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
+    path.join(MARK)
+        .exists()
+        .then_some(())
+        .ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
     Ok((read_mark(path)?, load::load(path, false)?))
 }
 
@@ -269,7 +318,10 @@
         disk: mark.disk,
         capture_index: found.capture.as_ref().map_or(0, |c| c.index),
         first: found.entries.first().map_or(0, |e| e.index),
-        last: found.entries.last().map_or(found.capture.as_ref().map_or(0, |c| c.index), |e| e.index),
+        last: found
+            .entries
+            .last()
+            .map_or(found.capture.as_ref().map_or(0, |c| c.index), |e| e.index),
         term: found.hard.term,
         damaged: found.damaged,
         torn_tail: found.torn,
--- a/landingdrift/src/kernel/mod.rs
+++ b/landingdrift/src/kernel/mod.rs
@@ -36,11 +36,18 @@
 impl Verdict {
     /// A verdict with a body.
     pub fn new(status: u16, body: Value) -> Self {
-        Self { status, retry_ms: 0, body }
+        Self {
+            status,
+            retry_ms: 0,
+            body,
+        }
     }
     /// A refusal or defect whose message names the remedy.
     pub fn error(status: u16, kind: &str, message: impl Into<String>) -> Self {
-        Self::new(status, serde_json::json!({"error": kind, "message": message.into()}))
+        Self::new(
+            status,
+            serde_json::json!({"error": kind, "message": message.into()}),
+        )
     }
     /// The same verdict, telling the caller when to come back.
     pub fn retry(mut self, ms: u64) -> Self {
@@ -120,7 +127,11 @@
     fn counters(&self) -> Vec<(String, u64)>;
     /// The counters as text for `/metrics`.
     fn metrics(&self) -> Verdict {
-        let text = self.counters().iter().map(|(k, v)| format!("landingdrift_{k} {v}\n")).collect::<String>();
+        let text = self
+            .counters()
+            .iter()
+            .map(|(k, v)| format!("landingdrift_{k} {v}\n"))
+            .collect::<String>();
         Verdict::new(200, Value::String(text))
     }
 }
@@ -157,5 +168,7 @@
 
 /// A number from a text, the same on every machine.
 pub fn digest(text: &[u8]) -> u64 {
-    text.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+    text.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
+    })
 }
--- a/landingdrift/src/main.rs
+++ b/landingdrift/src/main.rs
@@ -2,7 +2,10 @@
 
 fn main() {
     let mut words = std::env::args_os().skip(1);
-    let name = words.next().and_then(|w| w.into_string().ok()).unwrap_or_default();
+    let name = words
+        .next()
+        .and_then(|w| w.into_string().ok())
+        .unwrap_or_default();
     let rest: Vec<std::ffi::OsString> = words.collect();
     let code = roles::all().into_iter().find(|r| r.name == name).map(|r| (r.run)(rest)).unwrap_or_else(|| {
         let help = ["", "--help", "-h", "help"].contains(&name.as_str());
--- a/landingdrift/src/node/calls/desired.rs
+++ b/landingdrift/src/node/calls/desired.rs
@@ -25,17 +25,30 @@
                 Verdict::error(400, "noBase", "base: name the version the change is made on top of, as in ?base=3 (0 for the first)"),
             );
         };
-        let change = param(&req.query, "change").map_or_else(|| format!("c{:x}", self.draw.number()), str::to_string);
-        let value = match serde_json::from_slice::<Value>(&req.body) {
-            Ok(v) if v.is_object() => v,
-            Ok(_) => {
-                return self.reply(
+        let change = param(&req.query, "change")
+            .map_or_else(|| format!("c{:x}", self.draw.number()), str::to_string);
+        let value =
+            match serde_json::from_slice::<Value>(&req.body) {
+                Ok(v) if v.is_object() => v,
+                Ok(_) => return self.reply(
                     &origin,
-                    Verdict::error(400, "wrongDesired", "the body must be a JSON object: docs/operators/desired-state.md shows one"),
-                )
-            }
-            Err(e) => return self.reply(&origin, Verdict::error(400, "wrongDesired", format!("the body is no JSON ({e}): correct it"))),
-        };
+                    Verdict::error(
+                        400,
+                        "wrongDesired",
+                        "the body must be a JSON object: docs/operators/desired-state.md shows one",
+                    ),
+                ),
+                Err(e) => {
+                    return self.reply(
+                        &origin,
+                        Verdict::error(
+                            400,
+                            "wrongDesired",
+                            format!("the body is no JSON ({e}): correct it"),
+                        ),
+                    )
+                }
+            };
         let within = self.cfg.bounds.call();
         let call = self.open(now, origin, State::Proposed);
         self.propose(
@@ -53,7 +66,10 @@
 
     pub(super) fn configured_verdict(&mut self, change: &str, place: u64, ruled: Ruled) -> Verdict {
         match ruled {
-            Ok(v) => Verdict::new(200, json!({"change": change, "version": v["version"], "place": place})),
+            Ok(v) => Verdict::new(
+                200,
+                json!({"change": change, "version": v["version"], "place": place}),
+            ),
             Err(Refusal::Rival { current }) => {
                 let mut v = Verdict::error(409, "rival", Refusal::Rival { current }.to_string());
                 v.body["version"] = json!(current);
--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -24,7 +24,10 @@
             v
         })
         .collect();
-    let unsure = j.tasks.iter().any(|t| t.live().any(|s| s.state == SendState::Unsure));
+    let unsure = j
+        .tasks
+        .iter()
+        .any(|t| t.live().any(|s| s.state == SendState::Unsure));
     json!({"id": j.spec.id, "queue": j.spec.queue, "state": j.state, "unsure": unsure, "accepted": j.accepted, "ended": j.ended, "cancelled": j.cancel, "reason": j.reason, "tasks": tasks})
 }
 
@@ -32,14 +35,23 @@
     pub(super) fn submit(&mut self, now: Now, origin: Origin, body: &[u8]) {
         let most = self.cfg.limits.job_bytes;
         if body.len() as u64 > most {
-            return self.reply(&origin, Verdict::error(413, "tooLarge", format!("a job may have {most} bytes: split it")));
+            return self.reply(
+                &origin,
+                Verdict::error(
+                    413,
+                    "tooLarge",
+                    format!("a job may have {most} bytes: split it"),
+                ),
+            );
         }
         let spec = JobSpec::read(body).and_then(|s| s.check().map(|_| s));
         let spec = match spec {
             Ok(s) => s,
             Err(e) => return self.reply(&origin, Verdict::error(400, "wrongJob", e.to_string())),
         };
-        if !self.record.open.contains(&spec.id) && self.record.open.len() as u64 >= self.cfg.limits.open_jobs {
+        if !self.record.open.contains(&spec.id)
+            && self.record.open.len() as u64 >= self.cfg.limits.open_jobs
+        {
             self.count("jobs_turned_away", 1);
             return self.reply(
                 &origin,
@@ -47,17 +59,29 @@
             );
         }
         let hash = digest(&serde_json::to_vec(&spec).unwrap_or_default());
-        let known = self.record.jobs.get(&spec.id).map(|j| j.hash).or_else(|| self.record.tombs.get(&spec.id).map(|t| t.hash));
+        let known = self
+            .record
+            .jobs
+            .get(&spec.id)
+            .map(|j| j.hash)
+            .or_else(|| self.record.tombs.get(&spec.id).map(|t| t.hash));
         let id = spec.id.clone();
         if let Some(h) = known {
-            let ruled = (h == hash).then(|| json!({"known": true})).ok_or(Refusal::OtherBody);
+            let ruled = (h == hash)
+                .then(|| json!({"known": true}))
+                .ok_or(Refusal::OtherBody);
             let v = self.accepted_verdict(&id, ruled);
             return self.reply(&origin, v);
         }
         let seen = self.record.place;
         let within = self.cfg.bounds.call();
         let call = self.open(now, origin, State::Proposed);
-        self.propose(now, &Command::Accept { spec, hash, seen }, Purpose::Call(call, Then::Accepted { id }), within);
+        self.propose(
+            now,
+            &Command::Accept { spec, hash, seen },
+            Purpose::Call(call, Then::Accepted { id }),
+            within,
+        );
     }
 
     pub(super) fn accepted_verdict(&mut self, id: &str, ruled: Ruled) -> Verdict {
@@ -72,13 +96,18 @@
                     .map(|j| j.state)
                     .or_else(|| self.record.tombs.get(id).map(|t| t.state))
                     .unwrap_or(JobState::Waiting);
-                Verdict::new(if v["known"] == json!(true) { 200 } else { 202 }, json!({"id": id, "state": state, "poll": format!("/v1/jobs/{id}")}))
+                Verdict::new(
+                    if v["known"] == json!(true) { 200 } else { 202 },
+                    json!({"id": id, "state": state, "poll": format!("/v1/jobs/{id}")}),
+                )
             }
             Err(r) => {
                 self.count("jobs_refused", 1);
                 match r {
                     Refusal::OtherBody => Verdict::error(409, "otherBody", r.to_string()),
-                    Refusal::OverQuota { .. } | Refusal::TurnedAway => Verdict::error(429, "overQuota", r.to_string()).retry(2 * back),
+                    Refusal::OverQuota { .. } | Refusal::TurnedAway => {
+                        Verdict::error(429, "overQuota", r.to_string()).retry(2 * back)
+                    }
                     _ => Verdict::error(400, "wrongJob", r.to_string()),
                 }
             }
@@ -88,7 +117,13 @@
     /// What this node knows of a job; `stale` tells the caller that there may be news it has not heard.
     pub(super) fn job_verdict(&self, id: &str, stale: bool) -> Option<Verdict> {
         let kept = self.record.jobs.get(id).map(describe);
-        kept.or_else(|| self.record.tombs.get(id).map(|t| json!({"id": id, "state": t.state, "retained": false}))).map(|mut v| {
+        kept.or_else(|| {
+            self.record
+                .tombs
+                .get(id)
+                .map(|t| json!({"id": id, "state": t.state, "retained": false}))
+        })
+        .map(|mut v| {
             v["asOf"] = json!(self.record.at);
             v["stale"] = json!(stale);
             Verdict::new(200, v)
@@ -98,9 +133,17 @@
     /// An end is told at once; else the feed must be as new as the question, so that no state told elsewhere is taken back.
     /// For a job it doesn't know, or before it has caught up with the feed, the core is asked.
     pub(super) fn poll(&mut self, now: Now, origin: Origin, id: &str) {
-        let kept = self.record.jobs.get(id).map(|j| j.state).or_else(|| self.record.tombs.get(id).map(|t| t.state));
+        let kept = self
+            .record
+            .jobs
+            .get(id)
+            .map(|j| j.state)
+            .or_else(|| self.record.tombs.get(id).map(|t| t.state));
         match kept {
-            Some(state) if state.ended() => self.job_verdict(id, false).into_iter().for_each(|v| self.reply(&origin, v)),
+            Some(state) if state.ended() => self
+                .job_verdict(id, false)
+                .into_iter()
+                .for_each(|v| self.reply(&origin, v)),
             Some(_) if self.feed.captured => {
                 let patience = now.mono + self.cfg.bounds.fresh() / 2;
                 let state = State::Fresh {
@@ -117,7 +160,11 @@
     pub(super) fn jobs_verdict(&self, query: &str) -> Verdict {
         let limit = param(query, "limit").map_or(Ok(100), str::parse::<usize>);
         let Some(limit) = limit.ok().filter(|l| (1..=PAGE).contains(l)) else {
-            return Verdict::error(400, "wrongQuery", format!("limit: give a number from 1 to {PAGE}"));
+            return Verdict::error(
+                400,
+                "wrongQuery",
+                format!("limit: give a number from 1 to {PAGE}"),
+            );
         };
         let (queue, after) = (param(query, "queue"), param(query, "after").unwrap_or(""));
         let mut of = self
@@ -138,19 +185,32 @@
     pub(super) fn cancel(&mut self, now: Now, origin: Origin, id: &str) {
         let within = self.cfg.bounds.call();
         let call = self.open(now, origin, State::Proposed);
-        self.propose(now, &Command::Cancel { job: id.into() }, Purpose::Call(call, Then::Cancelled { id: id.into() }), within);
+        self.propose(
+            now,
+            &Command::Cancel { job: id.into() },
+            Purpose::Call(call, Then::Cancelled { id: id.into() }),
+            within,
+        );
     }
 
     pub(super) fn cancelled_verdict(&mut self, id: &str, ruled: Ruled) -> Verdict {
-        ruled.map_or_else(|r| Verdict::error(404, "unknownJob", r.to_string()), |v| Verdict::new(200, json!({"id": id, "state": v["state"]})))
+        ruled.map_or_else(
+            |r| Verdict::error(404, "unknownJob", r.to_string()),
+            |v| Verdict::new(200, json!({"id": id, "state": v["state"]})),
+        )
     }
 
     pub(super) fn resolve(&mut self, now: Now, origin: Origin, id: &str, task: &str, body: &[u8]) {
-        let well = serde_json::from_slice::<Value>(body)
-            .ok()
-            .and_then(|v| v["outcome"].as_str().and_then(|o| ["well", "defect"].contains(&o).then(|| o == "well")));
+        let well = serde_json::from_slice::<Value>(body).ok().and_then(|v| {
+            v["outcome"]
+                .as_str()
+                .and_then(|o| ["well", "defect"].contains(&o).then(|| o == "well"))
+        });
         let Some(well) = well else {
-            return self.reply(&origin, Verdict::error(400, "wrongOutcome", "outcome: give 'well' or 'defect'"));
+            return self.reply(
+                &origin,
+                Verdict::error(400, "wrongOutcome", "outcome: give 'well' or 'defect'"),
+            );
         };
         let within = self.cfg.bounds.call();
         let call = self.open(now, origin, State::Proposed);
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -47,9 +47,17 @@
     /// Asked a core how far the record goes.
     Asked { then: ReadThen, next: u64 },
     /// Waits until the feed has come to a place.
-    Following { then: ReadThen, place: u64, nodes: Vec<NodePlace> },
+    Following {
+        then: ReadThen,
+        place: u64,
+        nodes: Vec<NodePlace>,
+    },
     /// Waits until the feed has told all that was committed when the question came; after `patience` it tells what it knows.
-    Fresh { id: String, asked: u64, patience: u64 },
+    Fresh {
+        id: String,
+        asked: u64,
+        patience: u64,
+    },
     /// Passed on to another node.
     Passed,
 }
@@ -79,7 +87,11 @@
 
 /// One value of a query.
 fn param<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').filter_map(|kv| kv.split_once('=')).find(|(k, _)| *k == name).map(|(_, v)| v)
+    query
+        .split('&')
+        .filter_map(|kv| kv.split_once('='))
+        .find(|(k, _)| *k == name)
+        .map(|(_, v)| v)
 }
 
 impl Node {
@@ -153,7 +165,14 @@
     fn open(&mut self, now: Now, origin: Origin, state: State) -> u64 {
         let call = self.token();
         let until = now.mono + self.cfg.bounds.call();
-        self.calls.open.insert(call, Open { origin, until, state });
+        self.calls.open.insert(
+            call,
+            Open {
+                origin,
+                until,
+                state,
+            },
+        );
         call
     }
 
@@ -165,27 +184,50 @@
 
     /// Reads what is surely not old: the core names the place to follow to.
     fn read(&mut self, now: Now, origin: Origin, then: ReadThen) {
-        let call = self.open(now, origin, State::Asked { then, next: now.mono });
+        let call = self.open(
+            now,
+            origin,
+            State::Asked {
+                then,
+                next: now.mono,
+            },
+        );
         self.ask_place(now, call, None);
     }
 
     fn ask_place(&mut self, now: Now, call: u64, hint: Option<String>) {
         let cores = self.cores();
         let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty());
-        let to = hint.filter(|h| !h.is_empty()).or(leader).or_else(|| self.draw.pick(&cores).cloned()).unwrap_or_default();
+        let to = hint
+            .filter(|h| !h.is_empty())
+            .or(leader)
+            .or_else(|| self.draw.pick(&cores).cloned())
+            .unwrap_or_default();
         let again = 5 * self.cfg.bounds.heartbeat();
-        if let Some(Open { state: State::Asked { next, .. }, .. }) = self.calls.open.get_mut(&call) {
+        if let Some(Open {
+            state: State::Asked { next, .. },
+            ..
+        }) = self.calls.open.get_mut(&call)
+        {
             *next = now.mono + again;
             self.send(&to, Body::ReadAsk(Box::new(ReadAsk { token: call })));
         }
     }
 
     pub(super) fn on_read_place(&mut self, now: Now, m: ReadPlace) {
-        let Some(o) = self.calls.open.get_mut(&m.token) else { return };
-        let State::Asked { then, next } = &mut o.state else { return };
+        let Some(o) = self.calls.open.get_mut(&m.token) else {
+            return;
+        };
+        let State::Asked { then, next } = &mut o.state else {
+            return;
+        };
         if m.ok {
             let then = then.clone();
-            o.state = State::Following { then, place: m.place, nodes: m.nodes };
+            o.state = State::Following {
+                then,
+                place: m.place,
+                nodes: m.nodes,
+            };
             self.calls_on_place();
         } else {
             *next = now.mono + self.cfg.bounds.heartbeat() / 2;
@@ -205,7 +247,11 @@
             .open
             .iter()
             .filter_map(|(k, o)| match &o.state {
-                State::Following { then, place: p, nodes } if *p <= place => Some((*k, then.clone(), nodes.clone())),
+                State::Following {
+                    then,
+                    place: p,
+                    nodes,
+                } if *p <= place => Some((*k, then.clone(), nodes.clone())),
                 _ => None,
             })
             .collect();
@@ -217,11 +263,18 @@
 
     fn answer_read(&self, then: &ReadThen, nodes: &[NodePlace]) -> Verdict {
         match then {
-            ReadThen::Job { id } => self
-                .job_verdict(id, false)
-                .unwrap_or_else(|| Verdict::error(404, "unknownJob", format!("no job '{id}' was accepted: hand it in, or check the id"))),
+            ReadThen::Job { id } => self.job_verdict(id, false).unwrap_or_else(|| {
+                Verdict::error(
+                    404,
+                    "unknownJob",
+                    format!("no job '{id}' was accepted: hand it in, or check the id"),
+                )
+            }),
             ReadThen::Jobs { query } => self.jobs_verdict(query),
-            ReadThen::Desired => Verdict::new(200, json!({"version": self.record.version, "desired": self.record.desired})),
+            ReadThen::Desired => Verdict::new(
+                200,
+                json!({"version": self.record.version, "desired": self.record.desired}),
+            ),
             ReadThen::Change { id } => self.change_verdict(id, nodes),
             ReadThen::Status => self.status_verdict(nodes),
             ReadThen::Workers => self.workers_verdict(),
@@ -236,7 +289,13 @@
             .open
             .iter()
             .filter_map(|(k, o)| match &o.state {
-                State::Fresh { id, asked, patience } if fresh_at >= *asked || now.mono >= *patience => Some((*k, id.clone(), fresh_at < *asked)),
+                State::Fresh {
+                    id,
+                    asked,
+                    patience,
+                } if fresh_at >= *asked || now.mono >= *patience => {
+                    Some((*k, id.clone(), fresh_at < *asked))
+                }
                 _ => None,
             })
             .collect();
@@ -256,11 +315,19 @@
             .map(|(k, _)| *k)
             .collect();
         for call in over {
-            let passed = matches!(self.calls.open.get(&call).map(|o| &o.state), Some(State::Passed));
+            let passed = matches!(
+                self.calls.open.get(&call).map(|o| &o.state),
+                Some(State::Passed)
+            );
             let v = if passed {
                 self.unsure_verdict()
             } else {
-                Verdict::error(503, "noCore", "no core answered in time, so nothing sure can be said: come back later").retry(self.cfg.bounds.back())
+                Verdict::error(
+                    503,
+                    "noCore",
+                    "no core answered in time, so nothing sure can be said: come back later",
+                )
+                .retry(self.cfg.bounds.back())
             };
             self.finish(call, v);
         }
@@ -280,7 +347,10 @@
             Then::Accepted { id } => self.accepted_verdict(&id, ruled),
             Then::Cancelled { id } => self.cancelled_verdict(&id, ruled),
             Then::Configured { change } => self.configured_verdict(&change, place, ruled),
-            Then::Resolved { id } => ruled.map_or_else(|r| Verdict::error(409, "refused", r.to_string()), |_| Verdict::new(200, json!({"id": id, "resolved": true}))),
+            Then::Resolved { id } => ruled.map_or_else(
+                |r| Verdict::error(409, "refused", r.to_string()),
+                |_| Verdict::new(200, json!({"id": id, "resolved": true})),
+            ),
         };
         self.finish(call, v);
     }
@@ -292,17 +362,40 @@
             Err(e) => {
                 return self.reply(
                     &origin,
-                    Verdict::error(400, "wrongBeat", format!("{}: {}; docs/operators/workers.md shows a beat", e.path(), e.inner())),
+                    Verdict::error(
+                        400,
+                        "wrongBeat",
+                        format!(
+                            "{}: {}; docs/operators/workers.md shows a beat",
+                            e.path(),
+                            e.inner()
+                        ),
+                    ),
                 )
             }
         };
-        if beat.facts.worker.is_empty() || beat.facts.zone.is_empty() || beat.facts.service.is_empty() {
-            return self.reply(&origin, Verdict::error(400, "wrongBeat", "facts.worker, facts.zone and facts.service need a value: name them"));
+        if beat.facts.worker.is_empty()
+            || beat.facts.zone.is_empty()
+            || beat.facts.service.is_empty()
+        {
+            return self.reply(
+                &origin,
+                Verdict::error(
+                    400,
+                    "wrongBeat",
+                    "facts.worker, facts.zone and facts.service need a value: name them",
+                ),
+            );
         }
-        let holder = self.record.holder(&cell_duty(&beat.facts.zone)).map(|g| g.holder.clone());
+        let holder = self
+            .record
+            .holder(&cell_duty(&beat.facts.zone))
+            .map(|g| g.holder.clone());
         let remote = matches!(origin, Origin::Remote(..));
         match holder {
-            Some(h) if h != self.name && !h.is_empty() && !remote => self.pass_on(now, origin, &h, &req),
+            Some(h) if h != self.name && !h.is_empty() && !remote => {
+                self.pass_on(now, origin, &h, &req)
+            }
             None => {
                 let v = self.found_zone(&beat);
                 self.reply(&origin, v);
@@ -319,7 +412,10 @@
         Verdict::error(
             503,
             "noCell",
-            format!("zone '{}' has no cell yet: declare the zone in the desired state, then beat again", beat.facts.zone),
+            format!(
+                "zone '{}' has no cell yet: declare the zone in the desired state, then beat again",
+                beat.facts.zone
+            ),
         )
         .retry(self.cfg.bounds.beat())
     }
--- a/landingdrift/src/node/calls/status.rs
+++ b/landingdrift/src/node/calls/status.rs
@@ -43,7 +43,14 @@
                 )
             })
             .collect();
-        let unsure = r.live.keys().filter(|no| r.send(**no).is_some_and(|(_, _, s)| s.state == crate::record::SendState::Unsure)).count();
+        let unsure = r
+            .live
+            .keys()
+            .filter(|no| {
+                r.send(**no)
+                    .is_some_and(|(_, _, s)| s.state == crate::record::SendState::Unsure)
+            })
+            .count();
         Verdict::new(
             200,
             json!({"cluster": r.cluster, "place": r.place, "at": r.at, "version": r.version, "jobs": {"open": r.open.len(), "kept": r.jobs.len(), "unsureSends": unsure},
--- a/landingdrift/src/node/cell.rs
+++ b/landingdrift/src/node/cell.rs
@@ -87,11 +87,24 @@
         for (zone, epoch) in mine {
             if !self.cells.contains_key(&zone) {
                 self.line(format!("holds the cell of zone {zone}, epoch {epoch}"));
-                self.cells.insert(zone.clone(), Cell { epoch, ..Cell::default() });
+                self.cells.insert(
+                    zone.clone(),
+                    Cell {
+                        epoch,
+                        ..Cell::default()
+                    },
+                );
             }
-            let known: Vec<(String, u32)> = self.record.workers.iter().filter(|(_, w)| w.facts.zone == zone).map(|(k, w)| (k.clone(), w.facts.room)).collect();
+            let known: Vec<(String, u32)> = self
+                .record
+                .workers
+                .iter()
+                .filter(|(_, w)| w.facts.zone == zone)
+                .map(|(k, w)| (k.clone(), w.facts.room))
+                .collect();
             let cell = self.cells.entry(zone.clone()).or_default();
-            cell.workers.retain(|k, _| known.iter().any(|(n, _)| n == k));
+            cell.workers
+                .retain(|k, _| known.iter().any(|(n, _)| n == k));
             for (k, room) in known {
                 cell.workers.entry(k).or_insert_with(|| Held {
                     last_beat: now.mono,
@@ -107,23 +120,47 @@
         let zone = beat.facts.zone.clone();
         let id = beat.facts.worker.clone();
         let Some(epoch) = self.epoch(&cell_duty(&zone)).filter(|_| self.fresh(now)) else {
-            return Verdict::error(503, "notReady", "this node can't speak for the cell now: beat again, here or at another node").retry(self.cfg.bounds.beat());
+            return Verdict::error(
+                503,
+                "notReady",
+                "this node can't speak for the cell now: beat again, here or at another node",
+            )
+            .retry(self.cfg.bounds.beat());
         };
         self.hold_cells(now);
         self.count("beats", 1);
         let known = self.record.workers.get(&id).cloned().unwrap_or_default();
         if beat.facts.incarnation < known.facts.incarnation {
-            return Verdict::error(409, "oldIncarnation", "a newer process of this worker has reported: end this one");
+            return Verdict::error(
+                409,
+                "oldIncarnation",
+                "a newer process of this worker has reported: end this one",
+            );
         }
         let new_facts = known.facts != beat.facts || known.lost;
-        let ends: Vec<EndReport> = beat.ended.iter().filter(|e| self.record.live.contains_key(&e.no)).cloned().collect();
+        let ends: Vec<EndReport> = beat
+            .ended
+            .iter()
+            .filter(|e| self.record.live.contains_key(&e.no))
+            .cloned()
+            .collect();
         let running: Vec<u64> = beat
             .running
             .iter()
             .map(|r| r.no)
-            .filter(|no| self.record.send(*no).is_some_and(|(_, _, s)| s.state != SendState::Running && s.worker == id))
+            .filter(|no| {
+                self.record
+                    .send(*no)
+                    .is_some_and(|(_, _, s)| s.state != SendState::Running && s.worker == id)
+            })
             .collect();
-        let held = self.cells.entry(zone.clone()).or_default().workers.entry(id.clone()).or_default();
+        let held = self
+            .cells
+            .entry(zone.clone())
+            .or_default()
+            .workers
+            .entry(id.clone())
+            .or_default();
         held.last_beat = now.mono;
         held.leaving = beat.facts.leaving;
         held.room = beat.facts.room;
@@ -165,29 +202,88 @@
     /// Start and stop orders, derived from the record; repeated until beats confirm them.
     fn orders(&mut self, beat: &Beat) -> Verdict {
         let f = &beat.facts;
-        let reported: BTreeSet<u64> = beat.running.iter().map(|r| r.no).chain(beat.ended.iter().map(|e| e.no)).collect();
-        let open = !f.leaving && self.record.desired.open(&f.zone, &f.worker) && self.record.workers.get(&f.worker).is_some_and(|w| w.facts.incarnation == f.incarnation && !w.lost);
-        let room_of = |no: &u64| self.record.live.get(no).and_then(|(j, i)| self.record.jobs.get(j).map(|j| j.spec.tasks[*i as usize].room)).unwrap_or(0);
-        let mut left = f.room.saturating_sub(beat.running.iter().map(|r| room_of(&r.no)).sum());
-        if beat.running.iter().any(|r| !self.record.live.contains_key(&r.no)) {
+        let reported: BTreeSet<u64> = beat
+            .running
+            .iter()
+            .map(|r| r.no)
+            .chain(beat.ended.iter().map(|e| e.no))
+            .collect();
+        let open = !f.leaving
+            && self.record.desired.open(&f.zone, &f.worker)
+            && self
+                .record
+                .workers
+                .get(&f.worker)
+                .is_some_and(|w| w.facts.incarnation == f.incarnation && !w.lost);
+        let room_of = |no: &u64| {
+            self.record
+                .live
+                .get(no)
+                .and_then(|(j, i)| {
+                    self.record
+                        .jobs
+                        .get(j)
+                        .map(|j| j.spec.tasks[*i as usize].room)
+                })
+                .unwrap_or(0)
+        };
+        let mut left = f
+            .room
+            .saturating_sub(beat.running.iter().map(|r| room_of(&r.no)).sum());
+        if beat
+            .running
+            .iter()
+            .any(|r| !self.record.live.contains_key(&r.no))
+        {
             // What runs there without the record's knowledge takes room that nobody can tell: it ends first.
             left = 0;
         }
         let (mut starts, mut stops) = (Vec::new(), BTreeSet::new());
-        for no in self.record.workers.get(&f.worker).map(|w| w.sends.clone()).unwrap_or_default() {
-            let Some((job, task, send)) = self.record.send(no) else { continue };
-            let spec = self.record.live.get(&no).map(|(_, i)| &job.spec.tasks[*i as usize]);
-            let Some(spec) = spec.filter(|_| send.incarnation == f.incarnation) else { continue };
+        for no in self
+            .record
+            .workers
+            .get(&f.worker)
+            .map(|w| w.sends.clone())
+            .unwrap_or_default()
+        {
+            let Some((job, task, send)) = self.record.send(no) else {
+                continue;
+            };
+            let spec = self
+                .record
+                .live
+                .get(&no)
+                .map(|(_, i)| &job.spec.tasks[*i as usize]);
+            let Some(spec) = spec.filter(|_| send.incarnation == f.incarnation) else {
+                continue;
+            };
             if send.stop || (send.state == SendState::Unsure && !reported.contains(&no)) {
                 stops.insert(no);
-            } else if send.state == SendState::Ordered && !reported.contains(&no) && open && f.serves(spec) && !job.cancel && task.state == crate::record::TaskState::Waiting && spec.room <= left {
+            } else if send.state == SendState::Ordered
+                && !reported.contains(&no)
+                && open
+                && f.serves(spec)
+                && !job.cancel
+                && task.state == crate::record::TaskState::Waiting
+                && spec.room <= left
+            {
                 left -= spec.room;
                 starts.push(json!({"no": no, "job": job.spec.id, "task": spec.name, "room": spec.room, "copy": send.copy, "payload": spec.payload}));
             }
         }
         // What runs without the record knowing it as live is over for us.
-        stops.extend(beat.running.iter().map(|r| r.no).filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send));
-        let settled: Vec<u64> = beat.ended.iter().map(|e| e.no).filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send).collect();
+        stops.extend(
+            beat.running
+                .iter()
+                .map(|r| r.no)
+                .filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send),
+        );
+        let settled: Vec<u64> = beat
+            .ended
+            .iter()
+            .map(|e| e.no)
+            .filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send)
+            .collect();
         self.count("start_orders", starts.len() as u64);
         self.count("stop_orders", stops.len() as u64);
         Verdict::new(
@@ -200,16 +296,29 @@
         self.cells
             .values_mut()
             .filter_map(|c| c.workers.get_mut(worker))
-            .for_each(|w| *(if facts { &mut w.facts_asked } else { &mut w.report_asked }) = false);
+            .for_each(|w| {
+                *(if facts {
+                    &mut w.facts_asked
+                } else {
+                    &mut w.report_asked
+                }) = false
+            });
     }
 
     /// A start entered the record: the room promised for it is now counted there.
     pub(super) fn unhold(&mut self, worker: &str, job: &str) {
-        self.cells.values_mut().filter_map(|c| c.workers.get_mut(worker)).for_each(|w| {
-            w.pending.iter().position(|p| p.job == job).into_iter().for_each(|i| {
-                w.pending.remove(i);
+        self.cells
+            .values_mut()
+            .filter_map(|c| c.workers.get_mut(worker))
+            .for_each(|w| {
+                w.pending
+                    .iter()
+                    .position(|p| p.job == job)
+                    .into_iter()
+                    .for_each(|i| {
+                        w.pending.remove(i);
+                    });
             });
-        });
     }
 
     pub(super) fn cells_tick(&mut self, now: Now) {
@@ -219,14 +328,19 @@
             self.cells
                 .values_mut()
                 .flat_map(|c| c.workers.values_mut())
-                .for_each(|w| w.last_beat = w.last_beat.max(now.mono.saturating_sub(lost_after / 2)));
+                .for_each(|w| {
+                    w.last_beat = w.last_beat.max(now.mono.saturating_sub(lost_after / 2))
+                });
             return;
         }
         let mut lost = Vec::new();
         for c in self.cells.values_mut() {
             for (k, w) in &mut c.workers {
                 w.pending.retain(|p| now.mono < p.until);
-                if w.episode.as_ref().is_some_and(|e| now.mono >= e.since + offer) {
+                if w.episode
+                    .as_ref()
+                    .is_some_and(|e| now.mono >= e.since + offer)
+                {
                     w.episode = None;
                 }
                 let silent = now.mono.saturating_sub(w.last_beat) > lost_after;
@@ -237,7 +351,11 @@
             }
         }
         for (worker, cell_epoch) in lost {
-            let incarnation = self.record.workers.get(&worker).map_or(0, |w| w.facts.incarnation);
+            let incarnation = self
+                .record
+                .workers
+                .get(&worker)
+                .map_or(0, |w| w.facts.incarnation);
             self.line(format!("worker {worker} is silent: its sends are unsure"));
             self.count("workers_lost", 1);
             self.propose(
@@ -257,7 +375,13 @@
     pub(super) fn on_reserve(&mut self, now: Now, m: Reserve) {
         self.count("reservations", m.reservations.len() as u64);
         for r in m.reservations {
-            let Some(w) = self.cells.values_mut().find_map(|c| c.workers.get_mut(&r.worker)) else { continue };
+            let Some(w) = self
+                .cells
+                .values_mut()
+                .find_map(|c| c.workers.get_mut(&r.worker))
+            else {
+                continue;
+            };
             w.idle_until = 0;
             match w.queue.iter_mut().find(|q| q.job == r.job) {
                 Some(q) => *q = r,
@@ -279,7 +403,11 @@
             .flat_map(|(z, c)| c.workers.iter_mut().map(move |(k, w)| (z, k, w)))
             .filter_map(|(z, k, w)| {
                 w.queue.retain(|r| record.open.contains(&r.job));
-                (w.episode.is_none() && !w.queue.is_empty() && now.mono >= w.idle_until && !w.leaving).then(|| (z.clone(), k.clone()))
+                (w.episode.is_none()
+                    && !w.queue.is_empty()
+                    && now.mono >= w.idle_until
+                    && !w.leaving)
+                    .then(|| (z.clone(), k.clone()))
             })
             .collect();
         for (zone, worker) in idle {
@@ -290,19 +418,36 @@
     }
 
     fn free_room(&self, zone: &str, worker: &str) -> u32 {
-        let Some(r) = self.record.workers.get(worker).filter(|r| !r.lost && !r.facts.leaving && self.record.desired.open(zone, worker)) else {
+        let Some(r) = self
+            .record
+            .workers
+            .get(worker)
+            .filter(|r| !r.lost && !r.facts.leaving && self.record.desired.open(zone, worker))
+        else {
+            return 0;
+        };
+        let Some(w) = self.cells.get(zone).and_then(|c| c.workers.get(worker)) else {
             return 0;
         };
-        let Some(w) = self.cells.get(zone).and_then(|c| c.workers.get(worker)) else { return 0 };
         if r.probation > 0 && !(r.sends.is_empty() && w.pending.is_empty()) {
             return 0;
         }
-        r.facts.room.min(w.room).saturating_sub(r.used).saturating_sub(w.pending.iter().map(|p| p.room).sum())
+        r.facts
+            .room
+            .min(w.room)
+            .saturating_sub(r.used)
+            .saturating_sub(w.pending.iter().map(|p| p.room).sum())
     }
 
     fn begin(&mut self, now: Now, zone: &str, worker: &str) {
         let token = self.token();
-        let Some(w) = self.cells.get_mut(zone).and_then(|c| c.workers.get_mut(worker)) else { return };
+        let Some(w) = self
+            .cells
+            .get_mut(zone)
+            .and_then(|c| c.workers.get_mut(worker))
+        else {
+            return;
+        };
         w.episode = Some(Episode {
             token,
             since: now.mono,
@@ -321,23 +466,44 @@
         let locality = self.cfg.hopper.locality;
         let draw = self.draw.unit();
         let room = self.free_room(zone, worker);
-        let incarnation = self.record.workers.get(worker).map_or(0, |w| w.facts.incarnation);
-        let Some(c) = self.cells.get_mut(zone) else { return };
+        let incarnation = self
+            .record
+            .workers
+            .get(worker)
+            .map_or(0, |w| w.facts.incarnation);
+        let Some(c) = self.cells.get_mut(zone) else {
+            return;
+        };
         let epoch = c.epoch;
-        let Some(w) = c.workers.get_mut(worker) else { return };
+        let Some(w) = c.workers.get_mut(worker) else {
+            return;
+        };
         let Some(e) = w.episode.as_mut() else { return };
         if room == 0 || e.forced {
             w.episode = None;
             w.idle_until = now.mono + self.cfg.bounds.heartbeat();
             return;
         }
-        let mut open: Vec<&Reservation> = w.queue.iter().filter(|r| !e.asked.contains(&r.scheduler)).collect();
-        open.sort_by(|a, b| b.starved.cmp(&a.starved).then(a.size.total_cmp(&b.size)).then(a.asked.cmp(&b.asked)).then(a.job.cmp(&b.job)));
+        let mut open: Vec<&Reservation> = w
+            .queue
+            .iter()
+            .filter(|r| !e.asked.contains(&r.scheduler))
+            .collect();
+        open.sort_by(|a, b| {
+            b.starved
+                .cmp(&a.starved)
+                .then(a.size.total_cmp(&b.size))
+                .then(a.asked.cmp(&b.asked))
+                .then(a.job.cmp(&b.job))
+        });
         let refusable = e.refusals < refusals && !open.is_empty();
         let target = if refusable {
             // Any of the smallest share may go first when its data is near.
             let near = ((open.len() as f64 * locality).ceil() as usize).max(1);
-            let r = open[..near.min(open.len())].iter().find(|r| r.local).unwrap_or(&open[0]);
+            let r = open[..near.min(open.len())]
+                .iter()
+                .find(|r| r.local)
+                .unwrap_or(&open[0]);
             Some((r.job.clone(), r.scheduler.clone()))
         } else if let Some(u) = &e.unsatisfied {
             Some((u.job.clone(), u.scheduler.clone()))
@@ -392,10 +558,16 @@
                     q.scheduler = s.scheduler.clone();
                 });
         }
-        let Some((zone, w)) = self.cells.iter_mut().find_map(|(z, c)| c.workers.get_mut(&m.worker).map(|w| (z.clone(), w))) else {
+        let Some((zone, w)) = self
+            .cells
+            .iter_mut()
+            .find_map(|(z, c)| c.workers.get_mut(&m.worker).map(|w| (z.clone(), w)))
+        else {
+            return;
+        };
+        let Some(e) = w.episode.as_mut().filter(|e| e.token == m.token) else {
             return;
         };
-        let Some(e) = w.episode.as_mut().filter(|e| e.token == m.token) else { return };
         let job = e.job.clone();
         if m.accepted {
             w.episode = None;
@@ -419,7 +591,11 @@
             return;
         }
         e.refusals += 1;
-        let better = m.sizes.iter().filter(|s| s.unsatisfied).min_by(|a, b| a.size.total_cmp(&b.size));
+        let better = m
+            .sizes
+            .iter()
+            .filter(|s| s.unsatisfied)
+            .min_by(|a, b| a.size.total_cmp(&b.size));
         if let Some(s) = better.filter(|s| e.unsatisfied.as_ref().is_none_or(|u| s.size < u.size)) {
             e.unsatisfied = Some(s.clone());
         }
@@ -435,10 +611,13 @@
         if !m.placed {
             // The record knew better: its news comes before the next offer.
             let until = now.mono + self.cfg.bounds.heartbeat();
-            self.cells.values_mut().filter_map(|c| c.workers.get_mut(&m.worker)).for_each(|w| {
-                w.pending.retain(|p| p.offer != m.token);
-                w.idle_until = until;
-            });
+            self.cells
+                .values_mut()
+                .filter_map(|c| c.workers.get_mut(&m.worker))
+                .for_each(|w| {
+                    w.pending.retain(|p| p.offer != m.token);
+                    w.idle_until = until;
+                });
         }
     }
 }
@@ -470,7 +649,11 @@
                 placed: false,
             },
         );
-        let left: Vec<u32> = n.cells["z"].workers["w"].pending.iter().map(|p| p.room).collect();
+        let left: Vec<u32> = n.cells["z"].workers["w"]
+            .pending
+            .iter()
+            .map(|p| p.room)
+            .collect();
         assert_eq!(left, [5]);
     }
 }
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -41,7 +41,13 @@
     }
 
     pub(crate) fn cores(&self) -> Vec<String> {
-        self.views.cores.iter().chain(&self.cfg.seeds).filter(|a| **a != self.name).cloned().collect()
+        self.views
+            .cores
+            .iter()
+            .chain(&self.cfg.seeds)
+            .filter(|a| **a != self.name)
+            .cloned()
+            .collect()
     }
 
     /// Turns to another core.
@@ -62,7 +68,11 @@
             self.feed.answered = now.mono;
         }
         let to = self.feed.core.clone();
-        let successor = if self.stopping.is_some() { self.successor() } else { String::new() };
+        let successor = if self.stopping.is_some() {
+            self.successor()
+        } else {
+            String::new()
+        };
         let carried = self.feed.clock.0 > 0;
         let pull = FeedPull {
             node: self.name.clone(),
@@ -84,9 +94,22 @@
     fn successor(&mut self) -> String {
         let me = self.name.clone();
         let zone = self.cfg.zone.clone();
-        let alive: Vec<(bool, String)> = self.record.nodes.iter().filter(|(k, n)| n.alive && **k != me).map(|(k, n)| (n.zone == zone, k.clone())).collect();
-        let near: Vec<String> = alive.iter().filter(|(near, _)| *near).map(|(_, k)| k.clone()).collect();
-        near.into_iter().next().or_else(|| alive.into_iter().next().map(|(_, k)| k)).unwrap_or_default()
+        let alive: Vec<(bool, String)> = self
+            .record
+            .nodes
+            .iter()
+            .filter(|(k, n)| n.alive && **k != me)
+            .map(|(k, n)| (n.zone == zone, k.clone()))
+            .collect();
+        let near: Vec<String> = alive
+            .iter()
+            .filter(|(near, _)| *near)
+            .map(|(_, k)| k.clone())
+            .collect();
+        near.into_iter()
+            .next()
+            .or_else(|| alive.into_iter().next().map(|(_, k)| k))
+            .unwrap_or_default()
     }
 
     /// Another process took this node for a core: it says whom it follows.
@@ -116,7 +139,8 @@
                     self.turn();
                 } else {
                     self.feed.core = hint;
-                    self.feed.next_pull = self.feed.next_pull.min(now.mono + self.cfg.bounds.tick());
+                    self.feed.next_pull =
+                        self.feed.next_pull.min(now.mono + self.cfg.bounds.tick());
                 }
             }
             return;
@@ -126,7 +150,9 @@
         self.feed.answered = now.mono;
         self.views.set_cores(m.cores);
         let mut changed = false;
-        if !m.capture.is_empty() && (m.capture_index > self.record.place || m.commit < self.record.place) {
+        if !m.capture.is_empty()
+            && (m.capture_index > self.record.place || m.commit < self.record.place)
+        {
             match Record::unpack(&m.capture) {
                 Ok(r) => {
                     self.record = r;
@@ -148,7 +174,10 @@
                 self.line(format!("follows the feed from place {}", self.record.place));
             }
             self.feed.captured = true;
-            self.feed.fresh_at = self.feed.fresh_at.max(m.sent.saturating_sub(m.quorum_age).min(now.mono));
+            self.feed.fresh_at = self
+                .feed
+                .fresh_at
+                .max(m.sent.saturating_sub(m.quorum_age).min(now.mono));
             self.feed.clock = (m.clock, now.mono);
         } else if self.record.place < m.commit {
             self.feed.next_pull = now.mono;
@@ -168,23 +197,38 @@
         let version = self.record.version;
         match &command {
             Some(Command::Report { ends, .. }) => {
-                let touched: Vec<String> = ends.iter().filter_map(|e| self.record.live.get(&e.no)).map(|(j, _)| j.clone()).collect();
+                let touched: Vec<String> = ends
+                    .iter()
+                    .filter_map(|e| self.record.live.get(&e.no))
+                    .map(|(j, _)| j.clone())
+                    .collect();
                 self.sched.dirty.extend(touched);
             }
             Some(Command::Accept { spec, .. }) => {
                 self.sched.dirty.insert(spec.id.clone());
             }
-            Some(Command::Start { .. } | Command::Opened { .. } | Command::Cancel { .. } | Command::Node { .. }) => {}
+            Some(
+                Command::Start { .. }
+                | Command::Opened { .. }
+                | Command::Cancel { .. }
+                | Command::Node { .. },
+            ) => {}
             _ => self.sched.all_dirty = true,
         }
         let ruling = self.record.apply_bytes(index, at, bytes);
         self.count("feed_entries", 1);
-        if let Some(Command::Start { job, placements, .. }) = &command {
+        if let Some(Command::Start {
+            job, placements, ..
+        }) = &command
+        {
             placements.iter().for_each(|p| self.unhold(&p.worker, job));
             self.count("starts_refused", u64::from(ruling.is_err()));
         }
         if self.record.version != version {
-            self.line(format!("configuration version {} in force", self.record.version));
+            self.line(format!(
+                "configuration version {} in force",
+                self.record.version
+            ));
         }
     }
 }
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -96,7 +96,10 @@
 
     /// The epoch under which this node holds a duty, if it does.
     pub(crate) fn epoch(&self, duty: &str) -> Option<u64> {
-        self.record.holder(duty).filter(|g| g.holder == self.name).map(|g| g.epoch)
+        self.record
+            .holder(duty)
+            .filter(|g| g.holder == self.name)
+            .map(|g| g.epoch)
     }
 
     fn on_tick(&mut self, now: Now) {
@@ -105,7 +108,10 @@
         if gap > self.cfg.bounds.election() / 2 {
             // Frozen: the silence was this node's own, nobody else's.
             self.count("own_freezes", 1);
-            self.cells.values_mut().flat_map(|c| c.workers.values_mut()).for_each(|w| w.last_beat = now.mono);
+            self.cells
+                .values_mut()
+                .flat_map(|c| c.workers.values_mut())
+                .for_each(|w| w.last_beat = now.mono);
         }
         self.feed_tick(now);
         self.views_tick(now);
@@ -114,7 +120,8 @@
         self.cells_tick(now);
         self.scheduler_tick(now);
         if let Some(until) = self.stopping {
-            let holds = self.record.grants.values().any(|g| g.holder == self.name) || self.record.nodes.get(&self.name).is_some_and(|n| n.alive);
+            let holds = self.record.grants.values().any(|g| g.holder == self.name)
+                || self.record.nodes.get(&self.name).is_some_and(|n| n.alive);
             if now.mono >= until || (!holds && self.calls.idle()) {
                 self.out.push(Effect::Exit);
             }
@@ -150,7 +157,12 @@
     }
 
     pub(crate) fn unsure_verdict(&self) -> Verdict {
-        Verdict::error(503, "unsure", "it is not known whether this was taken: ask again with the same id, or poll").retry(self.cfg.bounds.back())
+        Verdict::error(
+            503,
+            "unsure",
+            "it is not known whether this was taken: ask again with the same id, or poll",
+        )
+        .retry(self.cfg.bounds.back())
     }
 }
 
@@ -176,7 +188,11 @@
     }
 
     fn counters(&self) -> Vec<(String, u64)> {
-        let mut all: Vec<(String, u64)> = self.counters.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+        let mut all: Vec<(String, u64)> = self
+            .counters
+            .iter()
+            .map(|(k, v)| (k.to_string(), *v))
+            .collect();
         all.push(("feed_place".into(), self.record.place));
         all.push(("version_in_force".into(), self.record.version));
         all.push(("cells_held".into(), self.cells.len() as u64));
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -19,9 +19,17 @@
 #[derive(Clone, Debug)]
 pub enum Purpose {
     Call(u64, Then),
-    Start { offer: u64, cell: String, worker: String },
-    Facts { worker: String },
-    Report { worker: String },
+    Start {
+        offer: u64,
+        cell: String,
+        worker: String,
+    },
+    Facts {
+        worker: String,
+    },
+    Report {
+        worker: String,
+    },
 }
 
 /// One proposal with its ledger.
@@ -47,7 +55,9 @@
             _ if now.mono >= self.until => Move::GiveUp,
             None => Move::SendOn,
             Some((_, at, Came::NotTaken)) if now.mono >= at + beat / 4 => Move::SendOn,
-            Some((_, at, Came::Nothing)) if self.idempotent && now.mono >= at + 5 * beat => Move::SendOn,
+            Some((_, at, Came::Nothing)) if self.idempotent && now.mono >= at + 5 * beat => {
+                Move::SendOn
+            }
             _ => Move::Wait,
         }
     }
@@ -63,14 +73,21 @@
 
 fn read_ruling(bytes: &[u8]) -> Option<Ruled> {
     let v: Value = serde_json::from_slice(bytes).ok()?;
-    v.get("done")
-        .cloned()
-        .map(Ok)
-        .or_else(|| v.get("refused").and_then(|r| serde_json::from_value(r.clone()).ok()).map(Err))
+    v.get("done").cloned().map(Ok).or_else(|| {
+        v.get("refused")
+            .and_then(|r| serde_json::from_value(r.clone()).ok())
+            .map(Err)
+    })
 }
 
 impl Node {
-    pub(crate) fn propose(&mut self, now: Now, command: &Command, purpose: Purpose, within: u64) -> u64 {
+    pub(crate) fn propose(
+        &mut self,
+        now: Now,
+        command: &Command,
+        purpose: Purpose,
+        within: u64,
+    ) -> u64 {
         let token = self.token();
         let idempotent = !matches!(command, Command::Start { .. });
         let bytes = serde_json::to_vec(command).unwrap_or_default();
@@ -91,17 +108,29 @@
 
     fn drive(&mut self, now: Now, token: u64, hint: Option<String>) {
         let beat = self.cfg.bounds.heartbeat();
-        let Some(p) = self.proposals.get(&token) else { return };
+        let Some(p) = self.proposals.get(&token) else {
+            return;
+        };
         match p.next(now, beat) {
             Move::Wait => {}
             Move::GiveUp => self.give_up(token),
             Move::SendOn => {
                 let cores = self.cores();
-                let last = p.sends.last().map(|(to, _, _)| to.clone()).unwrap_or_default();
+                let last = p
+                    .sends
+                    .last()
+                    .map(|(to, _, _)| to.clone())
+                    .unwrap_or_default();
                 let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty() && *l != last);
                 let others: Vec<String> = cores.into_iter().filter(|c| *c != last).collect();
-                let to = hint.filter(|h| !h.is_empty()).or(leader).or_else(|| self.draw.pick(&others).cloned()).unwrap_or(last);
-                let Some(p) = self.proposals.get_mut(&token) else { return };
+                let to = hint
+                    .filter(|h| !h.is_empty())
+                    .or(leader)
+                    .or_else(|| self.draw.pick(&others).cloned())
+                    .unwrap_or(last);
+                let Some(p) = self.proposals.get_mut(&token) else {
+                    return;
+                };
                 p.sends.push((to.clone(), now.mono, Came::Nothing));
                 let command = p.command.clone();
                 self.send(&to, Body::Propose(Box::new(Propose { token, command })));
@@ -115,9 +144,16 @@
     }
 
     pub(super) fn on_proposed(&mut self, now: Now, from: &str, m: Proposed) {
-        let Some(p) = self.proposals.get_mut(&m.token) else { return };
+        let Some(p) = self.proposals.get_mut(&m.token) else {
+            return;
+        };
         if m.outcome == 1 {
-            p.sends.iter_mut().rev().find(|(to, _, _)| to == from).iter_mut().for_each(|s| s.2 = Came::NotTaken);
+            p.sends
+                .iter_mut()
+                .rev()
+                .find(|(to, _, _)| to == from)
+                .iter_mut()
+                .for_each(|s| s.2 = Came::NotTaken);
             let hint = Some(m.leader).filter(|l| !l.is_empty() && l != from);
             if hint.is_some() && p.sends.len() < 8 {
                 p.sends.last_mut().iter_mut().for_each(|s| s.1 = 0);
@@ -125,18 +161,28 @@
             }
             return;
         }
-        let Some(p) = self.proposals.remove(&m.token) else { return };
-        let Some(ruled) = read_ruling(&m.verdict) else { return };
+        let Some(p) = self.proposals.remove(&m.token) else {
+            return;
+        };
+        let Some(ruled) = read_ruling(&m.verdict) else {
+            return;
+        };
         match p.purpose {
             Purpose::Call(call, then) => self.call_ruled(call, then, m.place, ruled),
-            Purpose::Start { offer, cell, worker } => self.start_ruled(m.token, offer, &cell, &worker, m.place, ruled.is_ok()),
+            Purpose::Start {
+                offer,
+                cell,
+                worker,
+            } => self.start_ruled(m.token, offer, &cell, &worker, m.place, ruled.is_ok()),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
         }
     }
 
     fn give_up(&mut self, token: u64) {
-        let Some(p) = self.proposals.remove(&token) else { return };
+        let Some(p) = self.proposals.remove(&token) else {
+            return;
+        };
         self.count("proposals_given_up", 1);
         let taken = p.maybe_taken();
         match p.purpose {
@@ -144,11 +190,20 @@
                 let verdict = if taken {
                     self.unsure_verdict()
                 } else {
-                    crate::kernel::Verdict::error(503, "noCore", "no core could be reached and nothing was taken: come back later").retry(self.cfg.bounds.back())
+                    crate::kernel::Verdict::error(
+                        503,
+                        "noCore",
+                        "no core could be reached and nothing was taken: come back later",
+                    )
+                    .retry(self.cfg.bounds.back())
                 };
                 self.finish(call, verdict);
             }
-            Purpose::Start { offer, cell, worker } => self.start_ruled(token, offer, &cell, &worker, 0, false),
+            Purpose::Start {
+                offer,
+                cell,
+                worker,
+            } => self.start_ruled(token, offer, &cell, &worker, 0, false),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
         }
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -48,7 +48,9 @@
 
     pub(super) fn scheduler_tick(&mut self, now: Now) {
         let place = self.record.place;
-        self.sched.pending.retain(|_, p| now.mono < p.until && (p.place == 0 || p.place > place));
+        self.sched
+            .pending
+            .retain(|_, p| now.mono < p.until && (p.place == 0 || p.place > place));
         if now.mono >= self.sched.next_full {
             self.sched.next_full = now.mono + self.cfg.bounds.heartbeat();
             self.sched.all_dirty = true;
@@ -74,7 +76,11 @@
         };
         let mut out: BTreeMap<String, Vec<Reservation>> = BTreeMap::new();
         for id in ids {
-            let Some(job) = self.record.jobs.get(&id).filter(|j| !j.state.ended() && !j.cancel && self.owns(&j.spec.queue).is_some()) else {
+            let Some(job) =
+                self.record.jobs.get(&id).filter(|j| {
+                    !j.state.ended() && !j.cancel && self.owns(&j.spec.queue).is_some()
+                })
+            else {
                 continue;
             };
             let wants = self.wants(now, &id, job);
@@ -90,9 +96,18 @@
             let fresh = if again { number } else { number - before };
             self.sched.reserved.insert(id.clone(), (now.mono, number));
             for r in self.reservations(now, &id, fresh) {
-                let zone = self.record.workers.get(&r.worker).map_or(String::new(), |w| w.facts.zone.clone());
-                let holder = self.record.holder(&cell_duty(&zone)).map(|g| g.holder.clone());
-                holder.into_iter().for_each(|h| out.entry(h).or_default().push(r.clone()));
+                let zone = self
+                    .record
+                    .workers
+                    .get(&r.worker)
+                    .map_or(String::new(), |w| w.facts.zone.clone());
+                let holder = self
+                    .record
+                    .holder(&cell_duty(&zone))
+                    .map(|g| g.holder.clone());
+                holder
+                    .into_iter()
+                    .for_each(|h| out.entry(h).or_default().push(r.clone()));
             }
         }
         for (to, reservations) in out {
@@ -101,7 +116,9 @@
     }
 
     fn reservations(&mut self, now: Now, id: &str, tasks: u32) -> Vec<Reservation> {
-        let Some(job) = self.record.jobs.get(id) else { return Vec::new() };
+        let Some(job) = self.record.jobs.get(id) else {
+            return Vec::new();
+        };
         let sizes = self.sizes(job, self.floor());
         let needs: Vec<(&str, &Vec<String>, &str)> = job
             .spec
@@ -115,14 +132,24 @@
             .record
             .workers
             .iter()
-            .filter(|(k, w)| !w.lost && !w.facts.leaving && self.record.desired.open(&w.facts.zone, k))
+            .filter(|(k, w)| {
+                !w.lost && !w.facts.leaving && self.record.desired.open(&w.facts.zone, k)
+            })
             .filter_map(|(k, w)| {
-                let own: Vec<&(&str, &Vec<String>, &str)> = needs.iter().filter(|(s, l, _)| *s == w.facts.service && l.iter().all(|x| w.facts.labels.contains(x))).collect();
-                let local = own.iter().any(|(_, _, near)| !near.is_empty() && (*near == k || *near == w.facts.zone));
+                let own: Vec<&(&str, &Vec<String>, &str)> = needs
+                    .iter()
+                    .filter(|(s, l, _)| {
+                        *s == w.facts.service && l.iter().all(|x| w.facts.labels.contains(x))
+                    })
+                    .collect();
+                let local = own
+                    .iter()
+                    .any(|(_, _, near)| !near.is_empty() && (*near == k || *near == w.facts.zone));
                 (!own.is_empty()).then(|| (k.clone(), local))
             })
             .collect();
-        let number = (u64::from(tasks) * u64::from(self.cfg.hopper.probe_ratio)).min(fit.len() as u64) as usize;
+        let number = (u64::from(tasks) * u64::from(self.cfg.hopper.probe_ratio))
+            .min(fit.len() as u64) as usize;
         // Workers near the data first, then drawn at random.
         for i in 0..number {
             let j = i + self.draw.below((fit.len() - i) as u64) as usize;
@@ -147,29 +174,40 @@
 
     /// Sends of a job that were proposed and are not yet in the record.
     fn underway<'a>(&'a self, job: &'a str) -> impl Iterator<Item = &'a Placement> + 'a {
-        self.sched.pending.values().filter(move |p| p.job == job).flat_map(|p| p.placements.iter())
+        self.sched
+            .pending
+            .values()
+            .filter(move |p| p.job == job)
+            .flat_map(|p| p.placements.iter())
     }
 
     fn wants(&self, now: Now, id: &str, job: &Job) -> Wants {
         let agreed = self.agreed(now);
         let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
         let originals = (0..job.tasks.len() as u32)
-            .filter(|i| !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok())
+            .filter(|i| {
+                !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok()
+            })
             .count() as u32;
         Wants {
             originals,
-            copies: if originals == 0 { self.slow(now, id, job).len() as u32 } else { 0 },
+            copies: if originals == 0 {
+                self.slow(now, id, job).len() as u32
+            } else {
+                0
+            },
         }
     }
 
     /// Running sends that are worth a spare copy, the slowest first: what is left would take longer than a new run.
     fn slow(&self, now: Now, id: &str, job: &Job) -> Vec<u32> {
         let queue = &job.spec.queue;
-        let Some(median) = self
-            .record
-            .duration_quantile(queue, 0.5)
-            .filter(|_| self.record.queues.get(queue).is_some_and(|t| t.durations.len() >= 5))
-        else {
+        let Some(median) = self.record.duration_quantile(queue, 0.5).filter(|_| {
+            self.record
+                .queues
+                .get(queue)
+                .is_some_and(|t| t.durations.len() >= 5)
+        }) else {
             return Vec::new();
         };
         let agreed = self.agreed(now);
@@ -179,8 +217,15 @@
             .iter()
             .enumerate()
             .filter(|(i, _)| job.spec.tasks[*i].may_repeat && !pending.contains(&(*i as u32)))
-            .filter_map(|(i, t)| t.live().find(|s| s.state == SendState::Running && !s.stop).map(|s| (agreed.saturating_sub(s.started), i as u32)))
-            .filter(|(ran, i)| *ran as f64 > self.cfg.hopper.slow_factor * median && self.record.may_start(id, *i, true, agreed).is_ok())
+            .filter_map(|(i, t)| {
+                t.live()
+                    .find(|s| s.state == SendState::Running && !s.stop)
+                    .map(|s| (agreed.saturating_sub(s.started), i as u32))
+            })
+            .filter(|(ran, i)| {
+                *ran as f64 > self.cfg.hopper.slow_factor * median
+                    && self.record.may_start(id, *i, true, agreed).is_ok()
+            })
             .collect();
         slow.sort_by(|a, b| b.cmp(a));
         slow.into_iter().map(|(_, i)| i).collect()
@@ -188,7 +233,12 @@
 
     fn weight(&self, job: &Job, s: &Sizing) -> f64 {
         // Larger priority counts as smaller size.
-        let priority = self.record.desired.queues.get(&job.spec.queue).map_or(0, |q| q.priority);
+        let priority = self
+            .record
+            .desired
+            .queues
+            .get(&job.spec.queue)
+            .map_or(0, |q| q.priority);
         s.rank / (1.0 + f64::from(priority))
     }
 
@@ -215,9 +265,18 @@
     /// The least share of every job, in whole slots of the mean task's room.
     fn floor(&self) -> f64 {
         let jobs = self.sched.runnable.max(1) as f64;
-        let (sends, used) = self.record.workers.values().fold((0usize, 0u32), |(n, u), w| (n + w.sends.len(), u + w.used));
-        let mean = if sends == 0 { 1.0 } else { (f64::from(used) / sends as f64).max(1.0) };
-        ((1.0 - self.cfg.hopper.epsilon) * f64::from(self.record.total_room()) / mean / jobs).floor()
+        let (sends, used) = self
+            .record
+            .workers
+            .values()
+            .fold((0usize, 0u32), |(n, u), w| (n + w.sends.len(), u + w.used));
+        let mean = if sends == 0 {
+            1.0
+        } else {
+            (f64::from(used) / sends as f64).max(1.0)
+        };
+        ((1.0 - self.cfg.hopper.epsilon) * f64::from(self.record.total_room()) / mean / jobs)
+            .floor()
     }
 
     pub(super) fn on_offer(&mut self, now: Now, from: &str, m: Offer) {
@@ -256,8 +315,16 @@
             });
             return refuse(wants == Wants::default(), all);
         };
-        let rooms: Vec<u32> = placements.iter().map(|p| job.spec.tasks[p.task as usize].room).collect();
-        let room = placements.iter().zip(&rooms).filter(|(p, _)| p.worker == m.worker).map(|(_, r)| r).sum();
+        let rooms: Vec<u32> = placements
+            .iter()
+            .map(|p| job.spec.tasks[p.task as usize].room)
+            .collect();
+        let room = placements
+            .iter()
+            .zip(&rooms)
+            .filter(|(p, _)| p.worker == m.worker)
+            .map(|(_, r)| r)
+            .sum();
         let within = self.cfg.bounds.offer() * 2;
         let command = Command::Start {
             job: m.job.clone(),
@@ -283,7 +350,13 @@
         );
         self.count("placements_proposed", 1);
         self.count("copies_proposed", u64::from(copy));
-        let sizes = self.record.jobs.get(&m.job).map(|j| self.sizes(j, floor)).into_iter().collect();
+        let sizes = self
+            .record
+            .jobs
+            .get(&m.job)
+            .map(|j| self.sizes(j, floor))
+            .into_iter()
+            .collect();
         OfferVerdict {
             token: m.token,
             worker: m.worker.clone(),
@@ -298,14 +371,25 @@
     fn pick(&self, now: Now, job: &Job, m: &Offer) -> Option<Vec<Placement>> {
         let id = job.spec.id.as_str();
         // Room is kept for a gang that has waited too long; others make way.
-        if self.sched.claim.as_ref().is_some_and(|c| c.job != id && c.workers.contains(&m.worker)) {
+        if self
+            .sched
+            .claim
+            .as_ref()
+            .is_some_and(|c| c.job != id && c.workers.contains(&m.worker))
+        {
             return None;
         }
         let agreed = self.agreed(now);
         let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
-        let zone = self.record.workers.get(&m.worker).map_or("", |w| w.facts.zone.as_str());
+        let zone = self
+            .record
+            .workers
+            .get(&m.worker)
+            .map_or("", |w| w.facts.zone.as_str());
         let mut waiting: Vec<u32> = (0..job.tasks.len() as u32)
-            .filter(|i| !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok())
+            .filter(|i| {
+                !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok()
+            })
             .collect();
         waiting.sort_by_key(|i| {
             let near = &job.spec.tasks[*i as usize].near;
@@ -316,7 +400,10 @@
             let gang = &job.spec.tasks[i as usize].gang;
             if gang.is_empty() {
                 let p = self.placement(&m.worker, i, false);
-                if room_of(i) <= m.room && p.cell_epoch == m.epoch && self.record.fits(id, &p).is_ok() {
+                if room_of(i) <= m.room
+                    && p.cell_epoch == m.epoch
+                    && self.record.fits(id, &p).is_ok()
+                {
                     return Some(vec![p]);
                 }
             } else {
@@ -326,7 +413,9 @@
                     .values()
                     .flat_map(|p| p.placements.iter().zip(&p.rooms))
                     .for_each(|(p, r)| *held.entry(p.worker.clone()).or_default() += r);
-                let placed = self.place_gang(agreed, (id, gang), &m.worker, &held).filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
+                let placed = self
+                    .place_gang(agreed, (id, gang), &m.worker, &held)
+                    .filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
                 if placed.is_some() {
                     return placed;
                 }
@@ -335,7 +424,11 @@
         self.slow(now, id, job)
             .into_iter()
             .map(|i| self.placement(&m.worker, i, true))
-            .find(|p| room_of(p.task) <= m.room && p.cell_epoch == m.epoch && self.record.fits(id, p).is_ok())
+            .find(|p| {
+                room_of(p.task) <= m.room
+                    && p.cell_epoch == m.epoch
+                    && self.record.fits(id, p).is_ok()
+            })
             .map(|p| vec![p])
     }
 
@@ -354,14 +447,31 @@
             .collect();
         of.sort_by(|a, b| a.size.total_cmp(&b.size));
         of.into_iter()
-            .find(|s| self.record.jobs.get(&s.job).is_some_and(|j| self.pick(now, j, m).is_some()))
+            .find(|s| {
+                self.record
+                    .jobs
+                    .get(&s.job)
+                    .is_some_and(|j| self.pick(now, j, m).is_some())
+            })
             .into_iter()
             .collect()
     }
 
-    pub(super) fn start_ruled(&mut self, token: u64, offer: u64, cell: &str, worker: &str, place: u64, placed: bool) {
+    pub(super) fn start_ruled(
+        &mut self,
+        token: u64,
+        offer: u64,
+        cell: &str,
+        worker: &str,
+        place: u64,
+        placed: bool,
+    ) {
         if placed && place > self.record.place {
-            self.sched.pending.get_mut(&token).into_iter().for_each(|p| p.place = place);
+            self.sched
+                .pending
+                .get_mut(&token)
+                .into_iter()
+                .for_each(|p| p.place = place);
         } else {
             self.sched.pending.remove(&token);
         }
--- a/landingdrift/src/operator/ask.rs
+++ b/landingdrift/src/operator/ask.rs
@@ -59,20 +59,29 @@
 
 impl Asker {
     pub fn new(at: Vec<String>, within: Duration) -> Result<Self, AskDefect> {
-        let client = Client::builder().timeout(Duration::from_secs(5)).no_proxy().build().map_err(|e| AskDefect::Usage(e.to_string()))?;
+        let client = Client::builder()
+            .timeout(Duration::from_secs(5))
+            .no_proxy()
+            .build()
+            .map_err(|e| AskDefect::Usage(e.to_string()))?;
         Ok(Self { at, within, client })
     }
 
     pub fn ask(&self, method: &str, path: &str, body: Option<&Value>) -> Result<Value, AskDefect> {
         let start = Instant::now();
-        let method = reqwest::Method::from_bytes(method.as_bytes()).map_err(|e| AskDefect::Usage(e.to_string()))?;
+        let method = reqwest::Method::from_bytes(method.as_bytes())
+            .map_err(|e| AskDefect::Usage(e.to_string()))?;
         let mut why = String::from("none was named");
         loop {
             let mut pause = Duration::from_millis(200);
             for at in &self.at {
-                let mut req = self.client.request(method.clone(), format!("http://{at}{path}"));
+                let mut req = self
+                    .client
+                    .request(method.clone(), format!("http://{at}{path}"));
                 if let Some(b) = body {
-                    req = req.header("Content-Type", "application/json").body(b.to_string());
+                    req = req
+                        .header("Content-Type", "application/json")
+                        .body(b.to_string());
                 }
                 match req.send() {
                     Ok(r) => {
@@ -91,7 +100,10 @@
                 }
             }
             if start.elapsed() + pause > self.within {
-                return Err(AskDefect::Unreachable { at: self.at.clone(), why });
+                return Err(AskDefect::Unreachable {
+                    at: self.at.clone(),
+                    why,
+                });
             }
             std::thread::sleep(pause);
         }
--- a/landingdrift/src/operator/commands.rs
+++ b/landingdrift/src/operator/commands.rs
@@ -28,7 +28,10 @@
 ];
 
 fn usage() -> String {
-    let list: String = COMMANDS.iter().map(|(c, what)| format!("  {c:<9} {what}\n")).collect();
+    let list: String = COMMANDS
+        .iter()
+        .map(|(c, what)| format!("  {c:<9} {what}\n"))
+        .collect();
     format!(
         "landingdrift operator [--at IP:PORT,...] [--json] [--within SECONDS] COMMAND ...\n\n{list}\n  --at      nodes to ask, one after the other (default 127.0.0.1:8000)\n  --json    print JSON instead of text\n  --within  how long to try (default 10)\n\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no node answered, 4 a rival change came first, 5 a roll-out was halted."
     )
@@ -62,23 +65,42 @@
     };
     let mut p = lexopt::Parser::from_args(words);
     while let Some(arg) = p.next().map_err(bad)? {
-        let text = |p: &mut lexopt::Parser| p.value().map_err(bad).and_then(|v| v.into_string().map_err(|_| AskDefect::Usage("flags take text in UTF-8".into())));
-        let number = |name: &str, v: String| v.parse::<u64>().map_err(|_| AskDefect::Usage(format!("--{name} takes a whole number, not '{v}'")));
+        let text = |p: &mut lexopt::Parser| {
+            p.value().map_err(bad).and_then(|v| {
+                v.into_string()
+                    .map_err(|_| AskDefect::Usage("flags take text in UTF-8".into()))
+            })
+        };
+        let number = |name: &str, v: String| {
+            v.parse::<u64>()
+                .map_err(|_| AskDefect::Usage(format!("--{name} takes a whole number, not '{v}'")))
+        };
         match arg {
-            lexopt::Arg::Long("at") => w.at = text(&mut p)?.split(',').map(str::to_string).collect(),
+            lexopt::Arg::Long("at") => {
+                w.at = text(&mut p)?.split(',').map(str::to_string).collect()
+            }
             lexopt::Arg::Long("json") => w.json = true,
             lexopt::Arg::Long("patch") => w.patch = true,
             lexopt::Arg::Long("wait") => w.wait = true,
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => w.help = true,
             lexopt::Arg::Long("within") => w.within = number("within", text(&mut p)?)?,
             lexopt::Arg::Long("base") => w.base = Some(number("base", text(&mut p)?)?),
-            lexopt::Arg::Long("stages") => w.stages = text(&mut p)?.split(',').filter(|s| !s.is_empty()).map(str::to_string).collect(),
+            lexopt::Arg::Long("stages") => {
+                w.stages = text(&mut p)?
+                    .split(',')
+                    .filter(|s| !s.is_empty())
+                    .map(str::to_string)
+                    .collect()
+            }
             lexopt::Arg::Long("watch") => w.watch = number("watch", text(&mut p)?)?,
             lexopt::Arg::Long("queue") => w.queue = text(&mut p)?,
             lexopt::Arg::Long("limit") => w.limit = text(&mut p)?,
             lexopt::Arg::Long("after") => w.after = text(&mut p)?,
             lexopt::Arg::Long("worker") => w.worker = text(&mut p)?,
-            lexopt::Arg::Value(v) => w.rest.push(v.into_string().map_err(|_| AskDefect::Usage("arguments are text in UTF-8".into()))?),
+            lexopt::Arg::Value(v) => w.rest.push(
+                v.into_string()
+                    .map_err(|_| AskDefect::Usage("arguments are text in UTF-8".into()))?,
+            ),
             other => return Err(bad(other.unexpected())),
         }
     }
@@ -89,12 +111,26 @@
     let done = read_words(words).and_then(|w| {
         let command = w.rest.first().cloned().unwrap_or_default();
         if w.help || command.is_empty() {
-            let one = COMMANDS.iter().find(|(c, _)| *c == command).map(|(c, what)| format!("landingdrift operator {c} {what}"));
+            let one = COMMANDS
+                .iter()
+                .find(|(c, _)| *c == command)
+                .map(|(c, what)| format!("landingdrift operator {c} {what}"));
             crate::say!("{}", one.unwrap_or_else(usage));
-            return if w.help { Ok(()) } else { Err(AskDefect::Usage("no command was given".into())) };
+            return if w.help {
+                Ok(())
+            } else {
+                Err(AskDefect::Usage("no command was given".into()))
+            };
         }
         let v = perform(&command, &w)?;
-        crate::say!("{}", if w.json { v.to_string() } else { show(&command, &v) });
+        crate::say!(
+            "{}",
+            if w.json {
+                v.to_string()
+            } else {
+                show(&command, &v)
+            }
+        );
         Ok(())
     });
     done.map_or_else(
@@ -109,15 +145,29 @@
 fn file(path: &str) -> Result<Value, AskDefect> {
     std::fs::read_to_string(path)
         .map_err(|e| AskDefect::Usage(format!("'{path}' can't be read ({e})")))
-        .and_then(|t| serde_json::from_str(&t).map_err(|e| AskDefect::Usage(format!("'{path}' is no JSON ({e})"))))
+        .and_then(|t| {
+            serde_json::from_str(&t)
+                .map_err(|e| AskDefect::Usage(format!("'{path}' is no JSON ({e})")))
+        })
 }
 
 fn perform(command: &str, w: &Words) -> Result<Value, AskDefect> {
     let ask = Asker::new(w.at.clone(), Duration::from_secs(w.within))?;
-    let arg = |i: usize, what: &str| w.rest.get(i).cloned().ok_or_else(|| AskDefect::Usage(format!("{command} needs {what}")));
+    let arg = |i: usize, what: &str| {
+        w.rest
+            .get(i)
+            .cloned()
+            .ok_or_else(|| AskDefect::Usage(format!("{command} needs {what}")))
+    };
     match command {
         "apply" => apply(&ask, w, &file(&arg(1, "a FILE")?)?, w.patch),
-        "rollout" => super::rollout::rollout(&ask, &w.stages, Duration::from_secs(w.watch), w.within, &file(&arg(1, "a FILE")?)?),
+        "rollout" => super::rollout::rollout(
+            &ask,
+            &w.stages,
+            Duration::from_secs(w.watch),
+            w.within,
+            &file(&arg(1, "a FILE")?)?,
+        ),
         "get" => ask.ask("GET", "/v1/desired", None),
         "change" => ask.ask("GET", &format!("/v1/changes/{}", arg(1, "an ID")?), None),
         "status" => ask.ask("GET", "/v1/status", None),
@@ -125,17 +175,25 @@
         "submit" => ask.ask("POST", "/v1/jobs", Some(&file(&arg(1, "a FILE")?)?)),
         "job" => ask.ask("GET", &format!("/v1/jobs/{}", arg(1, "an ID")?), None),
         "jobs" => {
-            let query: Vec<String> = [("queue", &w.queue), ("limit", &w.limit), ("after", &w.after)]
-                .iter()
-                .filter(|(_, v)| !v.is_empty())
-                .map(|(k, v)| format!("{k}={v}"))
-                .collect();
+            let query: Vec<String> = [
+                ("queue", &w.queue),
+                ("limit", &w.limit),
+                ("after", &w.after),
+            ]
+            .iter()
+            .filter(|(_, v)| !v.is_empty())
+            .map(|(k, v)| format!("{k}={v}"))
+            .collect();
             ask.ask("GET", &format!("/v1/jobs?{}", query.join("&")), None)
         }
         "cancel" => ask.ask("DELETE", &format!("/v1/jobs/{}", arg(1, "an ID")?), None),
         "resolve" => ask.ask(
             "POST",
-            &format!("/v1/jobs/{}/tasks/{}/resolve", arg(1, "a JOB")?, arg(2, "a TASK")?),
+            &format!(
+                "/v1/jobs/{}/tasks/{}/resolve",
+                arg(1, "a JOB")?,
+                arg(2, "a TASK")?
+            ),
             Some(&json!({"outcome": arg(3, "'well' or 'defect'")?})),
         ),
         "workers" => ask.ask("GET", "/v1/workers", None),
@@ -144,17 +202,32 @@
 }
 
 pub(super) fn change_id() -> String {
-    let t = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_nanos());
+    let t = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_nanos());
     format!("op-{t:x}-{}", std::process::id())
 }
 
 fn apply(ask: &Asker, w: &Words, value: &Value, patch: bool) -> Result<Value, AskDefect> {
-    let base = w.base.map_or_else(|| ask.ask("GET", "/v1/desired", None).map(|v| v["version"].as_u64().unwrap_or(0)), Ok)?;
+    let base = w.base.map_or_else(
+        || {
+            ask.ask("GET", "/v1/desired", None)
+                .map(|v| v["version"].as_u64().unwrap_or(0))
+        },
+        Ok,
+    )?;
     // One identity for all tries: a lost answer changes nothing twice.
     let change = change_id();
-    let done = ask.ask(if patch { "PATCH" } else { "PUT" }, &format!("/v1/desired?base={base}&change={change}"), Some(value))?;
+    let done = ask.ask(
+        if patch { "PATCH" } else { "PUT" },
+        &format!("/v1/desired?base={base}&change={change}"),
+        Some(value),
+    )?;
     if w.wait {
-        wait(w.within, || ask.ask("GET", &format!("/v1/changes/{change}"), None).map(|v| (v["inForceEverywhere"] == json!(true), v)))
+        wait(w.within, || {
+            ask.ask("GET", &format!("/v1/changes/{change}"), None)
+                .map(|v| (v["inForceEverywhere"] == json!(true), v))
+        })
     } else {
         Ok(done)
     }
@@ -173,7 +246,9 @@
             };
             json!({"zones": {zone: {"state": state}}})
         } else {
-            let mut of: Vec<String> = serde_json::from_value(current["desired"]["zones"][zone]["drainedWorkers"].clone()).unwrap_or_default();
+            let mut of: Vec<String> =
+                serde_json::from_value(current["desired"]["zones"][zone]["drainedWorkers"].clone())
+                    .unwrap_or_default();
             of.retain(|x| *x != w.worker);
             if command != "restore" {
                 of.push(w.worker.clone());
@@ -181,22 +256,33 @@
             json!({"zones": {zone: {"drainedWorkers": of}}})
         };
         let base = current["version"].as_u64().unwrap_or(0);
-        match ask.ask("PATCH", &format!("/v1/desired?base={base}&change={}", change_id()), Some(&patch)) {
+        match ask.ask(
+            "PATCH",
+            &format!("/v1/desired?base={base}&change={}", change_id()),
+            Some(&patch),
+        ) {
             Err(AskDefect::Refused { status: 409, .. }) if tries < 20 => tries += 1,
             other => break other?,
         }
     };
     if w.wait && command != "restore" {
         wait(w.within, || {
-            ask.ask("GET", "/v1/status", None)
-                .map(|v| (v["zones"][zone]["empty"] == json!(true), json!({"zone": zone, "status": v["zones"][zone]})))
+            ask.ask("GET", "/v1/status", None).map(|v| {
+                (
+                    v["zones"][zone]["empty"] == json!(true),
+                    json!({"zone": zone, "status": v["zones"][zone]}),
+                )
+            })
         })
     } else {
         Ok(done)
     }
 }
 
-pub(super) fn wait(within: u64, mut look: impl FnMut() -> Result<(bool, Value), AskDefect>) -> Result<Value, AskDefect> {
+pub(super) fn wait(
+    within: u64,
+    mut look: impl FnMut() -> Result<(bool, Value), AskDefect>,
+) -> Result<Value, AskDefect> {
     let start = Instant::now();
     loop {
         let (done, v) = look()?;
--- a/landingdrift/src/operator/verify.rs
+++ b/landingdrift/src/operator/verify.rs
@@ -6,7 +6,10 @@
 inventory::submit! { Role { name: "verify", summary: "looks through a core's data folder while the core is stopped", run } }
 
 fn run(words: Vec<OsString>) -> i32 {
-    let folder = words.first().and_then(|w| w.to_str()).filter(|w| !w.starts_with('-') && words.len() == 1);
+    let folder = words
+        .first()
+        .and_then(|w| w.to_str())
+        .filter(|w| !w.starts_with('-') && words.len() == 1);
     let Some(folder) = folder else {
         let help = words.first().is_some_and(|w| w == "--help" || w == "-h");
         crate::say!("landingdrift verify FOLDER\n\nPrints what the data folder of a stopped core holds, as JSON.\nExit codes: 0 whole, 1 damaged, 2 wrong command line or no data folder.");
--- a/landingdrift/src/record/apply/config.rs
+++ b/landingdrift/src/record/apply/config.rs
@@ -5,13 +5,27 @@
 use serde_json::{json, Value};
 
 impl Record {
-    pub(super) fn configure(&mut self, change: &str, base: u64, patch: bool, value: &Value) -> Ruling {
+    pub(super) fn configure(
+        &mut self,
+        change: &str,
+        base: u64,
+        patch: bool,
+        value: &Value,
+    ) -> Ruling {
         let hash = digest(format!("{base}/{patch}/{value}").as_bytes());
         if let Some(c) = self.changes.iter().find(|c| c.change == change) {
-            return (c.hash == hash).then(|| json!({"version": c.version, "place": c.place})).ok_or(Refusal::OtherBody);
+            return (c.hash == hash)
+                .then(|| json!({"version": c.version, "place": c.place}))
+                .ok_or(Refusal::OtherBody);
         }
-        (base == self.version).then_some(()).ok_or(Refusal::Rival { current: self.version })?;
-        let mut next = if patch { serde_json::to_value(&self.desired).unwrap_or_default() } else { Value::Null };
+        (base == self.version).then_some(()).ok_or(Refusal::Rival {
+            current: self.version,
+        })?;
+        let mut next = if patch {
+            serde_json::to_value(&self.desired).unwrap_or_default()
+        } else {
+            Value::Null
+        };
         if patch {
             merge(&mut next, value);
         } else {
@@ -21,7 +35,10 @@
             path: e.path().to_string(),
             remedy: e.to_string(),
         })?;
-        let held = |q: &&String| !desired.queues.contains_key(*q) && self.queues.get(*q).is_some_and(|t| t.unfinished > 0);
+        let held = |q: &&String| {
+            !desired.queues.contains_key(*q)
+                && self.queues.get(*q).is_some_and(|t| t.unfinished > 0)
+        };
         if let Some(q) = self.desired.queues.keys().find(held) {
             return Err(Refusal::Invalid {
                 path: format!("queues.{q}"),
@@ -49,12 +66,26 @@
     fn fail_what_is_spent(&mut self) {
         let open: Vec<String> = self.open.iter().cloned().collect();
         for id in open {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let tries = self.desired.queues.get(&job.spec.queue).map_or(1, |q| q.tries);
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let tries = self
+                .desired
+                .queues
+                .get(&job.spec.queue)
+                .map_or(1, |q| q.tries);
             let mut recalled = Vec::new();
             let mut failed = false;
-            for t in job.tasks.iter_mut().filter(|t| t.state == TaskState::Waiting && t.defects >= tries) {
-                recalled.extend(t.live().filter(|s| s.state == SendState::Ordered).map(|s| s.no));
+            for t in job
+                .tasks
+                .iter_mut()
+                .filter(|t| t.state == TaskState::Waiting && t.defects >= tries)
+            {
+                recalled.extend(
+                    t.live()
+                        .filter(|s| s.state == SendState::Ordered)
+                        .map(|s| s.no),
+                );
                 if t.live().next().is_none() {
                     t.state = TaskState::Failed;
                     failed = true;
@@ -75,10 +106,18 @@
             .copied()
             .filter(|no| {
                 self.send(*no).is_some_and(|(j, t, s)| {
-                    let zone = self.workers.get(&s.worker).map_or("", |w| w.facts.zone.as_str());
-                    let may_repeat = j.tasks.iter().position(|x| std::ptr::eq(x, t)).is_some_and(|i| j.spec.tasks[i].may_repeat);
+                    let zone = self
+                        .workers
+                        .get(&s.worker)
+                        .map_or("", |w| w.facts.zone.as_str());
+                    let may_repeat = j
+                        .tasks
+                        .iter()
+                        .position(|x| std::ptr::eq(x, t))
+                        .is_some_and(|i| j.spec.tasks[i].may_repeat);
                     let unstarted = s.state == SendState::Ordered;
-                    (unstarted && !self.desired.open(zone, &s.worker)) || (may_repeat && self.desired.evacuated(zone))
+                    (unstarted && !self.desired.open(zone, &s.worker))
+                        || (may_repeat && self.desired.evacuated(zone))
                 })
             })
             .collect();
--- a/landingdrift/src/record/apply/jobs.rs
+++ b/landingdrift/src/record/apply/jobs.rs
@@ -14,20 +14,43 @@
     }
 
     fn admit(&mut self, spec: &JobSpec, hash: u64, seen: u64) -> Ruling {
-        if let Some(known) = self.jobs.get(&spec.id).map(|j| j.hash).or_else(|| self.tombs.get(&spec.id).map(|t| t.hash)) {
-            return (known == hash).then(|| json!({"known": true})).ok_or(Refusal::OtherBody);
+        if let Some(known) = self
+            .jobs
+            .get(&spec.id)
+            .map(|j| j.hash)
+            .or_else(|| self.tombs.get(&spec.id).map(|t| t.hash))
+        {
+            return (known == hash)
+                .then(|| json!({"known": true}))
+                .ok_or(Refusal::OtherBody);
         }
-        (self.refusals.get(&spec.id).is_none_or(|(place, _)| *place <= seen)).then_some(()).ok_or(Refusal::TurnedAway)?;
+        (self
+            .refusals
+            .get(&spec.id)
+            .is_none_or(|(place, _)| *place <= seen))
+        .then_some(())
+        .ok_or(Refusal::TurnedAway)?;
         let waits = spec
             .check()
             .and_then(|w| spec.satisfiable(&self.desired).map(|()| w))
-            .map_err(|e| Refusal::Invalid { path: e.path, remedy: e.remedy })?;
+            .map_err(|e| Refusal::Invalid {
+                path: e.path,
+                remedy: e.remedy,
+            })?;
         let quota = self.desired.queues.get(&spec.queue).map_or(0, |q| q.quota);
         let tally = self.queues.entry(spec.queue.clone()).or_default();
-        (tally.unfinished < quota).then_some(()).ok_or(Refusal::OverQuota { quota })?;
+        (tally.unfinished < quota)
+            .then_some(())
+            .ok_or(Refusal::OverQuota { quota })?;
         tally.unfinished += 1;
         self.refusals.remove(&spec.id);
-        let tasks = waits.into_iter().map(|waits| Task { waits, ..Task::default() }).collect();
+        let tasks = waits
+            .into_iter()
+            .map(|waits| Task {
+                waits,
+                ..Task::default()
+            })
+            .collect();
         self.jobs.insert(
             spec.id.clone(),
             Job {
@@ -46,29 +69,60 @@
         if let Some(t) = self.tombs.get(id) {
             return Ok(json!({"state": t.state}));
         }
-        let job = self.jobs.get_mut(id).ok_or(Refusal::Unknown { what: format!("job '{id}'") })?;
+        let job = self.jobs.get_mut(id).ok_or(Refusal::Unknown {
+            what: format!("job '{id}'"),
+        })?;
         if job.state.ended() || job.cancel {
             return Ok(json!({"state": job.state}));
         }
         job.cancel = true;
         job.reason = "cancelled by the caller".into();
-        let live: Vec<u64> = job.tasks.iter().flat_map(Task::live).map(|s| s.no).collect();
+        let live: Vec<u64> = job
+            .tasks
+            .iter()
+            .flat_map(Task::live)
+            .map(|s| s.no)
+            .collect();
         live.into_iter().for_each(|no| self.want_stop(no));
         self.settle(id);
         Ok(json!({"state": self.jobs.get(id).map(|j| j.state)}))
     }
 
     pub(super) fn resolve(&mut self, id: &str, task: &str, well: bool) -> Ruling {
-        let job = self.jobs.get(id).ok_or(Refusal::Unknown { what: format!("job '{id}'") })?;
-        let i = job.spec.tasks.iter().position(|t| t.name == task).ok_or(Refusal::Unknown { what: format!("task '{task}'") })?;
-        let numbers: Vec<u64> = job.tasks[i].live().filter(|s| s.state == SendState::Unsure).map(|s| s.no).collect();
-        (!numbers.is_empty()).then_some(()).ok_or(Refusal::Invalid {
-            path: "task".into(),
-            remedy: "no send of the task is unsure: only unsure ones can be resolved".into(),
+        let job = self.jobs.get(id).ok_or(Refusal::Unknown {
+            what: format!("job '{id}'"),
         })?;
-        numbers
+        let i = job
+            .spec
+            .tasks
             .iter()
-            .for_each(|no| self.close(*no, if well { SendState::Well } else { SendState::Defect }, 0, "resolved by the operator"));
+            .position(|t| t.name == task)
+            .ok_or(Refusal::Unknown {
+                what: format!("task '{task}'"),
+            })?;
+        let numbers: Vec<u64> = job.tasks[i]
+            .live()
+            .filter(|s| s.state == SendState::Unsure)
+            .map(|s| s.no)
+            .collect();
+        (!numbers.is_empty())
+            .then_some(())
+            .ok_or(Refusal::Invalid {
+                path: "task".into(),
+                remedy: "no send of the task is unsure: only unsure ones can be resolved".into(),
+            })?;
+        numbers.iter().for_each(|no| {
+            self.close(
+                *no,
+                if well {
+                    SendState::Well
+                } else {
+                    SendState::Defect
+                },
+                0,
+                "resolved by the operator",
+            )
+        });
         self.settle(id);
         Ok(Value::Null)
     }
@@ -87,15 +141,21 @@
 
     /// Ends a live send, frees its room and writes the task's ledger on.
     pub(super) fn close(&mut self, no: u64, state: SendState, ran_ms: u64, note: &str) {
-        let Some((id, i)) = self.live.remove(&no) else { return };
+        let Some((id, i)) = self.live.remove(&no) else {
+            return;
+        };
         let at = self.at;
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         let room = job.spec.tasks[i as usize].room;
         let queue = job.spec.queue.clone();
         let tries = self.desired.queues.get(&queue).map_or(1, |q| q.tries);
         let cancel = job.cancel;
         let task = &mut job.tasks[i as usize];
-        let Some(send) = task.sends.iter_mut().find(|s| s.no == no) else { return };
+        let Some(send) = task.sends.iter_mut().find(|s| s.no == no) else {
+            return;
+        };
         send.state = state;
         send.ended = at;
         send.ran_ms = ran_ms;
@@ -107,10 +167,19 @@
         }
         task.defects += u32::from(state == SendState::Defect);
         // As long as another send may still end well, the task has not failed.
-        if task.state == TaskState::Waiting && task.defects >= tries && task.live().next().is_none() {
-            task.state = if cancel { TaskState::Cancelled } else { TaskState::Failed };
+        if task.state == TaskState::Waiting && task.defects >= tries && task.live().next().is_none()
+        {
+            task.state = if cancel {
+                TaskState::Cancelled
+            } else {
+                TaskState::Failed
+            };
         }
-        let rest: Vec<u64> = if task.state == TaskState::Waiting { Vec::new() } else { task.live().map(|s| s.no).collect() };
+        let rest: Vec<u64> = if task.state == TaskState::Waiting {
+            Vec::new()
+        } else {
+            task.live().map(|s| s.no).collect()
+        };
         self.workers.get_mut(&worker).iter_mut().for_each(|w| {
             if w.sends.remove(&no) {
                 w.used = w.used.saturating_sub(room);
@@ -121,7 +190,9 @@
         tally.copies -= u32::from(copy).min(tally.copies);
         tally.copies_won += u64::from(copy && first_well);
         if first_well && ran_ms > 0 {
-            tally.durations.push_back(ran_ms.min(u64::from(u32::MAX)) as u32);
+            tally
+                .durations
+                .push_back(ran_ms.min(u64::from(u32::MAX)) as u32);
             if tally.durations.len() > 256 {
                 tally.durations.pop_front();
             }
@@ -153,7 +224,9 @@
     /// Derives the job's state from its tasks.
     pub(super) fn settle(&mut self, id: &str) {
         let at = self.at;
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         if job.state.ended() {
             return;
         }
@@ -164,7 +237,12 @@
                 .filter(|t| t.state == TaskState::Waiting && t.live().next().is_none())
                 .for_each(|t| t.state = TaskState::Cancelled);
         }
-        let live: Vec<u64> = job.tasks.iter().flat_map(Task::live).map(|s| s.no).collect();
+        let live: Vec<u64> = job
+            .tasks
+            .iter()
+            .flat_map(Task::live)
+            .map(|s| s.no)
+            .collect();
         let done = job.tasks.iter().all(|t| t.state == TaskState::Done);
         job.state = if !live.is_empty() {
             if job.cancel {
@@ -184,9 +262,20 @@
             JobState::Waiting
         };
         if failed && !job.cancel {
-            job.reason = job.spec.tasks.iter().zip(&job.tasks).find(|(_, t)| t.state == TaskState::Failed).map_or(String::new(), |(s, t)| {
-                format!("task '{}' failed {} times: {}", s.name, t.defects, t.sends.last().map_or("", |s| s.note.as_str()))
-            });
+            job.reason = job
+                .spec
+                .tasks
+                .iter()
+                .zip(&job.tasks)
+                .find(|(_, t)| t.state == TaskState::Failed)
+                .map_or(String::new(), |(s, t)| {
+                    format!(
+                        "task '{}' failed {} times: {}",
+                        s.name,
+                        t.defects,
+                        t.sends.last().map_or("", |s| s.note.as_str())
+                    )
+                });
         }
         if !job.state.ended() {
             if failed {
@@ -198,11 +287,18 @@
         let (state, queue, took) = (
             job.state,
             job.spec.queue.clone(),
-            at.saturating_sub(job.accepted.max(job.spec.tasks.iter().map(|t| t.due).max().unwrap_or(0))),
+            at.saturating_sub(
+                job.accepted
+                    .max(job.spec.tasks.iter().map(|t| t.due).max().unwrap_or(0)),
+            ),
         );
         self.open.remove(id);
         self.expiry.insert((at, id.to_string()));
-        let promise = self.desired.queues.get(&queue).map_or(0, |q| q.finish_within_ms);
+        let promise = self
+            .desired
+            .queues
+            .get(&queue)
+            .map_or(0, |q| q.finish_within_ms);
         let tally = self.queues.entry(queue).or_default();
         tally.unfinished = tally.unfinished.saturating_sub(1);
         if state != JobState::Cancelled {
--- a/landingdrift/src/record/apply/members.rs
+++ b/landingdrift/src/record/apply/members.rs
@@ -5,14 +5,22 @@
 impl Record {
     pub(super) fn grant(&mut self, duty: &str, holder: &str, from_epoch: u64) -> Ruling {
         let current = self.grants.get(duty).map_or(0, |g| g.epoch);
-        (current == from_epoch).then_some(()).ok_or(Refusal::StaleGrant)?;
+        (current == from_epoch)
+            .then_some(())
+            .ok_or(Refusal::StaleGrant)?;
         let alive = holder.is_empty() || self.nodes.get(holder).is_some_and(|n| n.alive);
         alive.then_some(()).ok_or(Refusal::Unknown {
             what: format!("living node '{holder}'"),
         })?;
         let epoch = self.next_epoch;
         self.next_epoch += 1;
-        self.grants.insert(duty.into(), Grant { holder: holder.into(), epoch });
+        self.grants.insert(
+            duty.into(),
+            Grant {
+                holder: holder.into(),
+                epoch,
+            },
+        );
         Ok(json!({"epoch": epoch}))
     }
 
@@ -29,11 +37,24 @@
     }
 
     pub(super) fn node_gone(&mut self, node: &str) -> Ruling {
-        self.nodes.get_mut(node).iter_mut().for_each(|n| n.alive = false);
+        self.nodes
+            .get_mut(node)
+            .iter_mut()
+            .for_each(|n| n.alive = false);
         // The newest of the dead are remembered, so that the table stays bounded.
-        let dead: Vec<String> = self.nodes.iter().filter(|(_, n)| !n.alive).map(|(k, _)| k.clone()).collect();
+        let dead: Vec<String> = self
+            .nodes
+            .iter()
+            .filter(|(_, n)| !n.alive)
+            .map(|(k, _)| k.clone())
+            .collect();
         let held = |n: &str| self.grants.values().any(|g| g.holder == n);
-        let drop: Vec<String> = dead.into_iter().rev().skip(64).filter(|n| !held(n)).collect();
+        let drop: Vec<String> = dead
+            .into_iter()
+            .rev()
+            .skip(64)
+            .filter(|n| !held(n))
+            .collect();
         drop.iter().for_each(|n| {
             self.nodes.remove(n);
         });
--- a/landingdrift/src/record/apply/mod.rs
+++ b/landingdrift/src/record/apply/mod.rs
@@ -18,30 +18,72 @@
         self.at = self.at.max(at);
         match command {
             Command::Opened { .. } => Ok(Value::Null),
-            Command::Configure { change, base, patch, value } => self.configure(change, *base, *patch, value),
+            Command::Configure {
+                change,
+                base,
+                patch,
+                value,
+            } => self.configure(change, *base, *patch, value),
             Command::Accept { spec, hash, seen } => self.accept(spec, *hash, *seen),
             Command::Cancel { job } => self.cancel(job),
-            Command::Start { job, owner_epoch, placements } => self.start(job, *owner_epoch, placements),
+            Command::Start {
+                job,
+                owner_epoch,
+                placements,
+            } => self.start(job, *owner_epoch, placements),
             Command::Facts { facts, cell_epoch } => self.facts(facts, *cell_epoch),
-            Command::Report { worker, incarnation, running, ends } => self.report(worker, *incarnation, running, ends),
-            Command::Lost { worker, incarnation, cell_epoch } => self.lost(worker, *incarnation, *cell_epoch),
+            Command::Report {
+                worker,
+                incarnation,
+                running,
+                ends,
+            } => self.report(worker, *incarnation, running, ends),
+            Command::Lost {
+                worker,
+                incarnation,
+                cell_epoch,
+            } => self.lost(worker, *incarnation, *cell_epoch),
             Command::Resolve { job, task, well } => self.resolve(job, task, *well),
-            Command::Grant { duty, holder, from_epoch } => self.grant(duty, holder, *from_epoch),
+            Command::Grant {
+                duty,
+                holder,
+                from_epoch,
+            } => self.grant(duty, holder, *from_epoch),
             Command::Node { node, zone, http } => self.node(node, zone, http),
             Command::NodeGone { node } => self.node_gone(node),
             Command::Found { cores } => {
-                self.cores = cores.iter().map(|c| (c.clone(), super::CoreMember { voter: true, disk: 0 })).collect();
+                self.cores = cores
+                    .iter()
+                    .map(|c| {
+                        (
+                            c.clone(),
+                            super::CoreMember {
+                                voter: true,
+                                disk: 0,
+                            },
+                        )
+                    })
+                    .collect();
                 Ok(Value::Null)
             }
             Command::Core { core, voter, disk } => {
-                self.cores.insert(core.clone(), super::CoreMember { voter: *voter, disk: *disk });
+                self.cores.insert(
+                    core.clone(),
+                    super::CoreMember {
+                        voter: *voter,
+                        disk: *disk,
+                    },
+                );
                 Ok(Value::Null)
             }
             Command::CoreGone { core } => {
                 self.cores.remove(core);
                 Ok(Value::Null)
             }
-            Command::Sweep { retain_ms, identity_ms } => self.sweep(*retain_ms, *identity_ms),
+            Command::Sweep {
+                retain_ms,
+                identity_ms,
+            } => self.sweep(*retain_ms, *identity_ms),
         }
     }
 
@@ -58,5 +100,9 @@
 
 /// The verdict as bytes.
 pub fn pack_ruling(r: &Ruling) -> Vec<u8> {
-    serde_json::to_vec(&r.as_ref().map_or_else(|e| json!({"refused": e}), |v| json!({"done": v}))).unwrap_or_default()
+    serde_json::to_vec(
+        &r.as_ref()
+            .map_or_else(|e| json!({"refused": e}), |v| json!({"done": v})),
+    )
+    .unwrap_or_default()
 }
--- a/landingdrift/src/record/apply/start.rs
+++ b/landingdrift/src/record/apply/start.rs
@@ -6,19 +6,28 @@
 impl Record {
     /// Places tasks on workers, all or none. Every rule that a record can check is checked here.
     pub(super) fn start(&mut self, id: &str, owner_epoch: u64, placements: &[Placement]) -> Ruling {
-        let job = self.jobs.get(id).ok_or(Refusal::Unknown { what: format!("job '{id}'") })?;
-        let grant_ok = self.holder(&queue_duty(&job.spec.queue)).is_some_and(|g| g.epoch == owner_epoch);
+        let job = self.jobs.get(id).ok_or(Refusal::Unknown {
+            what: format!("job '{id}'"),
+        })?;
+        let grant_ok = self
+            .holder(&queue_duty(&job.spec.queue))
+            .is_some_and(|g| g.epoch == owner_epoch);
         grant_ok.then_some(()).ok_or(Refusal::StaleGrant)?;
         (!job.state.ended()).then_some(()).ok_or(Refusal::Ended)?;
         (!job.cancel).then_some(()).ok_or(Refusal::Cancelled)?;
         let mut taken: BTreeMap<&str, u32> = BTreeMap::new();
         for (n, p) in placements.iter().enumerate() {
-            (!placements[..n].iter().any(|q| q.task == p.task)).then_some(()).ok_or(Refusal::Repeat)?;
+            (!placements[..n].iter().any(|q| q.task == p.task))
+                .then_some(())
+                .ok_or(Refusal::Repeat)?;
             self.may_start(id, p.task, p.copy, self.at)?;
             self.fits(id, p)?;
             let sum = taken.entry(p.worker.as_str()).or_default();
             *sum = sum.saturating_add(job.spec.tasks[p.task as usize].room);
-            let free = self.workers.get(&p.worker).map_or(0, |w| w.facts.room.saturating_sub(w.used));
+            let free = self
+                .workers
+                .get(&p.worker)
+                .map_or(0, |w| w.facts.room.saturating_sub(w.used));
             (*sum <= free).then_some(()).ok_or(Refusal::NoRoom)?;
         }
         self.gangs_whole(id, placements)?;
@@ -29,12 +38,20 @@
 
     /// Whether a task may get a send at a moment, leaving the worker aside.
     pub fn may_start(&self, id: &str, no: u32, copy: bool, at: u64) -> Result<(), Refusal> {
-        let (job, task) = self.task(id, no).ok_or(Refusal::Unknown { what: format!("task {no}") })?;
-        let spec = &job.spec.tasks[no as usize];
-        let queue = self.desired.queues.get(&job.spec.queue).ok_or(Refusal::Unknown {
-            what: format!("queue '{}'", job.spec.queue),
+        let (job, task) = self.task(id, no).ok_or(Refusal::Unknown {
+            what: format!("task {no}"),
         })?;
-        (task.state == crate::record::TaskState::Waiting).then_some(()).ok_or(Refusal::Ended)?;
+        let spec = &job.spec.tasks[no as usize];
+        let queue = self
+            .desired
+            .queues
+            .get(&job.spec.queue)
+            .ok_or(Refusal::Unknown {
+                what: format!("queue '{}'", job.spec.queue),
+            })?;
+        (task.state == crate::record::TaskState::Waiting)
+            .then_some(())
+            .ok_or(Refusal::Ended)?;
         (at >= spec.due).then_some(()).ok_or(Refusal::NotDue)?;
         task.waits
             .iter()
@@ -42,7 +59,13 @@
             .then_some(())
             .ok_or(Refusal::Waiting)?;
         let (mut sure, mut unsure) = (0u32, 0u32);
-        task.live().for_each(|s| if s.state == SendState::Unsure { unsure += 1 } else { sure += 1 });
+        task.live().for_each(|s| {
+            if s.state == SendState::Unsure {
+                unsure += 1
+            } else {
+                sure += 1
+            }
+        });
         let repeat = if spec.may_repeat {
             // A first or next try, or one copy beside one run.
             sure != u32::from(copy) || (copy && !spec.gang.is_empty())
@@ -52,48 +75,89 @@
         };
         (!repeat).then_some(()).ok_or(Refusal::Repeat)?;
         // What may be running may fail, or has failed where nobody saw it: it counts as a try.
-        (task.defects + sure + unsure < queue.tries).then_some(()).ok_or(Refusal::Spent)?;
+        (task.defects + sure + unsure < queue.tries)
+            .then_some(())
+            .ok_or(Refusal::Spent)?;
         if !copy {
             return Ok(());
         }
-        let tally = self.queues.get(&job.spec.queue).cloned().unwrap_or_default();
+        let tally = self
+            .queues
+            .get(&job.spec.queue)
+            .cloned()
+            .unwrap_or_default();
         let budget = (tally.running * queue.speculation_percent).div_ceil(100);
-        (tally.copies < budget && !self.allowance_spent(&job.spec.queue)).then_some(()).ok_or(Refusal::Budget)
+        (tally.copies < budget && !self.allowance_spent(&job.spec.queue))
+            .then_some(())
+            .ok_or(Refusal::Budget)
     }
 
     /// Whether a worker may get a task of a job.
     pub fn fits(&self, id: &str, p: &Placement) -> Result<(), Refusal> {
         let unfit = |why: &str| Refusal::Unfit { why: why.into() };
-        let job = self.jobs.get(id).ok_or(Refusal::Unknown { what: format!("job '{id}'") })?;
-        let spec = job.spec.tasks.get(p.task as usize).ok_or(Refusal::Unknown { what: format!("task {}", p.task) })?;
+        let job = self.jobs.get(id).ok_or(Refusal::Unknown {
+            what: format!("job '{id}'"),
+        })?;
+        let spec = job
+            .spec
+            .tasks
+            .get(p.task as usize)
+            .ok_or(Refusal::Unknown {
+                what: format!("task {}", p.task),
+            })?;
         let w = self.workers.get(&p.worker).ok_or(Refusal::Unknown {
             what: format!("worker '{}'", p.worker),
         })?;
-        let cell_ok = self.holder(&cell_duty(&w.facts.zone)).is_some_and(|g| g.epoch == p.cell_epoch);
+        let cell_ok = self
+            .holder(&cell_duty(&w.facts.zone))
+            .is_some_and(|g| g.epoch == p.cell_epoch);
         cell_ok.then_some(()).ok_or(Refusal::StaleGrant)?;
-        (w.facts.incarnation == p.incarnation).then_some(()).ok_or_else(|| unfit("it has started anew"))?;
+        (w.facts.incarnation == p.incarnation)
+            .then_some(())
+            .ok_or_else(|| unfit("it has started anew"))?;
         (!w.lost).then_some(()).ok_or_else(|| unfit("it is lost"))?;
-        (!w.facts.leaving).then_some(()).ok_or_else(|| unfit("it is leaving"))?;
-        self.desired.open(&w.facts.zone, &p.worker).then_some(()).ok_or_else(|| unfit("its zone or itself is drained"))?;
-        (w.facts.service == spec.service).then_some(()).ok_or_else(|| unfit("another service"))?;
-        spec.labels.iter().all(|l| w.facts.labels.contains(l)).then_some(()).ok_or_else(|| unfit("a label is missing"))?;
-        (w.probation == 0 || w.sends.is_empty()).then_some(()).ok_or_else(|| unfit("on probation, one at a time"))?;
-        let again = job.tasks[p.task as usize].live().any(|s| s.worker == p.worker);
+        (!w.facts.leaving)
+            .then_some(())
+            .ok_or_else(|| unfit("it is leaving"))?;
+        self.desired
+            .open(&w.facts.zone, &p.worker)
+            .then_some(())
+            .ok_or_else(|| unfit("its zone or itself is drained"))?;
+        (w.facts.service == spec.service)
+            .then_some(())
+            .ok_or_else(|| unfit("another service"))?;
+        spec.labels
+            .iter()
+            .all(|l| w.facts.labels.contains(l))
+            .then_some(())
+            .ok_or_else(|| unfit("a label is missing"))?;
+        (w.probation == 0 || w.sends.is_empty())
+            .then_some(())
+            .ok_or_else(|| unfit("on probation, one at a time"))?;
+        let again = job.tasks[p.task as usize]
+            .live()
+            .any(|s| s.worker == p.worker);
         (!again).then_some(()).ok_or(Refusal::Repeat)
     }
 
     /// All members of a gang that are not done start in one entry, or none.
     fn gangs_whole(&self, id: &str, placements: &[Placement]) -> Result<(), Refusal> {
         let job = &self.jobs[id];
-        let whole = placements.iter().map(|p| &job.spec.tasks[p.task as usize].gang).filter(|g| !g.is_empty()).all(|gang| {
-            job.spec
-                .tasks
-                .iter()
-                .zip(&job.tasks)
-                .enumerate()
-                .filter(|(_, (s, t))| &s.gang == gang && t.state != crate::record::TaskState::Done)
-                .all(|(i, _)| placements.iter().any(|p| p.task as usize == i))
-        });
+        let whole = placements
+            .iter()
+            .map(|p| &job.spec.tasks[p.task as usize].gang)
+            .filter(|g| !g.is_empty())
+            .all(|gang| {
+                job.spec
+                    .tasks
+                    .iter()
+                    .zip(&job.tasks)
+                    .enumerate()
+                    .filter(|(_, (s, t))| {
+                        &s.gang == gang && t.state != crate::record::TaskState::Done
+                    })
+                    .all(|(i, _)| placements.iter().any(|p| p.task as usize == i))
+            });
         whole.then_some(()).ok_or(Refusal::GangSplit)
     }
 
--- a/landingdrift/src/record/apply/sweep.rs
+++ b/landingdrift/src/record/apply/sweep.rs
@@ -9,24 +9,53 @@
     /// When the next bound passes, if a sweep has anything to do.
     pub fn sweep_due(&self, retain_ms: u64, identity_ms: u64) -> Option<u64> {
         let unsure = self.unsure_dues().map(|(due, _)| due).min();
-        let expiry = self.expiry.first().map(|(at, id)| at + if self.jobs.contains_key(id) { retain_ms } else { identity_ms });
-        let lost = self.workers.values().filter(|w| w.lost && w.sends.is_empty()).map(|w| w.since + retain_ms).min();
-        let refused = self.refusals.values().map(|(_, at)| at + REFUSALS_KEPT).min();
+        let expiry = self.expiry.first().map(|(at, id)| {
+            at + if self.jobs.contains_key(id) {
+                retain_ms
+            } else {
+                identity_ms
+            }
+        });
+        let lost = self
+            .workers
+            .values()
+            .filter(|w| w.lost && w.sends.is_empty())
+            .map(|w| w.since + retain_ms)
+            .min();
+        let refused = self
+            .refusals
+            .values()
+            .map(|(_, at)| at + REFUSALS_KEPT)
+            .min();
         [unsure, expiry, lost, refused].into_iter().flatten().min()
     }
 
     fn unsure_dues(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
-        self.live.keys().filter_map(|no| self.send(*no)).filter(|(_, _, s)| s.state == SendState::Unsure).map(|(j, _, s)| {
-            let bound = self.desired.queues.get(&j.spec.queue).map_or(60_000, |q| q.unsure_bound_ms);
-            (s.ended + bound, s.no)
-        })
+        self.live
+            .keys()
+            .filter_map(|no| self.send(*no))
+            .filter(|(_, _, s)| s.state == SendState::Unsure)
+            .map(|(j, _, s)| {
+                let bound = self
+                    .desired
+                    .queues
+                    .get(&j.spec.queue)
+                    .map_or(60_000, |q| q.unsure_bound_ms);
+                (s.ended + bound, s.no)
+            })
     }
 
     pub(super) fn sweep(&mut self, retain_ms: u64, identity_ms: u64) -> Ruling {
         let at = self.at;
-        let passed: Vec<u64> = self.unsure_dues().filter(|(due, _)| *due <= at).map(|(_, no)| no).collect();
+        let passed: Vec<u64> = self
+            .unsure_dues()
+            .filter(|(due, _)| *due <= at)
+            .map(|(_, no)| no)
+            .collect();
         for no in passed {
-            let Some((id, i)) = self.live.get(&no).cloned() else { continue };
+            let Some((id, i)) = self.live.get(&no).cloned() else {
+                continue;
+            };
             self.close(no, SendState::Defect, 0, "unsure for longer than its bound");
             // Without mayRepeat it is never sent again, whatever the tries.
             let job = self.jobs.get_mut(&id);
@@ -37,7 +66,13 @@
                 .for_each(|t| t.state = crate::record::TaskState::Failed);
             self.settle(&id);
         }
-        let drop: Vec<(u64, String)> = self.expiry.iter().take_while(|(t, _)| t + retain_ms <= at).take(1000).cloned().collect();
+        let drop: Vec<(u64, String)> = self
+            .expiry
+            .iter()
+            .take_while(|(t, _)| t + retain_ms <= at)
+            .take(1000)
+            .cloned()
+            .collect();
         for (t, id) in drop {
             if let Some(j) = self.jobs.remove(&id) {
                 self.expiry.remove(&(t, id.clone()));
@@ -65,7 +100,12 @@
             self.workers.remove(k);
         });
         self.refusals.retain(|_, (_, t)| *t + REFUSALS_KEPT > at);
-        let windows: Vec<(String, u64)> = self.desired.queues.iter().map(|(k, q)| (k.clone(), q.window_ms)).collect();
+        let windows: Vec<(String, u64)> = self
+            .desired
+            .queues
+            .iter()
+            .map(|(k, q)| (k.clone(), q.window_ms))
+            .collect();
         for (k, window) in windows {
             self.queues.get_mut(&k).iter_mut().for_each(|t| {
                 while t.promises.front().is_some_and(|(p, _)| p + window < at) {
