--- a/landingdrift/src/record/apply/workers.rs
+++ b/landingdrift/src/record/apply/workers.rs
@@ -1,5 +1,7 @@
 use super::Ruling;
-use crate::record::{cell_duty, EndReport, Outcome, Record, Refusal, SendState, Worker, WorkerFacts};
+use crate::record::{
+    cell_duty, EndReport, Outcome, Record, Refusal, SendState, Worker, WorkerFacts,
+};
 use serde_json::Value;
 use std::collections::BTreeSet;
 
@@ -10,27 +12,49 @@
 
 impl Record {
     pub(super) fn facts(&mut self, facts: &WorkerFacts, cell_epoch: u64) -> Ruling {
-        let cell_ok = self.holder(&cell_duty(&facts.zone)).is_some_and(|g| g.epoch == cell_epoch);
+        let cell_ok = self
+            .holder(&cell_duty(&facts.zone))
+            .is_some_and(|g| g.epoch == cell_epoch);
         cell_ok.then_some(()).ok_or(Refusal::StaleGrant)?;
         let at = self.at;
-        let w = self.workers.entry(facts.worker.clone()).or_insert_with(|| Worker { since: at, ..Worker::default() });
-        (facts.incarnation >= w.facts.incarnation).then_some(()).ok_or(Refusal::Unfit {
-            why: "a newer incarnation is known".into(),
-        })?;
+        let w = self
+            .workers
+            .entry(facts.worker.clone())
+            .or_insert_with(|| Worker {
+                since: at,
+                ..Worker::default()
+            });
+        (facts.incarnation >= w.facts.incarnation)
+            .then_some(())
+            .ok_or(Refusal::Unfit {
+                why: "a newer incarnation is known".into(),
+            })?;
         let anew = facts.incarnation > w.facts.incarnation && !w.sends.is_empty();
         w.facts = facts.clone();
         w.lost = false;
         let sends: Vec<u64> = w.sends.iter().copied().collect();
         if anew {
-            sends.iter().for_each(|no| self.restarted(*no, facts.incarnation));
+            sends
+                .iter()
+                .for_each(|no| self.restarted(*no, facts.incarnation));
         }
         // What has not started is called back from a worker that may not have it any more.
         let closed = facts.leaving || !self.desired.open(&facts.zone, &facts.worker);
-        let over = self.workers.get(&facts.worker).is_some_and(|w| w.used > facts.room);
-        let fits = |(job, i): &(String, u32)| self.jobs.get(job).is_some_and(|j| facts.serves(&j.spec.tasks[*i as usize]));
+        let over = self
+            .workers
+            .get(&facts.worker)
+            .is_some_and(|w| w.used > facts.room);
+        let fits = |(job, i): &(String, u32)| {
+            self.jobs
+                .get(job)
+                .is_some_and(|j| facts.serves(&j.spec.tasks[*i as usize]))
+        };
         let back: Vec<u64> = sends
             .into_iter()
-            .filter(|no| self.send(*no).is_some_and(|(_, _, s)| s.state == SendState::Ordered))
+            .filter(|no| {
+                self.send(*no)
+                    .is_some_and(|(_, _, s)| s.state == SendState::Ordered)
+            })
             .filter(|no| closed || over || !self.live.get(no).is_some_and(fits))
             .collect();
         back.into_iter().for_each(|no| self.want_stop(no));
@@ -39,11 +63,23 @@
 
     /// The worker's process is a new one: what ran in the old one runs no more, but may have finished well.
     fn restarted(&mut self, no: u64, incarnation: u64) {
-        let Some((id, i)) = self.live.get(&no).cloned() else { return };
-        let old = self.send(no).is_some_and(|(_, _, s)| s.incarnation < incarnation);
-        let may_repeat = self.jobs.get(&id).is_some_and(|j| j.spec.tasks[i as usize].may_repeat);
+        let Some((id, i)) = self.live.get(&no).cloned() else {
+            return;
+        };
+        let old = self
+            .send(no)
+            .is_some_and(|(_, _, s)| s.incarnation < incarnation);
+        let may_repeat = self
+            .jobs
+            .get(&id)
+            .is_some_and(|j| j.spec.tasks[i as usize].may_repeat);
         if old && may_repeat {
-            self.close(no, SendState::Defect, 0, "the worker started anew while it ran");
+            self.close(
+                no,
+                SendState::Defect,
+                0,
+                "the worker started anew while it ran",
+            );
             self.settle(&id);
         } else if old {
             self.doubt(no);
@@ -53,21 +89,35 @@
     /// Makes a send unsure.
     fn doubt(&mut self, no: u64) {
         let at = self.at;
-        let Some((id, i)) = self.live.get(&no).cloned() else { return };
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.tasks[i as usize].sends.iter_mut().filter(|s| s.no == no && s.state != SendState::Unsure).for_each(|s| {
-            s.state = SendState::Unsure;
-            // While unsure, `ended` is the moment the doubt began.
-            s.ended = at;
-        });
+        let Some((id, i)) = self.live.get(&no).cloned() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.tasks[i as usize]
+            .sends
+            .iter_mut()
+            .filter(|s| s.no == no && s.state != SendState::Unsure)
+            .for_each(|s| {
+                s.state = SendState::Unsure;
+                // While unsure, `ended` is the moment the doubt began.
+                s.ended = at;
+            });
         // The others of a gang don't wait for one that may never come.
         self.recall_gang(&id, i);
     }
 
     pub(super) fn lost(&mut self, worker: &str, incarnation: u64, cell_epoch: u64) -> Ruling {
-        let w = self.workers.get(worker).ok_or(Refusal::Unknown { what: format!("worker '{worker}'") })?;
-        let cell_ok = self.holder(&cell_duty(&w.facts.zone)).is_some_and(|g| g.epoch == cell_epoch);
-        (cell_ok && w.facts.incarnation == incarnation).then_some(()).ok_or(Refusal::StaleGrant)?;
+        let w = self.workers.get(worker).ok_or(Refusal::Unknown {
+            what: format!("worker '{worker}'"),
+        })?;
+        let cell_ok = self
+            .holder(&cell_duty(&w.facts.zone))
+            .is_some_and(|g| g.epoch == cell_epoch);
+        (cell_ok && w.facts.incarnation == incarnation)
+            .then_some(())
+            .ok_or(Refusal::StaleGrant)?;
         let sends: BTreeSet<u64> = w.sends.clone();
         sends.into_iter().for_each(|no| self.doubt(no));
         let at = self.at;
@@ -78,10 +128,18 @@
         Ok(Value::Null)
     }
 
-    pub(super) fn report(&mut self, worker: &str, incarnation: u64, running: &[u64], ends: &[EndReport]) -> Ruling {
+    pub(super) fn report(
+        &mut self,
+        worker: &str,
+        incarnation: u64,
+        running: &[u64],
+        ends: &[EndReport],
+    ) -> Ruling {
         let at = self.at;
         for no in running {
-            let ours = self.send(*no).is_some_and(|(_, _, s)| s.worker == worker && s.incarnation == incarnation);
+            let ours = self
+                .send(*no)
+                .is_some_and(|(_, _, s)| s.worker == worker && s.incarnation == incarnation);
             if let Some((id, i)) = self.live.get(no).cloned().filter(|_| ours) {
                 self.jobs
                     .get_mut(&id)
@@ -98,7 +156,9 @@
         }
         for e in ends {
             let ours = self.send(e.no).is_some_and(|(_, _, s)| s.worker == worker);
-            let Some((id, _)) = self.live.get(&e.no).cloned().filter(|_| ours) else { continue };
+            let Some((id, _)) = self.live.get(&e.no).cloned().filter(|_| ours) else {
+                continue;
+            };
             let asked = self.send(e.no).is_some_and(|(_, _, s)| s.stop);
             let state = match e.outcome {
                 Outcome::Well => SendState::Well,
@@ -125,8 +185,12 @@
             .workers
             .iter()
             .filter(|(k, _)| k.as_str() != worker)
-            .fold((0, 0), |(b, n), (_, w)| (b + w.ends.iter().filter(|g| !**g).count(), n + w.ends.len()));
-        let Some(w) = self.workers.get_mut(worker) else { return };
+            .fold((0, 0), |(b, n), (_, w)| {
+                (b + w.ends.iter().filter(|g| !**g).count(), n + w.ends.len())
+            });
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
         w.ends.push_back(good);
         if w.ends.len() > JUDGED {
             w.ends.pop_front();
@@ -140,7 +204,9 @@
         }
         let bad = w.ends.iter().filter(|g| !**g).count();
         // Much worse than the others: at least four defects, a third of its ends, three times the fleet's share.
-        let worse = bad >= 4 && bad * 3 >= w.ends.len() && bad * fleet.1.max(1) >= 3 * fleet.0 * w.ends.len();
+        let worse = bad >= 4
+            && bad * 3 >= w.ends.len()
+            && bad * fleet.1.max(1) >= 3 * fleet.0 * w.ends.len();
         w.probation = if worse { REDEEMED } else { 0 };
     }
 }
--- a/landingdrift/src/record/derive.rs
+++ b/landingdrift/src/record/derive.rs
@@ -18,31 +18,42 @@
 impl Record {
     /// The shape of a queue's task durations, by the likelihood of its latest good runs.
     pub fn beta(&self, queue: &str) -> f64 {
-        self.queues.get(queue).filter(|t| t.durations.len() >= 20).map_or(1.5, |t| {
-            let mut sorted: Vec<f64> = t.durations.iter().map(|d| f64::from((*d).max(1))).collect();
-            sorted.sort_by(f64::total_cmp);
-            let tail = &sorted[sorted.len() / 20..];
-            let low = tail[0];
-            let logs: f64 = tail.iter().map(|d| (d / low).ln()).sum();
-            (tail.len() as f64 / logs.max(1e-9)).clamp(1.05, 2.0)
-        })
+        self.queues
+            .get(queue)
+            .filter(|t| t.durations.len() >= 20)
+            .map_or(1.5, |t| {
+                let mut sorted: Vec<f64> =
+                    t.durations.iter().map(|d| f64::from((*d).max(1))).collect();
+                sorted.sort_by(f64::total_cmp);
+                let tail = &sorted[sorted.len() / 20..];
+                let low = tail[0];
+                let logs: f64 = tail.iter().map(|d| (d / low).ln()).sum();
+                (tail.len() as f64 / logs.max(1e-9)).clamp(1.05, 2.0)
+            })
     }
 
     /// A duration that a share of a queue's good runs stays under.
     pub fn duration_quantile(&self, queue: &str, share: f64) -> Option<f64> {
         let mut sorted: Vec<u32> = self.queues.get(queue)?.durations.iter().copied().collect();
         sorted.sort_unstable();
-        sorted.get(((sorted.len().saturating_sub(1)) as f64 * share) as usize).map(|d| f64::from(*d))
+        sorted
+            .get(((sorted.len().saturating_sub(1)) as f64 * share) as usize)
+            .map(|d| f64::from(*d))
     }
 
     /// The sizes of a job: V = (2/β)·T·√α over the phase at hand.
     pub fn sizing(&self, job: &Job) -> Sizing {
         let (mut ready, mut behind, mut occupied) = (0u32, 0u32, 0u32);
         for t in job.tasks.iter().filter(|t| t.state == TaskState::Waiting) {
-            let open = t.waits.iter().all(|d| job.tasks[*d as usize].state == TaskState::Done);
+            let open = t
+                .waits
+                .iter()
+                .all(|d| job.tasks[*d as usize].state == TaskState::Done);
             *(if open { &mut ready } else { &mut behind }) += 1;
         }
-        job.tasks.iter().for_each(|t| occupied += t.live().count() as u32);
+        job.tasks
+            .iter()
+            .for_each(|t| occupied += t.live().count() as u32);
         let factor = (2.0 / self.beta(&job.spec.queue)).max(1.0);
         let alpha = if behind == 0 || ready == 0 {
             1.0
@@ -60,27 +71,51 @@
 
     /// Unfinished jobs that could use a slot now, or hold one; those whose tasks all wait for their time share nothing.
     pub fn runnable(&self, at: u64) -> usize {
-        let ready =
-            |job: &Job, t: &Task, due: u64| t.live().next().is_some() || (t.state == TaskState::Waiting && due <= at && t.waits.iter().all(|d| job.tasks[*d as usize].state == TaskState::Done));
+        let ready = |job: &Job, t: &Task, due: u64| {
+            t.live().next().is_some()
+                || (t.state == TaskState::Waiting
+                    && due <= at
+                    && t.waits
+                        .iter()
+                        .all(|d| job.tasks[*d as usize].state == TaskState::Done))
+        };
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
-        jobs.filter(|j| j.spec.tasks.iter().zip(&j.tasks).any(|(s, t)| ready(j, t, s.due))).count()
+        jobs.filter(|j| {
+            j.spec
+                .tasks
+                .iter()
+                .zip(&j.tasks)
+                .any(|(s, t)| ready(j, t, s.due))
+        })
+        .count()
     }
 
     /// Room of all workers that take work.
     pub fn total_room(&self) -> u32 {
         self.workers
             .values()
-            .filter(|w| !w.lost && !w.facts.leaving && self.desired.open(&w.facts.zone, &w.facts.worker))
+            .filter(|w| {
+                !w.lost && !w.facts.leaving && self.desired.open(&w.facts.zone, &w.facts.worker)
+            })
             .map(|w| w.facts.room)
             .sum()
     }
 
     /// Whether a queue has used up what it may miss within its window.
     pub fn allowance_spent(&self, queue: &str) -> bool {
-        self.desired.queues.get(queue).zip(self.queues.get(queue)).is_some_and(|(q, t)| {
-            let within = t.promises.iter().filter(|(p, _)| p + q.window_ms >= self.at);
-            let (missed, all) = within.fold((0u32, 0u32), |(m, n), (_, kept)| (m + u32::from(!kept), n + 1));
-            all >= 20 && missed * 100 > all * q.defect_allowance_percent
-        })
+        self.desired
+            .queues
+            .get(queue)
+            .zip(self.queues.get(queue))
+            .is_some_and(|(q, t)| {
+                let within = t
+                    .promises
+                    .iter()
+                    .filter(|(p, _)| p + q.window_ms >= self.at);
+                let (missed, all) = within.fold((0u32, 0u32), |(m, n), (_, kept)| {
+                    (m + u32::from(!kept), n + 1)
+                });
+                all >= 20 && missed * 100 > all * q.defect_allowance_percent
+            })
     }
 }
--- a/landingdrift/src/record/job.rs
+++ b/landingdrift/src/record/job.rs
@@ -173,22 +173,45 @@
 
     /// Checks the shape of the job: names, steps, cycles, gangs.
     pub fn check(&self) -> Result<Vec<Vec<u32>>, SpecDefect> {
-        let no = |path: String, remedy: &str| SpecDefect { path, remedy: remedy.into() };
-        let name_ok = |n: &str| !n.is_empty() && n.len() <= 128 && n.chars().all(|c| c.is_ascii_alphanumeric() || "-_.:".contains(c));
-        name_ok(&self.id).then_some(()).ok_or_else(|| no("id".into(), "use 1 to 128 letters, digits, '-', '_', '.' or ':'"))?;
+        let no = |path: String, remedy: &str| SpecDefect {
+            path,
+            remedy: remedy.into(),
+        };
+        let name_ok = |n: &str| {
+            !n.is_empty()
+                && n.len() <= 128
+                && n.chars()
+                    .all(|c| c.is_ascii_alphanumeric() || "-_.:".contains(c))
+        };
+        name_ok(&self.id).then_some(()).ok_or_else(|| {
+            no(
+                "id".into(),
+                "use 1 to 128 letters, digits, '-', '_', '.' or ':'",
+            )
+        })?;
         (1..=TASKS_MOST)
             .contains(&self.tasks.len())
             .then_some(())
             .ok_or_else(|| no("tasks".into(), "give 1 to 2000 tasks; split a larger job"))?;
         let mut by_name = BTreeMap::new();
         for (i, t) in self.tasks.iter().enumerate() {
-            name_ok(&t.name)
-                .then_some(())
-                .ok_or_else(|| no(format!("tasks[{i}].name"), "use 1 to 128 letters, digits, '-', '_', '.' or ':'"))?;
+            name_ok(&t.name).then_some(()).ok_or_else(|| {
+                no(
+                    format!("tasks[{i}].name"),
+                    "use 1 to 128 letters, digits, '-', '_', '.' or ':'",
+                )
+            })?;
             by_name
                 .insert(t.name.as_str(), i as u32)
-                .map_or(Ok(()), |_| Err(no(format!("tasks[{i}].name"), "give every task of a job a name of its own")))?;
-            (t.room >= 1).then_some(()).ok_or_else(|| no(format!("tasks[{i}].room"), "give at least 1"))?;
+                .map_or(Ok(()), |_| {
+                    Err(no(
+                        format!("tasks[{i}].name"),
+                        "give every task of a job a name of its own",
+                    ))
+                })?;
+            (t.room >= 1)
+                .then_some(())
+                .ok_or_else(|| no(format!("tasks[{i}].room"), "give at least 1"))?;
         }
         let mut waits = Vec::new();
         for (i, t) in self.tasks.iter().enumerate() {
@@ -196,10 +219,12 @@
                 .depends_on
                 .iter()
                 .map(|d| {
-                    by_name
-                        .get(d.as_str())
-                        .copied()
-                        .ok_or_else(|| no(format!("tasks[{i}].dependsOn"), &format!("'{d}' is no task of this job: correct the name")))
+                    by_name.get(d.as_str()).copied().ok_or_else(|| {
+                        no(
+                            format!("tasks[{i}].dependsOn"),
+                            &format!("'{d}' is no task of this job: correct the name"),
+                        )
+                    })
                 })
                 .collect();
             waits.push(of?);
@@ -226,15 +251,22 @@
                 }
             }
         }
-        (seen == waits.len()).then_some(()).ok_or_else(|| SpecDefect {
-            path: "tasks".into(),
-            remedy: "the steps depend on each other in a circle: remove one dependsOn".into(),
-        })
+        (seen == waits.len())
+            .then_some(())
+            .ok_or_else(|| SpecDefect {
+                path: "tasks".into(),
+                remedy: "the steps depend on each other in a circle: remove one dependsOn".into(),
+            })
     }
 
     fn check_gangs(&self, waits: &[Vec<u32>]) -> Result<(), SpecDefect> {
         // Members start together, so none may wait, directly or not, for another of its gang.
-        for (i, t) in self.tasks.iter().enumerate().filter(|(_, t)| !t.gang.is_empty()) {
+        for (i, t) in self
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, t)| !t.gang.is_empty())
+        {
             let mut todo = waits[i].clone();
             let mut seen = vec![false; waits.len()];
             while let Some(d) = todo.pop().map(|d| d as usize) {
@@ -253,26 +285,41 @@
     /// Checks that the desired state lets the job run at all.
     pub fn satisfiable(&self, desired: &crate::desired::Desired) -> Result<(), SpecDefect> {
         let no = |path: String, remedy: String| SpecDefect { path, remedy };
-        desired
-            .queues
-            .get(&self.queue)
-            .map(|_| ())
-            .ok_or_else(|| no("queue".into(), format!("no queue is called '{}': create it or name another", self.queue)))?;
+        desired.queues.get(&self.queue).map(|_| ()).ok_or_else(|| {
+            no(
+                "queue".into(),
+                format!(
+                    "no queue is called '{}': create it or name another",
+                    self.queue
+                ),
+            )
+        })?;
         let mut gangs: BTreeMap<(&str, &str), u32> = BTreeMap::new();
         for (i, t) in self.tasks.iter().enumerate() {
-            let s = desired
-                .services
-                .get(&t.service)
-                .ok_or_else(|| no(format!("tasks[{i}].service"), format!("no service is called '{}': declare it or name another", t.service)))?;
+            let s = desired.services.get(&t.service).ok_or_else(|| {
+                no(
+                    format!("tasks[{i}].service"),
+                    format!(
+                        "no service is called '{}': declare it or name another",
+                        t.service
+                    ),
+                )
+            })?;
             t.labels.iter().find(|l| !s.labels.contains(l)).map_or(Ok(()), |l| {
                 Err(no(
                     format!("tasks[{i}].labels"),
                     format!("service '{}' has no workers with label '{l}': declare it or leave it out", t.service),
                 ))
             })?;
-            (t.room <= s.task_room)
-                .then_some(())
-                .ok_or_else(|| no(format!("tasks[{i}].room"), format!("service '{}' gives a task at most {}: ask for less", t.service, s.task_room)))?;
+            (t.room <= s.task_room).then_some(()).ok_or_else(|| {
+                no(
+                    format!("tasks[{i}].room"),
+                    format!(
+                        "service '{}' gives a task at most {}: ask for less",
+                        t.service, s.task_room
+                    ),
+                )
+            })?;
             if !t.gang.is_empty() {
                 let sum = gangs.entry((&t.gang, &t.service)).or_default();
                 *sum = sum.saturating_add(t.room);
--- a/landingdrift/src/record/mod.rs
+++ b/landingdrift/src/record/mod.rs
@@ -146,7 +146,9 @@
 
     /// The record from a capture.
     pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
-        let r: Self = serde_json::from_slice(bytes).map_err(|e| format!("the capture can't be read ({e}): fetch it again from another core"))?;
+        let r: Self = serde_json::from_slice(bytes).map_err(|e| {
+            format!("the capture can't be read ({e}): fetch it again from another core")
+        })?;
         (r.format == RECORD_VERSION)
             .then_some(())
             .ok_or_else(|| format!("the capture has format {}, this build reads {RECORD_VERSION}: run the build that wrote it", r.format))?;
@@ -160,7 +162,9 @@
 
     /// A task by its job and number.
     pub fn task(&self, job: &str, no: u32) -> Option<(&Job, &Task)> {
-        self.jobs.get(job).and_then(|j| j.tasks.get(no as usize).map(|t| (j, t)))
+        self.jobs
+            .get(job)
+            .and_then(|j| j.tasks.get(no as usize).map(|t| (j, t)))
     }
 
     /// A send by its number, while it may be running.
--- a/landingdrift/src/replay/command.rs
+++ b/landingdrift/src/replay/command.rs
@@ -24,8 +24,14 @@
 
 fn perform(words: Vec<OsString>) -> Result<i32, String> {
     let bad = |e: lexopt::Error| format!("{e}\n\n{HELP}");
-    let (mut rest, mut new_desired, mut new_settings, mut as_json) = (Vec::new(), None, None, false);
-    let text = |p: &mut lexopt::Parser| p.value().map_err(bad).and_then(|v| v.into_string().map_err(|_| "flags take text in UTF-8".to_string()));
+    let (mut rest, mut new_desired, mut new_settings, mut as_json) =
+        (Vec::new(), None, None, false);
+    let text = |p: &mut lexopt::Parser| {
+        p.value().map_err(bad).and_then(|v| {
+            v.into_string()
+                .map_err(|_| "flags take text in UTF-8".to_string())
+        })
+    };
     let mut p = lexopt::Parser::from_args(words);
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
@@ -36,43 +42,66 @@
             lexopt::Arg::Long("desired") => new_desired = Some(text(&mut p)?),
             lexopt::Arg::Long("settings") => new_settings = Some(text(&mut p)?),
             lexopt::Arg::Long("json") => as_json = true,
-            lexopt::Arg::Value(v) => rest.push(v.into_string().map_err(|_| "arguments are text in UTF-8".to_string())?),
+            lexopt::Arg::Value(v) => rest.push(
+                v.into_string()
+                    .map_err(|_| "arguments are text in UTF-8".to_string())?,
+            ),
             other => return Err(bad(other.unexpected())),
         }
     }
-    let arg = |i: usize| rest.get(i).map(String::as_str).ok_or_else(|| format!("a word is missing\n\n{HELP}"));
+    let arg = |i: usize| {
+        rest.get(i)
+            .map(String::as_str)
+            .ok_or_else(|| format!("a word is missing\n\n{HELP}"))
+    };
     match arg(0)? {
         "record" => {
             let day = Day::record(Path::new(arg(1)?)).map_err(|e| e.to_string())?;
             let out = arg(2)?;
-            std::fs::write(out, day.text()).map_err(|e| format!("'{out}' can't be written ({e}): name another file"))?;
+            std::fs::write(out, day.text())
+                .map_err(|e| format!("'{out}' can't be written ({e}): name another file"))?;
             crate::say!("{} entries recorded", day.lines.len());
             Ok(0)
         }
         "check" => {
             let day = Day::read(arg(1)?).map_err(|e| e.to_string())?;
             let of = day.differences();
-            of.iter().take(20).for_each(|(place, then, now)| crate::say!("place {place}: recorded {then}, now {now}"));
+            of.iter().take(20).for_each(|(place, then, now)| {
+                crate::say!("place {place}: recorded {then}, now {now}")
+            });
             crate::say!("{} entries, {} verdicts differ", day.lines.len(), of.len());
             Ok(i32::from(!of.is_empty()))
         }
         "run" => {
             let day = Day::read(arg(1)?).map_err(|e| e.to_string())?;
-            let read = |f: &String| std::fs::read_to_string(f).map_err(|e| format!("'{f}' can't be read ({e}): name another file"));
+            let read = |f: &String| {
+                std::fs::read_to_string(f)
+                    .map_err(|e| format!("'{f}' can't be read ({e}): name another file"))
+            };
             let desired = new_desired
                 .as_ref()
                 .map(|f| {
                     read(f)
-                        .and_then(|t| serde_json::from_str(&t).map_err(|e| format!("'{f}' is no JSON ({e}): correct it")))
+                        .and_then(|t| {
+                            serde_json::from_str(&t)
+                                .map_err(|e| format!("'{f}' is no JSON ({e}): correct it"))
+                        })
                         .and_then(|v| desired::read(&v).map_err(|e| e.to_string()))
                 })
                 .transpose()?;
             let settings = new_settings
                 .as_ref()
-                .map(|f| read(f).and_then(|t| toml::from_str::<Settings>(&t).map_err(|e| format!("'{f}' is wrong: {e}"))))
+                .map(|f| {
+                    read(f).and_then(|t| {
+                        toml::from_str::<Settings>(&t).map_err(|e| format!("'{f}' is wrong: {e}"))
+                    })
+                })
                 .transpose()?
                 .unwrap_or_default();
-            let (then, now) = (Story::of(&day.end()), rerun(&day, desired.as_ref(), &settings));
+            let (then, now) = (
+                Story::of(&day.end()),
+                rerun(&day, desired.as_ref(), &settings),
+            );
             tell(&then, &now, as_json);
             Ok(0)
         }
@@ -84,7 +113,9 @@
     let quantile = |s: &Story, q: f64| {
         let mut of: Vec<u64> = s.took.values().copied().collect();
         of.sort_unstable();
-        of.get(((of.len().saturating_sub(1)) as f64 * q) as usize).copied().unwrap_or(0)
+        of.get(((of.len().saturating_sub(1)) as f64 * q) as usize)
+            .copied()
+            .unwrap_or(0)
     };
     let ends: Vec<_> = then
         .states
@@ -92,7 +123,11 @@
         .filter(|(k, s)| now.states.get(*k) != Some(s))
         .map(|(k, s)| json!({"job": k, "recorded": s, "now": now.states.get(k)}))
         .collect();
-    let moved = then.placed.iter().filter(|(k, w)| now.placed.get(*k).is_some_and(|x| x != *w)).count();
+    let moved = then
+        .placed
+        .iter()
+        .filter(|(k, w)| now.placed.get(*k).is_some_and(|x| x != *w))
+        .count();
     let sum = |s: &Story| json!({"jobs": s.states.len(), "done": s.took.len(), "medianMs": quantile(s, 0.5), "p95Ms": quantile(s, 0.95), "kept": s.kept, "missed": s.missed, "copies": s.copies});
     if as_json {
         crate::say!(
@@ -102,7 +137,10 @@
         return;
     }
     crate::say!("recorded {}\nnow      {}", sum(then), sum(now));
-    crate::say!("{moved} of {} tasks ended on another worker", then.placed.len());
+    crate::say!(
+        "{moved} of {} tasks ended on another worker",
+        then.placed.len()
+    );
     crate::say!("{} jobs ended otherwise", ends.len());
     ends.iter().take(20).for_each(|e| crate::say!("  {e}"));
 }
--- a/landingdrift/src/replay/day.rs
+++ b/landingdrift/src/replay/day.rs
@@ -68,14 +68,18 @@
     pub fn record(folder: &Path) -> Result<Self, DayDefect> {
         let (cluster, loaded) = read_whole(folder).map_err(DayDefect::Disk)?;
         (!loaded.damaged).then_some(()).ok_or(DayDefect::Damaged)?;
-        let start = loaded.capture.map_or_else(|| Ok(Record::new(&cluster)), |c| Record::unpack(&c.bytes)).map_err(|_| DayDefect::Damaged)?;
+        let start = loaded
+            .capture
+            .map_or_else(|| Ok(Record::new(&cluster)), |c| Record::unpack(&c.bytes))
+            .map_err(|_| DayDefect::Damaged)?;
         let mut r = start.clone();
         let mut lines = Vec::new();
         for e in loaded.entries {
-            let entry: Command = serde_json::from_slice(&e.command).map_err(|x| DayDefect::Line {
-                line: e.index as usize,
-                why: x.to_string(),
-            })?;
+            let entry: Command =
+                serde_json::from_slice(&e.command).map_err(|x| DayDefect::Line {
+                    line: e.index as usize,
+                    why: x.to_string(),
+                })?;
             let ruled = ruled(&mut r, e.index, e.at, &entry);
             lines.push(Line {
                 place: e.index,
@@ -90,7 +94,11 @@
     /// The recording as text.
     pub fn text(&self) -> String {
         let head = json!({"landingdriftDay": DAY_VERSION, "start": self.start});
-        let lines: String = self.lines.iter().map(|l| serde_json::to_string(l).unwrap_or_default() + "\n").collect();
+        let lines: String = self
+            .lines
+            .iter()
+            .map(|l| serde_json::to_string(l).unwrap_or_default() + "\n")
+            .collect();
         format!("{head}\n{lines}{}\n", json!({"end": self.lines.len()}))
     }
 
@@ -101,22 +109,43 @@
             why: e.to_string(),
         })?;
         let mut of = text.lines().enumerate();
-        let head: Value = of.next().and_then(|(_, l)| serde_json::from_str(l).ok()).ok_or_else(|| DayDefect::Foreign { file: file.into() })?;
-        let version = head["landingdriftDay"].as_u64().ok_or_else(|| DayDefect::Foreign { file: file.into() })?;
-        (version == u64::from(DAY_VERSION)).then_some(()).ok_or(DayDefect::Version { found: version })?;
-        let start: Record = serde_json::from_value(head["start"].clone()).map_err(|e| DayDefect::Line { line: 1, why: e.to_string() })?;
+        let head: Value = of
+            .next()
+            .and_then(|(_, l)| serde_json::from_str(l).ok())
+            .ok_or_else(|| DayDefect::Foreign { file: file.into() })?;
+        let version = head["landingdriftDay"]
+            .as_u64()
+            .ok_or_else(|| DayDefect::Foreign { file: file.into() })?;
+        (version == u64::from(DAY_VERSION))
+            .then_some(())
+            .ok_or(DayDefect::Version { found: version })?;
+        let start: Record =
+            serde_json::from_value(head["start"].clone()).map_err(|e| DayDefect::Line {
+                line: 1,
+                why: e.to_string(),
+            })?;
         let mut lines: Vec<Line> = Vec::new();
         for (i, l) in of {
-            let v: Value = serde_json::from_str(l).map_err(|e| DayDefect::Line { line: i + 1, why: e.to_string() })?;
+            let v: Value = serde_json::from_str(l).map_err(|e| DayDefect::Line {
+                line: i + 1,
+                why: e.to_string(),
+            })?;
             if let Some(n) = v.get("end") {
-                return (n.as_u64() == Some(lines.len() as u64)).then_some(Self { start, lines }).ok_or(DayDefect::Line {
-                    line: i + 1,
-                    why: "entries are missing".into(),
-                });
+                return (n.as_u64() == Some(lines.len() as u64))
+                    .then_some(Self { start, lines })
+                    .ok_or(DayDefect::Line {
+                        line: i + 1,
+                        why: "entries are missing".into(),
+                    });
             }
-            lines.push(serde_json::from_value(v).map_err(|e| DayDefect::Line { line: i + 1, why: e.to_string() })?);
+            lines.push(serde_json::from_value(v).map_err(|e| DayDefect::Line {
+                line: i + 1,
+                why: e.to_string(),
+            })?);
         }
-        Err(DayDefect::Truncated { lines: lines.len() + 1 })
+        Err(DayDefect::Truncated {
+            lines: lines.len() + 1,
+        })
     }
 
     /// The entries whose verdict by this build is another than the recorded one.
--- a/landingdrift/src/replay/rerun.rs
+++ b/landingdrift/src/replay/rerun.rs
@@ -4,7 +4,9 @@
 use crate::desired::Desired;
 use crate::kernel::{Effect, Msg, Now, Part, Request, Verdict};
 use crate::node::{Beat, Node, Running};
-use crate::record::{pack_ruling, Command, EndReport, Job, JobState, Outcome, Record, SendState, WorkerFacts};
+use crate::record::{
+    pack_ruling, Command, EndReport, Job, JobState, Outcome, Record, SendState, WorkerFacts,
+};
 use crate::settings::Settings;
 use crate::wire::{Body, Entry, FeedBatch, Proposed, ReadPlace};
 use serde_json::Value;
@@ -42,12 +44,18 @@
         for (id, j) in &r.jobs {
             s.states.insert(id.clone(), j.state);
             if j.state == JobState::Done {
-                s.took.insert(id.clone(), j.ended.saturating_sub(j.accepted));
+                s.took
+                    .insert(id.clone(), j.ended.saturating_sub(j.accepted));
             }
             for (spec, t) in j.spec.tasks.iter().zip(&j.tasks) {
-                t.sends.iter().find(|x| x.state == SendState::Well).into_iter().for_each(|x| {
-                    s.placed.insert(format!("{id}/{}", spec.name), x.worker.clone());
-                });
+                t.sends
+                    .iter()
+                    .find(|x| x.state == SendState::Well)
+                    .into_iter()
+                    .for_each(|x| {
+                        s.placed
+                            .insert(format!("{id}/{}", spec.name), x.worker.clone());
+                    });
             }
         }
         s
@@ -64,12 +72,18 @@
             .iter()
             .filter_map(|s| match s.state {
                 SendState::Well => Some((Outcome::Well, s.ran_ms)),
-                SendState::Defect => Some((Outcome::Defect, s.ran_ms.max(s.ended.saturating_sub(s.ordered)))),
+                SendState::Defect => Some((
+                    Outcome::Defect,
+                    s.ran_ms.max(s.ended.saturating_sub(s.ordered)),
+                )),
                 _ => None,
             })
             .collect::<Vec<_>>()
     };
-    end.jobs.iter().flat_map(|(id, j)| (0..j.tasks.len()).map(move |i| ((id.clone(), i as u32), one(j, i)))).collect()
+    end.jobs
+        .iter()
+        .flat_map(|(id, j)| (0..j.tasks.len()).map(move |i| ((id.clone(), i as u32), one(j, i))))
+        .collect()
 }
 
 struct Hand {
@@ -98,7 +112,12 @@
 pub fn rerun(day: &Day, desired: Option<&Desired>, settings: &Settings) -> Story {
     let runs = runs(&day.end());
     // The first entries of a new cluster come before its clock is set.
-    let at0 = day.lines.iter().map(|l| l.at).find(|at| *at > 0).unwrap_or(0);
+    let at0 = day
+        .lines
+        .iter()
+        .map(|l| l.at)
+        .find(|at| *at > 0)
+        .unwrap_or(0);
     let cfg = Settings {
         listen: NODE.into(),
         http: NODE.into(),
@@ -150,7 +169,11 @@
                     });
                 }
                 Command::Facts { facts, .. } => s.hand(facts),
-                Command::Lost { worker, .. } => s.hands.get_mut(worker).into_iter().for_each(|h| h.silent = true),
+                Command::Lost { worker, .. } => s
+                    .hands
+                    .get_mut(worker)
+                    .into_iter()
+                    .for_each(|h| h.silent = true),
                 _ => {}
             }
         }
@@ -186,7 +209,10 @@
     }
 
     fn configure(&mut self, d: &Desired) {
-        let (base, value) = (self.core.version, serde_json::to_value(d).unwrap_or_default());
+        let (base, value) = (
+            self.core.version,
+            serde_json::to_value(d).unwrap_or_default(),
+        );
         self.enter(&Command::Configure {
             change: "replay".into(),
             base,
@@ -196,14 +222,17 @@
     }
 
     fn hand(&mut self, facts: &WorkerFacts) {
-        let h = self.hands.entry(facts.worker.clone()).or_insert_with(|| Hand {
-            facts: facts.clone(),
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            over: BTreeSet::new(),
-            next: 0,
-            silent: false,
-        });
+        let h = self
+            .hands
+            .entry(facts.worker.clone())
+            .or_insert_with(|| Hand {
+                facts: facts.clone(),
+                running: BTreeMap::new(),
+                ended: Vec::new(),
+                over: BTreeSet::new(),
+                next: 0,
+                silent: false,
+            });
         if facts.incarnation > h.facts.incarnation {
             h.running.clear();
         }
@@ -212,8 +241,18 @@
     }
 
     fn grants(&mut self) {
-        let zones: BTreeSet<String> = self.hands.values().map(|h| crate::record::cell_duty(&h.facts.zone)).collect();
-        let queues: BTreeSet<String> = self.core.desired.queues.keys().map(|q| crate::record::queue_duty(q)).collect();
+        let zones: BTreeSet<String> = self
+            .hands
+            .values()
+            .map(|h| crate::record::cell_duty(&h.facts.zone))
+            .collect();
+        let queues: BTreeSet<String> = self
+            .core
+            .desired
+            .queues
+            .keys()
+            .map(|q| crate::record::queue_duty(q))
+            .collect();
         for duty in zones.into_iter().chain(queues) {
             let current = self.core.holder(&duty).map(|g| (g.holder.clone(), g.epoch));
             if current.as_ref().is_none_or(|(h, _)| h != NODE) {
@@ -225,7 +264,11 @@
             }
         }
         let (retain, identity) = (u64::MAX / 4, u64::MAX / 4);
-        if self.core.sweep_due(retain, identity).is_some_and(|due| due <= self.at0 + self.t) {
+        if self
+            .core
+            .sweep_due(retain, identity)
+            .is_some_and(|due| due <= self.at0 + self.t)
+        {
             self.enter(&Command::Sweep {
                 retain_ms: retain,
                 identity_ms: identity,
@@ -235,8 +278,16 @@
 
     fn feed(&mut self) {
         let behind = self.node.record().place == 0 && self.core.place > self.log.len() as u64;
-        let (capture, capture_index) = if behind { (self.core.pack(), self.core.place) } else { (Vec::new(), 0) };
-        let entries = if behind { Vec::new() } else { self.log.iter().cloned().collect() };
+        let (capture, capture_index) = if behind {
+            (self.core.pack(), self.core.place)
+        } else {
+            (Vec::new(), 0)
+        };
+        let entries = if behind {
+            Vec::new()
+        } else {
+            self.log.iter().cloned().collect()
+        };
         self.log.clear();
         let batch = FeedBatch {
             core: CORE.into(),
@@ -259,7 +310,9 @@
         for e in self.node.step(now, msg) {
             match e {
                 Effect::Send(_, Body::Propose(p)) => {
-                    let Ok(c) = serde_json::from_slice::<Command>(&p.command) else { continue };
+                    let Ok(c) = serde_json::from_slice::<Command>(&p.command) else {
+                        continue;
+                    };
                     let (place, verdict) = self.enter(&c);
                     let back = Proposed {
                         token: p.token,
@@ -296,15 +349,26 @@
         let due: Vec<String> = self
             .hands
             .iter()
-            .filter(|(_, h)| !h.silent && (t >= h.next || h.running.values().any(|(_, to, _)| t >= *to)))
+            .filter(|(_, h)| {
+                !h.silent && (t >= h.next || h.running.values().any(|(_, to, _)| t >= *to))
+            })
             .map(|(k, _)| k.clone())
             .collect();
         for k in due {
-            let Some(h) = self.hands.get_mut(&k) else { continue };
+            let Some(h) = self.hands.get_mut(&k) else {
+                continue;
+            };
             h.next = t + 240;
-            let done: Vec<u64> = h.running.iter().filter(|(_, (_, to, _))| t >= *to).map(|(no, _)| *no).collect();
+            let done: Vec<u64> = h
+                .running
+                .iter()
+                .filter(|(_, (_, to, _))| t >= *to)
+                .map(|(no, _)| *no)
+                .collect();
             for no in done {
-                let Some((from, _, outcome)) = h.running.remove(&no) else { continue };
+                let Some((from, _, outcome)) = h.running.remove(&no) else {
+                    continue;
+                };
                 h.over.insert(no);
                 h.ended.push(EndReport {
                     no,
@@ -313,7 +377,14 @@
                     note: String::new(),
                 });
             }
-            let running = h.running.keys().map(|no| Running { no: *no, progress: 0 }).collect();
+            let running = h
+                .running
+                .keys()
+                .map(|no| Running {
+                    no: *no,
+                    progress: 0,
+                })
+                .collect();
             let beat = Beat {
                 facts: h.facts.clone(),
                 running,
@@ -337,12 +408,25 @@
 
     fn told(&mut self, worker: &str, v: &Verdict) {
         let t = self.t;
-        let numbers = |key: &str| -> Vec<u64> { v.body[key].as_array().into_iter().flatten().filter_map(Value::as_u64).collect() };
-        let Some(h) = self.hands.get_mut(worker) else { return };
+        let numbers = |key: &str| -> Vec<u64> {
+            v.body[key]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(Value::as_u64)
+                .collect()
+        };
+        let Some(h) = self.hands.get_mut(worker) else {
+            return;
+        };
         let settled = numbers("settled");
         h.ended.retain(|e| !settled.contains(&e.no));
         for no in numbers("stops") {
-            let outcome = h.running.remove(&no).map(|_| Outcome::Stopped).or_else(|| (!h.over.contains(&no)).then_some(Outcome::Void));
+            let outcome = h
+                .running
+                .remove(&no)
+                .map(|_| Outcome::Stopped)
+                .or_else(|| (!h.over.contains(&no)).then_some(Outcome::Void));
             if let Some(outcome) = outcome {
                 h.over.insert(no);
                 h.ended.push(EndReport {
@@ -353,15 +437,27 @@
                 });
             }
         }
-        for no in v.body["starts"].as_array().into_iter().flatten().filter_map(|s| s["no"].as_u64()) {
+        for no in v.body["starts"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|s| s["no"].as_u64())
+        {
             if h.running.contains_key(&no) || h.over.contains(&no) {
                 continue;
             }
-            let Some(key) = self.core.live.get(&no).cloned() else { continue };
+            let Some(key) = self.core.live.get(&no).cloned() else {
+                continue;
+            };
             let of = self.runs.get(&key).cloned().unwrap_or_default();
             let n = self.used.entry(key).or_default();
             // The same number of the task's runs as recorded; beyond them, like its last good one.
-            let last = of.iter().rev().find(|(o, _)| *o == Outcome::Well).copied().unwrap_or((Outcome::Well, 100));
+            let last = of
+                .iter()
+                .rev()
+                .find(|(o, _)| *o == Outcome::Well)
+                .copied()
+                .unwrap_or((Outcome::Well, 100));
             let (outcome, ran) = of.get(*n).copied().unwrap_or(last);
             *n += 1;
             h.running.insert(no, (t, t + ran.max(1), outcome));
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -233,6 +233,13 @@
             hopper: new.hopper.clone(),
             ..self.clone()
         };
-        (live, fixed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect())
+        (
+            live,
+            fixed
+                .into_iter()
+                .filter(|(_, differs)| *differs)
+                .map(|(name, _)| name)
+                .collect(),
+        )
     }
 }
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -8,10 +8,16 @@
     ("settings", "FILE  read settings from this TOML file"),
     ("cluster", "NAME  name of the cluster"),
     ("listen", "IP:PORT  address for the system's own processes"),
-    ("http", "IP:PORT  address for callers, workers and operators"),
+    (
+        "http",
+        "IP:PORT  address for callers, workers and operators",
+    ),
     ("zone", "NAME  zone of this machine"),
     ("seeds", "A,B,C  addresses of other processes to start from"),
-    ("founders", "A,B,C  first cores of a new cluster (default: the seeds)"),
+    (
+        "founders",
+        "A,B,C  first cores of a new cluster (default: the seeds)",
+    ),
     ("data", "FOLDER  data folder (core only)"),
     ("log", "LEVEL  error, warn, info or debug"),
 ];
@@ -26,7 +32,10 @@
     /// The file's text is wrong.
     Text { file: String, why: String },
     /// A value is missing, wrong or contradicts another.
-    Value { setting: &'static str, remedy: String },
+    Value {
+        setting: &'static str,
+        remedy: String,
+    },
 }
 
 impl fmt::Display for SettingsDefect {
@@ -58,7 +67,10 @@
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => help = true,
             lexopt::Arg::Long(name) if FLAGS.iter().any(|(f, _)| *f == name) => {
                 let name = name.to_string();
-                let value = p.value().map_err(flag)?.into_string().map_err(|_| SettingsDefect::Flag(format!("--{name} takes text in UTF-8")))?;
+                let value =
+                    p.value().map_err(flag)?.into_string().map_err(|_| {
+                        SettingsDefect::Flag(format!("--{name} takes text in UTF-8"))
+                    })?;
                 given.push((name, value));
             }
             other => return Err(flag(other.unexpected())),
@@ -82,7 +94,12 @@
                 })
         })
         .unwrap_or_else(|| Ok(Settings::default()))?;
-    let list = |v: &str| v.split(',').filter(|x| !x.is_empty()).map(str::to_string).collect::<Vec<_>>();
+    let list = |v: &str| {
+        v.split(',')
+            .filter(|x| !x.is_empty())
+            .map(str::to_string)
+            .collect::<Vec<_>>()
+    };
     for (name, v) in &given {
         match name.as_str() {
             "cluster" => s.cluster = v.clone(),
@@ -99,47 +116,151 @@
     if !help {
         check(&s, core)?;
     }
-    Ok(Asked { settings: s, check_only, help })
+    Ok(Asked {
+        settings: s,
+        check_only,
+        help,
+    })
 }
 
 fn check(s: &Settings, core: bool) -> Result<(), SettingsDefect> {
-    let ensure = |ok: bool, setting: &'static str, remedy: &str| ok.then_some(()).ok_or_else(|| SettingsDefect::Value { setting, remedy: remedy.into() });
-    let addr = |a: &str| a.parse::<SocketAddr>().is_ok_and(|x| x.port() != 0 && !x.ip().is_unspecified());
+    let ensure = |ok: bool, setting: &'static str, remedy: &str| {
+        ok.then_some(()).ok_or_else(|| SettingsDefect::Value {
+            setting,
+            remedy: remedy.into(),
+        })
+    };
+    let addr = |a: &str| {
+        a.parse::<SocketAddr>()
+            .is_ok_and(|x| x.port() != 0 && !x.ip().is_unspecified())
+    };
     ensure(!s.cluster.is_empty(), "cluster", "give the cluster a name")?;
-    ensure(addr(&s.listen), "listen", "give an IP number and port that other processes can reach, as in 10.0.0.1:7000")?;
-    ensure(addr(&s.http), "http", "give an IP number and port that callers can reach, as in 10.0.0.1:8000")?;
-    ensure(s.listen != s.http, "http", "give a port other than the one of 'listen'")?;
+    ensure(
+        addr(&s.listen),
+        "listen",
+        "give an IP number and port that other processes can reach, as in 10.0.0.1:7000",
+    )?;
+    ensure(
+        addr(&s.http),
+        "http",
+        "give an IP number and port that callers can reach, as in 10.0.0.1:8000",
+    )?;
+    ensure(
+        s.listen != s.http,
+        "http",
+        "give a port other than the one of 'listen'",
+    )?;
     ensure(!s.zone.is_empty(), "zone", "name the zone of this machine")?;
     ensure(
         !s.seeds.is_empty() && s.seeds.iter().all(|a| addr(a)),
         "seeds",
         "give one to three IP:PORT addresses of other processes, separated by commas",
     )?;
-    ensure(s.founders.iter().all(|a| addr(a)), "founders", "give IP:PORT addresses of the first cores")?;
-    ensure(!core || !s.data.is_empty(), "data", "a core needs a data folder: give one")?;
-    ensure(core || s.data.is_empty(), "data", "a node keeps nothing on disk: leave this out")?;
-    ensure(["error", "warn", "info", "debug"].contains(&s.log.as_str()), "log", "give error, warn, info or debug")?;
+    ensure(
+        s.founders.iter().all(|a| addr(a)),
+        "founders",
+        "give IP:PORT addresses of the first cores",
+    )?;
+    ensure(
+        !core || !s.data.is_empty(),
+        "data",
+        "a core needs a data folder: give one",
+    )?;
+    ensure(
+        core || s.data.is_empty(),
+        "data",
+        "a node keeps nothing on disk: leave this out",
+    )?;
+    ensure(
+        ["error", "warn", "info", "debug"].contains(&s.log.as_str()),
+        "log",
+        "give error, warn, info or debug",
+    )?;
     let b = &s.bounds;
-    ensure(b.desired_ms >= 400, "bounds.desired_ms", "give at least 400")?;
-    ensure(b.cancel_ms >= b.desired_ms, "bounds.cancel_ms", "give at least bounds.desired_ms")?;
+    ensure(
+        b.desired_ms >= 400,
+        "bounds.desired_ms",
+        "give at least 400",
+    )?;
+    ensure(
+        b.cancel_ms >= b.desired_ms,
+        "bounds.cancel_ms",
+        "give at least bounds.desired_ms",
+    )?;
     ensure(b.leave_ms >= 400, "bounds.leave_ms", "give at least 400")?;
-    ensure(b.state_ms >= b.desired_ms, "bounds.state_ms", "give at least bounds.desired_ms")?;
-    ensure(b.empty_ms >= b.cancel_ms, "bounds.empty_ms", "give at least bounds.cancel_ms")?;
-    ensure(b.outage_ms >= 2 * b.cancel_ms, "bounds.outage_ms", "give at least twice bounds.cancel_ms")?;
-    ensure(b.replace_ms >= b.cancel_ms, "bounds.replace_ms", "give at least bounds.cancel_ms")?;
+    ensure(
+        b.state_ms >= b.desired_ms,
+        "bounds.state_ms",
+        "give at least bounds.desired_ms",
+    )?;
+    ensure(
+        b.empty_ms >= b.cancel_ms,
+        "bounds.empty_ms",
+        "give at least bounds.cancel_ms",
+    )?;
+    ensure(
+        b.outage_ms >= 2 * b.cancel_ms,
+        "bounds.outage_ms",
+        "give at least twice bounds.cancel_ms",
+    )?;
+    ensure(
+        b.replace_ms >= b.cancel_ms,
+        "bounds.replace_ms",
+        "give at least bounds.cancel_ms",
+    )?;
     let l = &s.limits;
-    ensure((1024..=(32 << 20)).contains(&l.job_bytes), "limits.job_bytes", "give 1024 to 33554432")?;
-    ensure((1024..=(32 << 20)).contains(&l.desired_bytes), "limits.desired_bytes", "give 1024 to 33554432")?;
+    ensure(
+        (1024..=(32 << 20)).contains(&l.job_bytes),
+        "limits.job_bytes",
+        "give 1024 to 33554432",
+    )?;
+    ensure(
+        (1024..=(32 << 20)).contains(&l.desired_bytes),
+        "limits.desired_bytes",
+        "give 1024 to 33554432",
+    )?;
     ensure(l.open_jobs >= 1, "limits.open_jobs", "give at least 1")?;
     ensure(l.calls >= 1, "limits.calls", "give at least 1")?;
-    ensure(l.retain_ms >= b.state_ms, "limits.retain_ms", "give at least bounds.state_ms")?;
-    ensure(l.identity_ms >= 60_000, "limits.identity_ms", "give at least 60000, longer than any client retries")?;
-    ensure(l.capture_every >= 10, "limits.capture_every", "give at least 10")?;
-    ensure(l.segment_bytes >= 4096, "limits.segment_bytes", "give at least 4096")?;
+    ensure(
+        l.retain_ms >= b.state_ms,
+        "limits.retain_ms",
+        "give at least bounds.state_ms",
+    )?;
+    ensure(
+        l.identity_ms >= 60_000,
+        "limits.identity_ms",
+        "give at least 60000, longer than any client retries",
+    )?;
+    ensure(
+        l.capture_every >= 10,
+        "limits.capture_every",
+        "give at least 10",
+    )?;
+    ensure(
+        l.segment_bytes >= 4096,
+        "limits.segment_bytes",
+        "give at least 4096",
+    )?;
     let h = &s.hopper;
-    ensure((1..=64).contains(&h.probe_ratio), "hopper.probe_ratio", "give 1 to 64")?;
+    ensure(
+        (1..=64).contains(&h.probe_ratio),
+        "hopper.probe_ratio",
+        "give 1 to 64",
+    )?;
     ensure(h.refusals <= 16, "hopper.refusals", "give 0 to 16")?;
-    ensure((0.0..=1.0).contains(&h.epsilon), "hopper.epsilon", "give 0 to 1")?;
-    ensure((0.0..=1.0).contains(&h.locality), "hopper.locality", "give 0 to 1")?;
-    ensure(h.slow_factor >= 1.0, "hopper.slow_factor", "give at least 1")
+    ensure(
+        (0.0..=1.0).contains(&h.epsilon),
+        "hopper.epsilon",
+        "give 0 to 1",
+    )?;
+    ensure(
+        (0.0..=1.0).contains(&h.locality),
+        "hopper.locality",
+        "give 0 to 1",
+    )?;
+    ensure(
+        h.slow_factor >= 1.0,
+        "hopper.slow_factor",
+        "give at least 1",
+    )
 }
--- a/landingdrift/src/views/mod.rs
+++ b/landingdrift/src/views/mod.rs
@@ -69,7 +69,10 @@
 
     fn merge(&mut self, got: Vec<PeerView>, draw: &mut Draw) {
         for p in got.into_iter().filter(|p| p.addr != self.me && p.age < 100) {
-            let known = self.view.entry(p.addr).or_insert_with(|| (p.role.clone(), p.zone.clone(), p.age));
+            let known = self
+                .view
+                .entry(p.addr)
+                .or_insert_with(|| (p.role.clone(), p.zone.clone(), p.age));
             if p.age < known.2 {
                 *known = (p.role, p.zone, p.age);
             }
@@ -77,7 +80,12 @@
         while self.view.len() > VIEW {
             // The oldest goes, and among equals any.
             let oldest = self.view.values().map(|v| v.2).max().unwrap_or(0);
-            let of: Vec<String> = self.view.iter().filter(|(_, v)| v.2 == oldest).map(|(k, _)| k.clone()).collect();
+            let of: Vec<String> = self
+                .view
+                .iter()
+                .filter(|(_, v)| v.2 == oldest)
+                .map(|(k, _)| k.clone())
+                .collect();
             draw.pick(&of).iter().for_each(|k| {
                 self.view.remove(*k);
             });
@@ -92,8 +100,18 @@
         self.next = now.mono + every + draw.below(every / 4 + 1);
         self.view.values_mut().for_each(|v| v.2 += 1);
         // The oldest leaves the view and comes back with its answer; a seed now and then keeps halves from parting.
-        let oldest = self.view.iter().max_by_key(|(_, v)| v.2).map(|(k, _)| k.clone()).filter(|_| draw.below(8) > 0);
-        let seeds: Vec<String> = self.seeds.iter().filter(|s| **s != self.me).cloned().collect();
+        let oldest = self
+            .view
+            .iter()
+            .max_by_key(|(_, v)| v.2)
+            .map(|(k, _)| k.clone())
+            .filter(|_| draw.below(8) > 0);
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .filter(|s| **s != self.me)
+            .cloned()
+            .collect();
         let to = oldest.or_else(|| draw.pick(&seeds).cloned())?;
         let view = self.sample(draw);
         self.view.remove(&to);
--- a/landingdrift/src/wire/mod.rs
+++ b/landingdrift/src/wire/mod.rs
@@ -64,7 +64,11 @@
         env.try_into()
     };
     let env = read().map_err(|e| WireDefect::Malformed(e.to_string()))?;
-    (env.version == version).then_some(()).ok_or(WireDefect::Version(env.version))?;
-    (env.cluster == cluster).then_some(()).ok_or(WireDefect::Cluster(env.cluster.clone()))?;
+    (env.version == version)
+        .then_some(())
+        .ok_or(WireDefect::Version(env.version))?;
+    (env.cluster == cluster)
+        .then_some(())
+        .ok_or(WireDefect::Cluster(env.cluster.clone()))?;
     Ok(env)
 }
--- a/landingdrift/tests/command_line.rs
+++ b/landingdrift/tests/command_line.rs
@@ -3,11 +3,30 @@
 use std::process::{Command, Output};
 
 fn run(words: &[&str]) -> (i32, String) {
-    let Output { status, stdout, stderr } = Command::new(env!("CARGO_BIN_EXE_landingdrift")).args(words).output().expect("the program runs");
-    (status.code().unwrap_or(-1), String::from_utf8_lossy(&stdout).to_string() + &String::from_utf8_lossy(&stderr))
+    let Output {
+        status,
+        stdout,
+        stderr,
+    } = Command::new(env!("CARGO_BIN_EXE_landingdrift"))
+        .args(words)
+        .output()
+        .expect("the program runs");
+    (
+        status.code().unwrap_or(-1),
+        String::from_utf8_lossy(&stdout).to_string() + &String::from_utf8_lossy(&stderr),
+    )
 }
 
-const GOOD: &[&str] = &["--listen", "127.0.0.1:7001", "--http", "127.0.0.1:8001", "--zone", "z0", "--seeds", "127.0.0.1:7001"];
+const GOOD: &[&str] = &[
+    "--listen",
+    "127.0.0.1:7001",
+    "--http",
+    "127.0.0.1:8001",
+    "--zone",
+    "z0",
+    "--seeds",
+    "127.0.0.1:7001",
+];
 
 fn with(role: &str, more: &[&str]) -> (i32, String) {
     let mut words = vec![role];
@@ -18,7 +37,8 @@
 
 #[test]
 fn every_wrong_setting_is_named_with_its_remedy() {
-    let file = std::env::temp_dir().join(format!("landingdrift-settings-{}.toml", std::process::id()));
+    let file =
+        std::env::temp_dir().join(format!("landingdrift-settings-{}.toml", std::process::id()));
     let file = file.to_string_lossy().to_string();
     let text = |t: &str| std::fs::write(&file, t).expect("written");
     for (more, named) in [
@@ -49,7 +69,11 @@
     }
     text("zone = \"from-file\"\n[limits]\nretain_ms = 60000\n");
     assert_eq!(with("node", &["--check", "--settings", &file]).0, 0);
-    assert_eq!(with("core", &["--check"]).0, 2, "a core without a data folder");
+    assert_eq!(
+        with("core", &["--check"]).0,
+        2,
+        "a core without a data folder"
+    );
     let _ = std::fs::remove_file(&file);
 }
 
@@ -81,7 +105,10 @@
         &["replay", "record", "/no/such", "x"],
     ] {
         let (code, said) = run(words);
-        assert!(code == 2 && !said.contains("panicked"), "{words:?}: {code} {said}");
+        assert!(
+            code == 2 && !said.contains("panicked"),
+            "{words:?}: {code} {said}"
+        );
     }
     let (code, said) = run(&["operator", "--at", "127.0.0.1:9", "--within", "0", "status"]);
     assert!(code == 3 && said.contains("--at"), "{code} {said}");
@@ -93,6 +120,9 @@
     std::fs::create_dir_all(&p).expect("made");
     std::fs::write(p.join("photos.txt"), "mine").expect("written");
     let (code, said) = with("core", &["--data", &p.to_string_lossy()]);
-    assert!(code == 1 && said.contains("something else"), "{code} {said}");
+    assert!(
+        code == 1 && said.contains("something else"),
+        "{code} {said}"
+    );
     let _ = std::fs::remove_dir_all(&p);
 }
--- a/landingdrift/tests/disk.rs
+++ b/landingdrift/tests/disk.rs
@@ -76,7 +76,13 @@
     assert_eq!(l.disk, 7);
     assert!(!l.damaged);
     assert_eq!((l.hard, l.notes), (hard, notes));
-    assert_eq!(l.entries.iter().map(|e| (e.index, e.term)).collect::<Vec<_>>(), [(1, 1), (2, 1), (3, 1), (4, 1), (5, 2), (6, 2)]);
+    assert_eq!(
+        l.entries
+            .iter()
+            .map(|e| (e.index, e.term))
+            .collect::<Vec<_>>(),
+        [(1, 1), (2, 1), (3, 1), (4, 1), (5, 2), (6, 2)]
+    );
 }
 
 #[test]
@@ -85,7 +91,10 @@
     let (mut f, _) = Folder::open(&p, "c", 1 << 20, 7).expect("made");
     write(&mut f, 1, 20);
     f.save(&[Save {
-        hard: Some(Hard { term: 9, ..Hard::default() }),
+        hard: Some(Hard {
+            term: 9,
+            ..Hard::default()
+        }),
         ..Save::default()
     }])
     .expect("saved");
@@ -100,7 +109,11 @@
     assert!(l.damaged && l.hard.term == 9);
     let n = l.entries.len() as u64;
     assert!(n > 3 && n < 20, "kept {n}");
-    assert!(l.entries.iter().enumerate().all(|(i, e)| e.index == i as u64 + 1));
+    assert!(l
+        .entries
+        .iter()
+        .enumerate()
+        .all(|(i, e)| e.index == i as u64 + 1));
     drop(f);
     // What was whole is kept, and the folder can be used again.
     let (_, again) = Folder::open(&p, "c", 1 << 20, 8).expect("opened again");
@@ -123,11 +136,18 @@
     }])
     .expect("saved");
     write(&mut f, 61, 62);
-    assert!(before > 4 && segments(&p).len() < before, "{before} segments before, {} after", segments(&p).len());
+    assert!(
+        before > 4 && segments(&p).len() < before,
+        "{before} segments before, {} after",
+        segments(&p).len()
+    );
     drop(f);
     let (_, l) = Folder::open(&p, "c", 600, 7).expect("opened");
     assert_eq!(l.capture.map(|c| c.index), Some(50));
-    assert_eq!(l.entries.iter().map(|e| e.index).collect::<Vec<_>>(), (51..=62).collect::<Vec<_>>());
+    assert_eq!(
+        l.entries.iter().map(|e| e.index).collect::<Vec<_>>(),
+        (51..=62).collect::<Vec<_>>()
+    );
 }
 
 #[test]
@@ -135,10 +155,19 @@
     let p = folder("foreign");
     fs::create_dir_all(&p).expect("made");
     fs::write(p.join("photos.txt"), "mine").expect("written");
-    assert!(matches!(Folder::open(&p, "c", 600, 7), Err(DiskDefect::Foreign(_))));
+    assert!(matches!(
+        Folder::open(&p, "c", 600, 7),
+        Err(DiskDefect::Foreign(_))
+    ));
     let q = folder("cluster");
     let kept = Folder::open(&q, "c", 600, 7).expect("made");
-    assert!(matches!(Folder::open(&q, "c", 600, 7), Err(DiskDefect::Busy(_))));
+    assert!(matches!(
+        Folder::open(&q, "c", 600, 7),
+        Err(DiskDefect::Busy(_))
+    ));
     drop(kept);
-    assert!(matches!(Folder::open(&q, "d", 600, 7), Err(DiskDefect::Cluster { .. })));
+    assert!(matches!(
+        Folder::open(&q, "d", 600, 7),
+        Err(DiskDefect::Cluster { .. })
+    ));
 }
--- a/landingdrift/tests/docs.rs
+++ b/landingdrift/tests/docs.rs
@@ -13,7 +13,10 @@
 /// The fenced examples of a kind.
 fn examples(text: &str, kind: &str) -> Vec<String> {
     let fence = format!("```{kind}\n");
-    text.split(&fence).skip(1).filter_map(|rest| rest.split("```").next().map(str::to_string)).collect()
+    text.split(&fence)
+        .skip(1)
+        .filter_map(|rest| rest.split("```").next().map(str::to_string))
+        .collect()
 }
 
 #[test]
@@ -21,7 +24,18 @@
     let defaults = serde_json::to_value(Settings::default()).expect("settings are values");
     let mut want: Vec<(String, String)> = Vec::new();
     for (k, v) in defaults.as_object().expect("a table") {
-        let text = |v: &Value| v.as_str().map_or_else(|| if v.is_array() { String::new() } else { v.to_string() }, str::to_string);
+        let text = |v: &Value| {
+            v.as_str().map_or_else(
+                || {
+                    if v.is_array() {
+                        String::new()
+                    } else {
+                        v.to_string()
+                    }
+                },
+                str::to_string,
+            )
+        };
         match v.as_object() {
             Some(inner) => want.extend(inner.iter().map(|(i, v)| (format!("{k}.{i}"), text(v)))),
             None => want.push((k.clone(), text(v))),
@@ -31,10 +45,17 @@
     let mut listed: Vec<(String, String)> = text
         .lines()
         .filter(|l| l.starts_with("| `"))
-        .map(|l| l.split('|').map(|cell| cell.trim().replace('`', "")).collect::<Vec<_>>())
+        .map(|l| {
+            l.split('|')
+                .map(|cell| cell.trim().replace('`', ""))
+                .collect::<Vec<_>>()
+        })
         .map(|cells| (cells[1].clone(), cells[2].clone()))
         .collect();
-    listed.iter_mut().filter(|(n, _)| n == "founders").for_each(|(_, d)| d.clear());
+    listed
+        .iter_mut()
+        .filter(|(n, _)| n == "founders")
+        .for_each(|(_, d)| d.clear());
     want.sort();
     listed.sort();
     assert_eq!(want, listed);
@@ -50,7 +71,9 @@
     let configurations = examples(&page("desired-state"), "json desired");
     assert!(!jobs.is_empty() && !beats.is_empty() && !configurations.is_empty());
     for j in jobs {
-        JobSpec::read(j.as_bytes()).and_then(|s| s.check()).unwrap_or_else(|e| panic!("{e}"));
+        JobSpec::read(j.as_bytes())
+            .and_then(|s| s.check())
+            .unwrap_or_else(|e| panic!("{e}"));
     }
     for b in beats {
         serde_json::from_str::<Beat>(&b).unwrap_or_else(|e| panic!("{e}"));
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -1,6 +1,9 @@
 //! The record disposes: whatever a stale, frozen or confused node proposes, no rule is broken in `apply`.
 
-use landingdrift::record::{Command, EndReport, JobSpec, JobState, Outcome, Placement, Record, Refusal, Ruling, SendState, TaskSpec, WorkerFacts};
+use landingdrift::record::{
+    Command, EndReport, JobSpec, JobState, Outcome, Placement, Record, Refusal, Ruling, SendState,
+    TaskSpec, WorkerFacts,
+};
 use serde_json::json;
 
 /// A record with a node, grants, a configuration and two workers.
@@ -61,7 +64,10 @@
             room: 4,
             leaving,
         };
-        self.ok(Command::Facts { facts, cell_epoch: 1 });
+        self.ok(Command::Facts {
+            facts,
+            cell_epoch: 1,
+        });
     }
     fn accept(&mut self, id: &str, tasks: Vec<TaskSpec>) -> Ruling {
         let seen = self.r.place;
@@ -78,7 +84,14 @@
     fn start(&mut self, job: &str, of: &[(u32, &str)]) -> Ruling {
         self.start_as(job, of, 2, 1, false)
     }
-    fn start_as(&mut self, job: &str, of: &[(u32, &str)], owner_epoch: u64, cell_epoch: u64, copy: bool) -> Ruling {
+    fn start_as(
+        &mut self,
+        job: &str,
+        of: &[(u32, &str)],
+        owner_epoch: u64,
+        cell_epoch: u64,
+        copy: bool,
+    ) -> Ruling {
         let incarnation = |w: &str| self.r.workers.get(w).map_or(0, |w| w.facts.incarnation);
         let placements = of
             .iter()
@@ -129,7 +142,10 @@
 }
 
 fn repeatable(name: &str) -> TaskSpec {
-    TaskSpec { may_repeat: true, ..task(name) }
+    TaskSpec {
+        may_repeat: true,
+        ..task(name)
+    }
 }
 
 #[test]
@@ -144,7 +160,10 @@
                 depends_on: vec!["a".into()],
                 ..task("b")
             },
-            TaskSpec { due: at + 5000, ..task("c") },
+            TaskSpec {
+                due: at + 5000,
+                ..task("c")
+            },
             TaskSpec {
                 labels: vec!["m".into()],
                 ..task("d")
@@ -152,19 +171,36 @@
         ],
     )
     .expect("accepted");
-    assert_eq!(d.start("none", &[(0, "w")]), Err(Refusal::Unknown { what: "job 'none'".into() }));
+    assert_eq!(
+        d.start("none", &[(0, "w")]),
+        Err(Refusal::Unknown {
+            what: "job 'none'".into()
+        })
+    );
     assert_eq!(d.start("j", &[(1, "w")]), Err(Refusal::Waiting));
     assert_eq!(d.start("j", &[(2, "w")]), Err(Refusal::NotDue));
-    assert!(matches!(d.start("j", &[(3, "w")]), Err(Refusal::Unfit { .. })));
-    assert_eq!(d.start_as("j", &[(0, "w")], 1, 1, false), Err(Refusal::StaleGrant));
-    assert_eq!(d.start_as("j", &[(0, "w")], 2, 9, false), Err(Refusal::StaleGrant));
+    assert!(matches!(
+        d.start("j", &[(3, "w")]),
+        Err(Refusal::Unfit { .. })
+    ));
+    assert_eq!(
+        d.start_as("j", &[(0, "w")], 1, 1, false),
+        Err(Refusal::StaleGrant)
+    );
+    assert_eq!(
+        d.start_as("j", &[(0, "w")], 2, 9, false),
+        Err(Refusal::StaleGrant)
+    );
     assert_eq!(d.start("j", &[(0, "w"), (0, "v")]), Err(Refusal::Repeat));
     d.start("j", &[(0, "w")]).expect("placed");
     assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Repeat));
     d.accept("k", vec![task("a")]).expect("accepted");
     assert_eq!(d.start("k", &[(0, "w")]), Err(Refusal::NoRoom));
     d.facts("v", 1, true);
-    assert!(matches!(d.start("k", &[(0, "v")]), Err(Refusal::Unfit { .. })));
+    assert!(matches!(
+        d.start("k", &[(0, "v")]),
+        Err(Refusal::Unfit { .. })
+    ));
     d.facts("v", 2, false);
     d.ok(Command::Configure {
         change: "drain".into(),
@@ -172,7 +208,10 @@
         patch: true,
         value: json!({"zones": {"z": {"state": "draining"}}}),
     });
-    assert!(matches!(d.start("k", &[(0, "v")]), Err(Refusal::Unfit { .. })));
+    assert!(matches!(
+        d.start("k", &[(0, "v")]),
+        Err(Refusal::Unfit { .. })
+    ));
     d.ok(Command::Cancel { job: "k".into() });
     assert_eq!(d.start("k", &[(0, "v")]), Err(Refusal::Ended));
 }
@@ -215,12 +254,24 @@
     let mut d = Desk::new();
     d.accept("j", vec![repeatable("a")]).expect("accepted");
     d.start("j", &[(0, "w")]).expect("placed");
-    assert_eq!(d.start_as("j", &[(0, "w")], 2, 1, true), Err(Refusal::Repeat), "a copy beside its original");
-    d.start_as("j", &[(0, "v")], 2, 1, true).expect("a copy elsewhere");
+    assert_eq!(
+        d.start_as("j", &[(0, "w")], 2, 1, true),
+        Err(Refusal::Repeat),
+        "a copy beside its original"
+    );
+    d.start_as("j", &[(0, "v")], 2, 1, true)
+        .expect("a copy elsewhere");
     d.facts("x", 1, false);
-    assert_eq!(d.start_as("j", &[(0, "x")], 2, 1, true), Err(Refusal::Repeat), "a third");
+    assert_eq!(
+        d.start_as("j", &[(0, "x")], 2, 1, true),
+        Err(Refusal::Repeat),
+        "a third"
+    );
     d.end("v", 2, Outcome::Well);
-    assert!(d.r.jobs["j"].tasks[0].sends[0].stop, "the later one is stopped");
+    assert!(
+        d.r.jobs["j"].tasks[0].sends[0].stop,
+        "the later one is stopped"
+    );
     assert_eq!(d.state("j"), JobState::Running);
     d.end("w", 1, Outcome::Stopped);
     assert_eq!(d.state("j"), JobState::Done);
@@ -232,13 +283,17 @@
     });
     d.accept("k", vec![repeatable("a")]).expect("accepted");
     d.start("k", &[(0, "w")]).expect("placed");
-    assert_eq!(d.start_as("k", &[(0, "v")], 2, 1, true), Err(Refusal::Budget));
+    assert_eq!(
+        d.start_as("k", &[(0, "v")], 2, 1, true),
+        Err(Refusal::Budget)
+    );
     d.ok(Command::Lost {
         worker: "w".into(),
         incarnation: 1,
         cell_epoch: 1,
     });
-    d.start("k", &[(0, "v")]).expect("sent again where a repeat is harmless");
+    d.start("k", &[(0, "v")])
+        .expect("sent again where a repeat is harmless");
 }
 
 #[test]
@@ -256,17 +311,28 @@
 #[test]
 fn gangs_are_placed_whole_and_none_waits_alone() {
     let mut d = Desk::new();
-    let gang = |n: &str| TaskSpec { gang: "g".into(), ..task(n) };
+    let gang = |n: &str| TaskSpec {
+        gang: "g".into(),
+        ..task(n)
+    };
     d.accept("j", vec![gang("a"), gang("b")]).expect("accepted");
     assert_eq!(d.start("j", &[(0, "w")]), Err(Refusal::GangSplit));
-    assert_eq!(d.start("j", &[(0, "w"), (1, "w")]), Err(Refusal::NoRoom), "all or none");
+    assert_eq!(
+        d.start("j", &[(0, "w"), (1, "w")]),
+        Err(Refusal::NoRoom),
+        "all or none"
+    );
     assert!(d.r.live.is_empty());
     d.start("j", &[(0, "w"), (1, "v")]).expect("placed whole");
     d.end("v", 2, Outcome::Defect);
     let kept = &d.r.jobs["j"].tasks[0].sends[0];
-    assert!(kept.stop && kept.state == SendState::Ordered, "its partner is called back");
+    assert!(
+        kept.stop && kept.state == SendState::Ordered,
+        "its partner is called back"
+    );
     d.end("w", 1, Outcome::Void);
-    d.start("j", &[(0, "w"), (1, "v")]).expect("the whole gang again");
+    d.start("j", &[(0, "w"), (1, "v")])
+        .expect("the whole gang again");
 }
 
 #[test]
@@ -278,18 +344,69 @@
         tasks: vec![TaskSpec { room, ..task("a") }],
     };
     let seen = d.r.place;
-    d.ok(Command::Accept { spec: spec("j", 3), hash: 1, seen });
-    assert_eq!(d.apply(Command::Accept { spec: spec("j", 3), hash: 1, seen }), Ok(json!({"known": true})));
-    assert_eq!(d.apply(Command::Accept { spec: spec("j", 2), hash: 2, seen }), Err(Refusal::OtherBody));
-    d.ok(Command::Accept { spec: spec("k", 3), hash: 1, seen });
-    d.ok(Command::Accept { spec: spec("l", 3), hash: 1, seen });
-    assert_eq!(d.apply(Command::Accept { spec: spec("m", 3), hash: 1, seen }), Err(Refusal::OverQuota { quota: 3 }));
+    d.ok(Command::Accept {
+        spec: spec("j", 3),
+        hash: 1,
+        seen,
+    });
+    assert_eq!(
+        d.apply(Command::Accept {
+            spec: spec("j", 3),
+            hash: 1,
+            seen
+        }),
+        Ok(json!({"known": true}))
+    );
+    assert_eq!(
+        d.apply(Command::Accept {
+            spec: spec("j", 2),
+            hash: 2,
+            seen
+        }),
+        Err(Refusal::OtherBody)
+    );
+    d.ok(Command::Accept {
+        spec: spec("k", 3),
+        hash: 1,
+        seen,
+    });
+    d.ok(Command::Accept {
+        spec: spec("l", 3),
+        hash: 1,
+        seen,
+    });
+    assert_eq!(
+        d.apply(Command::Accept {
+            spec: spec("m", 3),
+            hash: 1,
+            seen
+        }),
+        Err(Refusal::OverQuota { quota: 3 })
+    );
     d.ok(Command::Cancel { job: "k".into() });
     // An older call of the same id, which was under way elsewhere, can't bring in what was turned away.
-    assert_eq!(d.apply(Command::Accept { spec: spec("m", 3), hash: 1, seen }), Err(Refusal::TurnedAway));
+    assert_eq!(
+        d.apply(Command::Accept {
+            spec: spec("m", 3),
+            hash: 1,
+            seen
+        }),
+        Err(Refusal::TurnedAway)
+    );
     let seen = d.r.place;
-    d.ok(Command::Accept { spec: spec("m", 3), hash: 1, seen });
-    assert!(matches!(d.apply(Command::Accept { spec: spec("n", 99), hash: 1, seen }), Err(Refusal::Invalid { .. })));
+    d.ok(Command::Accept {
+        spec: spec("m", 3),
+        hash: 1,
+        seen,
+    });
+    assert!(matches!(
+        d.apply(Command::Accept {
+            spec: spec("n", 99),
+            hash: 1,
+            seen
+        }),
+        Err(Refusal::Invalid { .. })
+    ));
     // Long after its end a job's identity is still known, and not for ever.
     d.at += 70_000;
     d.ok(Command::Sweep {
@@ -297,7 +414,14 @@
         identity_ms: 100_000,
     });
     assert!(!d.r.jobs.contains_key("k") && d.r.tombs.contains_key("k"));
-    assert_eq!(d.apply(Command::Accept { spec: spec("k", 2), hash: 2, seen }), Err(Refusal::OtherBody));
+    assert_eq!(
+        d.apply(Command::Accept {
+            spec: spec("k", 2),
+            hash: 2,
+            seen
+        }),
+        Err(Refusal::OtherBody)
+    );
     d.at += 200_000;
     d.ok(Command::Sweep {
         retain_ms: 60_000,
@@ -316,7 +440,10 @@
         value: json!({"notes": {"n": note}}),
     };
     d.ok(change("a", 1, "x"));
-    assert_eq!(d.apply(change("b", 1, "y")), Err(Refusal::Rival { current: 2 }));
+    assert_eq!(
+        d.apply(change("b", 1, "y")),
+        Err(Refusal::Rival { current: 2 })
+    );
     assert_eq!(d.ok(change("a", 1, "x"))["version"], 2);
     assert_eq!(d.apply(change("a", 1, "z")), Err(Refusal::OtherBody));
     let wrong = d.apply(Command::Configure {
@@ -325,25 +452,55 @@
         patch: true,
         value: json!({"queues": {"q": {"tries": "many"}}}),
     });
-    assert!(matches!(&wrong, Err(Refusal::Invalid { path, .. }) if path == "queues.q.tries"), "{wrong:?}");
+    assert!(
+        matches!(&wrong, Err(Refusal::Invalid { path, .. }) if path == "queues.q.tries"),
+        "{wrong:?}"
+    );
     assert_eq!(d.r.version, 2);
     let bytes = d.r.pack();
-    assert_eq!(Record::unpack(&bytes).as_ref(), Ok(&d.r), "a capture holds all of it");
+    assert_eq!(
+        Record::unpack(&bytes).as_ref(),
+        Ok(&d.r),
+        "a capture holds all of it"
+    );
 }
 
 #[test]
 fn jobs_that_can_never_run_are_named() {
-    let read = |v: serde_json::Value| JobSpec::read(v.to_string().as_bytes()).and_then(|s| s.check().map(|_| s));
-    let one = |t: serde_json::Value| read(json!({"id": "j", "queue": "q", "tasks": [t]})).map_err(|e| e.path);
-    assert_eq!(one(json!({"name": "a", "service": "s", "room": "big"})), Err("tasks[0].room".into()));
-    assert_eq!(one(json!({"name": "a", "service": "s", "room": 1, "colour": 1})), Err("tasks[0].colour".into()));
-    assert_eq!(one(json!({"name": "a", "service": "s", "room": 0})), Err("tasks[0].room".into()));
-    assert_eq!(one(json!({"name": "a", "service": "s", "room": 1, "dependsOn": ["b"]})), Err("tasks[0].dependsOn".into()));
+    let read = |v: serde_json::Value| {
+        JobSpec::read(v.to_string().as_bytes()).and_then(|s| s.check().map(|_| s))
+    };
+    let one = |t: serde_json::Value| {
+        read(json!({"id": "j", "queue": "q", "tasks": [t]})).map_err(|e| e.path)
+    };
+    assert_eq!(
+        one(json!({"name": "a", "service": "s", "room": "big"})),
+        Err("tasks[0].room".into())
+    );
+    assert_eq!(
+        one(json!({"name": "a", "service": "s", "room": 1, "colour": 1})),
+        Err("tasks[0].colour".into())
+    );
+    assert_eq!(
+        one(json!({"name": "a", "service": "s", "room": 0})),
+        Err("tasks[0].room".into())
+    );
+    assert_eq!(
+        one(json!({"name": "a", "service": "s", "room": 1, "dependsOn": ["b"]})),
+        Err("tasks[0].dependsOn".into())
+    );
     let t = |n: &str, d: &[&str], g: &str| json!({"name": n, "service": "s", "room": 1, "dependsOn": d, "gang": g});
-    let many = |of: Vec<serde_json::Value>| read(json!({"id": "j", "queue": "q", "tasks": of})).map_err(|e| e.remedy);
+    let many = |of: Vec<serde_json::Value>| {
+        read(json!({"id": "j", "queue": "q", "tasks": of})).map_err(|e| e.remedy)
+    };
     assert!(many(vec![t("a", &["b"], ""), t("b", &["a"], "")]).is_err_and(|r| r.contains("circle")));
     assert!(many(vec![t("a", &[], "g"), t("b", &["a"], "g")]).is_err_and(|r| r.contains("gang")));
-    assert!(many(vec![t("a", &[], "g"), t("x", &["a"], ""), t("b", &["x"], "g")]).is_err_and(|r| r.contains("gang")));
+    assert!(many(vec![
+        t("a", &[], "g"),
+        t("x", &["a"], ""),
+        t("b", &["x"], "g")
+    ])
+    .is_err_and(|r| r.contains("gang")));
     assert!(many(vec![t("a", &[], ""), t("a", &[], "")]).is_err_and(|r| r.contains("name")));
 }
 
@@ -389,13 +546,21 @@
     d.start("j", &[(0, "w")]).expect("placed");
     d.end("w", 1, Outcome::Defect);
     d.start("j", &[(0, "w")]).expect("the second and last try");
-    assert_eq!(d.start_as("j", &[(0, "v")], 2, 1, true), Err(Refusal::Spent), "a copy would be a third");
+    assert_eq!(
+        d.start_as("j", &[(0, "v")], 2, 1, true),
+        Err(Refusal::Spent),
+        "a copy would be a third"
+    );
     d.ok(Command::Lost {
         worker: "w".into(),
         incarnation: 1,
         cell_epoch: 1,
     });
-    assert_eq!(d.start("j", &[(0, "v")]), Err(Refusal::Spent), "it may have failed unseen");
+    assert_eq!(
+        d.start("j", &[(0, "v")]),
+        Err(Refusal::Spent),
+        "it may have failed unseen"
+    );
     d.end("w", 2, Outcome::Well);
     assert_eq!(d.state("j"), JobState::Done);
 }
@@ -411,7 +576,10 @@
         value: json!({"queues": {"q": null}}),
     };
     let refused = d.apply(without("a"));
-    assert!(matches!(&refused, Err(Refusal::Invalid { path, .. }) if path == "queues.q"), "{refused:?}");
+    assert!(
+        matches!(&refused, Err(Refusal::Invalid { path, .. }) if path == "queues.q"),
+        "{refused:?}"
+    );
     d.ok(Command::Cancel { job: "j".into() });
     d.ok(without("b"));
 }
@@ -428,7 +596,14 @@
     let mut no = 0;
     let mut run = |d: &mut Desk, worker: &str, outcome: Outcome| {
         no += 1;
-        d.accept(&format!("j{no}"), vec![TaskSpec { room: 1, ..task("a") }]).expect("accepted");
+        d.accept(
+            &format!("j{no}"),
+            vec![TaskSpec {
+                room: 1,
+                ..task("a")
+            }],
+        )
+        .expect("accepted");
         d.start(&format!("j{no}"), &[(0, worker)]).expect("placed");
         d.end(worker, no, outcome);
     };
@@ -438,14 +613,37 @@
     run(&mut d, "w", Outcome::Defect);
     assert!(d.r.workers["w"].probation > 0 && d.r.workers["v"].probation == 0);
     // One at a time now, and three good ends in a row bring it back.
-    d.accept("x", vec![TaskSpec { room: 1, ..task("a") }, TaskSpec { room: 1, ..task("b") }]).expect("accepted");
+    d.accept(
+        "x",
+        vec![
+            TaskSpec {
+                room: 1,
+                ..task("a")
+            },
+            TaskSpec {
+                room: 1,
+                ..task("b")
+            },
+        ],
+    )
+    .expect("accepted");
     d.start("x", &[(0, "w")]).expect("one");
-    assert!(matches!(d.start("x", &[(1, "w")]), Err(Refusal::Unfit { .. })));
+    assert!(matches!(
+        d.start("x", &[(1, "w")]),
+        Err(Refusal::Unfit { .. })
+    ));
     d.end("w", 13, Outcome::Well);
     no = 13;
     let mut run = |d: &mut Desk, outcome: Outcome| {
         no += 1;
-        d.accept(&format!("k{no}"), vec![TaskSpec { room: 1, ..task("a") }]).expect("accepted");
+        d.accept(
+            &format!("k{no}"),
+            vec![TaskSpec {
+                room: 1,
+                ..task("a")
+            }],
+        )
+        .expect("accepted");
         d.start(&format!("k{no}"), &[(0, "w")]).expect("placed");
         d.end("w", no, outcome);
     };
@@ -474,7 +672,10 @@
     };
     d.ok(lower(1));
     assert_eq!(d.state("idle"), JobState::Failed);
-    assert!(d.r.send(3).is_some_and(|(_, _, s)| s.stop), "an order that has not started is called back");
+    assert!(
+        d.r.send(3).is_some_and(|(_, _, s)| s.stop),
+        "an order that has not started is called back"
+    );
     d.end("v", 3, Outcome::Void);
     assert_eq!(d.state("under-way"), JobState::Failed);
 }
@@ -493,7 +694,11 @@
         },
         cell_epoch: 1,
     };
-    for (room, labels, stops) in [(4, vec!["l"], false), (4, vec![], true), (2, vec!["l"], true)] {
+    for (room, labels, stops) in [
+        (4, vec!["l"], false),
+        (4, vec![], true),
+        (2, vec!["l"], true),
+    ] {
         let mut d = Desk::new();
         let needs = TaskSpec {
             labels: vec!["l".into()],
@@ -502,14 +707,21 @@
         d.accept("j", vec![needs]).expect("accepted");
         d.start("j", &[(0, "w")]).expect("started");
         d.ok(changed(room, &labels));
-        assert_eq!(d.r.send(1).is_some_and(|(_, _, s)| s.stop), stops, "room {room}, labels {labels:?}");
+        assert_eq!(
+            d.r.send(1).is_some_and(|(_, _, s)| s.stop),
+            stops,
+            "room {room}, labels {labels:?}"
+        );
     }
 }
 
 #[test]
 fn jobs_that_wait_for_their_time_share_no_slots() {
     let mut d = Desk::new();
-    let later = TaskSpec { due: d.at + 60_000, ..task("a") };
+    let later = TaskSpec {
+        due: d.at + 60_000,
+        ..task("a")
+    };
     d.accept("later", vec![later.clone()]).expect("accepted");
     d.accept(
         "behind",
--- a/rehearsal/src/checkers/conditions.rs
+++ b/rehearsal/src/checkers/conditions.rs
@@ -19,7 +19,9 @@
         let mut down: Option<(u64, u64)> = None;
         let mut up: BTreeMap<&str, u64> = BTreeMap::new();
         for a in &h.events {
-            let Event::Able { cores, nodes } = &a.e else { continue };
+            let Event::Able { cores, nodes } = &a.e else {
+                continue;
+            };
             let back = if *cores == 0 { outage } else { recover };
             if *cores < 2 || nodes.is_empty() {
                 down = Some(down.map_or((a.t, back), |(t, b)| (t, b.max(back))));
@@ -37,8 +39,10 @@
                 up.entry(n).or_insert(a.t);
             });
         }
-        down.into_iter().for_each(|(from, _)| c.excused.push((from, u64::MAX)));
-        up.into_iter().for_each(|(n, from)| c.nodes.entry(n).or_default().push((from, u64::MAX)));
+        down.into_iter()
+            .for_each(|(from, _)| c.excused.push((from, u64::MAX)));
+        up.into_iter()
+            .for_each(|(n, from)| c.nodes.entry(n).or_default().push((from, u64::MAX)));
         c
     }
 
@@ -61,7 +65,10 @@
 
     /// Whether a node was up and connected, and the core whole, all the time.
     pub fn node_able(&self, node: &str, from: u64, to: u64) -> bool {
-        let up = self.nodes.get(node).is_some_and(|of| of.iter().any(|(a, b)| *a <= from && *b >= to));
+        let up = self
+            .nodes
+            .get(node)
+            .is_some_and(|of| of.iter().any(|(a, b)| *a <= from && *b >= to));
         up && self.answerable(from, to) == to - from
     }
 }
--- a/rehearsal/src/checkers/jobs.rs
+++ b/rehearsal/src/checkers/jobs.rs
@@ -12,17 +12,44 @@
     let mut accepted: BTreeMap<&str, u64> = BTreeMap::new();
     let mut ends: BTreeMap<&str, &str> = BTreeMap::new();
     let mut out = Vec::new();
-    let mut say = |t, what| out.push(Broken { rule: "never forgotten", t, what });
+    let mut say = |t, what| {
+        out.push(Broken {
+            rule: "never forgotten",
+            t,
+            what,
+        })
+    };
     for a in &h.events {
         match &a.e {
-            Event::Submitted { id, status: 200 | 202, .. } | Event::CancelAcked { id } => {
+            Event::Submitted {
+                id,
+                status: 200 | 202,
+                ..
+            }
+            | Event::CancelAcked { id } => {
                 accepted.entry(id).or_insert(a.t);
             }
-            Event::Polled { id, status: 404, .. } if accepted.get(id.as_str()).is_some_and(|t| a.t >= t + p.state) => say(a.t, format!("job {id} was accepted and is unknown")),
-            Event::Polled { id, status: 200, state, stale, .. } => {
+            Event::Polled {
+                id, status: 404, ..
+            } if accepted
+                .get(id.as_str())
+                .is_some_and(|t| a.t >= t + p.state) =>
+            {
+                say(a.t, format!("job {id} was accepted and is unknown"))
+            }
+            Event::Polled {
+                id,
+                status: 200,
+                state,
+                stale,
+                ..
+            } => {
                 accepted.entry(id).or_insert(a.t);
                 match ends.get(id.as_str()) {
-                    Some(before) if before != state && !stale => say(a.t, format!("job {id} was told as {before} and is {state} now")),
+                    Some(before) if before != state && !stale => say(
+                        a.t,
+                        format!("job {id} was told as {before} and is {state} now"),
+                    ),
                     None if ended(state) => {
                         ends.insert(id, state);
                     }
@@ -33,10 +60,26 @@
                 accepted
                     .keys()
                     .filter(|id| !jobs.contains_key(**id))
-                    .for_each(|id| say(a.t, format!("job {id} was accepted and is gone at the end of the day")));
+                    .for_each(|id| {
+                        say(
+                            a.t,
+                            format!("job {id} was accepted and is gone at the end of the day"),
+                        )
+                    });
                 ends.iter()
-                    .filter_map(|(id, before)| jobs.get(*id).filter(|(s, _)| s != before).map(|(s, _)| (id, before, s)))
-                    .for_each(|(id, before, s)| say(a.t, format!("job {id} was told as {before} and is {s} at the end of the day")));
+                    .filter_map(|(id, before)| {
+                        jobs.get(*id)
+                            .filter(|(s, _)| s != before)
+                            .map(|(s, _)| (id, before, s))
+                    })
+                    .for_each(|(id, before, s)| {
+                        say(
+                            a.t,
+                            format!(
+                                "job {id} was told as {before} and is {s} at the end of the day"
+                            ),
+                        )
+                    });
             }
             _ => {}
         }
@@ -65,7 +108,10 @@
     for a in &h.events {
         match &a.e {
             Event::Fault { what } if what.starts_with("LostAnswers") => lost = lost.or(Some(a.t)),
-            Event::Healed { what } if what.starts_with("LostAnswers") => lost.take().into_iter().for_each(|from| c.excuse(from, a.t + 1000)),
+            Event::Healed { what } if what.starts_with("LostAnswers") => lost
+                .take()
+                .into_iter()
+                .for_each(|from| c.excuse(from, a.t + 1000)),
             _ => {}
         }
     }
@@ -74,21 +120,36 @@
     let mut out = Vec::new();
     for a in &h.events {
         match &a.e {
-            Event::Submitted { id, status: 200 | 202, .. } | Event::CancelAcked { id } => {
+            Event::Submitted {
+                id,
+                status: 200 | 202,
+                ..
+            }
+            | Event::CancelAcked { id } => {
                 accepted.entry(id).or_insert(a.t);
             }
             Event::Asked { id } if accepted.contains_key(id.as_str()) => {
                 asking.entry(id).or_insert(a.t);
             }
-            Event::Polled { id, status: 200, .. } => {
+            Event::Polled {
+                id, status: 200, ..
+            } => {
                 accepted.entry(id).or_insert(a.t);
-                out.extend(asking.remove(id.as_str()).map(|from| (id.as_str(), a.t, c.answerable(from, a.t))));
+                out.extend(
+                    asking
+                        .remove(id.as_str())
+                        .map(|from| (id.as_str(), a.t, c.answerable(from, a.t))),
+                );
             }
             // Whoever cancels asks for something else meanwhile.
             Event::CancelAsked { id } => {
                 asking.remove(id.as_str());
             }
-            Event::Closed { .. } => out.extend(asking.iter().map(|(id, from)| (*id, a.t, c.answerable(*from, a.t)))),
+            Event::Closed { .. } => out.extend(
+                asking
+                    .iter()
+                    .map(|(id, from)| (*id, a.t, c.answerable(*from, a.t))),
+            ),
             _ => {}
         }
     }
@@ -131,7 +192,10 @@
             }
             Event::CancelAcked { id } => jobs.entry(id).or_default().accepted = true,
             Event::Started { job, worker, .. } => {
-                let refused = jobs.get(job.as_str()).filter(|j| !j.accepted).and_then(|j| j.refused);
+                let refused = jobs
+                    .get(job.as_str())
+                    .filter(|j| !j.accepted)
+                    .and_then(|j| j.refused);
                 out.extend(refused.map(|t| Broken {
                     rule: "turned away never runs",
                     t: a.t,
@@ -153,11 +217,18 @@
             Event::CancelAcked { id } => {
                 acked.entry(id).or_insert(a.t);
             }
-            Event::Started { job, task, .. } if acked.get(job.as_str()).is_some_and(|t| a.t > t + p.cancel) => out.push(Broken {
-                rule: "cancelled stays cancelled",
-                t: a.t,
-                what: format!("{job}/{task} started {} ms after its cancel was acknowledged", a.t - acked[job.as_str()]),
-            }),
+            Event::Started { job, task, .. }
+                if acked.get(job.as_str()).is_some_and(|t| a.t > t + p.cancel) =>
+            {
+                out.push(Broken {
+                    rule: "cancelled stays cancelled",
+                    t: a.t,
+                    what: format!(
+                        "{job}/{task} started {} ms after its cancel was acknowledged",
+                        a.t - acked[job.as_str()]
+                    ),
+                })
+            }
             _ => {}
         }
     }
@@ -166,10 +237,18 @@
 
 /// When the day closes, every accepted job has ended or is shown as unsure.
 pub fn all_end(h: &History, _: &Promised) -> Vec<Broken> {
-    let closed = h.events.iter().rev().find_map(|a| if let Event::Closed { jobs, .. } = &a.e { Some((a.t, jobs)) } else { None });
+    let closed = h.events.iter().rev().find_map(|a| {
+        if let Event::Closed { jobs, .. } = &a.e {
+            Some((a.t, jobs))
+        } else {
+            None
+        }
+    });
     closed.map_or(Vec::new(), |(t, jobs)| {
         jobs.iter()
-            .filter(|(_, (state, unsure))| !["done", "failed", "cancelled"].contains(&state.as_str()) && !unsure)
+            .filter(|(_, (state, unsure))| {
+                !["done", "failed", "cancelled"].contains(&state.as_str()) && !unsure
+            })
             .map(|(id, (state, _))| Broken {
                 rule: "all come to an end",
                 t,
--- a/rehearsal/src/checkers/mod.rs
+++ b/rehearsal/src/checkers/mod.rs
@@ -92,7 +92,11 @@
 ];
 
 /// Rules on how long something takes: on real processes they say as much about the machine as about the system.
-pub const TIMED: &[&str] = &["state within its bound", "configuration takes hold", "back after an outage"];
+pub const TIMED: &[&str] = &[
+    "state within its bound",
+    "configuration takes hold",
+    "back after an outage",
+];
 
 /// Runs all checkers.
 pub fn check(h: &History, p: &Promised) -> Vec<Broken> {
--- a/rehearsal/src/checkers/runs.rs
+++ b/rehearsal/src/checkers/runs.rs
@@ -9,12 +9,19 @@
 fn specs(h: &History) -> Specs<'_> {
     h.events
         .iter()
-        .filter_map(|a| if let Event::Offered { spec } = &a.e { Some((spec.id.as_str(), spec)) } else { None })
+        .filter_map(|a| {
+            if let Event::Offered { spec } = &a.e {
+                Some((spec.id.as_str(), spec))
+            } else {
+                None
+            }
+        })
         .collect()
 }
 
 fn task<'a>(s: &Specs<'a>, job: &str, task: &str) -> Option<&'a TaskSpec> {
-    s.get(job).and_then(|j| j.tasks.iter().find(|t| t.name == task))
+    s.get(job)
+        .and_then(|j| j.tasks.iter().find(|t| t.name == task))
 }
 
 /// One run of a task on a worker.
@@ -33,7 +40,13 @@
     let mut open: BTreeMap<(&str, u64), usize> = BTreeMap::new();
     for a in &h.events {
         match &a.e {
-            Event::Started { worker, no, job, task, .. } => {
+            Event::Started {
+                worker,
+                no,
+                job,
+                task,
+                ..
+            } => {
                 open.insert((worker, *no), out.len());
                 out.push(Run {
                     worker,
@@ -44,15 +57,23 @@
                     outcome: None,
                 });
             }
-            Event::Ended { worker, no, outcome, .. } if *outcome != Outcome::Void => {
+            Event::Ended {
+                worker,
+                no,
+                outcome,
+                ..
+            } if *outcome != Outcome::Void => {
                 if let Some(i) = open.remove(&(worker.as_str(), *no)) {
                     out[i].to = a.t;
                     out[i].outcome = Some(*outcome);
                 }
             }
             Event::WorkerDied { worker } => {
-                let dead: Vec<(&str, u64)> = open.keys().filter(|(w, _)| w == worker).copied().collect();
-                dead.into_iter().filter_map(|k| open.remove(&k)).for_each(|i| out[i].to = a.t);
+                let dead: Vec<(&str, u64)> =
+                    open.keys().filter(|(w, _)| w == worker).copied().collect();
+                dead.into_iter()
+                    .filter_map(|k| open.remove(&k))
+                    .for_each(|i| out[i].to = a.t);
             }
             _ => {}
         }
@@ -77,13 +98,19 @@
                     out.push(Broken {
                         rule: "no repeat without leave",
                         t: r.from,
-                        what: format!("{job}/{name} started on {} while it ran on {}", r.worker, before.worker),
+                        what: format!(
+                            "{job}/{name} started on {} while it ran on {}",
+                            r.worker, before.worker
+                        ),
                     });
                 } else if before.outcome == Some(Outcome::Well) {
                     out.push(Broken {
                         rule: "no repeat without leave",
                         t: r.from,
-                        what: format!("{job}/{name} started again on {} after it had finished well", r.worker),
+                        what: format!(
+                            "{job}/{name} started again on {} after it had finished well",
+                            r.worker
+                        ),
                     });
                 }
             }
@@ -100,12 +127,20 @@
     for a in &h.events {
         match &a.e {
             Event::Ended {
-                job, task, outcome: Outcome::Well, ..
+                job,
+                task,
+                outcome: Outcome::Well,
+                ..
             } => {
                 well.insert((job, task));
             }
-            Event::Started { job, task: name, .. } => {
-                let missing = task(&s, job, name).into_iter().flat_map(|t| &t.depends_on).find(|d| !well.contains(&(job.as_str(), d.as_str())));
+            Event::Started {
+                job, task: name, ..
+            } => {
+                let missing = task(&s, job, name)
+                    .into_iter()
+                    .flat_map(|t| &t.depends_on)
+                    .find(|d| !well.contains(&(job.as_str(), d.as_str())));
                 out.extend(missing.map(|d| Broken {
                     rule: "steps in order",
                     t: a.t,
@@ -124,11 +159,15 @@
     h.events
         .iter()
         .filter_map(|a| match &a.e {
-            Event::Started { job, task: name, .. } => task(&s, job, name).filter(|t| a.t + p.epoch + p.early < t.due).map(|t| Broken {
-                rule: "not before its time",
-                t: a.t,
-                what: format!("{job}/{name} started {} ms early", t.due - a.t - p.epoch),
-            }),
+            Event::Started {
+                job, task: name, ..
+            } => task(&s, job, name)
+                .filter(|t| a.t + p.epoch + p.early < t.due)
+                .map(|t| Broken {
+                    rule: "not before its time",
+                    t: a.t,
+                    what: format!("{job}/{name} started {} ms early", t.due - a.t - p.epoch),
+                }),
             _ => None,
         })
         .collect()
@@ -156,7 +195,9 @@
                     w.remove(no);
                 });
             }
-            Event::Started { worker, no, room, .. } => {
+            Event::Started {
+                worker, no, room, ..
+            } => {
                 let w = held.entry(worker).or_default();
                 w.insert(*no, *room);
                 let sum: u32 = w.values().sum();
@@ -181,16 +222,30 @@
     let mut out = Vec::new();
     for a in &h.events {
         match &a.e {
-            Event::WorkerUp { worker, service, labels, .. } => {
+            Event::WorkerUp {
+                worker,
+                service,
+                labels,
+                ..
+            } => {
                 up.insert(worker, (service, labels));
             }
             Event::WorkerChanged { worker, labels, .. } => {
-                up.get_mut(worker.as_str()).iter_mut().for_each(|w| w.1 = labels);
+                up.get_mut(worker.as_str())
+                    .iter_mut()
+                    .for_each(|w| w.1 = labels);
             }
-            Event::Started { worker, job, task: name, .. } => {
+            Event::Started {
+                worker,
+                job,
+                task: name,
+                ..
+            } => {
                 let fits = task(&s, job, name)
                     .zip(up.get(worker.as_str()))
-                    .is_some_and(|(t, (service, labels))| t.service == *service && t.labels.iter().all(|l| labels.contains(l)));
+                    .is_some_and(|(t, (service, labels))| {
+                        t.service == *service && t.labels.iter().all(|l| labels.contains(l))
+                    });
                 if !fits {
                     out.push(Broken {
                         rule: "fitting workers",
@@ -237,8 +292,18 @@
                     }
                 }
             }
-            Event::Configured { change, status, version, .. } => {
-                for l in self.0.values_mut().flatten().filter(|l| l.change == *change) {
+            Event::Configured {
+                change,
+                status,
+                version,
+                ..
+            } => {
+                for l in self
+                    .0
+                    .values_mut()
+                    .flatten()
+                    .filter(|l| l.change == *change)
+                {
                     if *status == 200 {
                         l.acked = l.acked.or(Some((*version, a.t)));
                     } else {
@@ -253,8 +318,17 @@
     /// The largest limit that may be in force at some time of two, when a change has `hold` to take hold.
     pub fn most(&self, queue: &str, (from, to): (u64, u64), hold: u64) -> Option<u32> {
         let all = self.0.get(queue)?;
-        let newest = all.iter().filter_map(|l| l.acked).filter(|(_, at)| at + hold < from).map(|(v, _)| v).max().unwrap_or(0);
-        all.iter().filter(|l| l.asked <= to && !l.lost && l.acked.is_none_or(|(v, _)| v >= newest)).map(|l| l.value).max()
+        let newest = all
+            .iter()
+            .filter_map(|l| l.acked)
+            .filter(|(_, at)| at + hold < from)
+            .map(|(v, _)| v)
+            .max()
+            .unwrap_or(0);
+        all.iter()
+            .filter(|l| l.asked <= to && !l.lost && l.acked.is_none_or(|(v, _)| v >= newest))
+            .map(|l| l.value)
+            .max()
     }
 }
 
@@ -268,11 +342,20 @@
         permitted.take(a, |s| &s.tries);
         match &a.e {
             Event::Ended {
-                job, task, outcome: Outcome::Defect, ..
+                job,
+                task,
+                outcome: Outcome::Defect,
+                ..
             } => *defects.entry((job, task)).or_default() += 1,
             Event::Started { job, task, .. } => {
-                let most = s.get(job.as_str()).and_then(|j| permitted.most(&j.queue, (a.t, a.t), p.desired)).unwrap_or(u32::MAX);
-                let had = defects.get(&(job.as_str(), task.as_str())).copied().unwrap_or(0);
+                let most = s
+                    .get(job.as_str())
+                    .and_then(|j| permitted.most(&j.queue, (a.t, a.t), p.desired))
+                    .unwrap_or(u32::MAX);
+                let had = defects
+                    .get(&(job.as_str(), task.as_str()))
+                    .copied()
+                    .unwrap_or(0);
                 if had >= most {
                     out.push(Broken {
                         rule: "tries",
@@ -299,11 +382,18 @@
             Event::WorkerLeaving { worker } => {
                 left.insert(worker, a.t);
             }
-            Event::Started { worker, .. } if left.get(worker.as_str()).is_some_and(|t| a.t > t + p.leave) => out.push(Broken {
-                rule: "leaving workers",
-                t: a.t,
-                what: format!("{worker} got work {} ms after it said it leaves", a.t - left[worker.as_str()]),
-            }),
+            Event::Started { worker, .. }
+                if left.get(worker.as_str()).is_some_and(|t| a.t > t + p.leave) =>
+            {
+                out.push(Broken {
+                    rule: "leaving workers",
+                    t: a.t,
+                    what: format!(
+                        "{worker} got work {} ms after it said it leaves",
+                        a.t - left[worker.as_str()]
+                    ),
+                })
+            }
             _ => {}
         }
     }
@@ -321,7 +411,12 @@
             Event::WorkerUp { worker, zone, .. } => {
                 zone_of.insert(worker, zone);
             }
-            Event::Configured { status: 200, says, version, .. } if *version > newest => {
+            Event::Configured {
+                status: 200,
+                says,
+                version,
+                ..
+            } if *version > newest => {
                 newest = *version;
                 for (z, state) in &says.zones {
                     if ["draining", "evacuated"].contains(&state.as_str()) {
@@ -333,7 +428,10 @@
             }
             // Opened again at the earliest when somebody asks for it.
             Event::ConfigAsked { says, .. } => {
-                let open = says.zones.iter().filter(|(_, state)| !["draining", "evacuated"].contains(&state.as_str()));
+                let open = says
+                    .zones
+                    .iter()
+                    .filter(|(_, state)| !["draining", "evacuated"].contains(&state.as_str()));
                 open.for_each(|(z, _)| {
                     closed.remove(z.as_str());
                 });
@@ -344,7 +442,10 @@
                     out.push(Broken {
                         rule: "emptied zones",
                         t: a.t,
-                        what: format!("{worker} got work {} ms after its zone was emptied", a.t - since.unwrap_or(&0)),
+                        what: format!(
+                            "{worker} got work {} ms after its zone was emptied",
+                            a.t - since.unwrap_or(&0)
+                        ),
                     });
                 }
             }
@@ -362,7 +463,16 @@
         .map(|a| Broken {
             rule: "gangs together",
             t: a.t,
-            what: format!("{} was alone for {} ms{}", a.who, a.ms, if a.struck { ", a member was struck" } else { "" }),
+            what: format!(
+                "{} was alone for {} ms{}",
+                a.who,
+                a.ms,
+                if a.struck {
+                    ", a member was struck"
+                } else {
+                    ""
+                }
+            ),
         })
         .collect()
 }
@@ -392,11 +502,20 @@
     let struck: Vec<(u64, u64)> = strikes(h);
     let mut out = Vec::new();
     for ((job, gang), runs) in &of {
-        let names: Vec<&str> = s[job].tasks.iter().filter(|t| t.gang == *gang).map(|t| t.name.as_str()).collect();
+        let names: Vec<&str> = s[job]
+            .tasks
+            .iter()
+            .filter(|t| t.gang == *gang)
+            .map(|t| t.name.as_str())
+            .collect();
         for r in runs {
             let to = r.to.min(end);
             // A worker that nobody can reach can't be told to stop.
-            let reached = dark.iter().filter(|(w, from, until)| *w == r.worker && *from <= to && *until >= r.from).map(|(_, from, _)| *from).min();
+            let reached = dark
+                .iter()
+                .filter(|(w, from, until)| *w == r.worker && *from <= to && *until >= r.from)
+                .map(|(_, from, _)| *from)
+                .min();
             let to = reached.map_or(to, |t| to.min(t.max(r.from)));
             for other in names.iter().filter(|n| **n != r.task) {
                 let partners = runs.iter().filter(|x| x.task == *other);
@@ -445,7 +564,9 @@
             Event::Fault { what } if !quiet.iter().any(|q| what.starts_with(q)) => {
                 open.entry(what).or_insert(a.t);
             }
-            Event::Healed { what } => out.extend(open.remove(what.as_str()).map(|t| (t, a.t + 4000))),
+            Event::Healed { what } => {
+                out.extend(open.remove(what.as_str()).map(|t| (t, a.t + 4000)))
+            }
             _ => {}
         }
     }
@@ -461,7 +582,9 @@
             if let Some(w) = what.strip_prefix("dark ") {
                 out.push((w, a.t, u64::MAX));
             } else if let Some(w) = what.strip_prefix("light ") {
-                out.iter_mut().filter(|(n, _, to)| *n == w && *to == u64::MAX).for_each(|d| d.2 = a.t + 2000);
+                out.iter_mut()
+                    .filter(|(n, _, to)| *n == w && *to == u64::MAX)
+                    .for_each(|d| d.2 = a.t + 2000);
             }
         }
     }
--- a/rehearsal/src/checkers/system.rs
+++ b/rehearsal/src/checkers/system.rs
@@ -9,7 +9,12 @@
     let (mut of, mut lost) = (BTreeMap::new(), BTreeSet::new());
     for a in &h.events {
         match &a.e {
-            Event::Configured { change, status: 200, version, .. } => {
+            Event::Configured {
+                change,
+                status: 200,
+                version,
+                ..
+            } => {
                 of.entry(*version).or_insert(change.as_str());
             }
             Event::Configured { change, .. } => {
@@ -27,22 +32,48 @@
     let mut versions: BTreeMap<u64, &str> = BTreeMap::new();
     let (of, lost) = marks(h);
     let mut out = Vec::new();
-    let mut say = |t, what| out.push(Broken { rule: "one of two rivals", t, what });
+    let mut say = |t, what| {
+        out.push(Broken {
+            rule: "one of two rivals",
+            t,
+            what,
+        })
+    };
     for a in &h.events {
         match &a.e {
             Event::Configured {
-                change, base, status: 200, version, ..
+                change,
+                base,
+                status: 200,
+                version,
+                ..
             } => {
-                let twice = on.insert(*base, change).is_some_and(|c| c != change) || versions.insert(*version, change).is_some_and(|c| c != change);
+                let twice = on.insert(*base, change).is_some_and(|c| c != change)
+                    || versions
+                        .insert(*version, change)
+                        .is_some_and(|c| c != change);
                 if twice {
-                    say(a.t, format!("{change} was accepted on version {base}, and another was too"));
+                    say(
+                        a.t,
+                        format!("{change} was accepted on version {base}, and another was too"),
+                    );
                 }
             }
-            Event::ConfigRead { version, by, .. } | Event::NodeVersion { version, by, .. } | Event::Closed { version, by, .. } if !by.is_empty() => {
+            Event::ConfigRead { version, by, .. }
+            | Event::NodeVersion { version, by, .. }
+            | Event::Closed { version, by, .. }
+                if !by.is_empty() =>
+            {
                 if lost.contains(by.as_str()) {
-                    say(a.t, format!("{by} was refused, and its content is in version {version}"));
+                    say(
+                        a.t,
+                        format!("{by} was refused, and its content is in version {version}"),
+                    );
                 } else if let Some(c) = of.get(version).filter(|c| **c != by) {
-                    say(a.t, format!("version {version} was made by {c} and has the content of {by}"));
+                    say(
+                        a.t,
+                        format!("version {version} was made by {c} and has the content of {by}"),
+                    );
                 }
             }
             _ => {}
@@ -65,24 +96,48 @@
     };
     for a in &h.events {
         match &a.e {
-            Event::Configured { status: 200, version, .. } => acked.push((a.t, *version)),
+            Event::Configured {
+                status: 200,
+                version,
+                ..
+            } => acked.push((a.t, *version)),
             Event::ConfigRead { version, asked, .. } => {
-                let least = acked.iter().filter(|(t, _)| t < asked).map(|(_, v)| *v).max().unwrap_or(0);
+                let least = acked
+                    .iter()
+                    .filter(|(t, _)| t < asked)
+                    .map(|(_, v)| *v)
+                    .max()
+                    .unwrap_or(0);
                 if *version < least {
-                    say(a.t, format!("version {version} was read after {least} was accepted"));
+                    say(
+                        a.t,
+                        format!("version {version} was read after {least} was accepted"),
+                    );
                 }
             }
             Event::NodeDown { node } => {
                 on_node.remove(node.as_str());
             }
-            Event::NodeVersion { node, version, ready: true, .. } => {
-                let before = on_node.insert(node, *version).filter(|before| before > version);
-                before.into_iter().for_each(|_| say(a.t, format!("{node} slid back to version {version}")));
+            Event::NodeVersion {
+                node,
+                version,
+                ready: true,
+                ..
+            } => {
+                let before = on_node
+                    .insert(node, *version)
+                    .filter(|before| before > version);
+                before
+                    .into_iter()
+                    .for_each(|_| say(a.t, format!("{node} slid back to version {version}")));
             }
             Event::Closed { version, .. } => {
                 let newest = acked.iter().map(|(_, v)| *v).max().unwrap_or(0);
                 if *version < newest {
-                    say(a.t, format!("version {version} at the end of the day, {newest} was accepted"));
+                    say(
+                        a.t,
+                        format!("version {version} at the end of the day, {newest} was accepted"),
+                    );
                 }
             }
             _ => {}
@@ -106,12 +161,26 @@
     };
     for a in &h.events {
         match &a.e {
-            Event::Configured { status: 200, version, .. } => acked.push((a.t, *version)),
+            Event::Configured {
+                status: 200,
+                version,
+                ..
+            } => acked.push((a.t, *version)),
             Event::NodeDown { node } => {
                 unready.remove(node.as_str());
             }
-            Event::NodeVersion { node, version, ready, .. } => {
-                let due = acked.iter().filter(|(t, _)| t + p.desired < a.t).map(|(_, v)| *v).max().unwrap_or(0);
+            Event::NodeVersion {
+                node,
+                version,
+                ready,
+                ..
+            } => {
+                let due = acked
+                    .iter()
+                    .filter(|(t, _)| t + p.desired < a.t)
+                    .map(|(_, v)| *v)
+                    .max()
+                    .unwrap_or(0);
                 if *ready && *version < due {
                     say(a.t, format!("{node} says it is ready with version {version}, {due} was accepted long before"));
                 }
@@ -121,7 +190,13 @@
                 } else {
                     let since = *unready.entry(node).or_insert(a.t);
                     if a.t > since + p.ready && c.node_able(node, since, a.t) {
-                        say(a.t, format!("{node} was up and connected and not ready for {} ms", a.t - since));
+                        say(
+                            a.t,
+                            format!(
+                                "{node} was up and connected and not ready for {} ms",
+                                a.t - since
+                            ),
+                        );
                         unready.insert(node, a.t);
                     }
                 }
@@ -157,7 +232,12 @@
                     taken.push((id, *from, a.t, limits.most(q, (*from, a.t), p.desired)));
                 }
             }
-            Event::Polled { id, status: 200, state, .. } if !["done", "failed", "cancelled"].contains(&state.as_str()) => {
+            Event::Polled {
+                id,
+                status: 200,
+                state,
+                ..
+            } if !["done", "failed", "cancelled"].contains(&state.as_str()) => {
                 unfinished_at.insert(id, a.t);
             }
             _ => {}
@@ -165,16 +245,23 @@
     }
     let mut out = Vec::new();
     for (id, from, to, most) in taken {
-        let Some(most) = most.filter(|m| (*m as usize) < accepted.len()) else { continue };
-        let same = accepted
-            .iter()
-            .filter(|(o, t)| **o != id && **t <= from && queue_of.get(*o) == queue_of.get(id) && unfinished_at.get(*o).is_some_and(|u| *u >= to));
+        let Some(most) = most.filter(|m| (*m as usize) < accepted.len()) else {
+            continue;
+        };
+        let same = accepted.iter().filter(|(o, t)| {
+            **o != id
+                && **t <= from
+                && queue_of.get(*o) == queue_of.get(id)
+                && unfinished_at.get(*o).is_some_and(|u| *u >= to)
+        });
         let held = same.count();
         if held >= most as usize {
             out.push(Broken {
                 rule: "configuration takes hold",
                 t: to,
-                what: format!("job {id} was accepted beside {held} unfinished ones, the quota is {most}"),
+                what: format!(
+                    "job {id} was accepted beside {held} unfinished ones, the quota is {most}"
+                ),
             });
         }
     }
@@ -184,13 +271,25 @@
 /// Normal service returns soon after a total outage: every node ready, every queue and zone at work.
 pub fn outage(h: &History, p: &Promised) -> Vec<Broken> {
     let end = h.events.last().map_or(0, |a| a.t);
-    let over: Vec<u64> = h.events.iter().filter(|a| a.e == Event::OutageOver).map(|a| a.t).collect();
+    let over: Vec<u64> = h
+        .events
+        .iter()
+        .filter(|a| a.e == Event::OutageOver)
+        .map(|a| a.t)
+        .collect();
     let mut out = Vec::new();
     for t in over.into_iter().filter(|t| t + p.outage <= end) {
         // Another fault meanwhile has its own rules.
         let until = t + p.outage;
-        let others = h.events.iter().any(|a| a.t > t && a.t < until && matches!(&a.e, Event::Fault { .. }));
-        let missing = if others { Vec::new() } else { missing_service(h, t, until) };
+        let others = h
+            .events
+            .iter()
+            .any(|a| a.t > t && a.t < until && matches!(&a.e, Event::Fault { .. }));
+        let missing = if others {
+            Vec::new()
+        } else {
+            missing_service(h, t, until)
+        };
         out.extend(missing.into_iter().map(|what| Broken {
             rule: "back after an outage",
             t,
@@ -201,9 +300,19 @@
 }
 
 fn missing_service(h: &History, from: u64, to: u64) -> Vec<String> {
-    let within = || h.events.iter().filter(move |a| a.t >= from && a.t <= to).map(|a| &a.e);
+    let within = || {
+        h.events
+            .iter()
+            .filter(move |a| a.t >= from && a.t <= to)
+            .map(|a| &a.e)
+    };
     let mut queue_of: BTreeMap<&str, &str> = BTreeMap::new();
-    let (mut zone_of, mut up, mut nodes, mut closed): (BTreeMap<&str, &str>, BTreeSet<&str>, Vec<String>, BTreeSet<&str>) = Default::default();
+    let (mut zone_of, mut up, mut nodes, mut closed): (
+        BTreeMap<&str, &str>,
+        BTreeSet<&str>,
+        Vec<String>,
+        BTreeSet<&str>,
+    ) = Default::default();
     for e in h.events.iter().filter(|a| a.t <= to).map(|a| &a.e) {
         match e {
             Event::Offered { spec } => {
@@ -229,29 +338,77 @@
     }
     // Jobs handed in for the purpose; what else is offered may be too long to end in time.
     let offered: BTreeSet<&str> = within()
-        .filter_map(|e| if let Event::Offered { spec } = e { Some(spec.id.as_str()) } else { None })
+        .filter_map(|e| {
+            if let Event::Offered { spec } = e {
+                Some(spec.id.as_str())
+            } else {
+                None
+            }
+        })
         .filter(|id| id.starts_with("muster-"))
         .collect();
-    let queues: BTreeSet<&str> = offered.iter().filter_map(|id| queue_of.get(id).copied()).collect();
-    let zones: BTreeSet<&str> = up.iter().filter_map(|w| zone_of.get(w).copied()).filter(|z| !closed.contains(z)).collect();
-    let (mut accepted, mut done, mut placed, mut ready): (BTreeSet<&str>, BTreeSet<&str>, BTreeSet<&str>, BTreeSet<&str>) = Default::default();
+    let queues: BTreeSet<&str> = offered
+        .iter()
+        .filter_map(|id| queue_of.get(id).copied())
+        .collect();
+    let zones: BTreeSet<&str> = up
+        .iter()
+        .filter_map(|w| zone_of.get(w).copied())
+        .filter(|z| !closed.contains(z))
+        .collect();
+    let (mut accepted, mut done, mut placed, mut ready): (
+        BTreeSet<&str>,
+        BTreeSet<&str>,
+        BTreeSet<&str>,
+        BTreeSet<&str>,
+    ) = Default::default();
     for e in within() {
         match e {
-            Event::Submitted { id, status: 200 | 202, .. } => accepted.extend(queue_of.get(id.as_str())),
-            Event::Polled { id, status: 200, state, .. } if state == "done" && offered.contains(id.as_str()) => done.extend(queue_of.get(id.as_str())),
+            Event::Submitted {
+                id,
+                status: 200 | 202,
+                ..
+            } => accepted.extend(queue_of.get(id.as_str())),
+            Event::Polled {
+                id,
+                status: 200,
+                state,
+                ..
+            } if state == "done" && offered.contains(id.as_str()) => {
+                done.extend(queue_of.get(id.as_str()))
+            }
             Event::Started { worker, .. } => placed.extend(zone_of.get(worker.as_str())),
-            Event::NodeVersion { node, ready: true, .. } => {
+            Event::NodeVersion {
+                node, ready: true, ..
+            } => {
                 ready.insert(node);
             }
             _ => {}
         }
     }
     let mut out = Vec::new();
-    out.extend(queues.difference(&accepted).map(|q| format!("queue {q} accepted nothing")));
-    out.extend(queues.difference(&done).map(|q| format!("queue {q} finished nothing")));
+    out.extend(
+        queues
+            .difference(&accepted)
+            .map(|q| format!("queue {q} accepted nothing")),
+    );
+    out.extend(
+        queues
+            .difference(&done)
+            .map(|q| format!("queue {q} finished nothing")),
+    );
     if !queues.is_empty() {
-        out.extend(zones.difference(&placed).map(|z| format!("zone {z} got nothing")));
+        out.extend(
+            zones
+                .difference(&placed)
+                .map(|z| format!("zone {z} got nothing")),
+        );
     }
-    out.extend(nodes.iter().filter(|n| !ready.contains(n.as_str())).map(|n| format!("node {n} was not ready")));
+    out.extend(
+        nodes
+            .iter()
+            .filter(|n| !ready.contains(n.as_str()))
+            .map(|n| format!("node {n} was not ready")),
+    );
     out
 }
--- a/rehearsal/src/cli/fleet.rs
+++ b/rehearsal/src/cli/fleet.rs
@@ -5,7 +5,8 @@
 
 pub fn run(w: &Words) -> Result<bool, String> {
     let named = w.text("shape").unwrap_or("gunasekera");
-    let mut shape = Shape::named(named).ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
+    let mut shape = Shape::named(named)
+        .ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
     let mut seconds = w.number("seconds", 20)?;
     let mut faults = vec![
         Fault {
@@ -44,12 +45,27 @@
     landingdrift::say!("folder {}", o.folder.display());
     let outcome = drive(&o).map_err(|e| format!("the fleet could not be rehearsed: {e}"))?;
     if let Some(path) = w.text("history") {
-        std::fs::write(path, outcome.history.text()).map_err(|e| format!("'{path}' can't be written ({e})"))?;
+        std::fs::write(path, outcome.history.text())
+            .map_err(|e| format!("'{path}' can't be written ({e})"))?;
     }
-    landingdrift::say!("{}", serde_json::to_string(&outcome.summary).unwrap_or_default());
+    landingdrift::say!(
+        "{}",
+        serde_json::to_string(&outcome.summary).unwrap_or_default()
+    );
     landingdrift::say!("{}", quantiles(&outcome.latencies));
     landingdrift::say!("promises kept {}, missed {}", outcome.kept, outcome.missed);
-    outcome.broken.iter().take(20).for_each(|b| landingdrift::say!("BROKEN {b}"));
-    landingdrift::say!("{}", if outcome.broken.is_empty() { "no rule was broken" } else { "rules were broken" });
+    outcome
+        .broken
+        .iter()
+        .take(20)
+        .for_each(|b| landingdrift::say!("BROKEN {b}"));
+    landingdrift::say!(
+        "{}",
+        if outcome.broken.is_empty() {
+            "no rule was broken"
+        } else {
+            "rules were broken"
+        }
+    );
     Ok(outcome.broken.is_empty())
 }
--- a/rehearsal/src/cli/measure.rs
+++ b/rehearsal/src/cli/measure.rs
@@ -5,26 +5,50 @@
 use std::sync::Mutex;
 
 fn size(id: &str) -> u64 {
-    id.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0)
+    id.rsplit('-')
+        .next()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0)
 }
 
 /// Mean over seeds with the smallest and the largest.
 fn spread(of: &[f64]) -> String {
     let mean = of.iter().sum::<f64>() / of.len().max(1) as f64;
-    let (low, high) = of.iter().fold((f64::MAX, 0f64), |(l, h), x| (l.min(*x), h.max(*x)));
+    let (low, high) = of
+        .iter()
+        .fold((f64::MAX, 0f64), |(l, h), x| (l.min(*x), h.max(*x)));
     format!("{mean:>6.0} [{low:.0}..{high:.0}]")
 }
 
 fn row(name: &str, of: &[Figures], base: &[Figures]) {
-    let q = |i: usize, f: &dyn Fn(&str) -> bool| of.iter().map(|x| x.quantiles(f)[i]).collect::<Vec<f64>>();
+    let q = |i: usize, f: &dyn Fn(&str) -> bool| {
+        of.iter().map(|x| x.quantiles(f)[i]).collect::<Vec<f64>>()
+    };
     let all = |_: &str| true;
     let slowed: Vec<f64> = of
         .iter()
         .zip(base)
-        .map(|(x, b)| 100.0 * x.took.iter().filter(|(k, t)| b.took.get(*k).is_some_and(|o| **t as f64 > *o as f64 * 1.05)).count() as f64 / x.took.len().max(1) as f64)
+        .map(|(x, b)| {
+            100.0
+                * x.took
+                    .iter()
+                    .filter(|(k, t)| {
+                        b.took
+                            .get(*k)
+                            .is_some_and(|o| **t as f64 > *o as f64 * 1.05)
+                    })
+                    .count() as f64
+                / x.took.len().max(1) as f64
+        })
+        .collect();
+    let share: Vec<f64> = of
+        .iter()
+        .map(|x| 100.0 * x.copies as f64 / x.starts.max(1) as f64)
+        .collect();
+    let won: Vec<f64> = of
+        .iter()
+        .map(|x| 100.0 * x.copies_won as f64 / x.copies.max(1) as f64)
         .collect();
-    let share: Vec<f64> = of.iter().map(|x| 100.0 * x.copies as f64 / x.starts.max(1) as f64).collect();
-    let won: Vec<f64> = of.iter().map(|x| 100.0 * x.copies_won as f64 / x.copies.max(1) as f64).collect();
     landingdrift::say!(
         "  {name:<22} mean {}  median {}  p95 {}  p99 {}  small {}  large {}  copies% {}  won% {}  slowed% {}",
         spread(&q(0, &all)),
@@ -50,10 +74,27 @@
 
 /// Against a base with the same arrivals and the same luck of every task: by how much jobs take longer, seed by seed.
 fn differences(name: &str, of: &[Figures], base: &[Figures]) {
-    let longer = |f: &dyn Fn(&str) -> bool| -> Vec<f64> { of.iter().zip(base).map(|(x, b)| 100.0 * (x.quantiles(f)[0] / b.quantiles(f)[0].max(1.0) - 1.0)).collect() };
+    let longer = |f: &dyn Fn(&str) -> bool| -> Vec<f64> {
+        of.iter()
+            .zip(base)
+            .map(|(x, b)| 100.0 * (x.quantiles(f)[0] / b.quantiles(f)[0].max(1.0) - 1.0))
+            .collect()
+    };
     let share = |worse: f64| -> Vec<f64> {
-        let slowed = |x: &Figures, b: &Figures| x.took.iter().filter(|(k, t)| b.took.get(*k).is_some_and(|o| **t as f64 > *o as f64 * worse)).count();
-        of.iter().zip(base).map(|(x, b)| 100.0 * slowed(x, b) as f64 / x.took.len().max(1) as f64).collect()
+        let slowed = |x: &Figures, b: &Figures| {
+            x.took
+                .iter()
+                .filter(|(k, t)| {
+                    b.took
+                        .get(*k)
+                        .is_some_and(|o| **t as f64 > *o as f64 * worse)
+                })
+                .count()
+        };
+        of.iter()
+            .zip(base)
+            .map(|(x, b)| 100.0 * slowed(x, b) as f64 / x.took.len().max(1) as f64)
+            .collect()
     };
     landingdrift::say!(
         "  {name:<22} against srpt, paired: all {}  small {}  middle {}  large {}  slowed by 5 % {}, by 50 % {}",
@@ -68,23 +109,35 @@
 
 pub fn run(w: &Words) -> Result<bool, String> {
     let named = w.text("shape").unwrap_or("gunasekera");
-    let shape = Shape::named(named).ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
+    let shape = Shape::named(named)
+        .ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
     let (seeds, seconds) = (w.number("seeds", 5)?, w.number("seconds", 40)?);
     let list = |name: &str, or: &str| -> Result<Vec<f64>, String> {
         w.text(name)
             .unwrap_or(or)
             .split(',')
-            .map(|x| x.parse().map_err(|_| format!("--{name} takes numbers, not '{x}'")))
+            .map(|x| {
+                x.parse()
+                    .map_err(|_| format!("--{name} takes numbers, not '{x}'"))
+            })
             .collect()
     };
     let (loads, betas) = (list("load", "0.6,0.8,0.95")?, list("beta", "1.2,1.6")?);
     let delay = order_delay(shape);
     landingdrift::say!("{named}: {seeds} seeds, {seconds} s of load, order delay of the comparators {delay} ms; milliseconds, mean [least..most] over seeds");
-    let mut variants: Vec<(String, Hopper, u32)> = vec![("hopper".into(), Hopper::default(), SPECULATION)];
+    let mut variants: Vec<(String, Hopper, u32)> =
+        vec![("hopper".into(), Hopper::default(), SPECULATION)];
     // One free value at a time, as name=value.
-    for v in w.text("vary").unwrap_or("").split(',').filter(|v| !v.is_empty()) {
+    for v in w
+        .text("vary")
+        .unwrap_or("")
+        .split(',')
+        .filter(|v| !v.is_empty())
+    {
         let (name, value) = v.split_once('=').ok_or("--vary takes name=value,...")?;
-        let n: f64 = value.parse().map_err(|_| format!("--vary {name} takes a number, not '{value}'"))?;
+        let n: f64 = value
+            .parse()
+            .map_err(|_| format!("--vary {name} takes a number, not '{value}'"))?;
         let (mut h, mut speculation) = (Hopper::default(), SPECULATION);
         match name {
             "probe_ratio" => h.probe_ratio = n as u32,
@@ -100,8 +153,14 @@
     for u in &loads {
         for b in &betas {
             landingdrift::say!("utilisation {u}, beta {b}");
-            let sets: Vec<_> = (1..=seeds).map(|s| (s, workload(shape, *u, *b, seconds, s))).collect();
-            let of = |p: Policy| sets.iter().map(|(s, l)| compare(shape, l, *s, p, delay)).collect::<Vec<_>>();
+            let sets: Vec<_> = (1..=seeds)
+                .map(|s| (s, workload(shape, *u, *b, seconds, s)))
+                .collect();
+            let of = |p: Policy| {
+                sets.iter()
+                    .map(|(s, l)| compare(shape, l, *s, p, delay))
+                    .collect::<Vec<_>>()
+            };
             let (fifo, srpt) = (of(Policy::Fifo), of(Policy::SrptBestEffort));
             row("fifo", &fifo, &srpt);
             differences("fifo", &fifo, &srpt);
--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -16,13 +16,20 @@
 
 impl Words {
     pub fn text(&self, name: &str) -> Option<&str> {
-        self.flags.iter().rev().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        self.flags
+            .iter()
+            .rev()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_str())
     }
     pub fn has(&self, name: &str) -> bool {
         self.flags.iter().any(|(n, _)| n == name)
     }
     pub fn number(&self, name: &str, or: u64) -> Result<u64, String> {
-        self.text(name).map_or(Ok(or), |v| v.parse().map_err(|_| format!("--{name} takes a whole number, not '{v}'")))
+        self.text(name).map_or(Ok(or), |v| {
+            v.parse()
+                .map_err(|_| format!("--{name} takes a whole number, not '{v}'"))
+        })
     }
 }
 
@@ -44,21 +51,34 @@
 fn read(words: Vec<OsString>) -> Result<Words, String> {
     let bad = |e: lexopt::Error| e.to_string();
     let mut p = lexopt::Parser::from_args(words);
-    let mut w = Words { flags: Vec::new(), rest: Vec::new() };
+    let mut w = Words {
+        flags: Vec::new(),
+        rest: Vec::new(),
+    };
     let plain = ["log", "help", "last"];
     let valued = [
-        "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate", "folder", "program", "scenario", "out", "load", "beta", "vary",
+        "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle",
+        "rate", "folder", "program", "scenario", "out", "load", "beta", "vary",
     ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
-            lexopt::Arg::Long(n) if plain.contains(&n) => w.flags.push((n.to_string(), String::new())),
+            lexopt::Arg::Long(n) if plain.contains(&n) => {
+                w.flags.push((n.to_string(), String::new()))
+            }
             lexopt::Arg::Short('h') => w.flags.push(("help".into(), String::new())),
             lexopt::Arg::Long(n) if valued.contains(&n) => {
                 let n = n.to_string();
-                let v = p.value().map_err(bad)?.into_string().map_err(|_| format!("--{n} takes text in UTF-8"))?;
+                let v = p
+                    .value()
+                    .map_err(bad)?
+                    .into_string()
+                    .map_err(|_| format!("--{n} takes text in UTF-8"))?;
                 w.flags.push((n, v));
             }
-            lexopt::Arg::Value(v) => w.rest.push(v.into_string().map_err(|_| "arguments are text in UTF-8".to_string())?),
+            lexopt::Arg::Value(v) => w.rest.push(
+                v.into_string()
+                    .map_err(|_| "arguments are text in UTF-8".to_string())?,
+            ),
             other => return Err(other.unexpected().to_string()),
         }
     }
@@ -71,7 +91,8 @@
     s.random = w.number("random", s.random as u64)? as usize;
     s.last |= w.has("last");
     if let Some(named) = w.text("shape") {
-        s.shape = Shape::named(named).ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
+        s.shape = Shape::named(named)
+            .ok_or_else(|| format!("no shape is called '{named}': give odvoza or gunasekera"))?;
     }
     s.check().map(|()| s)
 }
@@ -105,7 +126,21 @@
 pub(crate) fn quantiles(of: &[u64]) -> String {
     let mut s = of.to_vec();
     s.sort_unstable();
-    let at = |q: f64| s.get(((s.len().saturating_sub(1)) as f64 * q) as usize).copied().unwrap_or(0);
-    let mean = s.iter().sum::<u64>().checked_div(s.len() as u64).unwrap_or(0);
-    format!("{} done: mean {mean} ms, median {} ms, p95 {} ms, p99 {} ms", s.len(), at(0.5), at(0.95), at(0.99))
+    let at = |q: f64| {
+        s.get(((s.len().saturating_sub(1)) as f64 * q) as usize)
+            .copied()
+            .unwrap_or(0)
+    };
+    let mean = s
+        .iter()
+        .sum::<u64>()
+        .checked_div(s.len() as u64)
+        .unwrap_or(0);
+    format!(
+        "{} done: mean {mean} ms, median {} ms, p95 {} ms, p99 {} ms",
+        s.len(),
+        at(0.5),
+        at(0.95),
+        at(0.99)
+    )
 }
--- a/rehearsal/src/cli/run.rs
+++ b/rehearsal/src/cli/run.rs
@@ -10,9 +10,13 @@
         report.log.iter().for_each(|l| landingdrift::say!("{l}"));
     }
     if let Some(path) = w.text("history") {
-        std::fs::write(path, report.history.text()).map_err(|e| format!("'{path}' can't be written ({e})"))?;
+        std::fs::write(path, report.history.text())
+            .map_err(|e| format!("'{path}' can't be written ({e})"))?;
     }
-    landingdrift::say!("{}", serde_json::to_string(&report.summary).unwrap_or_default());
+    landingdrift::say!(
+        "{}",
+        serde_json::to_string(&report.summary).unwrap_or_default()
+    );
     landingdrift::say!("{}", quantiles(&report.latencies));
     let starts = report.summary.starts.max(1) as f64;
     let bytes = report.counters.get("core_log_bytes").copied().unwrap_or(0) as f64;
@@ -21,8 +25,19 @@
         report.messages as f64 / starts,
         bytes / report.summary.accepted.max(1) as f64
     );
-    landingdrift::say!("counters {}", serde_json::to_string(&report.counters).unwrap_or_default());
-    landingdrift::say!("history {:016x}, {} events, {} faults", report.history.digest(), report.history.events.len(), report.faults.len());
-    broken.iter().take(20).for_each(|b| landingdrift::say!("BROKEN {b}"));
+    landingdrift::say!(
+        "counters {}",
+        serde_json::to_string(&report.counters).unwrap_or_default()
+    );
+    landingdrift::say!(
+        "history {:016x}, {} events, {} faults",
+        report.history.digest(),
+        report.history.events.len(),
+        report.faults.len()
+    );
+    broken
+        .iter()
+        .take(20)
+        .for_each(|b| landingdrift::say!("BROKEN {b}"));
     Ok(broken.is_empty())
 }
--- a/rehearsal/src/cli/sweep.rs
+++ b/rehearsal/src/cli/sweep.rs
@@ -36,7 +36,11 @@
 pub fn run(w: &Words) -> Result<bool, String> {
     let file = w.rest.get(1).ok_or("sweep needs a scenario FILE")?;
     let s = super::scenario(w, file)?;
-    let (from, number, threads) = (w.number("from", 1)?, w.number("seeds", 100)?, w.number("threads", 8)?.max(1));
+    let (from, number, threads) = (
+        w.number("from", 1)?,
+        w.number("seeds", 100)?,
+        w.number("threads", 8)?.max(1),
+    );
     let next = AtomicU64::new(from);
     let bad: Mutex<Vec<u64>> = Mutex::new(Vec::new());
     let margins: Mutex<BTreeMap<&str, u64>> = Mutex::new(BTreeMap::new());
@@ -87,7 +91,14 @@
     });
     let mut bad = bad.into_inner().unwrap_or_default();
     bad.sort();
-    landingdrift::say!("{number} seeds from {from}: {} broke a rule {:?}", bad.len(), bad.iter().take(40).collect::<Vec<_>>());
-    landingdrift::say!("{}", serde_json::to_string(&margins.into_inner().unwrap_or_default()).unwrap_or_default());
+    landingdrift::say!(
+        "{number} seeds from {from}: {} broke a rule {:?}",
+        bad.len(),
+        bad.iter().take(40).collect::<Vec<_>>()
+    );
+    landingdrift::say!(
+        "{}",
+        serde_json::to_string(&margins.into_inner().unwrap_or_default()).unwrap_or_default()
+    );
     Ok(bad.is_empty())
 }
--- a/rehearsal/src/fleet/drive.rs
+++ b/rehearsal/src/fleet/drive.rs
@@ -40,8 +40,15 @@
 /// Makes one call and gives what came back; a lost answer has status 0.
 fn call(http: &Http, to: &str, req: &Request) -> Verdict {
     let method = reqwest::Method::from_bytes(req.method.as_bytes()).unwrap_or_default();
-    let query = if req.query.is_empty() { String::new() } else { format!("?{}", req.query) };
-    let sent = http.request(method, format!("http://{to}{}{query}", req.path)).body(req.body.clone()).send();
+    let query = if req.query.is_empty() {
+        String::new()
+    } else {
+        format!("?{}", req.query)
+    };
+    let sent = http
+        .request(method, format!("http://{to}{}{query}", req.path))
+        .body(req.body.clone())
+        .send();
     sent.map_or_else(
         |_| Verdict::default(),
         |r| {
@@ -83,9 +90,16 @@
     let rx = Arc::new(Mutex::new(rx));
     for _ in 0..24 {
         let (rx, back) = (rx.clone(), back.clone());
-        let http = Http::builder().timeout(Duration::from_millis(2500)).no_proxy().build().unwrap_or_default();
+        let http = Http::builder()
+            .timeout(Duration::from_millis(2500))
+            .no_proxy()
+            .build()
+            .unwrap_or_default();
         thread::spawn(move || loop {
-            let Ok((ent, to, n, req)) = rx.lock().map_or(Err(std::sync::mpsc::RecvError), |r| r.recv()) else {
+            let Ok((ent, to, n, req)) = rx
+                .lock()
+                .map_or(Err(std::sync::mpsc::RecvError), |r| r.recv())
+            else {
                 return;
             };
             if back.send((ent, n, call(&http, &to, &req))).is_err() {
@@ -98,20 +112,36 @@
 /// Runs a fleet's day and checks its history.
 pub fn run(o: &Options) -> Result<Outcome, FleetDefect> {
     let fleet = Fleet::start(o)?;
-    let nodes: Vec<String> = fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
+    let nodes: Vec<String> = fleet
+        .procs
+        .iter()
+        .filter(|p| !p.core)
+        .map(|p| p.http.clone())
+        .collect();
     let (tx, rx) = channel();
     let (back, answers) = channel();
     callers(rx, back);
-    let http = Http::builder().timeout(Duration::from_millis(1000)).no_proxy().build().unwrap_or_default();
+    let http = Http::builder()
+        .timeout(Duration::from_millis(1000))
+        .no_proxy()
+        .build()
+        .unwrap_or_default();
     let waiting = Instant::now();
-    while !nodes.iter().all(|n| call(&http, n, &request("GET", "/ready", "", None)).status == 200) {
+    while !nodes
+        .iter()
+        .all(|n| call(&http, n, &request("GET", "/ready", "", None)).status == 200)
+    {
         if waiting.elapsed() > Duration::from_secs(60) {
-            return Err(FleetDefect::NotReady("not all nodes became ready within a minute".into()));
+            return Err(FleetDefect::NotReady(
+                "not all nodes became ready within a minute".into(),
+            ));
         }
         thread::sleep(Duration::from_millis(50));
     }
     let start = Instant::now();
-    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
     let mut mix = o.shape.mix();
     if o.rate > 0.0 {
         mix.rate = o.rate;
@@ -124,7 +154,10 @@
                 worker: format!("w{i}"),
                 incarnation: 0,
                 service: services[i % 2].clone(),
-                labels: [(i % 3 != 0).then(|| "ssd".to_string())].into_iter().flatten().collect(),
+                labels: [(i % 3 != 0).then(|| "ssd".to_string())]
+                    .into_iter()
+                    .flatten()
+                    .collect(),
                 zone: format!("z{}", i % 3),
                 room: o.shape.room(),
                 leaving: false,
@@ -182,7 +215,13 @@
     }
 
     fn worker_up(&mut self, i: usize) {
-        let nodes: Vec<String> = self.fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
+        let nodes: Vec<String> = self
+            .fleet
+            .procs
+            .iter()
+            .filter(|p| !p.core)
+            .map(|p| p.http.clone())
+            .collect();
         let seed = self.draw.number();
         let h = &mut self.hands[i];
         h.life += 1;
@@ -206,7 +245,10 @@
         let mut faults = self.o.faults.clone();
         faults.sort_by_key(|f| f.at);
         faults.reverse();
-        let (load, end) = (self.o.seconds * 1000, (self.o.seconds + self.o.settle) * 1000);
+        let (load, end) = (
+            self.o.seconds * 1000,
+            (self.o.seconds + self.o.settle) * 1000,
+        );
         let mut next_probe = 0;
         let mut calm = false;
         loop {
@@ -214,7 +256,11 @@
             while let Some(f) = faults.pop_if(|f| f.at <= now) {
                 self.strike(&f);
             }
-            for (_, f, x) in self.healing.extract_if(.., |(t, _, _)| *t <= now || calm).collect::<Vec<_>>() {
+            for (_, f, x) in self
+                .healing
+                .extract_if(.., |(t, _, _)| *t <= now || calm)
+                .collect::<Vec<_>>()
+            {
                 self.heal(&f, x)?;
             }
             if now >= load && faults.is_empty() && self.healing.is_empty() && !calm {
@@ -225,7 +271,10 @@
             }
             for i in 0..self.hands.len() {
                 let life = self.hands[i].life;
-                let asks = self.hands[i].worker.as_mut().map_or(Vec::new(), |w| w.tick(now));
+                let asks = self.hands[i]
+                    .worker
+                    .as_mut()
+                    .map_or(Vec::new(), |w| w.tick(now));
                 self.asked(Ent::Worker(i, life), asks);
             }
             let asks = self.client.tick(now);
@@ -235,7 +284,12 @@
             if now >= next_probe {
                 next_probe = now + 500;
                 for (i, p) in self.fleet.procs.iter().enumerate().filter(|(_, p)| !p.core) {
-                    let _ = self.tx.send((Ent::Probe(i), p.http.clone(), 0, request("GET", "/ready", "", None)));
+                    let _ = self.tx.send((
+                        Ent::Probe(i),
+                        p.http.clone(),
+                        0,
+                        request("GET", "/ready", "", None),
+                    ));
                 }
                 if now % 3000 < 500 {
                     self.operator.read();
@@ -260,7 +314,11 @@
         }
         let now = self.now();
         let asks = match ent {
-            Ent::Worker(i, life) if self.hands[i].life == life && !self.hands[i].cut => self.hands[i].worker.as_mut().map_or(Vec::new(), |w| w.answer(now, n, v)),
+            Ent::Worker(i, life) if self.hands[i].life == life && !self.hands[i].cut => self.hands
+                [i]
+                .worker
+                .as_mut()
+                .map_or(Vec::new(), |w| w.answer(now, n, v)),
             Ent::Worker(..) => Vec::new(),
             Ent::Client => self.client.answer(now, n, v),
             Ent::Operator => self.operator.answer(now, n, v),
@@ -276,12 +334,24 @@
     }
 
     fn leader(&self) -> usize {
-        let role = |p: &super::launch::Running| call(&self.http, &p.http, &request("GET", "/v1/status", "", None)).body["role"] == "Leader";
-        self.fleet.procs.iter().position(|p| p.core && role(p)).unwrap_or(0)
+        let role = |p: &super::launch::Running| {
+            call(&self.http, &p.http, &request("GET", "/v1/status", "", None)).body["role"]
+                == "Leader"
+        };
+        self.fleet
+            .procs
+            .iter()
+            .position(|p| p.core && role(p))
+            .unwrap_or(0)
     }
 
     fn strike(&mut self, f: &Fault) {
-        let number = f.who.rsplit(':').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+        let number = f
+            .who
+            .rsplit(':')
+            .next()
+            .and_then(|n| n.parse::<usize>().ok())
+            .unwrap_or(0);
         let x = match f.who.split(':').next() {
             Some("leader") => self.leader(),
             Some("node") => 3 + number % (self.fleet.procs.len() - 3),
@@ -289,7 +359,9 @@
             _ => number,
         };
         self.talk(&format!("fault {:?} {}", f.kind, f.who));
-        self.note(Event::Fault { what: format!("{:?} {x}", f.kind) });
+        self.note(Event::Fault {
+            what: format!("{:?} {x}", f.kind),
+        });
         let node_down = |d: &mut Self| {
             if !d.fleet.procs[x].core {
                 let node = d.fleet.procs[x].http.clone();
@@ -304,11 +376,17 @@
             Kind::Freeze => self.fleet.freeze(x),
             Kind::Restart => {
                 let orderly = self.fleet.stop(x, Duration::from_secs(10));
-                self.talk(if orderly { "stopped in order" } else { "did not stop in order" });
+                self.talk(if orderly {
+                    "stopped in order"
+                } else {
+                    "did not stop in order"
+                });
                 node_down(self);
             }
             Kind::Outage | Kind::LoseZone => {
-                let of: Vec<usize> = (0..self.fleet.procs.len()).filter(|i| f.kind == Kind::Outage || self.fleet.procs[*i].zone == x).collect();
+                let of: Vec<usize> = (0..self.fleet.procs.len())
+                    .filter(|i| f.kind == Kind::Outage || self.fleet.procs[*i].zone == x)
+                    .collect();
                 for i in of {
                     self.fleet.kill(i);
                     if !self.fleet.procs[i].core {
@@ -327,21 +405,32 @@
             Kind::LoseTail => {
                 self.fleet.kill(x);
                 let lost = self.fleet.cut_back(x, 6000);
-                self.talk(&lost.map_or_else(|e| e.to_string(), |n| format!("its disk lost the last {n} bytes")));
+                self.talk(&lost.map_or_else(
+                    |e| e.to_string(),
+                    |n| format!("its disk lost the last {n} bytes"),
+                ));
             }
             Kind::ReplaceCore => {
                 let done = self.fleet.replace(x);
-                self.talk(&done.map_or_else(|e| e.to_string(), |()| "an empty core starts at a new address".into()));
+                self.talk(&done.map_or_else(
+                    |e| e.to_string(),
+                    |()| "an empty core starts at a new address".into(),
+                ));
             }
             Kind::WorkerCrash => self.worker_dies(x),
             Kind::WorkerCut => {
                 self.hands[x].cut = true;
-                self.note(Event::Fault { what: format!("dark w{x}") });
+                self.note(Event::Fault {
+                    what: format!("dark w{x}"),
+                });
             }
             Kind::WorkerLeaves => {
                 let now = self.now();
                 let life = self.hands[x].life;
-                let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.leave(now));
+                let asks = self.hands[x]
+                    .worker
+                    .as_mut()
+                    .map_or(Vec::new(), |w| w.leave(now));
                 self.asked(Ent::Worker(x, life), asks);
             }
             Kind::Drain => self.operator.zone(&format!("z{x}"), "draining"),
@@ -352,7 +441,9 @@
             Kind::Kill | Kind::Freeze | Kind::Restart | Kind::LoseTail | Kind::ReplaceCore => {
                 self.down.insert(x);
             }
-            Kind::LoseZone => self.down.extend((0..self.fleet.procs.len()).filter(|i| self.fleet.procs[*i].zone == x)),
+            Kind::LoseZone => self
+                .down
+                .extend((0..self.fleet.procs.len()).filter(|i| self.fleet.procs[*i].zone == x)),
             Kind::Outage => self.down.extend(0..self.fleet.procs.len()),
             _ => {}
         }
@@ -364,7 +455,9 @@
     fn able(&mut self) {
         let up = |core: bool| -> Vec<String> {
             let all = self.fleet.procs.iter().enumerate();
-            all.filter(|(i, p)| p.core == core && !self.down.contains(i)).map(|(_, p)| p.http.clone()).collect()
+            all.filter(|(i, p)| p.core == core && !self.down.contains(i))
+                .map(|(_, p)| p.http.clone())
+                .collect()
         };
         let (cores, nodes) = (up(true).len(), up(false));
         self.note(Event::Able { cores, nodes });
@@ -389,7 +482,9 @@
             Kind::WorkerCrash if self.hands[x].worker.is_none() => self.worker_up(x),
             Kind::WorkerCut => {
                 self.hands[x].cut = false;
-                self.note(Event::Fault { what: format!("light w{x}") });
+                self.note(Event::Fault {
+                    what: format!("light w{x}"),
+                });
             }
             Kind::WorkerLeaves => {
                 self.worker_dies(x);
@@ -408,31 +503,48 @@
             _ => {}
         }
         self.able();
-        self.note(Event::Healed { what: format!("{:?} {x}", f.kind) });
+        self.note(Event::Healed {
+            what: format!("{:?} {x}", f.kind),
+        });
         Ok(())
     }
 
     fn close(mut self, epoch: u64) -> Result<Outcome, FleetDefect> {
-        let nodes: Vec<String> = self.fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
+        let nodes: Vec<String> = self
+            .fleet
+            .procs
+            .iter()
+            .filter(|p| !p.core)
+            .map(|p| p.http.clone())
+            .collect();
         let ask = |path: &str, query: &str| {
             let tries = (0..30).map(|i| {
                 if i > 0 {
                     thread::sleep(Duration::from_millis(200));
                 }
-                call(&self.http, &nodes[i % nodes.len()], &request("GET", path, query, None))
+                call(
+                    &self.http,
+                    &nodes[i % nodes.len()],
+                    &request("GET", path, query, None),
+                )
             });
             tries
                 .filter(|v| v.status == 200)
                 .map(|v| v.body)
                 .next()
-                .ok_or_else(|| FleetDefect::NotReady(format!("{path} could not be read at the end of the day")))
+                .ok_or_else(|| {
+                    FleetDefect::NotReady(format!("{path} could not be read at the end of the day"))
+                })
         };
         let mut jobs: BTreeMap<String, (String, bool)> = BTreeMap::new();
         let mut after = String::new();
         loop {
             let page = ask("/v1/jobs", &format!("limit=500&after={after}"))?;
             for j in page["jobs"].as_array().into_iter().flatten() {
-                let (id, state) = (j["id"].as_str().unwrap_or("").to_string(), j["state"].as_str().unwrap_or("").to_string());
+                let (id, state) = (
+                    j["id"].as_str().unwrap_or("").to_string(),
+                    j["state"].as_str().unwrap_or("").to_string(),
+                );
                 let ended = ["done", "failed", "cancelled"].contains(&state.as_str());
                 let unsure = !ended && ask(&format!("/v1/jobs/{id}"), "")?["unsure"] == true;
                 jobs.insert(id, (state, unsure));
@@ -443,14 +555,30 @@
             }
         }
         let desired = ask("/v1/desired", "")?;
-        let (version, by) = (desired["version"].as_u64().unwrap_or(0), desired["desired"]["notes"]["by"].as_str().unwrap_or("").to_string());
+        let (version, by) = (
+            desired["version"].as_u64().unwrap_or(0),
+            desired["desired"]["notes"]["by"]
+                .as_str()
+                .unwrap_or("")
+                .to_string(),
+        );
         let status = ask("/v1/status", "")?;
-        let sum = |key: &str| status["queues"].as_object().into_iter().flatten().filter_map(|(_, q)| q[key].as_u64()).sum();
+        let sum = |key: &str| {
+            status["queues"]
+                .as_object()
+                .into_iter()
+                .flatten()
+                .filter_map(|(_, q)| q[key].as_u64())
+                .sum()
+        };
         let (kept, missed) = (sum("kept"), sum("missed"));
         self.note(Event::Closed { version, by, jobs });
         for i in 0..self.fleet.procs.len() {
             if self.fleet.ended(i) {
-                return Err(FleetDefect::NotReady(format!("{} ended by itself", self.fleet.procs[i].listen)));
+                return Err(FleetDefect::NotReady(format!(
+                    "{} ended by itself",
+                    self.fleet.procs[i].listen
+                )));
             }
         }
         // Beats and calls of a real day wait for this machine as well.
--- a/rehearsal/src/fleet/launch.rs
+++ b/rehearsal/src/fleet/launch.rs
@@ -7,7 +7,11 @@
 /// Where the program stands beside the one that runs now.
 pub fn program() -> PathBuf {
     let exe = std::env::current_exe().unwrap_or_default();
-    let here = exe.ancestors().skip(1).map(|d| d.join("landingdrift")).find(|p| p.is_file());
+    let here = exe
+        .ancestors()
+        .skip(1)
+        .map(|d| d.join("landingdrift"))
+        .find(|p| p.is_file());
     here.unwrap_or_else(|| PathBuf::from("landingdrift"))
 }
 
@@ -37,7 +41,10 @@
 impl Fleet {
     /// Starts all processes.
     pub fn start(o: &Options) -> Result<Self, FleetDefect> {
-        o.program.is_file().then_some(()).ok_or_else(|| FleetDefect::NoProgram(o.program.clone()))?;
+        o.program
+            .is_file()
+            .then_some(())
+            .ok_or_else(|| FleetDefect::NoProgram(o.program.clone()))?;
         fs::create_dir_all(&o.folder).map_err(|why| FleetDefect::Io {
             what: o.folder.display().to_string(),
             why,
@@ -53,7 +60,9 @@
             seeds: seeds.join(","),
             cluster: format!("fleet-{net}"),
         };
-        let places = (0..3).map(|z| (true, z, 1)).chain((0..o.shape.nodes()).map(|i| (false, i % 3, 10 + i)));
+        let places = (0..3)
+            .map(|z| (true, z, 1))
+            .chain((0..o.shape.nodes()).map(|i| (false, i % 3, 10 + i)));
         places.for_each(|(core, zone, n)| fleet.add(core, zone, n));
         (0..fleet.procs.len()).try_for_each(|i| fleet.up(i))?;
         Ok(fleet)
@@ -85,13 +94,20 @@
 
     /// Takes the last bytes of a dead core's newest log segment away, as a disk that lost what it had confirmed.
     pub fn cut_back(&self, i: usize, bytes: u64) -> Result<u64, FleetDefect> {
-        let Some(folder) = &self.procs[i].data else { return Ok(0) };
+        let Some(folder) = &self.procs[i].data else {
+            return Ok(0);
+        };
         let io = |why| FleetDefect::Io {
             what: folder.display().to_string(),
             why,
         };
-        let files = fs::read_dir(folder).map_err(io)?.flatten().map(|f| f.path());
-        let newest = files.filter(|p| p.extension().is_some_and(|e| e == "segment")).max();
+        let files = fs::read_dir(folder)
+            .map_err(io)?
+            .flatten()
+            .map(|f| f.path());
+        let newest = files
+            .filter(|p| p.extension().is_some_and(|e| e == "segment"))
+            .max();
         newest.map_or(Ok(0), |p| {
             let f = File::options().write(true).open(&p).map_err(io)?;
             let size = f.metadata().map_err(io)?.len();
@@ -129,7 +145,11 @@
         p.data.iter().for_each(|d| {
             c.arg("--data").arg(d);
         });
-        let child = c.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        let child = c
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
         p.child = Some(child.map_err(|why| FleetDefect::Io {
             what: self.program.display().to_string(),
             why,
@@ -147,11 +167,18 @@
 
     /// Whether a process that should run has ended by itself.
     pub fn ended(&mut self, i: usize) -> bool {
-        self.procs[i].child.as_mut().is_some_and(|c| c.try_wait().is_ok_and(|s| s.is_some()))
+        self.procs[i]
+            .child
+            .as_mut()
+            .is_some_and(|c| c.try_wait().is_ok_and(|s| s.is_some()))
     }
 
     fn signal(&self, i: usize, s: Signal) {
-        if let Some(pid) = self.procs[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32)) {
+        if let Some(pid) = self.procs[i]
+            .child
+            .as_ref()
+            .and_then(|c| Pid::from_raw(c.id() as i32))
+        {
             let _ = kill_process(pid, s);
         }
     }
--- a/rehearsal/src/history.rs
+++ b/rehearsal/src/history.rs
@@ -160,7 +160,10 @@
     }
     /// The history as text, an event a line.
     pub fn text(&self) -> String {
-        self.events.iter().map(|e| serde_json::to_string(e).unwrap_or_default() + "\n").collect()
+        self.events
+            .iter()
+            .map(|e| serde_json::to_string(e).unwrap_or_default() + "\n")
+            .collect()
     }
     /// A number that two equal histories share.
     pub fn digest(&self) -> u64 {
--- a/rehearsal/src/measure/comparators.rs
+++ b/rehearsal/src/measure/comparators.rs
@@ -31,7 +31,12 @@
 /// Runs a load under a comparator.
 pub fn compare(shape: Shape, load: &Load, seed: u64, policy: Policy, delay: u64) -> Figures {
     let services = shape.mix().services;
-    let slots_of = |s: usize| (0..shape.workers()).filter(|i| i % services.len() == s).count() as u64 * u64::from(shape.room());
+    let slots_of = |s: usize| {
+        (0..shape.workers())
+            .filter(|i| i % services.len() == s)
+            .count() as u64
+            * u64::from(shape.room())
+    };
     let mut free: Vec<u64> = (0..services.len()).map(slots_of).collect();
     let mut out = Figures::default();
     let mut jobs: BTreeMap<usize, Job> = BTreeMap::new();
@@ -45,7 +50,10 @@
         while let Some((i, (at, spec))) = coming.next_if(|(_, (at, _))| *at <= t) {
             let p = &spec.tasks[0].payload;
             let n = spec.tasks.len() as u64;
-            let service = services.iter().position(|s| *s == spec.tasks[0].service).unwrap_or(0);
+            let service = services
+                .iter()
+                .position(|s| *s == spec.tasks[0].service)
+                .unwrap_or(0);
             jobs.insert(
                 i,
                 Job {
@@ -61,9 +69,17 @@
             );
         }
         while ends.peek().is_some_and(|Reverse((at, ..))| *at <= t) {
-            let Some(Reverse((at, i, task, no))) = ends.pop() else { break };
+            let Some(Reverse((at, i, task, no))) = ends.pop() else {
+                break;
+            };
             let Some(j) = jobs.get_mut(&i) else { continue };
-            let Some(runs) = j.running.get(&task).filter(|r| r.iter().any(|(n, _)| *n == no)) else { continue };
+            let Some(runs) = j
+                .running
+                .get(&task)
+                .filter(|r| r.iter().any(|(n, _)| *n == no))
+            else {
+                continue;
+            };
             // The first to end is the task's end; the others are killed.
             let started = runs.iter().find(|(n, _)| *n == no).map_or(at, |(_, s)| *s);
             out.copies_won += u64::from(runs.len() > 1 && runs[0].0 != no);
@@ -103,7 +119,12 @@
                 go(j, task, false);
             }
             if let Some(m) = median.filter(|_| policy == Policy::SrptBestEffort && j.waiting == 0) {
-                let slow: Vec<u64> = j.running.iter().filter(|(_, r)| r.len() == 1 && t.saturating_sub(r[0].1) as f64 > 2.0 * m).map(|(k, _)| *k).collect();
+                let slow: Vec<u64> = j
+                    .running
+                    .iter()
+                    .filter(|(_, r)| r.len() == 1 && t.saturating_sub(r[0].1) as f64 > 2.0 * m)
+                    .map(|(k, _)| *k)
+                    .collect();
                 for task in slow {
                     if free[j.service] > 0 {
                         free[j.service] -= 1;
--- a/rehearsal/src/measure/mod.rs
+++ b/rehearsal/src/measure/mod.rs
@@ -27,10 +27,23 @@
 impl Figures {
     /// Mean, median, p95 and p99 of the jobs that a test lets through.
     pub fn quantiles(&self, of: impl Fn(&str) -> bool) -> [f64; 4] {
-        let mut s: Vec<u64> = self.took.iter().filter(|(k, _)| of(k)).map(|(_, v)| *v).collect();
+        let mut s: Vec<u64> = self
+            .took
+            .iter()
+            .filter(|(k, _)| of(k))
+            .map(|(_, v)| *v)
+            .collect();
         s.sort_unstable();
-        let at = |q: f64| s.get(((s.len().saturating_sub(1)) as f64 * q) as usize).map_or(0.0, |v| *v as f64);
-        [s.iter().sum::<u64>() as f64 / s.len().max(1) as f64, at(0.5), at(0.95), at(0.99)]
+        let at = |q: f64| {
+            s.get(((s.len().saturating_sub(1)) as f64 * q) as usize)
+                .map_or(0.0, |v| *v as f64)
+        };
+        [
+            s.iter().sum::<u64>() as f64 / s.len().max(1) as f64,
+            at(0.5),
+            at(0.95),
+            at(0.99),
+        ]
     }
 }
 
@@ -72,7 +85,9 @@
 /// How long an order takes, in the mean, from a job's being offered to its task's start where nothing is in its way.
 pub fn order_delay(shape: Shape) -> u64 {
     let load = workload(shape, 0.05, 1.5, 40, 7);
-    let h = world(shape, &load, 7, (&Hopper::default(), SPECULATION)).run().history;
+    let h = world(shape, &load, 7, (&Hopper::default(), SPECULATION))
+        .run()
+        .history;
     let mut offered: BTreeMap<&str, u64> = BTreeMap::new();
     let mut ways: Vec<u64> = Vec::new();
     for a in &h.events {
@@ -80,7 +95,9 @@
             Event::Offered { spec } if spec.tasks.len() == 1 => {
                 offered.insert(&spec.id, a.t);
             }
-            Event::Started { job, copy: false, .. } => ways.extend(offered.remove(job.as_str()).map(|t| a.t - t)),
+            Event::Started {
+                job, copy: false, ..
+            } => ways.extend(offered.remove(job.as_str()).map(|t| a.t - t)),
             _ => {}
         }
     }
--- a/rehearsal/src/scenario/faults.rs
+++ b/rehearsal/src/scenario/faults.rs
@@ -116,7 +116,10 @@
 
     /// Its name in scenario files.
     pub fn name(self) -> String {
-        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_string)).unwrap_or_default()
+        serde_json::to_value(self)
+            .ok()
+            .and_then(|v| v.as_str().map(str::to_string))
+            .unwrap_or_default()
     }
 }
 
@@ -146,10 +149,13 @@
         (self.at <= 200_000_000 && self.lasts <= 200_000_000)
             .then_some(())
             .ok_or("at, lasts: give milliseconds, at most 200000000")?;
-        (self.amount <= 10_000).then_some(()).ok_or("amount: give at most 10000")?;
+        (self.amount <= 10_000)
+            .then_some(())
+            .ok_or("amount: give at most 10000")?;
         let of: &[&str] = match self.kind {
             LoseZone | Drain | Evacuate => &["zone"],
-            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut | WorkerLeaves | WorkerChange => &["worker"],
+            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut
+            | WorkerLeaves | WorkerChange => &["worker"],
             SplitCore | SlowDisk | LoseTail | ReplaceCore | Outage => &["core", "leader"],
             SwapNode => &["node"],
             Tries | Quota => &["queue"],
@@ -163,7 +169,11 @@
             _ => workers,
         };
         let role_ok = role.is_empty() || of.contains(&role);
-        let number_ok = if most == 0 { number.is_empty() } else { number.parse::<usize>().is_ok_and(|n| n < most) };
+        let number_ok = if most == 0 {
+            number.is_empty()
+        } else {
+            number.parse::<usize>().is_ok_and(|n| n < most)
+        };
         (role_ok && number_ok).then_some(()).ok_or_else(|| {
             let forms: Vec<String> = of.iter().map(|r| if *r == "leader" { r.to_string() } else { format!("{r}:N") }).collect();
             format!(
@@ -197,7 +207,12 @@
     use Kind::*;
     let often = [Kill, Kill, Freeze, WorkerCrash, WorkerCut, LoseTail, Outage];
     // An upgrade is done in an order, not at random.
-    let kinds: Vec<Kind> = Kind::ALL.iter().chain(&often).filter(|k| **k != Upgrade).copied().collect();
+    let kinds: Vec<Kind> = Kind::ALL
+        .iter()
+        .chain(&often)
+        .filter(|k| **k != Upgrade)
+        .copied()
+        .collect();
     let mut out: Vec<Fault> = Vec::new();
     while out.len() < number {
         let f = random_fault(draw, &kinds, from, to);
--- a/rehearsal/src/scenario/mixes.rs
+++ b/rehearsal/src/scenario/mixes.rs
@@ -79,5 +79,9 @@
         })
         .take(if kind == 7 { 4 } else { number as usize })
         .collect();
-    JobSpec { id: id.into(), queue, tasks }
+    JobSpec {
+        id: id.into(),
+        queue,
+        tasks,
+    }
 }
--- a/rehearsal/src/scenario/mod.rs
+++ b/rehearsal/src/scenario/mod.rs
@@ -130,7 +130,9 @@
 impl fmt::Display for ScenarioDefect {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Self::File { path, why } => write!(f, "'{path}' can't be read ({why}): name a scenario file"),
+            Self::File { path, why } => {
+                write!(f, "'{path}' can't be read ({why}): name a scenario file")
+            }
             Self::Text { path, why } => write!(f, "'{path}' is no scenario: {why}"),
         }
     }
@@ -150,25 +152,50 @@
                     why: e.to_string(),
                 })
             })
-            .and_then(|s: Self| s.check().map(|()| s).map_err(|why| ScenarioDefect::Text { path: path.into(), why }))
+            .and_then(|s: Self| {
+                s.check().map(|()| s).map_err(|why| ScenarioDefect::Text {
+                    path: path.into(),
+                    why,
+                })
+            })
     }
 
     /// Checks that the day can be rehearsed; what is wrong is named with its remedy.
     pub fn check(&self) -> Result<(), String> {
         let ensure = |ok: bool, why: &str| ok.then_some(()).ok_or_else(|| why.to_string());
-        ensure((1..=86_400).contains(&self.seconds), "seconds: give 1 to 86400")?;
+        ensure(
+            (1..=86_400).contains(&self.seconds),
+            "seconds: give 1 to 86400",
+        )?;
         ensure(self.settle <= 86_400, "settle: give at most 86400")?;
-        ensure(self.rate.is_finite() && (0.0..=10_000.0).contains(&self.rate), "rate: give 0 (the shape's own) to 10000 jobs a second")?;
-        ensure(self.nodes <= 1000 && self.workers <= 10_000, "nodes, workers: give at most 1000 and 10000")?;
+        ensure(
+            self.rate.is_finite() && (0.0..=10_000.0).contains(&self.rate),
+            "rate: give 0 (the shape's own) to 10000 jobs a second",
+        )?;
+        ensure(
+            self.nodes <= 1000 && self.workers <= 10_000,
+            "nodes, workers: give at most 1000 and 10000",
+        )?;
         ensure(self.random <= 1000, "random: give at most 1000")?;
-        ensure(self.random == 0 || self.seconds >= 4, "random: faults are drawn from the third second on: give at least 4 seconds")?;
+        ensure(
+            self.random == 0 || self.seconds >= 4,
+            "random: faults are drawn from the third second on: give at least 4 seconds",
+        )?;
         let (nodes, workers) = (
-            if self.nodes > 0 { self.nodes } else { self.shape.nodes() },
-            if self.workers > 0 { self.workers } else { self.shape.workers() },
+            if self.nodes > 0 {
+                self.nodes
+            } else {
+                self.shape.nodes()
+            },
+            if self.workers > 0 {
+                self.workers
+            } else {
+                self.shape.workers()
+            },
         );
-        self.faults
-            .iter()
-            .enumerate()
-            .try_for_each(|(i, f)| f.check(nodes, workers).map_err(|why| format!("faults[{i}].{why}")))
+        self.faults.iter().enumerate().try_for_each(|(i, f)| {
+            f.check(nodes, workers)
+                .map_err(|why| format!("faults[{i}].{why}"))
+        })
     }
 }
--- a/rehearsal/src/simulator/disk.rs
+++ b/rehearsal/src/simulator/disk.rs
@@ -32,7 +32,10 @@
 impl SimDisk {
     pub fn new(disk: u64) -> Self {
         Self {
-            base: Loaded { disk, ..Loaded::default() },
+            base: Loaded {
+                disk,
+                ..Loaded::default()
+            },
             saves: VecDeque::new(),
             pending: VecDeque::new(),
             delay: 2,
--- a/rehearsal/src/simulator/faults.rs
+++ b/rehearsal/src/simulator/faults.rs
@@ -6,11 +6,15 @@
 
 impl World {
     fn cores(&self) -> Vec<usize> {
-        (0..self.procs.len()).filter(|i| self.procs[*i].is_core() && !self.procs[*i].gone).collect()
+        (0..self.procs.len())
+            .filter(|i| self.procs[*i].is_core() && !self.procs[*i].gone)
+            .collect()
     }
 
     fn nodes(&self) -> Vec<usize> {
-        (0..self.procs.len()).filter(|i| !self.procs[*i].is_core() && !self.procs[*i].gone).collect()
+        (0..self.procs.len())
+            .filter(|i| !self.procs[*i].is_core() && !self.procs[*i].gone)
+            .collect()
     }
 
     /// Which process, worker or zone a fault strikes.
@@ -33,7 +37,8 @@
             Tries | Quota => vec![0, 1, 2],
             SwapNode => nodes,
             LoseZone | Drain | Evacuate => vec![0, 1, 2],
-            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut | WorkerLeaves | WorkerChange => (0..self.hands.len()).collect(),
+            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut
+            | WorkerLeaves | WorkerChange => (0..self.hands.len()).collect(),
             _ => cores.into_iter().chain(nodes).collect(),
         };
         // Each fault draws for itself, so that leaving one out moves no other.
@@ -48,7 +53,10 @@
         }
         let x = self.target(&f);
         self.targets.insert(i, vec![x]);
-        self.say(format!("fault {:?} {} for {} ms, {} {}", f.kind, x, f.lasts, f.amount, f.by));
+        self.say(format!(
+            "fault {:?} {} for {} ms, {} {}",
+            f.kind, x, f.lasts, f.amount, f.by
+        ));
         self.note(Event::Fault {
             what: format!("{:?} {x} {i}", f.kind),
         });
@@ -56,9 +64,19 @@
         match f.kind {
             Kill => self.kill(x),
             Freeze => self.procs[x].frozen = true,
-            Cut => all.iter().filter(|j| **j != x).for_each(|j| self.block(x, *j, true)),
-            CutOneWay => all.iter().filter(|j| **j != x).for_each(|j| self.block(x, *j, false)),
-            SplitCore => self.cores().iter().filter(|j| **j != x).for_each(|j| self.block(x, *j, true)),
+            Cut => all
+                .iter()
+                .filter(|j| **j != x)
+                .for_each(|j| self.block(x, *j, true)),
+            CutOneWay => all
+                .iter()
+                .filter(|j| **j != x)
+                .for_each(|j| self.block(x, *j, false)),
+            SplitCore => self
+                .cores()
+                .iter()
+                .filter(|j| **j != x)
+                .for_each(|j| self.block(x, *j, true)),
             CutCores => {
                 for c in self.cores() {
                     for n in self.nodes() {
@@ -67,7 +85,12 @@
                 }
             }
             LoseZone => {
-                let of: Vec<usize> = all.into_iter().filter(|j| self.procs[*j].zone == x && !self.procs[*j].gone && self.procs[*j].up()).collect();
+                let of: Vec<usize> = all
+                    .into_iter()
+                    .filter(|j| {
+                        self.procs[*j].zone == x && !self.procs[*j].gone && self.procs[*j].up()
+                    })
+                    .collect();
                 of.iter().for_each(|j| self.kill(*j));
                 (0..self.hands.len())
                     .filter(|h| self.hands[*h].zone == x)
@@ -77,7 +100,10 @@
                 self.targets.insert(i, of);
             }
             SlowLink => self.procs[x].slow = 8,
-            SlowDisk => self.several(x, &f).into_iter().for_each(|c| self.set_delay(c, 120)),
+            SlowDisk => self
+                .several(x, &f)
+                .into_iter()
+                .for_each(|c| self.set_delay(c, 120)),
             LoseTail => {
                 self.look();
                 self.kill(x);
@@ -101,14 +127,21 @@
                 // The platform names the new one to all who call.
                 let nodes = self.node_http();
                 self.client.nodes = nodes.clone();
-                self.operators.iter_mut().for_each(|o| o.nodes = nodes.clone());
-                self.hands.iter_mut().filter_map(|h| h.worker.as_mut()).for_each(|w| w.nodes = nodes.clone());
+                self.operators
+                    .iter_mut()
+                    .for_each(|o| o.nodes = nodes.clone());
+                self.hands
+                    .iter_mut()
+                    .filter_map(|h| h.worker.as_mut())
+                    .for_each(|w| w.nodes = nodes.clone());
             }
             Outage => {
                 self.look();
                 all.iter().for_each(|j| self.kill(*j));
                 let cores = self.cores();
-                let lost: Vec<usize> = (0..f.amount as usize).map(|k| cores[(x + k) % cores.len()]).collect();
+                let lost: Vec<usize> = (0..f.amount as usize)
+                    .map(|k| cores[(x + k) % cores.len()])
+                    .collect();
                 lost.into_iter().for_each(|c| self.lose_tail(c));
             }
             ClockJump => {
@@ -122,7 +155,9 @@
                     f.by
                 };
                 let of = self.several(x, &f);
-                of.iter().enumerate().for_each(|(n, c)| self.procs[*c].wall_off = if n % 2 == 1 && by % 2 != 0 { -by } else { by });
+                of.iter().enumerate().for_each(|(n, c)| {
+                    self.procs[*c].wall_off = if n % 2 == 1 && by % 2 != 0 { -by } else { by }
+                });
                 self.targets.insert(i, of);
             }
             WorkerCrash | WorkerGone => self.crash_worker(x),
@@ -131,7 +166,13 @@
                 self.dark_note(x, true);
             }
             WorkerSlow => self.manner(x, |m| m.slow = 6.0),
-            WorkerFailing => self.manner(x, |m| m.failing = if f.amount > 0 { f.amount as f64 / 100.0 } else { 0.9 }),
+            WorkerFailing => self.manner(x, |m| {
+                m.failing = if f.amount > 0 {
+                    f.amount as f64 / 100.0
+                } else {
+                    0.9
+                }
+            }),
             WorkerCut => {
                 self.hands[x].cut = true;
                 self.dark_note(x, true);
@@ -139,7 +180,10 @@
             WorkerLeaves => {
                 let t = self.t;
                 let life = self.hands[x].life;
-                let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.leave(t));
+                let asks = self.hands[x]
+                    .worker
+                    .as_mut()
+                    .map_or(Vec::new(), |w| w.leave(t));
                 self.asked(Ent::Worker(x, life), asks);
             }
             Crowd => self.crowd(if f.amount > 0 { f.amount } else { 60 }, &self.shape.mix()),
@@ -149,19 +193,34 @@
                 let t = self.t;
                 let mut spec = job(&mut self.draw, &m, &format!("huge-{t}"), super::EPOCH + t);
                 let one = spec.tasks[0].clone();
-                spec.tasks = (0..200).map(|n| landingdrift::record::TaskSpec { name: format!("t{n}"), ..one.clone() }).collect();
+                spec.tasks = (0..200)
+                    .map(|n| landingdrift::record::TaskSpec {
+                        name: format!("t{n}"),
+                        ..one.clone()
+                    })
+                    .collect();
                 let asks = self.client.offer(t, spec);
                 self.asked(Ent::Client, asks);
             }
-            Doomed => self.crowd(40, &Mix { doomed: 1.0, ..self.shape.mix() }),
-            Storm => (0..30).for_each(|n| self.operators[n % 2].apply(true, json!({"notes": {"storm": format!("{n}")}}))),
+            Doomed => self.crowd(
+                40,
+                &Mix {
+                    doomed: 1.0,
+                    ..self.shape.mix()
+                },
+            ),
+            Storm => (0..30).for_each(|n| {
+                self.operators[n % 2].apply(true, json!({"notes": {"storm": format!("{n}")}}))
+            }),
             Rivals => {
                 let base = self.operators[0].version.max(self.operators[1].version);
                 self.operators[0].race(base, json!({"notes": {"rival": "a"}}));
                 self.operators[1].race(base, json!({"notes": {"rival": "b"}}));
             }
             LargeConfig => {
-                let notes: serde_json::Map<String, serde_json::Value> = (0..2000).map(|n| (format!("n{n}"), json!("x".repeat(50)))).collect();
+                let notes: serde_json::Map<String, serde_json::Value> = (0..2000)
+                    .map(|n| (format!("n{n}"), json!("x".repeat(50))))
+                    .collect();
                 self.operators[0].apply(true, json!({"notes": notes}));
             }
             Drain => self.operators[0].zone(&format!("z{x}"), "draining"),
@@ -183,7 +242,9 @@
             Tries => self.set_queue(x, json!({"tries": 1})),
             Quota => self.set_queue(x, json!({"quota": 1})),
             HugeConfig => {
-                let notes: serde_json::Map<String, serde_json::Value> = (0..1000).map(|n| (format!("h{n}"), json!("y".repeat(3900)))).collect();
+                let notes: serde_json::Map<String, serde_json::Value> = (0..1000)
+                    .map(|n| (format!("h{n}"), json!("y".repeat(3900))))
+                    .collect();
                 self.operators[0].apply(true, json!({"notes": notes}));
             }
         }
@@ -194,7 +255,9 @@
 
     pub(super) fn heal(&mut self, i: usize) {
         use Kind::*;
-        let Some(of) = self.targets.remove(&i) else { return };
+        let Some(of) = self.targets.remove(&i) else {
+            return;
+        };
         let f = self.faults[i].clone();
         let x = of.first().copied().unwrap_or(0);
         self.say(format!("healed {:?} {x}", f.kind));
@@ -228,7 +291,10 @@
                     .for_each(|h| self.start_worker(h));
             }
             SlowLink => self.procs[x].slow = 1,
-            SlowDisk => self.several(x, &f).into_iter().for_each(|c| self.set_delay(c, 2)),
+            SlowDisk => self
+                .several(x, &f)
+                .into_iter()
+                .for_each(|c| self.set_delay(c, 2)),
             Outage => {
                 all.iter().for_each(|j| self.start(*j));
                 self.note(Event::OutageOver);
@@ -244,7 +310,8 @@
             Tries if f.amount == 0 => self.set_queue(x, json!({"tries": 3})),
             Quota => self.set_queue(x, json!({"quota": 2000})),
             HugeConfig => {
-                let notes: serde_json::Map<String, serde_json::Value> = (0..1000).map(|n| (format!("h{n}"), json!(null))).collect();
+                let notes: serde_json::Map<String, serde_json::Value> =
+                    (0..1000).map(|n| (format!("h{n}"), json!(null))).collect();
                 self.operators[0].apply(true, json!({"notes": notes}));
             }
             WorkerCrash if self.hands[x].worker.is_none() => self.start_worker(x),
@@ -269,7 +336,10 @@
 
     fn set_queue(&mut self, x: usize, to: serde_json::Value) {
         let queues = self.shape.mix().queues;
-        self.operators[0].apply(true, json!({"queues": {(queues[x % queues.len()].as_str()): to}}));
+        self.operators[0].apply(
+            true,
+            json!({"queues": {(queues[x % queues.len()].as_str()): to}}),
+        );
     }
 
     /// The process struck, and the next ones of the core where several are meant.
@@ -282,7 +352,10 @@
 
     fn change_worker(&mut self, x: usize, room: u32, labels: std::collections::BTreeSet<String>) {
         let (t, life) = (self.t, self.hands[x].life);
-        let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.change(t, room, labels));
+        let asks = self.hands[x]
+            .worker
+            .as_mut()
+            .map_or(Vec::new(), |w| w.change(t, room, labels));
         self.asked(Ent::Worker(x, life), asks);
     }
 
@@ -290,8 +363,16 @@
     fn wrong_jobs(&mut self) {
         let t = self.t;
         for n in 0..9u64 {
-            let m = Mix { plain: true, ..self.shape.mix() };
-            let mut spec = job(&mut self.draw, &m, &format!("wrong-{t}-{n}"), super::EPOCH + t);
+            let m = Mix {
+                plain: true,
+                ..self.shape.mix()
+            };
+            let mut spec = job(
+                &mut self.draw,
+                &m,
+                &format!("wrong-{t}-{n}"),
+                super::EPOCH + t,
+            );
             match n % 3 {
                 0 => spec.tasks[0].depends_on = vec![spec.tasks[0].name.clone()],
                 1 => spec.queue = "nowhere".into(),
@@ -332,7 +413,10 @@
         let t = self.t;
         let life = self.hands[x].life;
         for (call, v) in std::mem::take(&mut self.hands[x].inbox) {
-            let asks = self.hands[x].worker.as_mut().map_or(Vec::new(), |w| w.answer(t, call, &v));
+            let asks = self.hands[x]
+                .worker
+                .as_mut()
+                .map_or(Vec::new(), |w| w.answer(t, call, &v));
             self.asked(Ent::Worker(x, life), asks);
         }
     }
@@ -351,7 +435,10 @@
     }
 
     fn manner(&mut self, x: usize, f: impl Fn(&mut crate::standin::worker::Manner)) {
-        self.hands[x].worker.iter_mut().for_each(|w| f(&mut w.manner));
+        self.hands[x]
+            .worker
+            .iter_mut()
+            .for_each(|w| f(&mut w.manner));
     }
 
     fn set_delay(&mut self, x: usize, ms: u64) {
@@ -363,14 +450,26 @@
     fn lose_tail(&mut self, x: usize) {
         self.owe(x);
         let n = 1 + self.draw.below(4) as usize;
-        let lost = if let Part::Core(_, disk) = &mut self.procs[x].kind { disk.lose(n) } else { 0 };
-        self.say(format!("the disk of {} lost {lost} confirmed entries", self.procs[x].addr));
+        let lost = if let Part::Core(_, disk) = &mut self.procs[x].kind {
+            disk.lose(n)
+        } else {
+            0
+        };
+        self.say(format!(
+            "the disk of {} lost {lost} confirmed entries",
+            self.procs[x].addr
+        ));
     }
 
     fn crowd(&mut self, number: u64, mix: &Mix) {
         let t = self.t;
         for n in 0..number {
-            let spec = job(&mut self.draw, mix, &format!("crowd-{t}-{n}"), super::EPOCH + t);
+            let spec = job(
+                &mut self.draw,
+                mix,
+                &format!("crowd-{t}-{n}"),
+                super::EPOCH + t,
+            );
             let asks = self.client.offer(t, spec);
             self.asked(Ent::Client, asks);
         }
--- a/rehearsal/src/simulator/mod.rs
+++ b/rehearsal/src/simulator/mod.rs
@@ -15,7 +15,13 @@
 /// Rehearses a day with a seed and checks its history.
 pub fn rehearse(s: &Scenario, seed: u64) -> (Report, Vec<Broken>) {
     let report = World::new(s, seed).run();
-    let mut broken = check(&report.history, &Promised { epoch: EPOCH, ..Promised::default() });
+    let mut broken = check(
+        &report.history,
+        &Promised {
+            epoch: EPOCH,
+            ..Promised::default()
+        },
+    );
     if report.circling {
         broken.push(Broken {
             rule: "nothing goes round in circles",
