--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -79,10 +79,24 @@
 
 pub(super) enum Happening {
     Tick(usize, u64),
-    Deliver { to: usize, life: u64, from: String, bytes: Vec<u8> },
+    Deliver {
+        to: usize,
+        life: u64,
+        from: String,
+        bytes: Vec<u8>,
+    },
     Saved(usize, u64, u64),
-    Call { to: String, from: Ent, call: u64, req: Request },
-    Answer { to: Ent, call: u64, v: Verdict },
+    Call {
+        to: String,
+        from: Ent,
+        call: u64,
+        req: Request,
+    },
+    Answer {
+        to: Ent,
+        call: u64,
+        v: Verdict,
+    },
     HandTick(usize, u64),
     ClientTick,
     Fault(usize),
@@ -171,7 +185,12 @@
     pub fn new(s: &Scenario, seed: u64) -> Self {
         let mut draw = Draw::new(seed);
         let mut faults = s.faults.clone();
-        faults.extend(random_faults(&mut Draw::new(seed ^ 0xfa17), s.random, 3000, s.seconds * 1000));
+        faults.extend(random_faults(
+            &mut Draw::new(seed ^ 0xfa17),
+            s.random,
+            3000,
+            s.seconds * 1000,
+        ));
         faults.sort_by_key(|f| f.at);
         let mut mix = s.shape.mix();
         if s.rate > 0.0 {
@@ -213,11 +232,26 @@
             closing: false,
         };
         (0..3).for_each(|i| w.add_core(i, cores[i].clone()));
-        (0..if s.nodes > 0 { s.nodes } else { s.shape.nodes() }).for_each(|i| w.add_node(i % 3, format!("10.0.{}.{}:7000", i % 3, 10 + i)));
+        (0..if s.nodes > 0 {
+            s.nodes
+        } else {
+            s.shape.nodes()
+        })
+            .for_each(|i| w.add_node(i % 3, format!("10.0.{}.{}:7000", i % 3, 10 + i)));
         let nodes = w.node_http();
         let services = s.shape.mix().services;
-        for i in 0..if s.workers > 0 { s.workers } else { s.shape.workers() } {
-            let labels = [(i % 3 != 0).then(|| "ssd".to_string()), (i % 4 == 0).then(|| "printer".to_string())].into_iter().flatten().collect();
+        for i in 0..if s.workers > 0 {
+            s.workers
+        } else {
+            s.shape.workers()
+        } {
+            let labels = [
+                (i % 3 != 0).then(|| "ssd".to_string()),
+                (i % 4 == 0).then(|| "printer".to_string()),
+            ]
+            .into_iter()
+            .flatten()
+            .collect();
             let facts = WorkerFacts {
                 worker: format!("w{i}"),
                 incarnation: 1,
@@ -252,7 +286,10 @@
             seed_a,
             EPOCH,
         );
-        w.operators = vec![Operator::new("op0", nodes.clone(), seed_b), Operator::new("op1", nodes, seed_c)];
+        w.operators = vec![
+            Operator::new("op0", nodes.clone(), seed_b),
+            Operator::new("op1", nodes, seed_c),
+        ];
         w.operators[0].apply(false, s.shape.desired());
         for i in 0..w.faults.len() {
             let at = w.faults[i].at;
@@ -266,11 +303,24 @@
     }
 
     /// Makes this a day of planned jobs alone, with free values of admission to be measured.
-    pub fn measure(&mut self, jobs: Vec<(u64, JobSpec)>, hopper: landingdrift::settings::Hopper, speculation_percent: u32) {
+    pub fn measure(
+        &mut self,
+        jobs: Vec<(u64, JobSpec)>,
+        hopper: landingdrift::settings::Hopper,
+        speculation_percent: u32,
+    ) {
         // Promises that such a load can't keep would spend the queues' allowances, and with them all copies.
         let mut desired = self.shape.desired();
-        desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["finishWithinMs"] = 0.into());
-        desired["queues"].as_object_mut().into_iter().flatten().for_each(|(_, q)| q["quota"] = 20_000.into());
+        desired["queues"]
+            .as_object_mut()
+            .into_iter()
+            .flatten()
+            .for_each(|(_, q)| q["finishWithinMs"] = 0.into());
+        desired["queues"]
+            .as_object_mut()
+            .into_iter()
+            .flatten()
+            .for_each(|(_, q)| q["quota"] = 20_000.into());
         desired["queues"]
             .as_object_mut()
             .into_iter()
@@ -284,7 +334,10 @@
         self.client.cancels = 0.0;
         self.settings.hopper = hopper;
         let seed = self.seed;
-        self.hands.iter_mut().filter_map(|h| h.worker.as_mut()).for_each(|w| w.paired = Some(seed));
+        self.hands
+            .iter_mut()
+            .filter_map(|h| h.worker.as_mut())
+            .for_each(|w| w.paired = Some(seed));
         for i in 0..self.procs.len() {
             let p = &self.procs[i];
             let cfg = self.settings_of(&p.addr.clone(), p.zone, p.is_core());
@@ -293,7 +346,11 @@
     }
 
     pub(super) fn node_http(&self) -> Vec<String> {
-        self.procs.iter().filter(|p| !p.is_core() && !p.gone).map(|p| p.addr.clone()).collect()
+        self.procs
+            .iter()
+            .filter(|p| !p.is_core() && !p.gone)
+            .map(|p| p.addr.clone())
+            .collect()
     }
 
     fn settings_of(&self, addr: &str, zone: usize, core: bool) -> Settings {
@@ -355,13 +412,21 @@
         self.procs[i].mono_off = self.draw.below(1 << 40);
         let seed = self.draw.number();
         let now = self.now(i);
-        let cfg = self.settings_of(&self.procs[i].addr.clone(), self.procs[i].zone, self.procs[i].is_core());
+        let cfg = self.settings_of(
+            &self.procs[i].addr.clone(),
+            self.procs[i].zone,
+            self.procs[i].is_core(),
+        );
         let p = &mut self.procs[i];
         p.life += 1;
         p.frozen = false;
         p.inbox.clear();
         match &mut p.kind {
-            Kind::Core(part, disk) => *part = Some(Box::new(Core::new(cfg, disk.load(), now, seed).expect("a sound disk loads"))),
+            Kind::Core(part, disk) => {
+                *part = Some(Box::new(
+                    Core::new(cfg, disk.load(), now, seed).expect("a sound disk loads"),
+                ))
+            }
             Kind::Node(part) => *part = Some(Box::new(Node::new(cfg, now, seed))),
         }
         let (life, jitter) = (p.life, self.draw.below(TICK));
@@ -400,7 +465,8 @@
             _ => Vec::new(),
         };
         let role = if p.is_core() { "core" } else { "node" };
-        now.into_iter().for_each(|(k, v)| *p.counters.entry(format!("{role}_{k}")).or_default() += v);
+        now.into_iter()
+            .for_each(|(k, v)| *p.counters.entry(format!("{role}_{k}")).or_default() += v);
     }
 
     pub(super) fn start_worker(&mut self, i: usize) {
@@ -422,7 +488,11 @@
 
     pub(super) fn at(&mut self, t: u64, what: Happening) {
         self.seq += 1;
-        self.queue.push(Reverse(Due { t, seq: self.seq, what }));
+        self.queue.push(Reverse(Due {
+            t,
+            seq: self.seq,
+            what,
+        }));
     }
 
     pub(super) fn note(&mut self, e: Event) {
@@ -444,7 +514,11 @@
             self.t = due.t;
             self.happen(due.what);
             // A day that has come to rest needn't be sat out.
-            if self.calm && self.t.is_multiple_of(1000) && self.t > (self.scenario.seconds + 15) * 1000 && self.at_rest() {
+            if self.calm
+                && self.t.is_multiple_of(1000)
+                && self.t > (self.scenario.seconds + 15) * 1000
+                && self.at_rest()
+            {
                 if self.closing {
                     break;
                 }
@@ -456,7 +530,9 @@
     }
 
     fn at_rest(&self) -> bool {
-        self.client.waiting() == 0 && self.operators.iter().all(Operator::idle) && self.targets.is_empty()
+        self.client.waiting() == 0
+            && self.operators.iter().all(Operator::idle)
+            && self.targets.is_empty()
     }
 
     /// The closing reads: the configuration, and every job once more; straight before them, where wanted, one last fault.
@@ -477,16 +553,35 @@
         let best = self
             .procs
             .iter()
-            .filter_map(|p| if let Kind::Core(Some(c), _) = &p.kind { Some(c) } else { None })
+            .filter_map(|p| {
+                if let Kind::Core(Some(c), _) = &p.kind {
+                    Some(c)
+                } else {
+                    None
+                }
+            })
             .max_by_key(|c| (c.leads(), c.record().place));
-        let best_copies = best.map_or(0, |c| c.record().queues.values().map(|q| q.copies_won).sum());
-        let (version, by, jobs) = best.map_or((0, String::new(), BTreeMap::new()), |c| (c.record().version, mark(c.record()), states(c.record())));
+        let best_copies = best.map_or(0, |c| {
+            c.record().queues.values().map(|q| q.copies_won).sum()
+        });
+        let (version, by, jobs) = best.map_or((0, String::new(), BTreeMap::new()), |c| {
+            (c.record().version, mark(c.record()), states(c.record()))
+        });
         let copies_won = best_copies;
         self.note(Event::Closed { version, by, jobs });
         let mut counters: BTreeMap<String, u64> = BTreeMap::new();
-        self.procs.iter().flat_map(|p| &p.counters).for_each(|(k, v)| *counters.entry(k.clone()).or_default() += v);
+        self.procs
+            .iter()
+            .flat_map(|p| &p.counters)
+            .for_each(|(k, v)| *counters.entry(k.clone()).or_default() += v);
         Report {
-            summary: summary(&self.history, &Promised { epoch: EPOCH, ..Promised::default() }),
+            summary: summary(
+                &self.history,
+                &Promised {
+                    epoch: EPOCH,
+                    ..Promised::default()
+                },
+            ),
             latencies: std::mem::take(&mut self.client.told.latencies),
             history: self.history,
             counters,
@@ -505,19 +600,43 @@
                 self.reach(i, Msg::Tick);
                 self.at(self.t + TICK, Happening::Tick(i, life));
             }
-            Happening::Deliver { to, life, from, bytes } if self.procs[to].life == life => match unpack_as(self.procs[to].wire, &self.settings.cluster, &bytes) {
-                Err(WireDefect::Version(_)) => *self.procs[to].counters.entry("frames_of_another_version".into()).or_default() += 1,
-                Ok(env) => self.reach(to, Msg::Wire(from, env.body)),
-                Err(e) => panic!("a frame of our own can't be read: {e}"),
-            },
+            Happening::Deliver {
+                to,
+                life,
+                from,
+                bytes,
+            } if self.procs[to].life == life => {
+                match unpack_as(self.procs[to].wire, &self.settings.cluster, &bytes) {
+                    Err(WireDefect::Version(_)) => {
+                        *self.procs[to]
+                            .counters
+                            .entry("frames_of_another_version".into())
+                            .or_default() += 1
+                    }
+                    Ok(env) => self.reach(to, Msg::Wire(from, env.body)),
+                    Err(e) => panic!("a frame of our own can't be read: {e}"),
+                }
+            }
             Happening::Saved(i, life, ticket) if self.procs[i].life == life => {
                 if let Kind::Core(_, disk) = &mut self.procs[i].kind {
                     disk.done(ticket);
                 }
                 self.reach(i, Msg::Saved(ticket));
             }
-            Happening::Call { to, from, call, req } => {
-                let Some(i) = self.by_addr.get(&to).copied().filter(|i| self.procs[*i].up()) else { return };
+            Happening::Call {
+                to,
+                from,
+                call,
+                req,
+            } => {
+                let Some(i) = self
+                    .by_addr
+                    .get(&to)
+                    .copied()
+                    .filter(|i| self.procs[*i].up())
+                else {
+                    return;
+                };
                 self.next_call += 1;
                 self.calls.insert(self.next_call, (from, call));
                 let n = self.next_call;
@@ -527,7 +646,10 @@
             Happening::HandTick(i, life) if self.hands[i].life == life => {
                 if !self.hands[i].frozen {
                     let t = self.t;
-                    let asks = self.hands[i].worker.as_mut().map_or(Vec::new(), |w| w.tick(t));
+                    let asks = self.hands[i]
+                        .worker
+                        .as_mut()
+                        .map_or(Vec::new(), |w| w.tick(t));
                     self.asked(Ent::Worker(i, life), asks);
                 }
                 self.at(self.t + TICK, Happening::HandTick(i, life));
@@ -570,31 +692,64 @@
                 None
             }
         };
-        let newest = self.procs.iter().filter_map(record).max_by_key(|(place, _)| *place);
+        let newest = self
+            .procs
+            .iter()
+            .filter_map(record)
+            .max_by_key(|(place, _)| *place);
         self.committed = self.committed.max(newest.as_ref().map_or(0, |(p, _)| *p));
         let voters = newest.map_or(BTreeMap::new(), |(_, c)| c);
-        let whole = |p: &Proc| p.is_core() && p.up() && !p.frozen && !p.gone && (voters.is_empty() || voters.get(&p.addr).is_some_and(|c| c.voter)) && record(p).is_some_and(|(at, _)| at >= p.owes);
-        let linked = |a: usize, b: usize| self.procs[a].wire == self.procs[b].wire && !self.blocked.contains(&(a, b)) && !self.blocked.contains(&(b, a));
-        let cores: Vec<usize> = (0..self.procs.len()).filter(|i| whole(&self.procs[*i])).collect();
+        let whole = |p: &Proc| {
+            p.is_core()
+                && p.up()
+                && !p.frozen
+                && !p.gone
+                && (voters.is_empty() || voters.get(&p.addr).is_some_and(|c| c.voter))
+                && record(p).is_some_and(|(at, _)| at >= p.owes)
+        };
+        let linked = |a: usize, b: usize| {
+            self.procs[a].wire == self.procs[b].wire
+                && !self.blocked.contains(&(a, b))
+                && !self.blocked.contains(&(b, a))
+        };
+        let cores: Vec<usize> = (0..self.procs.len())
+            .filter(|i| whole(&self.procs[*i]))
+            .collect();
         let group: Vec<usize> = cores
             .iter()
-            .map(|c| cores.iter().copied().filter(|d| d == c || linked(*c, *d)).collect::<Vec<_>>())
+            .map(|c| {
+                cores
+                    .iter()
+                    .copied()
+                    .filter(|d| d == c || linked(*c, *d))
+                    .collect::<Vec<_>>()
+            })
             .max_by_key(Vec::len)
             .unwrap_or_default();
         let nodes: Vec<String> = (0..self.procs.len())
             .filter(|i| {
                 let p = &self.procs[*i];
-                !p.is_core() && p.up() && !p.frozen && !p.gone && group.iter().all(|c| linked(*i, *c))
+                !p.is_core()
+                    && p.up()
+                    && !p.frozen
+                    && !p.gone
+                    && group.iter().all(|c| linked(*i, *c))
             })
             .map(|i| self.procs[i].addr.clone())
             .collect();
         let able = (group.len(), nodes);
         if able != self.able {
             self.able = able.clone();
-            self.note(Event::Able { cores: able.0, nodes: able.1 });
+            self.note(Event::Able {
+                cores: able.0,
+                nodes: able.1,
+            });
         }
         if self.t.is_multiple_of(500) {
-            let ready = (0..self.procs.len()).filter(|i| self.says_ready(*i)).map(|i| self.procs[i].addr.clone()).collect();
+            let ready = (0..self.procs.len())
+                .filter(|i| self.says_ready(*i))
+                .map(|i| self.procs[i].addr.clone())
+                .collect();
             self.client.ready = ready;
         }
     }
@@ -624,9 +779,19 @@
                     repeatable: 1.0,
                     ..all.clone()
                 };
-                let mut spec = job(&mut self.draw, &mix, &format!("muster-{t}-{queue}-{service}"), EPOCH + t);
+                let mut spec = job(
+                    &mut self.draw,
+                    &mix,
+                    &format!("muster-{t}-{queue}-{service}"),
+                    EPOCH + t,
+                );
                 let one = spec.tasks[0].clone();
-                spec.tasks = (0..24).map(|n| landingdrift::record::TaskSpec { name: format!("t{n}"), ..one.clone() }).collect();
+                spec.tasks = (0..24)
+                    .map(|n| landingdrift::record::TaskSpec {
+                        name: format!("t{n}"),
+                        ..one.clone()
+                    })
+                    .collect();
                 let asks = self.client.offer_surely(t, spec);
                 self.asked(Ent::Client, asks);
             }
@@ -640,8 +805,18 @@
             let p = &self.procs[i];
             if let Kind::Node(Some(n)) = &p.kind {
                 if !p.frozen {
-                    let (node, version, by, ready) = (p.addr.clone(), n.record().version, mark(n.record()), n.is_ready(now));
-                    self.note(Event::NodeVersion { node, version, by, ready });
+                    let (node, version, by, ready) = (
+                        p.addr.clone(),
+                        n.record().version,
+                        mark(n.record()),
+                        n.is_ready(now),
+                    );
+                    self.note(Event::NodeVersion {
+                        node,
+                        version,
+                        by,
+                        ready,
+                    });
                 }
             }
         }
@@ -691,7 +866,12 @@
             if version != p.version && n.is_ready(now) {
                 p.version = version;
                 let (node, by) = (p.addr.clone(), mark(n.record()));
-                self.note(Event::NodeVersion { node, version, by, ready: true });
+                self.note(Event::NodeVersion {
+                    node,
+                    version,
+                    by,
+                    ready: true,
+                });
             }
         }
     }
@@ -737,7 +917,12 @@
     }
 
     fn carry(&mut self, from: usize, to: &str, body: &Body) {
-        let Some(j) = self.by_addr.get(to).copied().filter(|j| self.procs[*j].up() && !self.blocked.contains(&(from, *j))) else {
+        let Some(j) = self
+            .by_addr
+            .get(to)
+            .copied()
+            .filter(|j| self.procs[*j].up() && !self.blocked.contains(&(from, *j)))
+        else {
             return;
         };
         let at = self.t + self.lag(from) + (self.procs[j].slow - 1) * 20;
@@ -746,7 +931,11 @@
             if self.draw.below(100) < 15 {
                 return;
             }
-            at + if self.draw.below(100) < 40 { self.draw.below(400) } else { 0 }
+            at + if self.draw.below(100) < 40 {
+                self.draw.below(400)
+            } else {
+                0
+            }
         } else {
             // One connection keeps its order, however slow the link is.
             let last = self.arrivals.entry((from, j)).or_default();
@@ -759,9 +948,25 @@
         let bytes = pack_as(self.procs[from].wire, &self.settings.cluster, &addr, body);
         if (self.procs[from].flaky || self.procs[j].flaky) && self.draw.below(100) < 10 {
             let (from, bytes, again) = (addr.clone(), bytes.clone(), at + self.draw.below(500));
-            self.at(again, Happening::Deliver { to: j, life, from, bytes });
+            self.at(
+                again,
+                Happening::Deliver {
+                    to: j,
+                    life,
+                    from,
+                    bytes,
+                },
+            );
         }
-        self.at(at, Happening::Deliver { to: j, life, from: addr, bytes });
+        self.at(
+            at,
+            Happening::Deliver {
+                to: j,
+                life,
+                from: addr,
+                bytes,
+            },
+        );
     }
 
     pub(super) fn asked(&mut self, from: Ent, asks: Vec<Ask>) {
@@ -771,7 +976,15 @@
                 Ask::Call { to, call, req } => {
                     if !self.dark(from) {
                         let at = self.t + 1 + self.draw.below(4);
-                        self.at(at, Happening::Call { to, from, call, req });
+                        self.at(
+                            at,
+                            Happening::Call {
+                                to,
+                                from,
+                                call,
+                                req,
+                            },
+                        );
                     }
                 }
             }
@@ -794,7 +1007,10 @@
                     h.inbox.push((call, v));
                     return;
                 }
-                let asks = h.worker.as_mut().map_or(Vec::new(), |w| w.answer(t, call, &v));
+                let asks = h
+                    .worker
+                    .as_mut()
+                    .map_or(Vec::new(), |w| w.answer(t, call, &v));
                 self.asked(to, asks);
             }
             Ent::Client => {
@@ -809,7 +1025,13 @@
     }
 
     pub(super) fn leader(&self) -> Option<usize> {
-        let leads = |p: &Proc| if let Kind::Core(Some(c), _) = &p.kind { c.leads().then(|| c.term()) } else { None };
+        let leads = |p: &Proc| {
+            if let Kind::Core(Some(c), _) = &p.kind {
+                c.leads().then(|| c.term())
+            } else {
+                None
+            }
+        };
         (0..self.procs.len())
             .filter(|i| !self.procs[*i].frozen)
             .filter_map(|i| leads(&self.procs[i]).map(|t| (t, i)))
@@ -824,11 +1046,26 @@
 }
 
 fn states(r: &Record) -> BTreeMap<String, (String, bool)> {
-    let text = |s| serde_json::to_value(s).ok().and_then(|v| v.as_str().map(str::to_string)).unwrap_or_default();
-    let unsure = |j: &landingdrift::record::Job| j.tasks.iter().any(|t| t.sends.iter().any(|s| s.state == landingdrift::record::SendState::Unsure));
+    let text = |s| {
+        serde_json::to_value(s)
+            .ok()
+            .and_then(|v| v.as_str().map(str::to_string))
+            .unwrap_or_default()
+    };
+    let unsure = |j: &landingdrift::record::Job| {
+        j.tasks.iter().any(|t| {
+            t.sends
+                .iter()
+                .any(|s| s.state == landingdrift::record::SendState::Unsure)
+        })
+    };
     r.jobs
         .iter()
         .map(|(k, j)| (k.clone(), (text(j.state), unsure(j))))
-        .chain(r.tombs.iter().map(|(k, t)| (k.clone(), (text(t.state), false))))
+        .chain(
+            r.tombs
+                .iter()
+                .map(|(k, t)| (k.clone(), (text(t.state), false))),
+        )
         .collect()
 }
--- a/rehearsal/src/standin/client.rs
+++ b/rehearsal/src/standin/client.rs
@@ -129,7 +129,11 @@
             turned_away: 0,
             stubborn: self.draw.below(4) as u32,
             cancel_at,
-            cancels: if cancel_at.is_some() { 1 + self.draw.below(2) as u32 } else { 0 },
+            cancels: if cancel_at.is_some() {
+                1 + self.draw.below(2) as u32
+            } else {
+                0
+            },
             accepted: false,
             offered: now,
         };
@@ -181,25 +185,45 @@
 
     /// Asks once more for every job that was accepted, as at the end of a day.
     pub fn ask_for_all(&mut self, now: u64) {
-        std::mem::take(&mut self.ended).iter().for_each(|id| self.ask_again(now, id));
+        std::mem::take(&mut self.ended)
+            .iter()
+            .for_each(|id| self.ask_again(now, id));
     }
 
     fn move_on(&mut self, now: u64, id: &str) -> Vec<Ask> {
         let (patience, short) = (self.patience, self.state_patience);
-        let Some(j) = self.jobs.get_mut(id) else { return Vec::new() };
+        let Some(j) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
         if let Some((call, sent, wants)) = j.asked {
-            if now < sent + if wants == Wants::State { short } else { patience } {
+            if now
+                < sent
+                    + if wants == Wants::State {
+                        short
+                    } else {
+                        patience
+                    }
+            {
                 return Vec::new();
             }
             self.calls.remove(&call);
             j.asked = None;
         }
-        let to = self.draw.pick(if self.ready.is_empty() { &self.nodes } else { &self.ready }).cloned();
+        let to = self
+            .draw
+            .pick(if self.ready.is_empty() {
+                &self.nodes
+            } else {
+                &self.ready
+            })
+            .cloned();
         let Some(to) = to else { return Vec::new() };
         self.next_call += 1;
         let call = self.next_call;
         // A cancel may race the very call that hands the job in.
-        let cancel = j.cancels > 0 && j.cancel_at.is_some_and(|at| now >= at) && (j.stage == Stage::Polling || now > j.offered);
+        let cancel = j.cancels > 0
+            && j.cancel_at.is_some_and(|at| now >= at)
+            && (j.stage == Stage::Polling || now > j.offered);
         let wants = match j.stage {
             _ if cancel => Wants::Cancel,
             Stage::Submitting => Wants::HandIn,
@@ -208,9 +232,18 @@
         j.asked = Some((call, now, wants));
         let id = id.to_string();
         let (note, req) = match wants {
-            Wants::HandIn => (Event::Handed { id: id.clone() }, request("POST", "/v1/jobs", "", Some(&json!(j.spec)))),
-            Wants::Cancel => (Event::CancelAsked { id: id.clone() }, request("DELETE", &format!("/v1/jobs/{id}"), "", None)),
-            Wants::State => (Event::Asked { id: id.clone() }, request("GET", &format!("/v1/jobs/{id}"), "", None)),
+            Wants::HandIn => (
+                Event::Handed { id: id.clone() },
+                request("POST", "/v1/jobs", "", Some(&json!(j.spec))),
+            ),
+            Wants::Cancel => (
+                Event::CancelAsked { id: id.clone() },
+                request("DELETE", &format!("/v1/jobs/{id}"), "", None),
+            ),
+            Wants::State => (
+                Event::Asked { id: id.clone() },
+                request("GET", &format!("/v1/jobs/{id}"), "", None),
+            ),
         };
         self.calls.insert(call, id);
         vec![Ask::Note(note), Ask::Call { to, call, req }]
@@ -218,9 +251,15 @@
 
     /// A node has answered.
     pub fn answer(&mut self, now: u64, call: u64, v: &Verdict) -> Vec<Ask> {
-        let Some(id) = self.calls.remove(&call) else { return Vec::new() };
-        let Some(j) = self.jobs.get_mut(&id) else { return Vec::new() };
-        let Some((_, _, wants)) = j.asked.take() else { return Vec::new() };
+        let Some(id) = self.calls.remove(&call) else {
+            return Vec::new();
+        };
+        let Some(j) = self.jobs.get_mut(&id) else {
+            return Vec::new();
+        };
+        let Some((_, _, wants)) = j.asked.take() else {
+            return Vec::new();
+        };
         j.next = now + if v.retry_ms > 0 { v.retry_ms } else { 500 };
         let mut out = Vec::new();
         match wants {
@@ -269,7 +308,10 @@
                     j.cancels = 0;
                     self.ended.push(id.clone());
                     if state == "done" && !self.told.took.contains_key(&id) {
-                        let took = v.body["ended"].as_u64().unwrap_or(0).saturating_sub(self.epoch + j.offered);
+                        let took = v.body["ended"]
+                            .as_u64()
+                            .unwrap_or(0)
+                            .saturating_sub(self.epoch + j.offered);
                         self.told.latencies.push(took);
                         self.told.took.insert(id.clone(), took);
                     }
@@ -281,11 +323,18 @@
 
     /// Ids that were accepted.
     pub fn accepted(&self) -> Vec<String> {
-        self.jobs.iter().filter(|(_, j)| j.accepted).map(|(k, _)| k.clone()).collect()
+        self.jobs
+            .iter()
+            .filter(|(_, j)| j.accepted)
+            .map(|(k, _)| k.clone())
+            .collect()
     }
 
     /// Jobs that have not come to an end yet.
     pub fn waiting(&self) -> usize {
-        self.jobs.values().filter(|j| j.stage != Stage::Over).count()
+        self.jobs
+            .values()
+            .filter(|j| j.stage != Stage::Over)
+            .count()
     }
 }
--- a/rehearsal/src/standin/operator.rs
+++ b/rehearsal/src/standin/operator.rs
@@ -25,9 +25,18 @@
     let parts = |of: &str| value[of].as_object().cloned().unwrap_or_default();
     let number = |q: &Value, key: &str| q[key].as_u64().map(|n| n as u32);
     Says {
-        zones: parts("zones").into_iter().map(|(k, z)| (k, z["state"].as_str().unwrap_or("").to_string())).collect(),
-        tries: parts("queues").into_iter().filter_map(|(k, q)| number(&q, "tries").map(|n| (k, n))).collect(),
-        quotas: parts("queues").into_iter().filter_map(|(k, q)| number(&q, "quota").map(|n| (k, n))).collect(),
+        zones: parts("zones")
+            .into_iter()
+            .map(|(k, z)| (k, z["state"].as_str().unwrap_or("").to_string()))
+            .collect(),
+        tries: parts("queues")
+            .into_iter()
+            .filter_map(|(k, q)| number(&q, "tries").map(|n| (k, n)))
+            .collect(),
+        quotas: parts("queues")
+            .into_iter()
+            .filter_map(|(k, q)| number(&q, "quota").map(|n| (k, n)))
+            .collect(),
     }
 }
 
@@ -110,12 +119,20 @@
         if now < self.next {
             return Vec::new();
         }
-        let Some(wish) = self.wishes.pop_front() else { return Vec::new() };
+        let Some(wish) = self.wishes.pop_front() else {
+            return Vec::new();
+        };
         self.calls += 1;
         let mut noted = Vec::new();
         let (req, base, wish) = match wish {
             Wish::Read => (request("GET", "/v1/desired", "", None), 0, Wish::Read),
-            Wish::Apply { change, patch, value, base, insist } => {
+            Wish::Apply {
+                change,
+                patch,
+                value,
+                base,
+                insist,
+            } => {
                 let on = base.unwrap_or(self.version);
                 // Each change leaves its mark, so that content can be told from content.
                 let mut value = value;
@@ -124,7 +141,12 @@
                     change: change.clone(),
                     says: says(&value),
                 })];
-                let req = request(if patch { "PATCH" } else { "PUT" }, "/v1/desired", &format!("base={on}&change={change}"), Some(&value));
+                let req = request(
+                    if patch { "PATCH" } else { "PUT" },
+                    "/v1/desired",
+                    &format!("base={on}&change={change}"),
+                    Some(&value),
+                );
                 (
                     req,
                     on,
@@ -139,8 +161,14 @@
             }
         };
         self.asked = Some((self.calls, now, wish, base));
-        let Some(to) = self.draw.pick(&self.nodes).cloned() else { return Vec::new() };
-        noted.push(Ask::Call { to, call: self.calls, req });
+        let Some(to) = self.draw.pick(&self.nodes).cloned() else {
+            return Vec::new();
+        };
+        noted.push(Ask::Call {
+            to,
+            call: self.calls,
+            req,
+        });
         noted
     }
 
@@ -154,10 +182,23 @@
         match wish {
             Wish::Read if v.status == 200 => {
                 self.version = version;
-                let by = v.body["desired"]["notes"]["by"].as_str().unwrap_or("").to_string();
-                vec![Ask::Note(Event::ConfigRead { version, by, asked: sent })]
+                let by = v.body["desired"]["notes"]["by"]
+                    .as_str()
+                    .unwrap_or("")
+                    .to_string();
+                vec![Ask::Note(Event::ConfigRead {
+                    version,
+                    by,
+                    asked: sent,
+                })]
             }
-            Wish::Apply { change, patch, value, insist, .. } if v.status != 503 => {
+            Wish::Apply {
+                change,
+                patch,
+                value,
+                insist,
+                ..
+            } if v.status != 503 => {
                 self.version = self.version.max(version);
                 let rival = v.status == 409 && insist;
                 if rival {
--- a/rehearsal/src/standin/worker.rs
+++ b/rehearsal/src/standin/worker.rs
@@ -106,7 +106,9 @@
         self.facts.leaving = true;
         self.asked = None;
         self.next_beat = now;
-        let mut out = vec![Ask::Note(Event::WorkerLeaving { worker: self.facts.worker.clone() })];
+        let mut out = vec![Ask::Note(Event::WorkerLeaving {
+            worker: self.facts.worker.clone(),
+        })];
         out.extend(self.tick(now));
         out
     }
@@ -128,12 +130,20 @@
     /// Time has passed.
     pub fn tick(&mut self, now: u64) -> Vec<Ask> {
         let mut out = Vec::new();
-        let done: Vec<u64> = self.running.iter().filter(|(_, r)| now >= r.until).map(|(no, _)| *no).collect();
+        let done: Vec<u64> = self
+            .running
+            .iter()
+            .filter(|(_, r)| now >= r.until)
+            .map(|(no, _)| *no)
+            .collect();
         for no in done {
             let outcome = self.running.get(&no).map_or(Outcome::Defect, |r| r.outcome);
             out.extend(self.end(now, no, outcome));
         }
-        if self.asked.is_some_and(|(_, sent)| now >= sent + self.patience) {
+        if self
+            .asked
+            .is_some_and(|(_, sent)| now >= sent + self.patience)
+        {
             self.asked = None;
             self.turn(now);
         }
@@ -167,9 +177,15 @@
     }
 
     fn end(&mut self, now: u64, no: u64, outcome: Outcome) -> Vec<Ask> {
-        let Some(r) = self.running.remove(&no) else { return Vec::new() };
+        let Some(r) = self.running.remove(&no) else {
+            return Vec::new();
+        };
         self.over.insert(no);
-        let note = if outcome == Outcome::Defect { "the run failed" } else { "" };
+        let note = if outcome == Outcome::Defect {
+            "the run failed"
+        } else {
+            ""
+        };
         self.ended.push(EndReport {
             no,
             outcome,
@@ -189,7 +205,9 @@
 
     /// A node has answered.
     pub fn answer(&mut self, now: u64, call: u64, v: &Verdict) -> Vec<Ask> {
-        let Some((_, sent)) = self.asked.filter(|(c, _)| *c == call) else { return Vec::new() };
+        let Some((_, sent)) = self.asked.filter(|(c, _)| *c == call) else {
+            return Vec::new();
+        };
         self.asked = None;
         self.next_beat = now + self.beat_ms;
         if v.status != 200 {
@@ -197,7 +215,14 @@
             return Vec::new();
         }
         self.beat_ms = v.body["beatMs"].as_u64().unwrap_or(250);
-        let numbers = |key: &str| -> Vec<u64> { v.body[key].as_array().into_iter().flatten().filter_map(Value::as_u64).collect() };
+        let numbers = |key: &str| -> Vec<u64> {
+            v.body[key]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(Value::as_u64)
+                .collect()
+        };
         let settled = numbers("settled");
         self.ended.retain(|e| !settled.contains(&e.no));
         let mut out = Vec::new();
@@ -219,7 +244,8 @@
             }
         }
         // An answer that took too long may be old news.
-        if now.saturating_sub(sent) <= v.body["obeyMs"].as_u64().unwrap_or(0) && !self.facts.leaving {
+        if now.saturating_sub(sent) <= v.body["obeyMs"].as_u64().unwrap_or(0) && !self.facts.leaving
+        {
             for s in v.body["starts"].as_array().into_iter().flatten() {
                 out.extend(self.start(now, s));
             }
@@ -234,15 +260,31 @@
         }
         let mut draw = self.paired.map_or_else(
             || Draw::new(self.seed ^ (no << 20)),
-            |seed| paired(seed, s["job"].as_str().unwrap_or(""), s["task"].as_str().unwrap_or(""), s["copy"] == json!(true)),
+            |seed| {
+                paired(
+                    seed,
+                    s["job"].as_str().unwrap_or(""),
+                    s["task"].as_str().unwrap_or(""),
+                    s["copy"] == json!(true),
+                )
+            },
         );
         let p = &s["payload"];
         let ms = p["ms"].as_f64().unwrap_or(200.0);
         let tail = p["tail"].as_f64().unwrap_or(0.0);
         // Pareto with the shape named, as the paper has it; without one, as long as it says.
-        let long = if tail > 0.0 { (1.0 - draw.unit()).powf(-1.0 / tail).min(20.0) } else { 1.0 };
+        let long = if tail > 0.0 {
+            (1.0 - draw.unit()).powf(-1.0 / tail).min(20.0)
+        } else {
+            1.0
+        };
         let took = (ms * long * self.manner.slow).max(1.0) as u64;
-        let fails = p["doomed"] == json!(true) || draw.unit() < self.manner.failing.max(p["failing"].as_f64().unwrap_or(0.0));
+        let fails = p["doomed"] == json!(true)
+            || draw.unit()
+                < self
+                    .manner
+                    .failing
+                    .max(p["failing"].as_f64().unwrap_or(0.0));
         let (job, task, room) = (
             s["job"].as_str().unwrap_or("").to_string(),
             s["task"].as_str().unwrap_or("").to_string(),
@@ -256,7 +298,11 @@
                 room,
                 started: now,
                 until: now + took,
-                outcome: if fails { Outcome::Defect } else { Outcome::Well },
+                outcome: if fails {
+                    Outcome::Defect
+                } else {
+                    Outcome::Well
+                },
             },
         );
         self.next_beat = self.next_beat.min(now + 50);
@@ -272,6 +318,9 @@
 
     /// How many runs there are, and the room they take.
     pub fn load(&self) -> (usize, u32) {
-        (self.running.len(), self.running.values().map(|r| r.room).sum())
+        (
+            self.running.len(),
+            self.running.values().map(|r| r.room).sum(),
+        )
     }
 }
--- a/rehearsal/tests/bad_input.rs
+++ b/rehearsal/tests/bad_input.rs
@@ -3,7 +3,10 @@
 use std::process::{Command, Output};
 
 fn rehearsal(words: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_rehearsal")).args(words).output().expect("the program runs")
+    Command::new(env!("CARGO_BIN_EXE_rehearsal"))
+        .args(words)
+        .output()
+        .expect("the program runs")
 }
 
 #[test]
@@ -28,11 +31,18 @@
         std::fs::write(&file, text).expect("written");
         for command in ["run", "sweep", "fleet"] {
             let path = file.to_string_lossy().into_owned();
-            let words = if command == "fleet" { vec![command, "--scenario", &path] } else { vec![command, &path] };
+            let words = if command == "fleet" {
+                vec![command, "--scenario", &path]
+            } else {
+                vec![command, &path]
+            };
             let out = rehearsal(&words);
             let told = String::from_utf8_lossy(&out.stderr).into_owned();
             assert_eq!(out.status.code(), Some(2), "{command} of {text:?}: {told}");
-            assert!(told.contains(remedy), "{command} of {text:?} should say '{remedy}': {told}");
+            assert!(
+                told.contains(remedy),
+                "{command} of {text:?} should say '{remedy}': {told}"
+            );
         }
     }
     let _ = std::fs::remove_dir_all(&folder);
@@ -51,7 +61,12 @@
     ];
     for words in cases {
         let out = rehearsal(words);
-        assert_eq!(out.status.code(), Some(2), "{words:?}: {}", String::from_utf8_lossy(&out.stderr));
+        assert_eq!(
+            out.status.code(),
+            Some(2),
+            "{words:?}: {}",
+            String::from_utf8_lossy(&out.stderr)
+        );
         assert!(!out.stderr.is_empty(), "{words:?}");
     }
 }
--- a/rehearsal/tests/checkers.rs
+++ b/rehearsal/tests/checkers.rs
@@ -65,7 +65,10 @@
 }
 
 fn asked(change: &str, says: Says) -> Event {
-    Event::ConfigAsked { change: change.into(), says }
+    Event::ConfigAsked {
+        change: change.into(),
+        says,
+    }
 }
 
 fn acked(change: &str, base: u64, version: u64, says: Says) -> Event {
@@ -102,7 +105,11 @@
 }
 
 fn read(version: u64, by: &str) -> Event {
-    Event::ConfigRead { version, by: by.into(), asked: 5 }
+    Event::ConfigRead {
+        version,
+        by: by.into(),
+        asked: 5,
+    }
 }
 
 fn closed_by(state: &str, version: u64, by: &str) -> Event {
@@ -144,7 +151,10 @@
 }
 
 fn able(cores: usize) -> Event {
-    Event::Able { cores, nodes: vec!["n".into()] }
+    Event::Able {
+        cores,
+        nodes: vec!["n".into()],
+    }
 }
 
 fn ask() -> Event {
@@ -202,7 +212,10 @@
 
 /// For each rule: events that break it, and the same day as it should have been.
 fn cases() -> Vec<(&'static str, Day, Day)> {
-    let gang = |name: &str| TaskSpec { gang: "g".into(), ..task(name) };
+    let gang = |name: &str| TaskSpec {
+        gang: "g".into(),
+        ..task(name)
+    };
     let after = |name: &str, of: &str| TaskSpec {
         depends_on: vec![of.into()],
         ..task(name)
@@ -216,13 +229,30 @@
         ),
         (
             "never forgotten",
-            vec![(0, one()), (1, accepted()), (4000, polled(200, "done")), (5000, polled(200, "running"))],
-            vec![(0, one()), (1, accepted()), (4000, polled(200, "running")), (5000, polled(200, "done"))],
+            vec![
+                (0, one()),
+                (1, accepted()),
+                (4000, polled(200, "done")),
+                (5000, polled(200, "running")),
+            ],
+            vec![
+                (0, one()),
+                (1, accepted()),
+                (4000, polled(200, "running")),
+                (5000, polled(200, "done")),
+            ],
         ),
         // Silence and 503 count as much as a wrong word, but for the time in which the core had no majority, and its return.
         (
             "state within its bound",
-            vec![(0, one()), (0, able(3)), (1, accepted()), (2, ask()), (1000, polled(503, "")), (3100, polled(200, "running"))],
+            vec![
+                (0, one()),
+                (0, able(3)),
+                (1, accepted()),
+                (2, ask()),
+                (1000, polled(503, "")),
+                (3100, polled(200, "running")),
+            ],
             vec![
                 (0, one()),
                 (0, able(3)),
@@ -236,12 +266,28 @@
         ),
         (
             "state within its bound",
-            vec![(0, one()), (1, accepted()), (2, ask()), (3100, closed("done", 0))],
-            vec![(0, one()), (1, accepted()), (2, ask()), (2100, closed("done", 0))],
+            vec![
+                (0, one()),
+                (1, accepted()),
+                (2, ask()),
+                (3100, closed("done", 0)),
+            ],
+            vec![
+                (0, one()),
+                (1, accepted()),
+                (2, ask()),
+                (2100, closed("done", 0)),
+            ],
         ),
         (
             "turned away never runs",
-            vec![(0, one()), (1, handed("j")), (2, submitted("j", 429, "overQuota")), (3, up("w")), (4, started("w", 1, "a"))],
+            vec![
+                (0, one()),
+                (1, handed("j")),
+                (2, submitted("j", 429, "overQuota")),
+                (3, up("w")),
+                (4, started("w", 1, "a")),
+            ],
             vec![
                 (0, one()),
                 (1, handed("j")),
@@ -254,7 +300,13 @@
         // A refusal of one call says nothing of an earlier call without an answer; a refusal of the job does.
         (
             "turned away never runs",
-            vec![(0, one()), (1, handed("j")), (2, submitted("j", 503, "busy")), (3, up("w")), (4, started("w", 1, "a"))],
+            vec![
+                (0, one()),
+                (1, handed("j")),
+                (2, submitted("j", 503, "busy")),
+                (3, up("w")),
+                (4, started("w", 1, "a")),
+            ],
             vec![
                 (0, one()),
                 (1, handed("j")),
@@ -274,11 +326,23 @@
                 (3, up("w")),
                 (4, started("w", 1, "a")),
             ],
-            vec![(0, one()), (1, handed("j")), (2, submitted("j", 503, "unsure")), (3, up("w")), (4, started("w", 1, "a"))],
+            vec![
+                (0, one()),
+                (1, handed("j")),
+                (2, submitted("j", 503, "unsure")),
+                (3, up("w")),
+                (4, started("w", 1, "a")),
+            ],
         ),
         (
             "no repeat without leave",
-            vec![(0, one()), (1, up("w")), (1, up("v")), (2, started("w", 1, "a")), (3, started("v", 2, "a"))],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (1, up("v")),
+                (2, started("w", 1, "a")),
+                (3, started("v", 2, "a")),
+            ],
             vec![
                 (0, one()),
                 (1, up("w")),
@@ -290,12 +354,27 @@
         ),
         (
             "no repeat without leave",
-            vec![(0, one()), (1, up("w")), (2, started("w", 1, "a")), (3, ended("w", 1, "a", Outcome::Well)), (4, started("w", 2, "a"))],
-            vec![(0, one()), (1, up("w")), (2, started("w", 1, "a")), (3, ended("w", 1, "a", Outcome::Well))],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, started("w", 1, "a")),
+                (3, ended("w", 1, "a", Outcome::Well)),
+                (4, started("w", 2, "a")),
+            ],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, started("w", 1, "a")),
+                (3, ended("w", 1, "a", Outcome::Well)),
+            ],
         ),
         (
             "steps in order",
-            vec![(0, offered(vec![task("a"), after("b", "a")])), (1, up("w")), (2, started("w", 1, "b"))],
+            vec![
+                (0, offered(vec![task("a"), after("b", "a")])),
+                (1, up("w")),
+                (2, started("w", 1, "b")),
+            ],
             vec![
                 (0, offered(vec![task("a"), after("b", "a")])),
                 (1, up("w")),
@@ -306,12 +385,37 @@
         ),
         (
             "not before its time",
-            vec![(0, offered(vec![TaskSpec { due: 9000, ..task("a") }])), (1, up("w")), (2, started("w", 1, "a"))],
-            vec![(0, offered(vec![TaskSpec { due: 9000, ..task("a") }])), (1, up("w")), (9001, started("w", 1, "a"))],
+            vec![
+                (
+                    0,
+                    offered(vec![TaskSpec {
+                        due: 9000,
+                        ..task("a")
+                    }]),
+                ),
+                (1, up("w")),
+                (2, started("w", 1, "a")),
+            ],
+            vec![
+                (
+                    0,
+                    offered(vec![TaskSpec {
+                        due: 9000,
+                        ..task("a")
+                    }]),
+                ),
+                (1, up("w")),
+                (9001, started("w", 1, "a")),
+            ],
         ),
         (
             "room",
-            vec![(0, offered(vec![task("a"), task("b")])), (1, up("w")), (2, started("w", 1, "a")), (3, started("w", 2, "b"))],
+            vec![
+                (0, offered(vec![task("a"), task("b")])),
+                (1, up("w")),
+                (2, started("w", 1, "a")),
+                (3, started("w", 2, "b")),
+            ],
             vec![
                 (0, offered(vec![task("a"), task("b")])),
                 (1, up("w")),
@@ -323,8 +427,18 @@
         // Room and labels may change under way.
         (
             "room",
-            vec![(0, one()), (1, up("w")), (2, changed(1, &["l"])), (3, started("w", 1, "a"))],
-            vec![(0, one()), (1, up("w")), (2, started("w", 1, "a")), (3, changed(1, &["l"]))],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, changed(1, &["l"])),
+                (3, started("w", 1, "a")),
+            ],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, started("w", 1, "a")),
+                (3, changed(1, &["l"])),
+            ],
         ),
         (
             "fitting workers",
@@ -428,17 +542,42 @@
         ),
         (
             "cancelled stays cancelled",
-            vec![(0, one()), (1, up("w")), (2, Event::CancelAcked { id: "j".into() }), (4000, started("w", 1, "a"))],
-            vec![(0, one()), (1, up("w")), (2, Event::CancelAcked { id: "j".into() }), (2000, started("w", 1, "a"))],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, Event::CancelAcked { id: "j".into() }),
+                (4000, started("w", 1, "a")),
+            ],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, Event::CancelAcked { id: "j".into() }),
+                (2000, started("w", 1, "a")),
+            ],
         ),
         (
             "leaving workers",
-            vec![(0, one()), (1, up("w")), (2, Event::WorkerLeaving { worker: "w".into() }), (2500, started("w", 1, "a"))],
-            vec![(0, one()), (1, up("w")), (2, Event::WorkerLeaving { worker: "w".into() }), (1500, started("w", 1, "a"))],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, Event::WorkerLeaving { worker: "w".into() }),
+                (2500, started("w", 1, "a")),
+            ],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, Event::WorkerLeaving { worker: "w".into() }),
+                (1500, started("w", 1, "a")),
+            ],
         ),
         (
             "emptied zones",
-            vec![(0, one()), (1, up("w")), (2, configured("c", 0, 1, "evacuated")), (6000, started("w", 1, "a"))],
+            vec![
+                (0, one()),
+                (1, up("w")),
+                (2, configured("c", 0, 1, "evacuated")),
+                (6000, started("w", 1, "a")),
+            ],
             vec![
                 (0, one()),
                 (1, up("w")),
@@ -477,7 +616,12 @@
             ],
             vec![
                 (0, offered(vec![gang("a"), gang("b")])),
-                (0, Event::Fault { what: "WorkerCut 1".into() }),
+                (
+                    0,
+                    Event::Fault {
+                        what: "WorkerCut 1".into(),
+                    },
+                ),
                 (1, up("w")),
                 (1, up("v")),
                 (2, started("w", 1, "a")),
@@ -487,19 +631,41 @@
         ),
         (
             "one of two rivals",
-            vec![(0, configured("c", 0, 1, "")), (1, configured("d", 0, 2, ""))],
-            vec![(0, configured("c", 0, 1, "")), (1, configured("d", 1, 2, ""))],
+            vec![
+                (0, configured("c", 0, 1, "")),
+                (1, configured("d", 0, 2, "")),
+            ],
+            vec![
+                (0, configured("c", 0, 1, "")),
+                (1, configured("d", 1, 2, "")),
+            ],
         ),
         // Content counts, not the number alone.
         (
             "one of two rivals",
-            vec![(0, configured("c", 0, 1, "")), (1, refused("d", 0)), (6, read(1, "d"))],
-            vec![(0, configured("c", 0, 1, "")), (1, refused("d", 0)), (6, read(1, "c"))],
+            vec![
+                (0, configured("c", 0, 1, "")),
+                (1, refused("d", 0)),
+                (6, read(1, "d")),
+            ],
+            vec![
+                (0, configured("c", 0, 1, "")),
+                (1, refused("d", 0)),
+                (6, read(1, "c")),
+            ],
         ),
         (
             "one of two rivals",
-            vec![(0, configured("c", 0, 1, "")), (1, configured("d", 1, 2, "")), (6, closed_by("done", 2, "c"))],
-            vec![(0, configured("c", 0, 1, "")), (1, configured("d", 1, 2, "")), (6, closed_by("done", 2, "d"))],
+            vec![
+                (0, configured("c", 0, 1, "")),
+                (1, configured("d", 1, 2, "")),
+                (6, closed_by("done", 2, "c")),
+            ],
+            vec![
+                (0, configured("c", 0, 1, "")),
+                (1, configured("d", 1, 2, "")),
+                (6, closed_by("done", 2, "d")),
+            ],
         ),
         (
             "configuration takes hold",
@@ -509,8 +675,18 @@
         // Nobody escapes the bound by saying that it is not ready.
         (
             "configuration takes hold",
-            vec![(0, able(3)), (1, node(0, "", false)), (6000, node(0, "", false))],
-            vec![(0, able(3)), (1, node(0, "", false)), (3000, able(1)), (3500, able(3)), (6000, node(0, "", false))],
+            vec![
+                (0, able(3)),
+                (1, node(0, "", false)),
+                (6000, node(0, "", false)),
+            ],
+            vec![
+                (0, able(3)),
+                (1, node(0, "", false)),
+                (3000, able(1)),
+                (3500, able(3)),
+                (6000, node(0, "", false)),
+            ],
         ),
         // The effect counts, not the number shown.
         (
@@ -573,7 +749,14 @@
         ),
         // One accepted job and one start don't make normal service.
         ("back after an outage", muster("running"), muster("done")),
-        ("back after an outage", muster("done").into_iter().filter(|(t, _)| *t != 9500).collect(), muster("done")),
+        (
+            "back after an outage",
+            muster("done")
+                .into_iter()
+                .filter(|(t, _)| *t != 9500)
+                .collect(),
+            muster("done"),
+        ),
         (
             "all come to an end",
             vec![(0, one()), (1, accepted()), (2, closed("running", 0))],
@@ -585,7 +768,10 @@
 #[test]
 fn each_checker_sees_its_rule_broken_and_nothing_else() {
     for (rule, bad, good) in cases() {
-        let rules: BTreeSet<&str> = check(&history(bad), &Promised::default()).iter().map(|b| b.rule).collect();
+        let rules: BTreeSet<&str> = check(&history(bad), &Promised::default())
+            .iter()
+            .map(|b| b.rule)
+            .collect();
         assert_eq!(rules, [rule].into(), "the broken history of '{rule}'");
         let none = check(&history(good), &Promised::default());
         assert!(none.is_empty(), "the sound history of '{rule}': {none:?}");
--- a/rehearsal/tests/fleet.rs
+++ b/rehearsal/tests/fleet.rs
@@ -16,7 +16,8 @@
 }
 
 fn rehearse(name: &str, faults: Vec<Fault>) {
-    let folder = std::env::temp_dir().join(format!("landingdrift-test-{name}-{}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("landingdrift-test-{name}-{}", std::process::id()));
     let o = Options {
         shape: Shape::Gunasekera,
         seconds: 14,
@@ -30,9 +31,18 @@
     };
     let outcome = run(&o).unwrap_or_else(|e| panic!("{e}; logs in {}", folder.display()));
     // How long things took on this machine is not this test's concern; what must never happen is.
-    let hard: Vec<String> = outcome.broken.iter().filter(|b| !TIMED.contains(&b.rule)).map(ToString::to_string).collect();
+    let hard: Vec<String> = outcome
+        .broken
+        .iter()
+        .filter(|b| !TIMED.contains(&b.rule))
+        .map(ToString::to_string)
+        .collect();
     assert!(hard.is_empty(), "{hard:?}; logs in {}", folder.display());
-    assert!(outcome.summary.accepted > 20 && outcome.summary.done > 10, "{:?}", outcome.summary);
+    assert!(
+        outcome.summary.accepted > 20 && outcome.summary.done > 10,
+        "{:?}",
+        outcome.summary
+    );
     let _ = std::fs::remove_dir_all(&folder);
 }
 
--- a/rehearsal/tests/operator.rs
+++ b/rehearsal/tests/operator.rs
@@ -20,7 +20,8 @@
             .expect("the program runs");
         (
             out.status.code().unwrap_or(-1),
-            String::from_utf8_lossy(&out.stdout).to_string() + &String::from_utf8_lossy(&out.stderr),
+            String::from_utf8_lossy(&out.stdout).to_string()
+                + &String::from_utf8_lossy(&out.stderr),
         )
     }
     fn ok(&self, words: &[&str]) -> Value {
@@ -38,7 +39,8 @@
 
 #[test]
 fn an_operator_declares_rolls_out_halts_and_drains() {
-    let folder = std::env::temp_dir().join(format!("landingdrift-test-operator-{}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("landingdrift-test-operator-{}", std::process::id()));
     let o = Options {
         shape: Shape::Gunasekera,
         seconds: 0,
@@ -51,18 +53,43 @@
         talk: false,
     };
     let fleet = Fleet::start(&o).unwrap_or_else(|e| panic!("{e}"));
-    let at: Vec<String> = fleet.procs.iter().filter(|p| !p.core).map(|p| p.http.clone()).collect();
-    let d = Desk { fleet, at: at.join(",") };
+    let at: Vec<String> = fleet
+        .procs
+        .iter()
+        .filter(|p| !p.core)
+        .map(|p| p.http.clone())
+        .collect();
+    let d = Desk {
+        fleet,
+        at: at.join(","),
+    };
     let mut desired = Shape::Gunasekera.desired();
     let first = write(&folder, "first.json", &desired);
-    assert_eq!(d.ok(&["apply", &first, "--wait"])["inForceEverywhere"], true);
-    assert_eq!(d.ask(&["apply", &first, "--base", "0"]).0, 4, "a rival came first");
-    assert_eq!(d.ok(&["drain", "z1", "--wait"])["status"]["state"], "draining");
+    assert_eq!(
+        d.ok(&["apply", &first, "--wait"])["inForceEverywhere"],
+        true
+    );
+    assert_eq!(
+        d.ask(&["apply", &first, "--base", "0"]).0,
+        4,
+        "a rival came first"
+    );
+    assert_eq!(
+        d.ok(&["drain", "z1", "--wait"])["status"]["state"],
+        "draining"
+    );
     d.ok(&["drain", "z2", "--worker", "w5"]);
     d.ok(&["restore", "z1"]);
     let job = serde_json::json!({"id": "j", "queue": "pickups", "tasks": [{"name": "a", "service": "trade", "room": 1}]});
-    assert_eq!(d.ok(&["submit", &write(&folder, "job.json", &job)])["id"], "j");
-    assert_eq!(d.ok(&["job", "j"])["state"], "waiting", "there are no workers");
+    assert_eq!(
+        d.ok(&["submit", &write(&folder, "job.json", &job)])["id"],
+        "j"
+    );
+    assert_eq!(
+        d.ok(&["job", "j"])["state"],
+        "waiting",
+        "there are no workers"
+    );
     assert_eq!(d.ok(&["cancel", "j"])["state"], "cancelled");
     assert_eq!(d.ask(&["job", "none"]).0, 1);
     // A roll-out in stages, and one that a node does not follow.
@@ -70,22 +97,49 @@
     desired["queues"]["pickups"]["quota"] = 77.into();
     desired["notes"]["stage"] = "two".into();
     let second = write(&folder, "second.json", &desired);
-    assert_eq!(d.ok(&["rollout", &second, "--stages", "pickups,recounts", "--watch", "1"])["stages"], 3);
+    assert_eq!(
+        d.ok(&[
+            "rollout",
+            &second,
+            "--stages",
+            "pickups,recounts",
+            "--watch",
+            "1"
+        ])["stages"],
+        3
+    );
     let before = d.ok(&["get"]);
     assert_eq!(before["desired"]["queues"]["pickups"]["quota"], 77);
     desired["queues"]["pickups"]["quota"] = 88.into();
     let third = write(&folder, "third.json", &desired);
     let frozen = d.fleet.procs.iter().position(|p| !p.core).expect("a node");
-    let others: Vec<&String> = at.iter().filter(|a| **a != d.fleet.procs[frozen].http).collect();
+    let others: Vec<&String> = at
+        .iter()
+        .filter(|a| **a != d.fleet.procs[frozen].http)
+        .collect();
     d.fleet.freeze(frozen);
     let out = Command::new(program())
-        .args(["operator", "--within", "0", "--at", others[0], "rollout", &third, "--stages", "pickups", "--watch", "1"])
+        .args([
+            "operator", "--within", "0", "--at", others[0], "rollout", &third, "--stages",
+            "pickups", "--watch", "1",
+        ])
         .output()
         .expect("the program runs");
     d.fleet.wake(frozen);
     let after = d.ok(&["get"]);
-    assert_eq!(out.status.code(), Some(5), "{}", String::from_utf8_lossy(&out.stderr));
-    assert_eq!(after["desired"], before["desired"], "what was in force before is so again");
-    assert!(after["version"].as_u64() > before["version"].as_u64(), "as a new version");
+    assert_eq!(
+        out.status.code(),
+        Some(5),
+        "{}",
+        String::from_utf8_lossy(&out.stderr)
+    );
+    assert_eq!(
+        after["desired"], before["desired"],
+        "what was in force before is so again"
+    );
+    assert!(
+        after["version"].as_u64() > before["version"].as_u64(),
+        "as a new version"
+    );
     let _ = std::fs::remove_dir_all(&folder);
 }
--- a/rehearsal/tests/promises.rs
+++ b/rehearsal/tests/promises.rs
@@ -16,18 +16,38 @@
 
 #[test]
 fn every_row_names_what_is_there_and_nothing_is_without_a_row() {
-    let text = std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/promises.md")).expect("docs/promises.md is there");
+    let text =
+        std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/promises.md"))
+            .expect("docs/promises.md is there");
     let named = |kind: &str| -> BTreeSet<String> {
         text.split('`')
             .skip(1)
             .step_by(2)
-            .filter_map(|t| t.strip_prefix(kind).and_then(|t| t.strip_prefix(':')).map(str::to_string))
+            .filter_map(|t| {
+                t.strip_prefix(kind)
+                    .and_then(|t| t.strip_prefix(':'))
+                    .map(str::to_string)
+            })
             .collect()
     };
-    let scenarios: BTreeSet<String> = stems("scenarios", ".toml").iter().map(|f| f.trim_end_matches(".toml").to_string()).collect();
+    let scenarios: BTreeSet<String> = stems("scenarios", ".toml")
+        .iter()
+        .map(|f| f.trim_end_matches(".toml").to_string())
+        .collect();
     assert_eq!(named("scenario"), scenarios, "scenarios");
-    assert_eq!(named("checker"), ALL.iter().map(|(r, _)| r.to_string()).collect(), "checkers");
-    assert_eq!(named("fault"), Kind::ALL.iter().map(|k| k.name()).collect(), "kinds of faults");
-    let tests: BTreeSet<String> = stems("tests", ".rs").union(&stems("../landingdrift/tests", ".rs")).cloned().collect();
+    assert_eq!(
+        named("checker"),
+        ALL.iter().map(|(r, _)| r.to_string()).collect(),
+        "checkers"
+    );
+    assert_eq!(
+        named("fault"),
+        Kind::ALL.iter().map(|k| k.name()).collect(),
+        "kinds of faults"
+    );
+    let tests: BTreeSet<String> = stems("tests", ".rs")
+        .union(&stems("../landingdrift/tests", ".rs"))
+        .cloned()
+        .collect();
     assert_eq!(named("test"), tests, "tests");
 }
--- a/rehearsal/tests/scenarios.rs
+++ b/rehearsal/tests/scenarios.rs
@@ -10,7 +10,12 @@
         let (report, broken) = rehearse(&s, *seed);
         let told: Vec<String> = broken.iter().take(5).map(ToString::to_string).collect();
         if !told.is_empty() {
-            return Err(format!("seed {seed}; repeat it with: rehearsal run {} --seed {seed}\n{}", path.display(), told.join("\n")).into());
+            return Err(format!(
+                "seed {seed}; repeat it with: rehearsal run {} --seed {seed}\n{}",
+                path.display(),
+                told.join("\n")
+            )
+            .into());
         }
         let s = &report.summary;
         if s.accepted == 0 || s.done == 0 || s.starts < s.done {
--- a/rehearsal/tests/simulator.rs
+++ b/rehearsal/tests/simulator.rs
@@ -23,7 +23,12 @@
     // What the scenarios rely on really happens: disks lose, workers are lost, leaders change.
     let seen = |file: &str, seed: u64, counter: &str| {
         let s = Scenario::load(&format!("scenarios/{file}.toml")).expect("the scenario is there");
-        rehearse(&s, seed).0.counters.get(counter).copied().unwrap_or(0)
+        rehearse(&s, seed)
+            .0
+            .counters
+            .get(counter)
+            .copied()
+            .unwrap_or(0)
     };
     assert!(seen("tail", 2, "core_disk_losses_seen") >= 1);
     assert!(seen("workers", 1, "node_workers_lost") >= 3);
@@ -31,5 +36,8 @@
     assert!(seen("core", 1, "node_own_freezes") >= 1);
     let refused = seen("upgrade", 1, "frames_of_another_version");
     assert!(refused > 100, "builds of two versions met {refused} times");
-    assert!(seen("replace", 1, "core_captures_installed") + seen("replace", 1, "core_entries_applied") > 0);
+    assert!(
+        seen("replace", 1, "core_captures_installed") + seen("replace", 1, "core_entries_applied")
+            > 0
+    );
 }
