--- a/landingdrift/src/record/apply/workers.rs
+++ b/landingdrift/src/record/apply/workers.rs
@@ -136,7 +136,10 @@
         ends: &[EndReport],
     ) -> Ruling {
         let at = self.at;
-        for no in running {
+        // A word that something runs may come late: after its worker was lost or started anew it says nothing.
+        let known = self.workers.get(worker);
+        let heard = known.is_some_and(|w| !w.lost && w.facts.incarnation == incarnation);
+        for no in running.iter().filter(|_| heard) {
             let ours = self
                 .send(*no)
                 .is_some_and(|(_, _, s)| s.worker == worker && s.incarnation == incarnation);
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -739,3 +739,31 @@
     assert_eq!(d.r.runnable(d.at), 1);
     assert_eq!(d.r.runnable(d.at + 60_000), 3);
 }
+
+#[test]
+fn a_late_word_of_running_revives_nothing_once_the_worker_is_lost_or_started_anew() {
+    for anew in [false, true] {
+        let mut d = Desk::new();
+        d.accept("j", vec![task("a")]).expect("accepted");
+        d.start("j", &[(0, "w")]).expect("started");
+        if anew {
+            d.facts("w", 2, false);
+        } else {
+            d.ok(Command::Lost {
+                worker: "w".into(),
+                incarnation: 1,
+                cell_epoch: 1,
+            });
+        }
+        d.ok(Command::Report {
+            worker: "w".into(),
+            incarnation: 1,
+            running: vec![1],
+            ends: vec![],
+        });
+        let state = d.r.send(1).map(|(_, _, s)| s.state);
+        assert_eq!(state, Some(SendState::Unsure), "started anew: {anew}");
+        d.end("w", 1, Outcome::Well);
+        assert_eq!(d.state("j"), JobState::Done, "a late end still counts");
+    }
+}
