Checkers and fleet: one way to say what broke, one list of nodes; no change of behaviour

Also a node:N target on the fleet could hit a core that had replaced another. Ruled out: merging the two waits of the state rule, which differ.

--- a/rehearsal/src/checkers/jobs.rs
+++ b/rehearsal/src/checkers/jobs.rs
@@ -12,13 +12,7 @@
     let mut accepted: BTreeMap<&str, u64> = BTreeMap::new();
     let mut ends: BTreeMap<&str, &str> = BTreeMap::new();
     let mut out = Vec::new();
-    let mut say = |t, what| {
-        out.push(Broken {
-            rule: "never forgotten",
-            t,
-            what,
-        })
-    };
+    let mut say = |t, what| out.push(Broken::new("never forgotten", t, what));
     for a in &h.events {
         match &a.e {
             Event::Submitted {
@@ -92,10 +86,12 @@
     unknown_times(h, p)
         .into_iter()
         .filter(|(_, _, ms)| *ms > p.state)
-        .map(|(id, t, ms)| Broken {
-            rule: "state within its bound",
-            t,
-            what: format!("the state of job {id} could not be told for {ms} ms"),
+        .map(|(id, t, ms)| {
+            Broken::new(
+                "state within its bound",
+                t,
+                format!("the state of job {id} could not be told for {ms} ms"),
+            )
         })
         .collect()
 }
@@ -196,10 +192,12 @@
                     .get(job.as_str())
                     .filter(|j| !j.accepted)
                     .and_then(|j| j.refused);
-                out.extend(refused.map(|t| Broken {
-                    rule: "turned away never runs",
-                    t: a.t,
-                    what: format!("job {job} was turned away at {t} and started on {worker}"),
+                out.extend(refused.map(|t| {
+                    Broken::new(
+                        "turned away never runs",
+                        a.t,
+                        format!("job {job} was turned away at {t} and started on {worker}"),
+                    )
                 }));
             }
             _ => {}
@@ -220,14 +218,14 @@
             Event::Started { job, task, .. }
                 if acked.get(job.as_str()).is_some_and(|t| a.t > t + p.cancel) =>
             {
-                out.push(Broken {
-                    rule: "cancelled stays cancelled",
-                    t: a.t,
-                    what: format!(
+                out.push(Broken::new(
+                    "cancelled stays cancelled",
+                    a.t,
+                    format!(
                         "{job}/{task} started {} ms after its cancel was acknowledged",
                         a.t - acked[job.as_str()]
                     ),
-                })
+                ))
             }
             _ => {}
         }
@@ -249,10 +247,12 @@
             .filter(|(_, (state, unsure))| {
                 !["done", "failed", "cancelled"].contains(&state.as_str()) && !unsure
             })
-            .map(|(id, (state, _))| Broken {
-                rule: "all come to an end",
-                t,
-                what: format!("job {id} is still {state}"),
+            .map(|(id, (state, _))| {
+                Broken::new(
+                    "all come to an end",
+                    t,
+                    format!("job {id} is still {state}"),
+                )
             })
             .collect()
     })
--- a/rehearsal/src/checkers/mod.rs
+++ b/rehearsal/src/checkers/mod.rs
@@ -19,6 +19,12 @@
     pub what: String,
 }
 
+impl Broken {
+    pub fn new(rule: &'static str, t: u64, what: String) -> Self {
+        Self { rule, t, what }
+    }
+}
+
 impl std::fmt::Display for Broken {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(f, "{} ms: {}: {}", self.t, self.rule, self.what)
--- a/rehearsal/src/checkers/runs.rs
+++ b/rehearsal/src/checkers/runs.rs
@@ -95,23 +95,23 @@
         for (i, r) in of.iter().enumerate() {
             for before in &of[..i] {
                 if before.to > r.from {
-                    out.push(Broken {
-                        rule: "no repeat without leave",
-                        t: r.from,
-                        what: format!(
+                    out.push(Broken::new(
+                        "no repeat without leave",
+                        r.from,
+                        format!(
                             "{job}/{name} started on {} while it ran on {}",
                             r.worker, before.worker
                         ),
-                    });
+                    ));
                 } else if before.outcome == Some(Outcome::Well) {
-                    out.push(Broken {
-                        rule: "no repeat without leave",
-                        t: r.from,
-                        what: format!(
+                    out.push(Broken::new(
+                        "no repeat without leave",
+                        r.from,
+                        format!(
                             "{job}/{name} started again on {} after it had finished well",
                             r.worker
                         ),
-                    });
+                    ));
                 }
             }
         }
@@ -141,10 +141,12 @@
                     .into_iter()
                     .flat_map(|t| &t.depends_on)
                     .find(|d| !well.contains(&(job.as_str(), d.as_str())));
-                out.extend(missing.map(|d| Broken {
-                    rule: "steps in order",
-                    t: a.t,
-                    what: format!("{job}/{name} started before {d} was done"),
+                out.extend(missing.map(|d| {
+                    Broken::new(
+                        "steps in order",
+                        a.t,
+                        format!("{job}/{name} started before {d} was done"),
+                    )
                 }));
             }
             _ => {}
@@ -163,10 +165,12 @@
                 job, task: name, ..
             } => task(&s, job, name)
                 .filter(|t| a.t + p.epoch + p.early < t.due)
-                .map(|t| Broken {
-                    rule: "not before its time",
-                    t: a.t,
-                    what: format!("{job}/{name} started {} ms early", t.due - a.t - p.epoch),
+                .map(|t| {
+                    Broken::new(
+                        "not before its time",
+                        a.t,
+                        format!("{job}/{name} started {} ms early", t.due - a.t - p.epoch),
+                    )
                 }),
             _ => None,
         })
@@ -202,11 +206,11 @@
                 w.insert(*no, *room);
                 let sum: u32 = w.values().sum();
                 if sum > rooms.get(worker.as_str()).copied().unwrap_or(0) {
-                    out.push(Broken {
-                        rule: "room",
-                        t: a.t,
-                        what: format!("{worker} holds {sum} of {:?}", rooms.get(worker.as_str())),
-                    });
+                    out.push(Broken::new(
+                        "room",
+                        a.t,
+                        format!("{worker} holds {sum} of {:?}", rooms.get(worker.as_str())),
+                    ));
                 }
             }
             _ => {}
@@ -247,11 +251,11 @@
                         t.service == *service && t.labels.iter().all(|l| labels.contains(l))
                     });
                 if !fits {
-                    out.push(Broken {
-                        rule: "fitting workers",
-                        t: a.t,
-                        what: format!("{job}/{name} started on {worker}, which does not fit"),
-                    });
+                    out.push(Broken::new(
+                        "fitting workers",
+                        a.t,
+                        format!("{job}/{name} started on {worker}, which does not fit"),
+                    ));
                 }
             }
             _ => {}
@@ -357,11 +361,11 @@
                     .copied()
                     .unwrap_or(0);
                 if had >= most {
-                    out.push(Broken {
-                        rule: "tries",
-                        t: a.t,
-                        what: format!("{job}/{task} started after {had} defects of {most}"),
-                    });
+                    out.push(Broken::new(
+                        "tries",
+                        a.t,
+                        format!("{job}/{task} started after {had} defects of {most}"),
+                    ));
                 }
             }
             _ => {}
@@ -385,14 +389,14 @@
             Event::Started { worker, .. }
                 if left.get(worker.as_str()).is_some_and(|t| a.t > t + p.leave) =>
             {
-                out.push(Broken {
-                    rule: "leaving workers",
-                    t: a.t,
-                    what: format!(
+                out.push(Broken::new(
+                    "leaving workers",
+                    a.t,
+                    format!(
                         "{worker} got work {} ms after it said it leaves",
                         a.t - left[worker.as_str()]
                     ),
-                })
+                ))
             }
             _ => {}
         }
@@ -439,14 +443,14 @@
             Event::Started { worker, .. } => {
                 let since = zone_of.get(worker.as_str()).and_then(|z| closed.get(z));
                 if since.is_some_and(|t| a.t > t + p.empty) {
-                    out.push(Broken {
-                        rule: "emptied zones",
-                        t: a.t,
-                        what: format!(
+                    out.push(Broken::new(
+                        "emptied zones",
+                        a.t,
+                        format!(
                             "{worker} got work {} ms after its zone was emptied",
                             a.t - since.unwrap_or(&0)
                         ),
-                    });
+                    ));
                 }
             }
             _ => {}
@@ -460,19 +464,21 @@
     alone_times(h, p)
         .into_iter()
         .filter(|a| a.ms > if a.struck { p.alone_struck } else { p.alone })
-        .map(|a| Broken {
-            rule: "gangs together",
-            t: a.t,
-            what: format!(
-                "{} was alone for {} ms{}",
-                a.who,
-                a.ms,
-                if a.struck {
-                    ", a member was struck"
-                } else {
-                    ""
-                }
-            ),
+        .map(|a| {
+            Broken::new(
+                "gangs together",
+                a.t,
+                format!(
+                    "{} was alone for {} ms{}",
+                    a.who,
+                    a.ms,
+                    if a.struck {
+                        ", a member was struck"
+                    } else {
+                        ""
+                    }
+                ),
+            )
         })
         .collect()
 }
--- a/rehearsal/src/checkers/system.rs
+++ b/rehearsal/src/checkers/system.rs
@@ -32,13 +32,7 @@
     let mut versions: BTreeMap<u64, &str> = BTreeMap::new();
     let (of, lost) = marks(h);
     let mut out = Vec::new();
-    let mut say = |t, what| {
-        out.push(Broken {
-            rule: "one of two rivals",
-            t,
-            what,
-        })
-    };
+    let mut say = |t, what| out.push(Broken::new("one of two rivals", t, what));
     for a in &h.events {
         match &a.e {
             Event::Configured {
@@ -87,13 +81,7 @@
     let mut out = Vec::new();
     let mut acked: Vec<(u64, u64)> = Vec::new();
     let mut on_node: BTreeMap<&str, u64> = BTreeMap::new();
-    let mut say = |t, what| {
-        out.push(Broken {
-            rule: "configuration never slides back",
-            t,
-            what,
-        })
-    };
+    let mut say = |t, what| out.push(Broken::new("configuration never slides back", t, what));
     for a in &h.events {
         match &a.e {
             Event::Configured {
@@ -152,13 +140,7 @@
     let mut acked: Vec<(u64, u64)> = Vec::new();
     let mut unready: BTreeMap<&str, u64> = BTreeMap::new();
     let mut out = Vec::new();
-    let mut say = |t, what| {
-        out.push(Broken {
-            rule: "configuration takes hold",
-            t,
-            what,
-        })
-    };
+    let mut say = |t, what| out.push(Broken::new("configuration takes hold", t, what));
     for a in &h.events {
         match &a.e {
             Event::Configured {
@@ -256,13 +238,11 @@
         });
         let held = same.count();
         if held >= most as usize {
-            out.push(Broken {
-                rule: "configuration takes hold",
-                t: to,
-                what: format!(
-                    "job {id} was accepted beside {held} unfinished ones, the quota is {most}"
-                ),
-            });
+            out.push(Broken::new(
+                "configuration takes hold",
+                to,
+                format!("job {id} was accepted beside {held} unfinished ones, the quota is {most}"),
+            ));
         }
     }
     out
@@ -290,10 +270,12 @@
         } else {
             missing_service(h, t, until)
         };
-        out.extend(missing.into_iter().map(|what| Broken {
-            rule: "back after an outage",
-            t,
-            what: format!("{what} within {} ms", p.outage),
+        out.extend(missing.into_iter().map(|what| {
+            Broken::new(
+                "back after an outage",
+                t,
+                format!("{what} within {} ms", p.outage),
+            )
         }));
     }
     out
--- a/rehearsal/src/fleet/drive.rs
+++ b/rehearsal/src/fleet/drive.rs
@@ -112,12 +112,7 @@
 /// Runs a fleet's day and checks its history.
 pub fn run(o: &Options) -> Result<Outcome, FleetDefect> {
     let fleet = Fleet::start(o)?;
-    let nodes: Vec<String> = fleet
-        .procs
-        .iter()
-        .filter(|p| !p.core)
-        .map(|p| p.http.clone())
-        .collect();
+    let nodes = fleet.nodes();
     let (tx, rx) = channel();
     let (back, answers) = channel();
     callers(rx, back);
@@ -215,13 +210,7 @@
     }
 
     fn worker_up(&mut self, i: usize) {
-        let nodes: Vec<String> = self
-            .fleet
-            .procs
-            .iter()
-            .filter(|p| !p.core)
-            .map(|p| p.http.clone())
-            .collect();
+        let nodes = self.fleet.nodes();
         let seed = self.draw.number();
         let h = &mut self.hands[i];
         h.life += 1;
@@ -354,7 +343,10 @@
             .unwrap_or(0);
         let x = match f.who.split(':').next() {
             Some("leader") => self.leader(),
-            Some("node") => 3 + number % (self.fleet.procs.len() - 3),
+            Some("node") => {
+                let all = (0..self.fleet.procs.len()).filter(|i| !self.fleet.procs[*i].core);
+                all.clone().nth(number % all.count().max(1)).unwrap_or(0)
+            }
             Some("core") => number % 3,
             _ => number,
         };
@@ -510,13 +502,7 @@
     }
 
     fn close(mut self, epoch: u64) -> Result<Outcome, FleetDefect> {
-        let nodes: Vec<String> = self
-            .fleet
-            .procs
-            .iter()
-            .filter(|p| !p.core)
-            .map(|p| p.http.clone())
-            .collect();
+        let nodes = self.fleet.nodes();
         let ask = |path: &str, query: &str| {
             let tries = (0..30).map(|i| {
                 if i > 0 {
--- a/rehearsal/src/fleet/launch.rs
+++ b/rehearsal/src/fleet/launch.rs
@@ -118,6 +118,12 @@
         })
     }
 
+    /// Where the nodes are called.
+    pub fn nodes(&self) -> Vec<String> {
+        let nodes = self.procs.iter().filter(|p| !p.core);
+        nodes.map(|p| p.http.clone()).collect()
+    }
+
     /// Starts a process that is down.
     pub fn up(&mut self, i: usize) -> Result<(), FleetDefect> {
         let p = &mut self.procs[i];
