--- a/rehearsal/src/checkers/jobs.rs
+++ b/rehearsal/src/checkers/jobs.rs
@@ -3,7 +3,8 @@
 use crate::history::{Event, History};
 use std::collections::BTreeMap;
 
-fn ended(state: &str) -> bool {
+/// Whether a job in this state has come to its end.
+pub fn ended(state: &str) -> bool {
     ["done", "failed", "cancelled"].contains(&state)
 }
 
@@ -244,9 +245,7 @@
     });
     closed.map_or(Vec::new(), |(t, jobs)| {
         jobs.iter()
-            .filter(|(_, (state, unsure))| {
-                !["done", "failed", "cancelled"].contains(&state.as_str()) && !unsure
-            })
+            .filter(|(_, (state, unsure))| !ended(state) && !unsure)
             .map(|(id, (state, _))| {
                 Broken::new(
                     "all come to an end",
--- a/rehearsal/src/checkers/system.rs
+++ b/rehearsal/src/checkers/system.rs
@@ -1,4 +1,5 @@
 use super::conditions::Conditions;
+use super::jobs::ended;
 use super::runs::Limits;
 use super::{Broken, Promised};
 use crate::history::{Event, History};
@@ -219,7 +220,7 @@
                 status: 200,
                 state,
                 ..
-            } if !["done", "failed", "cancelled"].contains(&state.as_str()) => {
+            } if !ended(state) => {
                 unfinished_at.insert(id, a.t);
             }
             _ => {}
