--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -93,7 +93,20 @@
                         && now.mono.saturating_sub(p.heard) < self.cfg.bounds.election()
                 })
             })?;
-        if voters.len() < 3 {
+        // Where a voter is silent, its place is taken, not one more made: the majority must not grow past the living.
+        let heard = |v: &str, within: u64| {
+            v == me
+                || self
+                    .peers
+                    .get(v)
+                    .is_some_and(|p| now.mono.saturating_sub(p.heard) <= within)
+        };
+        let all_there = voters
+            .iter()
+            .all(|v| heard(v, 2 * self.cfg.bounds.election()));
+        if (voters.len() < self.cfg.voters as usize && all_there)
+            || voters.len() < 3.min(self.cfg.voters as usize)
+        {
             let disk = self.peers.get(&learner).map_or(0, |p| p.disk);
             return Some(Command::Core {
                 core: learner,
@@ -101,11 +114,7 @@
                 disk,
             });
         }
-        let silent = voters.into_iter().filter(|v| *v != me).find(|v| {
-            self.peers
-                .get(v)
-                .is_none_or(|p| now.mono.saturating_sub(p.heard) > span)
-        })?;
+        let silent = voters.into_iter().find(|v| !heard(v, span))?;
         self.line(format!(
             "core {silent} was silent for {span} ms: {learner} takes its place"
         ));
@@ -183,17 +192,10 @@
             .collect();
         let queues: BTreeSet<&str> = self
             .record
-            .desired
             .queues
-            .keys()
-            .map(String::as_str)
-            .chain(
-                self.record
-                    .open
-                    .iter()
-                    .filter_map(|id| self.record.jobs.get(id))
-                    .map(|j| j.spec.queue.as_str()),
-            )
+            .iter()
+            .filter(|(_, t)| t.unfinished > 0)
+            .map(|(q, _)| q.as_str())
             .collect();
         let duties = zones
             .iter()
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -10,7 +10,7 @@
 pub use clock::AgreedClock;
 
 use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save, Verdict};
-use crate::record::Record;
+use crate::record::{Command, Record};
 use crate::settings::Settings;
 use crate::views::Views;
 use crate::wire::{Body, Entry, Note};
@@ -275,17 +275,15 @@
         }
         let place = self.record.place;
         for e in self.log.iter().filter(|e| e.index > place) {
-            match serde_json::from_slice::<MemberCommand>(&e.command) {
-                Ok(MemberCommand::Found { cores }) => {
-                    m = cores.into_iter().map(|c| (c, true)).collect()
-                }
-                Ok(MemberCommand::Core { core, voter, .. }) => {
+            match Command::unpack(&e.command) {
+                Ok(Command::Found { cores }) => m = cores.into_iter().map(|c| (c, true)).collect(),
+                Ok(Command::Core { core, voter, .. }) => {
                     m.insert(core, voter);
                 }
-                Ok(MemberCommand::CoreGone { core }) => {
+                Ok(Command::CoreGone { core }) => {
                     m.remove(&core);
                 }
-                Err(_) => {}
+                _ => {}
             }
         }
         self.members_cache = Some(m.clone());
@@ -503,14 +501,6 @@
     }
 }
 
-/// The commands that change who the cores are.
-#[derive(serde::Deserialize)]
-enum MemberCommand {
-    Found { cores: Vec<String> },
-    Core { core: String, voter: bool },
-    CoreGone { core: String },
-}
-
 impl Part for Core {
     fn step(&mut self, now: Now, msg: Msg) -> Vec<Effect> {
         match msg {
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -7,7 +7,7 @@
 impl Core {
     /// Enters a command into the log; returns its index.
     pub(super) fn push(&mut self, now: Now, command: &Command) -> u64 {
-        let bytes = serde_json::to_vec(command).unwrap_or_default();
+        let bytes = command.pack();
         if matches!(
             command,
             Command::Found { .. } | Command::Core { .. } | Command::CoreGone { .. }
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -14,6 +14,8 @@
     highest_term: u64,
     noted: Option<(u64, u64)>,
     member: Option<bool>,
+    /// Who the cores are, by those that know.
+    told: BTreeSet<String>,
 }
 
 impl Waking {
@@ -27,6 +29,7 @@
             highest_term: 0,
             noted: None,
             member: None,
+            told: BTreeSet::new(),
         }
     }
 }
@@ -91,6 +94,7 @@
                 w.knowing = true;
                 w.farthest = w.farthest.max((m.last_term, m.last_index));
                 w.member = Some(w.member.unwrap_or(false) || m.members.contains(&me));
+                w.told.extend(m.members.iter().cloned());
             }
             if m.noted.index > 0 {
                 w.noted = w.noted.max(Some((m.noted.term, m.noted.index)));
@@ -116,6 +120,7 @@
         if due {
             let mut targets: BTreeSet<String> = self.members().into_keys().collect();
             targets.extend(self.cfg.seeds.iter().cloned());
+            targets.extend(self.views.cores.iter().cloned());
             targets.remove(&me);
             targets.iter().for_each(|a| self.hello(a, false));
             let beat = self.cfg.bounds.heartbeat();
@@ -147,10 +152,13 @@
     /// Ends the waking once all voters were heard, or the wait is over and a majority was.
     fn try_wake(&mut self, now: Now) {
         let me = self.name.clone();
-        let voters = self.voters();
+        let mut voters = self.voters();
         let Some(w) = self.waking.as_ref() else {
             return;
         };
+        if voters.is_empty() {
+            voters = w.told.iter().cloned().collect();
+        }
         let heard = voters
             .iter()
             .filter(|v| **v == me || w.heard.contains(*v))
--- /dev/null
+++ b/landingdrift/src/daemon/traffic/http/manner.rs
@@ -0,0 +1,81 @@
+use crate::kernel::{Request, Verdict};
+use serde_json::Value;
+use std::sync::Arc;
+
+/// A call as it came over HTTP.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Asked {
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+/// An answer as it goes out over HTTP.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+/// What is done with a call.
+pub enum Handling {
+    /// The part is asked, and its verdict told so.
+    Ask(Request, Box<dyn FnOnce(Verdict) -> Reply + Send>),
+    /// It is answered without asking.
+    Reply(Reply),
+}
+
+/// How calls at an address become requests, and verdicts replies.
+#[derive(Clone)]
+pub struct Manner {
+    pub(super) read: Arc<dyn Fn(Asked) -> Handling + Send + Sync>,
+}
+
+impl Manner {
+    /// A manner of one's own.
+    pub fn new(read: Arc<dyn Fn(Asked) -> Handling + Send + Sync>) -> Self {
+        Self { read }
+    }
+}
+
+impl Default for Manner {
+    /// The manner of landingdrift's own pages: JSON, and text where the body is a string.
+    fn default() -> Self {
+        Self::new(Arc::new(read))
+    }
+}
+
+fn read(a: Asked) -> Handling {
+    let req = Request {
+        method: a.method,
+        path: a.path,
+        query: a.query,
+        body: a.body,
+    };
+    Handling::Ask(req, Box::new(write))
+}
+
+/// A verdict in the manner of landingdrift's own pages.
+pub(super) fn write(mut v: Verdict) -> Reply {
+    let retry = Some(v.retry_ms).filter(|ms| *ms > 0);
+    if let (Some(ms), Value::Object(o)) = (retry, &mut v.body) {
+        o.insert("retryMs".into(), ms.into());
+    }
+    let (kind, text) = match v.body {
+        Value::String(s) => ("text/plain; charset=utf-8", s),
+        other => ("application/json", other.to_string() + "\n"),
+    };
+    let headers = retry
+        .map(|ms| ("Retry-After".into(), ms.div_ceil(1000).to_string()))
+        .into_iter()
+        .chain([("Content-Type".into(), kind.into())])
+        .collect();
+    Reply {
+        status: v.status,
+        headers,
+        body: text.into_bytes(),
+    }
+}
--- a/landingdrift/src/desired/check.rs
+++ b/landingdrift/src/desired/check.rs
@@ -86,6 +86,26 @@
             "give at least 1000",
         )?;
     }
+    let mut places = std::collections::BTreeMap::new();
+    for (name, q) in d.queues.iter().filter(|(_, q)| !q.prefix.is_empty()) {
+        let at = |f: &str| format!("queues.{name}.{f}");
+        let other = places.insert((&q.host, &q.prefix), name);
+        ensure(
+            other.is_none(),
+            at("prefix"),
+            "another queue has the same host and prefix: give one of them another",
+        )?;
+        ensure(
+            q.prefix.starts_with('/'),
+            at("prefix"),
+            "begin the prefix with '/'",
+        )?;
+        ensure(
+            d.services.contains_key(&q.service),
+            at("service"),
+            "declare the service, or name one that is declared",
+        )?;
+    }
     for (name, s) in &d.services {
         ensure(
             name_ok(name),
--- a/landingdrift/src/desired/mod.rs
+++ b/landingdrift/src/desired/mod.rs
@@ -21,6 +21,9 @@
     /// Free text that travels with the configuration.
     #[prost(btree_map = "string, string", tag = "4")]
     pub notes: BTreeMap<String, String>,
+    /// A queue that is removed while it holds unfinished jobs runs them to their end; without this it can't be removed.
+    #[prost(bool, tag = "5")]
+    pub retire_queues: bool,
 }
 
 /// A queue and its promise.
@@ -51,6 +54,20 @@
     /// How long an unsure send may stay unsure before it counts as a defect.
     #[prost(uint64, tag = "8")]
     pub unsure_bound_ms: u64,
+    /// The service that runs the tasks of jobs handed in by host and prefix.
+    #[prost(string, tag = "9")]
+    pub service: String,
+    /// Jobs handed in for this host, at a path that begins with the prefix, belong to the queue.
+    #[prost(string, tag = "10")]
+    pub host: String,
+    #[prost(string, tag = "11")]
+    pub prefix: String,
+    /// A promise that grows with the job: so many times its longest chain of work, beside `finishWithinMs`.
+    #[prost(double, tag = "12")]
+    pub stretch: f64,
+    /// Free text that travels with the queue.
+    #[prost(string, tag = "13")]
+    pub note: String,
 }
 
 /// A service that workers offer.
@@ -66,6 +83,12 @@
     /// The most room that a gang may need altogether.
     #[prost(uint32, tag = "3")]
     pub gang_room: u32,
+    /// Workers may carry any label; `labels` lists none.
+    #[prost(bool, tag = "4")]
+    pub any_label: bool,
+    /// Free text that travels with the service.
+    #[prost(string, tag = "5")]
+    pub note: String,
 }
 
 /// What is wanted of a zone.
--- a/landingdrift/src/kernel/mod.rs
+++ b/landingdrift/src/kernel/mod.rs
@@ -31,6 +31,8 @@
     /// When the caller should come back, in milliseconds; 0 for never.
     pub retry_ms: u64,
     pub body: Value,
+    /// The node that gave it, where another passed it on.
+    pub by: String,
 }
 
 impl Verdict {
@@ -38,8 +40,8 @@
     pub fn new(status: u16, body: Value) -> Self {
         Self {
             status,
-            retry_ms: 0,
             body,
+            ..Self::default()
         }
     }
     /// A refusal or defect whose message names the remedy.
--- a/landingdrift/src/lib.rs
+++ b/landingdrift/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod operator;
 pub mod record;
+pub mod relay;
 pub mod replay;
 pub mod settings;
 pub mod views;
--- /dev/null
+++ b/landingdrift/src/node/calls/at.rs
@@ -0,0 +1,82 @@
+//! Jobs handed in by host and path: the queue whose host and longest prefix fit takes them.
+
+use super::Origin;
+use crate::kernel::{Now, Request, Verdict};
+use crate::node::Node;
+use crate::record::{JobSpec, JobState};
+use serde_json::json;
+
+const AT: &str = "/v1/at/";
+
+impl Node {
+    /// The queue that a host and path belong to.
+    fn routed(&self, host: &str, path: &str) -> Option<(&str, &crate::desired::Queue)> {
+        let host = host.split(':').next().unwrap_or_default();
+        self.record
+            .desired
+            .queues
+            .iter()
+            .filter(|(_, q)| !q.prefix.is_empty() && q.host.eq_ignore_ascii_case(host))
+            .filter(|(_, q)| path.starts_with(&q.prefix))
+            .max_by_key(|(_, q)| q.prefix.len())
+            .map(|(k, q)| (k.as_str(), q))
+    }
+
+    pub(super) fn on_routed(&mut self, now: Now, origin: Origin, req: &Request) {
+        let rest = req.path.strip_prefix(AT).unwrap_or_default();
+        let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+        if !self.fresh(now) || self.record.version == 0 {
+            let v = Verdict::error(503, "notReady", "this node has no configuration that is new enough, and took nothing: come back later, or go to another node");
+            return self.reply(&origin, v.retry(self.cfg.bounds.back()));
+        }
+        let Some((queue, service, prefix)) = self
+            .routed(host, path)
+            .map(|(k, q)| (k.to_string(), q.service.clone(), q.prefix.len()))
+        else {
+            let v = Verdict::error(
+                404,
+                "noSuchQueue",
+                "no queue has this host and path: declare one, or correct the call",
+            );
+            return self.reply(&origin, v);
+        };
+        let id = path[prefix..].trim_matches('/').to_string();
+        match (req.method.as_str(), id.as_str()) {
+            ("GET", "") => {
+                let waiting = self.waiting(&queue);
+                self.reply(&origin, Verdict::new(200, json!({"waiting": waiting})));
+            }
+            ("POST", _) => match serde_json::from_slice::<JobSpec>(&req.body) {
+                Ok(mut spec) => {
+                    (spec.id, spec.queue) = (id, queue);
+                    spec.steps
+                        .iter_mut()
+                        .for_each(|s| s.task.service = service.clone());
+                    spec.tasks
+                        .iter_mut()
+                        .for_each(|t| t.service = service.clone());
+                    self.submit_spec(now, origin, spec);
+                }
+                Err(e) => self.reply(&origin, Verdict::error(400, "wrongJob", e.to_string())),
+            },
+            ("GET", id) => self.poll(now, origin, id),
+            ("DELETE", id) => self.cancel(now, origin, id),
+            _ => self.reply(
+                &origin,
+                Verdict::error(
+                    405,
+                    "wrongMethod",
+                    "POST hands a job in, GET tells its state, DELETE cancels it",
+                ),
+            ),
+        }
+    }
+
+    /// Jobs of a queue that hold nothing yet.
+    fn waiting(&self, queue: &str) -> usize {
+        let jobs = self.record.open.iter();
+        jobs.filter_map(|id| self.record.jobs.get(id))
+            .filter(|j| j.spec.queue == queue && j.state == JobState::Waiting)
+            .count()
+    }
+}
--- a/landingdrift/src/node/calls/desired.rs
+++ b/landingdrift/src/node/calls/desired.rs
@@ -25,6 +25,13 @@
                 Verdict::error(400, "noBase", "base: name the version the change is made on top of, as in ?base=3 (0 for the first)"),
             );
         };
+        let number = param(&req.query, "version").map_or(Ok(0), str::parse::<u64>);
+        let Ok(number) = number else {
+            return self.reply(
+                &origin,
+                Verdict::error(400, "wrongVersion", "version: give the number that the change is to become, above the current one, or leave it out"),
+            );
+        };
         let change = param(&req.query, "change")
             .map_or_else(|| format!("c{:x}", self.draw.number()), str::to_string);
         let value =
@@ -57,6 +64,7 @@
                 change: change.clone(),
                 base,
                 patch,
+                number,
                 value,
             },
             Purpose::Call(call, Then::Configured { change }),
@@ -84,6 +92,17 @@
         }
     }
 
+    /// Begins or ends the emptying of a zone.
+    pub(super) fn empty_zone(&mut self, now: Now, origin: Origin, zone: &str, on: bool) {
+        let within = self.cfg.bounds.call();
+        let call = self.open(now, origin, State::Proposed);
+        let command = Command::Empty {
+            zone: zone.into(),
+            on,
+        };
+        self.propose(now, &command, Purpose::Call(call, Then::Emptied), within);
+    }
+
     /// How far a change has come, node by node.
     pub(super) fn change_verdict(&self, id: &str, nodes: &[NodePlace]) -> Verdict {
         self.record.changes.iter().find(|c| c.change == id).map_or_else(
--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -11,13 +11,12 @@
 /// What is said of a job.
 fn describe(j: &Job) -> Value {
     let tasks: Vec<Value> = j
-        .spec
         .tasks
         .iter()
-        .zip(&j.tasks)
-        .map(|(s, t)| {
+        .enumerate()
+        .map(|(i, t)| {
             let unsure = t.sends.iter().any(|x| x.state == SendState::Unsure);
-            let mut v = json!({"name": s.name, "state": t.state, "defects": t.defects, "sends": t.sends});
+            let mut v = json!({"name": j.name(i), "state": t.state, "defects": t.defects, "sends": t.sends});
             if unsure {
                 v["unsure"] = json!("its worker fell silent: it ends by the worker's late report, an operator's word or the queue's bound");
             }
@@ -44,11 +43,16 @@
                 ),
             );
         }
-        let spec = JobSpec::read(body).and_then(|s| s.check().map(|_| s));
-        let spec = match spec {
-            Ok(s) => s,
-            Err(e) => return self.reply(&origin, Verdict::error(400, "wrongJob", e.to_string())),
-        };
+        match JobSpec::read(body) {
+            Ok(s) => self.submit_spec(now, origin, s),
+            Err(e) => self.reply(&origin, Verdict::error(400, "wrongJob", e.to_string())),
+        }
+    }
+
+    pub(super) fn submit_spec(&mut self, now: Now, origin: Origin, spec: JobSpec) {
+        if let Err(e) = spec.check() {
+            return self.reply(&origin, Verdict::error(400, "wrongJob", e.to_string()));
+        }
         if !self.record.open.contains(&spec.id)
             && self.record.open.len() as u64 >= self.cfg.limits.open_jobs
         {
@@ -108,6 +112,9 @@
                     Refusal::OverQuota { .. } | Refusal::TurnedAway => {
                         Verdict::error(429, "overQuota", r.to_string()).retry(2 * back)
                     }
+                    Refusal::Invalid { ref path, .. } if path == "queue" => {
+                        Verdict::error(404, "noSuchQueue", r.to_string())
+                    }
                     _ => Verdict::error(400, "wrongJob", r.to_string()),
                 }
             }
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -1,5 +1,6 @@
 //! Calls over HTTP, each with its origin; any node takes any call.
 
+mod at;
 mod desired;
 mod jobs;
 mod status;
@@ -28,6 +29,7 @@
     Cancelled { id: String },
     Configured { change: String },
     Resolved { id: String },
+    Emptied,
 }
 
 /// What is done once this node has followed to a place that the core named.
@@ -136,8 +138,12 @@
             ("GET", ["v1", "changes", id]) => self.read(now, origin, ReadThen::Change { id: id.to_string() }),
             ("GET", ["v1", "status"]) => self.read(now, origin, ReadThen::Status),
             ("GET", ["v1", "workers"]) => self.read(now, origin, ReadThen::Workers),
+            (_, ["v1", "at", ..]) => self.on_routed(now, origin, &req),
+            ("PUT", ["v1", "zones", zone, "empty"]) => self.empty_zone(now, origin, zone, true),
+            ("DELETE", ["v1", "zones", zone, "empty"]) => self.empty_zone(now, origin, zone, false),
+            ("POST", ["v1", "workers", id, "left"]) => self.on_left(now, origin, id, &req),
             ("POST", ["v1", "beats"]) => self.on_beat(now, origin, req),
-            (_, ["v1", "jobs" | "desired" | "beats" | "status" | "workers", ..] | ["live" | "ready" | "metrics"]) => self.reply(
+            (_, ["v1", "jobs" | "desired" | "beats" | "status" | "workers" | "zones", ..] | ["live" | "ready" | "metrics"]) => self.reply(
                 &origin,
                 Verdict::error(405, "wrongMethod", format!("{} is not served here: docs/operators/api.md lists the methods of each route", req.method)),
             ),
@@ -155,6 +161,11 @@
                     status: v.status,
                     retry_ms: v.retry_ms,
                     body,
+                    by: if v.by.is_empty() {
+                        self.name.clone()
+                    } else {
+                        v.by
+                    },
                 };
                 self.send(&to.clone(), Body::Forwarded(Box::new(m)));
             }
@@ -347,6 +358,7 @@
             Then::Accepted { id } => self.accepted_verdict(&id, ruled),
             Then::Cancelled { id } => self.cancelled_verdict(&id, ruled),
             Then::Configured { change } => self.configured_verdict(&change, place, ruled),
+            Then::Emptied => Verdict::new(200, ruled.unwrap_or_default()),
             Then::Resolved { id } => ruled.map_or_else(
                 |r| Verdict::error(409, "refused", r.to_string()),
                 |_| Verdict::new(200, json!({"id": id, "resolved": true})),
@@ -407,6 +419,19 @@
         }
     }
 
+    /// A worker has left: the holder of its cell takes note.
+    fn on_left(&mut self, now: Now, origin: Origin, worker: &str, req: &Request) {
+        let known = self.record.workers.get(worker);
+        let zone = known.map(|w| w.facts.zone.clone()).unwrap_or_default();
+        let holder = self.record.holder(&cell_duty(&zone));
+        let holder = holder.map(|g| g.holder.clone()).unwrap_or_default();
+        if !holder.is_empty() && holder != self.name && matches!(origin, Origin::Local(_)) {
+            return self.pass_on(now, origin, &holder, req);
+        }
+        self.left(now, worker);
+        self.reply(&origin, Verdict::new(200, json!({"worker": worker})));
+    }
+
     /// A zone that nobody declared and no node stands in has no cell.
     fn found_zone(&mut self, beat: &Beat) -> Verdict {
         Verdict::error(
@@ -454,6 +479,7 @@
                 status: m.status,
                 retry_ms: m.retry_ms,
                 body,
+                by: m.by,
             },
         );
     }
--- a/landingdrift/src/node/calls/status.rs
+++ b/landingdrift/src/node/calls/status.rs
@@ -64,7 +64,7 @@
             .workers
             .values()
             .map(|w| {
-                json!({"worker": w.facts.worker, "zone": w.facts.zone, "service": w.facts.service, "labels": w.facts.labels, "room": w.facts.room, "used": w.used,
+                json!({"worker": w.facts.worker, "zone": w.facts.zone, "service": w.facts.service, "labels": w.facts.labels, "room": w.facts.room, "used": w.used.cpu, "memory": w.facts.memory, "memoryUsed": w.used.memory,
                        "leaving": w.facts.leaving, "lost": w.lost, "onProbation": w.probation > 0, "incarnation": w.facts.incarnation, "sends": w.sends})
             })
             .collect();
--- a/landingdrift/src/node/cell.rs
+++ b/landingdrift/src/node/cell.rs
@@ -3,7 +3,9 @@
 use super::propose::Purpose;
 use super::Node;
 use crate::kernel::{Now, Verdict};
-use crate::record::{cell_duty, Command, EndReport, SendState, WorkerFacts};
+use crate::record::{
+    cell_duty, Command, EndReport, Outcome, Room, RunName, SendState, TaskState, WorkerFacts,
+};
 use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -19,13 +21,26 @@
     /// Repeated until the answer says that they are settled.
     #[serde(default)]
     pub ended: Vec<EndReport>,
+    /// Rises with each beat of a worker, so that a late one is known; 0 where it isn't counted.
+    #[serde(default)]
+    pub call: u64,
+    /// The worker keeps runs by their names: stops are told by names, too.
+    #[serde(default)]
+    pub named: bool,
 }
 
 /// A send that is running on a worker.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct Running {
+    #[serde(default)]
     pub no: u64,
+    /// In place of `no`.
+    #[serde(default)]
+    pub name: Option<RunName>,
+    /// Its newest checkpoint.
+    #[serde(default)]
+    pub checkpoint: String,
     /// How far it is, in parts of a thousand, where the worker knows.
     #[serde(default)]
     pub progress: u32,
@@ -43,7 +58,7 @@
 pub struct Held {
     pub last_beat: u64,
     leaving: bool,
-    room: u32,
+    room: Room,
     queue: Vec<Reservation>,
     episode: Option<Episode>,
     /// Room promised to accepted offers that the record does not show yet.
@@ -51,6 +66,17 @@
     idle_until: u64,
     facts_asked: bool,
     report_asked: bool,
+    /// Its sends are being ended since its hold has passed: it is not held on meanwhile.
+    lapsing: bool,
+    /// When its hold was last renewed, by this node's clock; or when it said that it left.
+    renewed: u64,
+    left: Option<u64>,
+    /// The first call heard by this holder, and the newest.
+    first_call: u64,
+    call: u64,
+    /// Starts given, each with the newest call whose answer had it.
+    given: BTreeMap<u64, u64>,
+    checkpoints: BTreeMap<u64, String>,
     pub progress: BTreeMap<u64, u32>,
 }
 
@@ -58,7 +84,7 @@
 struct Promise {
     offer: u64,
     job: String,
-    room: u32,
+    room: Room,
     until: u64,
 }
 
@@ -95,12 +121,12 @@
                     },
                 );
             }
-            let known: Vec<(String, u32)> = self
+            let known: Vec<(String, Room)> = self
                 .record
                 .workers
                 .iter()
                 .filter(|(_, w)| w.facts.zone == zone)
-                .map(|(k, w)| (k.clone(), w.facts.room))
+                .map(|(k, w)| (k.clone(), w.facts.all_room()))
                 .collect();
             let cell = self.cells.entry(zone.clone()).or_default();
             cell.workers
@@ -108,6 +134,7 @@
             for (k, room) in known {
                 cell.workers.entry(k).or_insert_with(|| Held {
                     last_beat: now.mono,
+                    renewed: now.mono,
                     room,
                     ..Held::default()
                 });
@@ -116,7 +143,7 @@
     }
 
     /// The verdict on a beat, by the holder of the worker's cell.
-    pub(super) fn beat(&mut self, now: Now, beat: Beat) -> Verdict {
+    pub(super) fn beat(&mut self, now: Now, mut beat: Beat) -> Verdict {
         let zone = beat.facts.zone.clone();
         let id = beat.facts.worker.clone();
         let Some(epoch) = self.epoch(&cell_duty(&zone)).filter(|_| self.fresh(now)) else {
@@ -129,6 +156,34 @@
         };
         self.hold_cells(now);
         self.count("beats", 1);
+        let late = self
+            .cells
+            .get(&zone)
+            .and_then(|c| c.workers.get(&id))
+            .is_some_and(|w| w.lapsing || (beat.call > 0 && beat.call < w.call));
+        if late {
+            return Verdict::error(
+                503,
+                "lateBeat",
+                "a newer beat of this worker was heard, or what it ran is being ended: beat again",
+            )
+            .retry(self.cfg.bounds.beat());
+        }
+        // What the record does not know as live gets number 0.
+        let number = |name: &Option<RunName>, no: u64| {
+            name.as_ref()
+                .map_or(no, |n| self.record.named(&id, n).unwrap_or(0))
+        };
+        let running: Vec<u64> = beat.running.iter().map(|r| number(&r.name, r.no)).collect();
+        let ended: Vec<u64> = beat.ended.iter().map(|e| number(&e.name, e.no)).collect();
+        running
+            .into_iter()
+            .zip(&mut beat.running)
+            .for_each(|(no, r)| r.no = no);
+        ended
+            .into_iter()
+            .zip(&mut beat.ended)
+            .for_each(|(no, e)| e.no = no);
         let known = self.record.workers.get(&id).cloned().unwrap_or_default();
         if beat.facts.incarnation < known.facts.incarnation {
             return Verdict::error(
@@ -138,11 +193,14 @@
             );
         }
         let new_facts = known.facts != beat.facts || known.lost;
-        let ends: Vec<EndReport> = beat
+        let mut ends: Vec<EndReport> = beat
             .ended
             .iter()
             .filter(|e| self.record.live.contains_key(&e.no))
-            .cloned()
+            .map(|e| EndReport {
+                name: None,
+                ..e.clone()
+            })
             .collect();
         let running: Vec<u64> = beat
             .running
@@ -162,9 +220,46 @@
             .entry(id.clone())
             .or_default();
         held.last_beat = now.mono;
+        held.renewed = now.mono;
+        held.call = held.call.max(beat.call);
+        if held.first_call == 0 {
+            held.first_call = beat.call;
+        }
+        // Calls follow one another, and an answer that comes after the next call is dropped. So what is not wanted any
+        // more, and what a call does not show whose order went with an earlier answer, was never started and never will be.
+        let shown: BTreeSet<u64> = beat
+            .running
+            .iter()
+            .map(|r| r.no)
+            .chain(beat.ended.iter().map(|e| e.no))
+            .collect();
+        let sends = self.record.workers.get(&id).map(|w| &w.sends);
+        held.given
+            .retain(|no, _| sends.is_some_and(|s| s.contains(no)));
+        if beat.call > held.first_call {
+            let gone = sends.into_iter().flatten().filter(|no| {
+                !shown.contains(no)
+                    && held.given.get(no).is_none_or(|c| *c < beat.call)
+                    && self.record.send(**no).is_some_and(|(_, _, s)| {
+                        s.incarnation == beat.facts.incarnation
+                            && (s.stop || s.state == SendState::Unsure)
+                    })
+            });
+            ends.extend(gone.map(|no| EndReport {
+                no: *no,
+                outcome: Outcome::Void,
+                ..EndReport::default()
+            }));
+        }
         held.leaving = beat.facts.leaving;
-        held.room = beat.facts.room;
+        held.room = beat.facts.all_room();
         held.progress = beat.running.iter().map(|r| (r.no, r.progress)).collect();
+        held.checkpoints = beat
+            .running
+            .iter()
+            .filter(|r| !r.checkpoint.is_empty())
+            .map(|r| (r.no, r.checkpoint.clone()))
+            .collect();
         let ask_facts = new_facts && !held.facts_asked;
         held.facts_asked |= new_facts;
         let has_report = !ends.is_empty() || !running.is_empty();
@@ -196,11 +291,30 @@
                 within,
             );
         }
-        self.orders(&beat)
+        self.orders(&beat, epoch)
+    }
+
+    /// A worker says that it has left: what ran there is dead in a moment.
+    pub(super) fn left(&mut self, now: Now, worker: &str) {
+        let at = now.mono + self.cfg.bounds.obey();
+        self.cells
+            .values_mut()
+            .filter_map(|c| c.workers.get_mut(worker))
+            .for_each(|w| {
+                w.left = Some(at);
+                w.leaving = true;
+            });
+    }
+
+    pub(super) fn lapse_over(&mut self, worker: &str) {
+        self.cells
+            .values_mut()
+            .filter_map(|c| c.workers.get_mut(worker))
+            .for_each(|w| w.lapsing = false);
     }
 
     /// Start and stop orders, derived from the record; repeated until beats confirm them.
-    fn orders(&mut self, beat: &Beat) -> Verdict {
+    fn orders(&mut self, beat: &Beat, epoch: u64) -> Verdict {
         let f = &beat.facts;
         let reported: BTreeSet<u64> = beat
             .running
@@ -209,7 +323,7 @@
             .chain(beat.ended.iter().map(|e| e.no))
             .collect();
         let open = !f.leaving
-            && self.record.desired.open(&f.zone, &f.worker)
+            && self.record.open(&f.zone, &f.worker)
             && self
                 .record
                 .workers
@@ -219,26 +333,22 @@
             self.record
                 .live
                 .get(no)
-                .and_then(|(j, i)| {
-                    self.record
-                        .jobs
-                        .get(j)
-                        .map(|j| j.spec.tasks[*i as usize].room)
-                })
-                .unwrap_or(0)
+                .and_then(|(j, i)| self.record.jobs.get(j).map(|j| j.of(*i as usize).needs()))
+                .unwrap_or_default()
         };
-        let mut left = f
-            .room
-            .saturating_sub(beat.running.iter().map(|r| room_of(&r.no)).sum());
+        let mut left = beat
+            .running
+            .iter()
+            .fold(f.all_room(), |left, r| left.less(room_of(&r.no)));
         if beat
             .running
             .iter()
             .any(|r| !self.record.live.contains_key(&r.no))
         {
             // What runs there without the record's knowledge takes room that nobody can tell: it ends first.
-            left = 0;
+            left = Room::default();
         }
-        let (mut starts, mut stops) = (Vec::new(), BTreeSet::new());
+        let (mut starts, mut stops, mut named) = (Vec::new(), BTreeSet::new(), Vec::new());
         for no in self
             .record
             .workers
@@ -249,26 +359,31 @@
             let Some((job, task, send)) = self.record.send(no) else {
                 continue;
             };
-            let spec = self
-                .record
-                .live
-                .get(&no)
-                .map(|(_, i)| &job.spec.tasks[*i as usize]);
-            let Some(spec) = spec.filter(|_| send.incarnation == f.incarnation) else {
+            let i = self.record.live.get(&no).map(|(_, i)| *i as usize);
+            let Some(i) = i.filter(|_| send.incarnation == f.incarnation) else {
                 continue;
             };
+            let spec = job.of(i);
             if send.stop || (send.state == SendState::Unsure && !reported.contains(&no)) {
                 stops.insert(no);
+                if beat.named {
+                    named.push(json!([job.spec.id, job.name(i), send.run]));
+                }
             } else if send.state == SendState::Ordered
                 && !reported.contains(&no)
                 && open
                 && f.serves(spec)
                 && !job.cancel
-                && task.state == crate::record::TaskState::Waiting
-                && spec.room <= left
+                && task.state == TaskState::Waiting
+                && left.holds(spec.needs())
             {
-                left -= spec.room;
-                starts.push(json!({"no": no, "job": job.spec.id, "task": spec.name, "room": spec.room, "copy": send.copy, "payload": spec.payload}));
+                left = left.less(spec.needs());
+                let payload = if job.spec.steps.is_empty() {
+                    spec.payload.clone()
+                } else {
+                    json!(job.spec.payload)
+                };
+                starts.push(json!({"no": no, "job": job.spec.id, "task": job.name(i), "run": send.run, "room": spec.room, "copy": send.copy, "payload": payload, "checkpoint": send.checkpoint}));
             }
         }
         // What runs without the record knowing it as live is over for us.
@@ -278,18 +393,44 @@
                 .map(|r| r.no)
                 .filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send),
         );
+        named.extend(
+            beat.running
+                .iter()
+                .filter(|r| r.no == 0)
+                .filter_map(|r| r.name.as_ref())
+                .map(|n| json!([n.job, n.task, n.run])),
+        );
+        let settled_to = beat
+            .ended
+            .iter()
+            .take_while(|e| !self.record.live.contains_key(&e.no))
+            .count();
         let settled: Vec<u64> = beat
             .ended
             .iter()
             .map(|e| e.no)
             .filter(|no| !self.record.live.contains_key(no) && *no < self.record.next_send)
             .collect();
+        if beat.call > 0 {
+            let given: Vec<u64> = starts.iter().filter_map(|s| s["no"].as_u64()).collect();
+            let held = self
+                .cells
+                .get_mut(&f.zone)
+                .and_then(|c| c.workers.get_mut(&f.worker));
+            held.into_iter()
+                .for_each(|w| w.given.extend(given.iter().map(|no| (*no, beat.call))));
+        }
         self.count("start_orders", starts.len() as u64);
         self.count("stop_orders", stops.len() as u64);
-        Verdict::new(
-            200,
-            json!({"starts": starts, "stops": stops, "settled": settled, "beatMs": self.cfg.bounds.beat(), "obeyMs": self.cfg.bounds.obey()}),
-        )
+        let mut answer = json!({"starts": starts, "stops": stops, "settled": settled, "beatMs": self.cfg.bounds.beat(), "obeyMs": self.cfg.bounds.obey(), "epoch": epoch});
+        if self.cfg.bounds.hold_ms > 0 {
+            answer["holdMs"] = json!(self.cfg.bounds.hold_ms);
+        }
+        if beat.named {
+            answer["stopRuns"] = json!(named);
+            answer["settledTo"] = json!(settled_to);
+        }
+        Verdict::new(200, answer)
     }
 
     pub(super) fn proposal_over(&mut self, worker: &str, facts: bool) {
@@ -333,7 +474,8 @@
                 });
             return;
         }
-        let mut lost = Vec::new();
+        let (mut lost, mut lapsed) = (Vec::new(), Vec::new());
+        let hold = self.cfg.bounds.hold_passed();
         for c in self.cells.values_mut() {
             for (k, w) in &mut c.workers {
                 w.pending.retain(|p| now.mono < p.until);
@@ -343,6 +485,18 @@
                 {
                     w.episode = None;
                 }
+                let left = w.left.is_some_and(|at| now.mono >= at);
+                let passed = hold > 0 && now.mono.saturating_sub(w.renewed) > hold;
+                let holds = self
+                    .record
+                    .workers
+                    .get(k)
+                    .is_some_and(|r| !r.sends.is_empty());
+                if (passed || left) && holds && !w.lapsing && !w.facts_asked {
+                    w.lapsing = true;
+                    let known = std::mem::take(&mut w.checkpoints);
+                    lapsed.push((k.clone(), c.epoch, known.into_iter().collect()));
+                }
                 let silent = now.mono.saturating_sub(w.last_beat) > lost_after;
                 if silent && !w.facts_asked && self.record.workers.get(k).is_some_and(|r| !r.lost) {
                     w.facts_asked = true;
@@ -369,6 +523,22 @@
                 self.cfg.bounds.call(),
             );
         }
+        for (worker, cell_epoch, checkpoints) in lapsed {
+            let known = self.record.workers.get(&worker);
+            let incarnation = known.map_or(0, |w| w.facts.incarnation);
+            self.line(format!(
+                "worker {worker} is silent beyond its hold: what ran there is dead"
+            ));
+            self.count("workers_lapsed", 1);
+            let command = Command::Lapse {
+                worker: worker.clone(),
+                incarnation,
+                cell_epoch,
+                checkpoints,
+            };
+            let within = self.cfg.bounds.call();
+            self.propose(now, &command, Purpose::Lapse { worker }, within);
+        }
         self.offer_all(now);
     }
 
@@ -411,32 +581,30 @@
             })
             .collect();
         for (zone, worker) in idle {
-            if self.free_room(&zone, &worker) > 0 {
+            if self.free_room(&zone, &worker).cpu > 0 {
                 self.begin(now, &zone, &worker);
             }
         }
     }
 
-    fn free_room(&self, zone: &str, worker: &str) -> u32 {
+    fn free_room(&self, zone: &str, worker: &str) -> Room {
         let Some(r) = self
             .record
             .workers
             .get(worker)
-            .filter(|r| !r.lost && !r.facts.leaving && self.record.desired.open(zone, worker))
+            .filter(|r| !r.lost && !r.facts.leaving && self.record.open(zone, worker))
         else {
-            return 0;
+            return Room::default();
         };
         let Some(w) = self.cells.get(zone).and_then(|c| c.workers.get(worker)) else {
-            return 0;
+            return Room::default();
         };
         if r.probation > 0 && !(r.sends.is_empty() && w.pending.is_empty()) {
-            return 0;
+            return Room::default();
         }
-        r.facts
-            .room
-            .min(w.room)
-            .saturating_sub(r.used)
-            .saturating_sub(w.pending.iter().map(|p| p.room).sum())
+        let pending = w.pending.iter();
+        let taken = pending.fold(r.used, |sum, p| sum.plus(p.room));
+        r.facts.all_room().least(w.room).less(taken)
     }
 
     fn begin(&mut self, now: Now, zone: &str, worker: &str) {
@@ -479,7 +647,7 @@
             return;
         };
         let Some(e) = w.episode.as_mut() else { return };
-        if room == 0 || e.forced {
+        if room.cpu == 0 || e.forced {
             w.episode = None;
             w.idle_until = now.mono + self.cfg.bounds.heartbeat();
             return;
@@ -536,7 +704,9 @@
             incarnation,
             cell: zone.into(),
             epoch,
-            room,
+            room: room.cpu,
+            memory: room.memory,
+            accelerators: room.accelerators,
             refusable,
         };
         self.send(&scheduler, Body::Offer(Box::new(offer)));
@@ -574,7 +744,11 @@
             w.pending.push(Promise {
                 offer: m.token,
                 job: job.clone(),
-                room: m.room,
+                room: Room {
+                    cpu: m.room,
+                    memory: m.memory,
+                    accelerators: m.accelerators,
+                },
                 until,
             });
             let spent = w.queue.iter_mut().position(|q| {
@@ -637,7 +811,10 @@
             .map(|(offer, room)| Promise {
                 offer,
                 job: "j".into(),
-                room,
+                room: Room {
+                    cpu: room,
+                    ..Room::default()
+                },
                 until: 1000,
             })
             .into();
@@ -652,7 +829,7 @@
         let left: Vec<u32> = n.cells["z"].workers["w"]
             .pending
             .iter()
-            .map(|p| p.room)
+            .map(|p| p.room.cpu)
             .collect();
         assert_eq!(left, [5]);
     }
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -193,7 +193,7 @@
 
     /// Applies one entry and lets the parts take note of what it touches.
     fn follow_entry(&mut self, index: u64, at: u64, bytes: &[u8]) {
-        let command = serde_json::from_slice::<Command>(bytes).ok();
+        let command = Command::unpack(bytes).ok();
         let version = self.record.version;
         match &command {
             Some(Command::Report { ends, .. }) => {
--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -1,7 +1,7 @@
 //! Gangs are placed whole, in one entry of the record.
 
 use super::Node;
-use crate::record::{cell_duty, Placement, Record, TaskSpec, TaskState};
+use crate::record::{cell_duty, Job, Placement, Record, Room, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The gang that has waited longest beyond its patience, and the workers kept for it.
@@ -11,19 +11,19 @@
     pub workers: BTreeSet<String>,
 }
 
-/// Members of a gang that are not done.
-pub fn members(record: &Record, job: &str, gang: &str) -> Vec<u32> {
+/// Members of a task's gang that are not done.
+pub fn members(record: &Record, job: &str, task: u32) -> Vec<u32> {
     record.jobs.get(job).map_or(Vec::new(), |j| {
-        let all = j.spec.tasks.iter().zip(&j.tasks).enumerate();
-        all.filter(|(_, (s, t))| s.gang == gang && t.state != TaskState::Done)
-            .map(|(i, _)| i as u32)
+        let all = j.gang(task as usize).into_iter();
+        all.filter(|i| j.tasks[*i].state != TaskState::Done)
+            .map(|i| i as u32)
             .collect()
     })
 }
 
 /// Whether the whole gang could start now, workers aside.
-pub fn startable(record: &Record, at: u64, job: &str, gang: &str) -> bool {
-    let m = members(record, job, gang);
+pub fn startable(record: &Record, at: u64, job: &str, task: u32) -> bool {
+    let m = members(record, job, task);
     !m.is_empty()
         && m.iter()
             .all(|i| record.may_start(job, *i, false, at).is_ok())
@@ -31,34 +31,29 @@
 
 /// The one gang that others make way for: every node derives the same from the same record, so two never wait for each other.
 pub fn claim(record: &Record, at: u64, patience: u64) -> Option<Claim> {
-    let waiting = record
-        .open
-        .iter()
-        .filter_map(|id| record.jobs.get(id))
-        .filter(|j| !j.cancel && at >= j.accepted + patience);
+    let jobs = record.open.iter().filter_map(|id| record.jobs.get(id));
+    let waiting = jobs.filter(|j| !j.cancel && at >= j.accepted + patience);
     let oldest = waiting
         .filter_map(|j| {
-            let gangs: BTreeSet<&str> = j
-                .spec
-                .tasks
-                .iter()
-                .map(|t| t.gang.as_str())
-                .filter(|g| !g.is_empty())
-                .collect();
-            gangs
-                .into_iter()
-                .find(|g| startable(record, at, &j.spec.id, g))
-                .map(|g| (j.accepted, j, g.to_string()))
+            let first = |i: &usize| {
+                let id = &j.spec.id;
+                members(record, id, *i as u32).first() == Some(&(*i as u32))
+            };
+            let ripe = |i: &usize| at >= j.due(*i) + patience;
+            (0..j.tasks.len())
+                .filter(|i| j.in_gang(*i) && j.tasks[*i].state == TaskState::Waiting)
+                .filter(|i| ripe(i) && first(i))
+                .find(|i| startable(record, at, &j.spec.id, *i as u32))
+                .map(|i| (j.accepted.max(j.due(i)), j, i as u32))
         })
         .min_by(|a, b| (a.0, &a.1.spec.id).cmp(&(b.0, &b.1.spec.id)))?;
-    let (_, job, gang) = oldest;
-    let mut tasks: Vec<&TaskSpec> = members(record, &job.spec.id, &gang)
-        .iter()
-        .map(|i| &job.spec.tasks[*i as usize])
-        .collect();
-    tasks.sort_by_key(|t| std::cmp::Reverse(t.room));
-    let mut left: BTreeMap<&String, u32> = BTreeMap::new();
-    for t in tasks {
+    let (_, job, task) = oldest;
+    let mut tasks = members(record, &job.spec.id, task);
+    tasks.sort_by_key(|i| std::cmp::Reverse(job.of(*i as usize).room));
+    let mut left: BTreeMap<&String, (Room, u32)> = BTreeMap::new();
+    for i in tasks {
+        let t = job.of(i as usize);
+        let apart = |n: u32| t.anti_affinity == 0 || n < t.anti_affinity;
         let fit = |k: &String| {
             record
                 .workers
@@ -68,20 +63,23 @@
         // Workers already kept first, then the roomiest.
         let kept = left
             .iter()
-            .find(|(k, room)| fit(k) && **room >= t.room)
+            .find(|(k, (room, n))| fit(k) && room.holds(t.needs()) && apart(*n))
             .map(|(k, _)| *k);
         let of = kept.or_else(|| {
             record
                 .workers
                 .iter()
-                .filter(|(k, w)| !left.contains_key(k) && fit(k) && w.facts.room >= t.room)
+                .filter(|(k, w)| {
+                    !left.contains_key(k) && fit(k) && w.facts.all_room().holds(t.needs())
+                })
                 .max_by_key(|(k, w)| (w.facts.room, std::cmp::Reverse(k.as_str())))
                 .map(|(k, _)| k)
         })?;
-        let room = left
+        let (room, n) = left
             .entry(of)
-            .or_insert_with(|| record.workers[of].facts.room);
-        *room -= t.room;
+            .or_insert_with(|| (record.workers[of].facts.all_room(), 0));
+        *room = room.less(t.needs());
+        *n += 1;
     }
     Some(Claim {
         job: job.spec.id.clone(),
@@ -93,48 +91,79 @@
     record
         .workers
         .get(worker)
-        .is_some_and(|w| !w.lost && !w.facts.leaving && record.desired.open(&w.facts.zone, worker))
+        .is_some_and(|w| !w.lost && !w.facts.leaving && record.open(&w.facts.zone, worker))
 }
 
 impl Node {
-    /// A placement of the whole gang by the record's view of the room, the offered worker first.
+    /// A placement of the whole gang by the record's view of the room, the offered worker first. A gang that belongs
+    /// on one rack goes there whole if a rack has the room now, and else only when it has waited for `patience`.
     pub(super) fn place_gang(
         &self,
         at: u64,
-        (job, gang): (&str, &str),
+        (job, task): (&str, u32),
         offered: &str,
-        held: &BTreeMap<String, u32>,
+        held: &BTreeMap<String, Room>,
     ) -> Option<Vec<Placement>> {
         let record = &self.record;
-        if !startable(record, at, job, gang) {
+        if !startable(record, at, job, task) {
             return None;
         }
         let j = record.jobs.get(job)?;
-        let mut tasks = members(record, job, gang);
-        tasks.sort_by_key(|i| std::cmp::Reverse(j.spec.tasks[*i as usize].room));
-        let mut free: Vec<(&String, u32)> = record
+        let mut tasks = members(record, job, task);
+        tasks.sort_by_key(|i| std::cmp::Reverse(j.of(*i as usize).room));
+        let near = &j.of(task as usize).near;
+        let mut free: Vec<(&String, &str, Room)> = record
             .workers
             .iter()
             .filter(|(k, _)| takes(record, k))
             .map(|(k, w)| {
-                (
-                    k,
-                    w.facts
-                        .room
-                        .saturating_sub(w.used)
-                        .saturating_sub(held.get(k).copied().unwrap_or(0)),
-                )
+                let taken = w.used.plus(held.get(k).copied().unwrap_or_default());
+                let left = w.facts.all_room().less(taken);
+                (k, w.facts.rack.as_str(), left)
             })
             .collect();
-        free.sort_by_key(|(k, room)| (k.as_str() != offered, std::cmp::Reverse(*room)));
-        let mut out = Vec::new();
+        free.sort_by_key(|(k, rack, room)| {
+            let far = !near.is_empty() && near != rack && near != *k;
+            (far, k.as_str() != offered, std::cmp::Reverse(room.cpu))
+        });
+        if !j.of(task as usize).same_rack {
+            return self.spread(job, j, &tasks, free);
+        }
+        let mut racks: Vec<&str> = Vec::new();
+        free.iter()
+            .filter(|(_, r, _)| !r.is_empty())
+            .for_each(|(_, r, _)| {
+                if !racks.contains(r) {
+                    racks.push(r)
+                }
+            });
+        let whole = racks.iter().find_map(|rack| {
+            let of = free.iter().filter(|(_, r, _)| r == rack).copied();
+            self.spread(job, j, &tasks, of.collect())
+        });
+        let patience = self.cfg.bounds.reserve();
+        let waited = at >= j.accepted.max(j.due(task as usize)) + patience;
+        whole.or_else(|| waited.then(|| self.spread(job, j, &tasks, free)).flatten())
+    }
+
+    fn spread(
+        &self,
+        id: &str,
+        job: &Job,
+        tasks: &[u32],
+        mut free: Vec<(&String, &str, Room)>,
+    ) -> Option<Vec<Placement>> {
+        let mut out: Vec<Placement> = Vec::new();
         for i in tasks {
-            let room = j.spec.tasks[i as usize].room;
-            let at = free.iter().position(|(k, left)| {
-                *left >= room && record.fits(job, &self.placement(k, i, false)).is_ok()
+            let t = job.of(*i as usize);
+            let at = free.iter().position(|(k, _, left)| {
+                let n = out.iter().filter(|p| p.worker == **k).count() as u32;
+                left.holds(t.needs())
+                    && (t.anti_affinity == 0 || n + job.beside(*i as usize, k) < t.anti_affinity)
+                    && self.record.fits(id, &self.placement(k, *i, false)).is_ok()
             })?;
-            free[at].1 -= room;
-            out.push(self.placement(free[at].0, i, false));
+            free[at].2 = free[at].2.less(t.needs());
+            out.push(self.placement(free[at].0, *i, false));
         }
         Some(out)
     }
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -30,6 +30,9 @@
     Report {
         worker: String,
     },
+    Lapse {
+        worker: String,
+    },
 }
 
 /// One proposal with its ledger.
@@ -90,7 +93,7 @@
     ) -> u64 {
         let token = self.token();
         let idempotent = !matches!(command, Command::Start { .. });
-        let bytes = serde_json::to_vec(command).unwrap_or_default();
+        let bytes = command.pack();
         self.proposals.insert(
             token,
             Proposal {
@@ -176,6 +179,7 @@
             } => self.start_ruled(m.token, offer, &cell, &worker, m.place, ruled.is_ok()),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
+            Purpose::Lapse { worker } => self.lapse_over(&worker),
         }
     }
 
@@ -206,6 +210,7 @@
             } => self.start_ruled(token, offer, &cell, &worker, 0, false),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
+            Purpose::Lapse { worker } => self.lapse_over(&worker),
         }
     }
 }
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -5,7 +5,9 @@
 use super::Node;
 use crate::kernel::Now;
 use crate::record::derive::Sizing;
-use crate::record::{cell_duty, queue_duty, Command, Job, Placement, SendState};
+use crate::record::{
+    cell_duty, queue_duty, Command, Job, Placement, Room, SendState, TaskSpec, TaskState,
+};
 use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -28,7 +30,7 @@
 struct Pending {
     job: String,
     placements: Vec<Placement>,
-    rooms: Vec<u32>,
+    rooms: Vec<Room>,
     until: u64,
     /// The place of the entry, once it is known.
     place: u64,
@@ -120,31 +122,23 @@
             return Vec::new();
         };
         let sizes = self.sizes(job, self.floor());
-        let needs: Vec<(&str, &Vec<String>, &str)> = job
-            .spec
-            .tasks
-            .iter()
-            .zip(&job.tasks)
-            .filter(|(_, t)| t.state == crate::record::TaskState::Waiting)
-            .map(|(s, _)| (s.service.as_str(), &s.labels, s.near.as_str()))
-            .collect();
+        let mut needs: Vec<&TaskSpec> = Vec::new();
+        for (i, t) in job.tasks.iter().enumerate() {
+            let open = t.state == TaskState::Waiting && job.reached(i);
+            if open && needs.last().is_none_or(|n| !std::ptr::eq(*n, job.of(i))) {
+                needs.push(job.of(i));
+            }
+        }
         let mut fit: Vec<(String, bool)> = self
             .record
             .workers
             .iter()
-            .filter(|(k, w)| {
-                !w.lost && !w.facts.leaving && self.record.desired.open(&w.facts.zone, k)
-            })
+            .filter(|(k, w)| !w.lost && !w.facts.leaving && self.record.open(&w.facts.zone, k))
             .filter_map(|(k, w)| {
-                let own: Vec<&(&str, &Vec<String>, &str)> = needs
-                    .iter()
-                    .filter(|(s, l, _)| {
-                        *s == w.facts.service && l.iter().all(|x| w.facts.labels.contains(x))
-                    })
-                    .collect();
-                let local = own
-                    .iter()
-                    .any(|(_, _, near)| !near.is_empty() && (*near == k || *near == w.facts.zone));
+                let fits =
+                    |t: &&&TaskSpec| w.facts.serves(t) && w.facts.all_room().holds(t.needs());
+                let own: Vec<&&TaskSpec> = needs.iter().filter(fits).collect();
+                let local = own.iter().any(|t| w.facts.near(&t.near));
                 (!own.is_empty()).then(|| (k.clone(), local))
             })
             .collect();
@@ -216,7 +210,7 @@
             .tasks
             .iter()
             .enumerate()
-            .filter(|(i, _)| job.spec.tasks[*i].may_repeat && !pending.contains(&(*i as u32)))
+            .filter(|(i, _)| job.of(*i).may_repeat && !pending.contains(&(*i as u32)))
             .filter_map(|(i, t)| {
                 t.live()
                     .find(|s| s.state == SendState::Running && !s.stop)
@@ -233,12 +227,7 @@
 
     fn weight(&self, job: &Job, s: &Sizing) -> f64 {
         // Larger priority counts as smaller size.
-        let priority = self
-            .record
-            .desired
-            .queues
-            .get(&job.spec.queue)
-            .map_or(0, |q| q.priority);
+        let priority = self.record.queue(&job.spec.queue).map_or(0, |q| q.priority);
         s.rank / (1.0 + f64::from(priority))
     }
 
@@ -269,7 +258,9 @@
             .record
             .workers
             .values()
-            .fold((0usize, 0u32), |(n, u), w| (n + w.sends.len(), u + w.used));
+            .fold((0usize, 0u32), |(n, u), w| {
+                (n + w.sends.len(), u.saturating_add(w.used.cpu))
+            });
         let mean = if sends == 0 {
             1.0
         } else {
@@ -290,6 +281,8 @@
             worker: m.worker.clone(),
             accepted: false,
             room: 0,
+            memory: 0,
+            accelerators: 0,
             gone,
             sizes,
         };
@@ -315,16 +308,15 @@
             });
             return refuse(wants == Wants::default(), all);
         };
-        let rooms: Vec<u32> = placements
+        let rooms: Vec<Room> = placements
             .iter()
-            .map(|p| job.spec.tasks[p.task as usize].room)
+            .map(|p| job.of(p.task as usize).needs())
             .collect();
         let room = placements
             .iter()
             .zip(&rooms)
             .filter(|(p, _)| p.worker == m.worker)
-            .map(|(_, r)| r)
-            .sum();
+            .fold(Room::default(), |sum, (_, r)| sum.plus(*r));
         let within = self.cfg.bounds.offer() * 2;
         let command = Command::Start {
             job: m.job.clone(),
@@ -361,7 +353,9 @@
             token: m.token,
             worker: m.worker.clone(),
             accepted: true,
-            room,
+            room: room.cpu,
+            memory: room.memory,
+            accelerators: room.accelerators,
             gone: false,
             sizes,
         }
@@ -381,40 +375,48 @@
         }
         let agreed = self.agreed(now);
         let pending: BTreeSet<u32> = self.underway(id).map(|p| p.task).collect();
-        let zone = self
-            .record
-            .workers
-            .get(&m.worker)
-            .map_or("", |w| w.facts.zone.as_str());
         let mut waiting: Vec<u32> = (0..job.tasks.len() as u32)
             .filter(|i| {
                 !pending.contains(i) && self.record.may_start(id, *i, false, agreed).is_ok()
             })
             .collect();
-        waiting.sort_by_key(|i| {
-            let near = &job.spec.tasks[*i as usize].near;
-            !(near == &m.worker || near == zone)
-        });
-        let room_of = |i: u32| job.spec.tasks[i as usize].room;
+        let facts = self.record.workers.get(&m.worker).map(|w| &w.facts)?;
+        waiting.sort_by_key(|i| !facts.near(&job.of(*i as usize).near));
+        let offered = Room {
+            cpu: m.room,
+            memory: m.memory,
+            accelerators: m.accelerators,
+        };
+        let holds = |i: u32| offered.holds(job.of(i as usize).needs());
+        let mut tried: Vec<&TaskSpec> = Vec::new();
         for i in waiting {
-            let gang = &job.spec.tasks[i as usize].gang;
-            if gang.is_empty() {
+            // Of alike tasks one look is enough, unless they are gangs of their own times.
+            let spec = job.of(i as usize);
+            if !job.in_gang(i as usize) && tried.iter().any(|t| std::ptr::eq(*t, spec)) {
+                continue;
+            }
+            tried.push(spec);
+            if !job.in_gang(i as usize) {
                 let p = self.placement(&m.worker, i, false);
-                if room_of(i) <= m.room
-                    && p.cell_epoch == m.epoch
-                    && self.record.fits(id, &p).is_ok()
-                {
+                if holds(i) && p.cell_epoch == m.epoch && self.record.fits(id, &p).is_ok() {
                     return Some(vec![p]);
                 }
             } else {
-                let mut held: BTreeMap<String, u32> = BTreeMap::new();
+                // Its first member that is not done speaks for the gang.
+                if gangs::members(&self.record, id, i).first() != Some(&i) {
+                    continue;
+                }
+                let mut held: BTreeMap<String, Room> = BTreeMap::new();
                 self.sched
                     .pending
                     .values()
                     .flat_map(|p| p.placements.iter().zip(&p.rooms))
-                    .for_each(|(p, r)| *held.entry(p.worker.clone()).or_default() += r);
+                    .for_each(|(p, r)| {
+                        let sum = held.entry(p.worker.clone()).or_default();
+                        *sum = sum.plus(*r);
+                    });
                 let placed = self
-                    .place_gang(agreed, (id, gang), &m.worker, &held)
+                    .place_gang(agreed, (id, i), &m.worker, &held)
                     .filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
                 if placed.is_some() {
                     return placed;
@@ -424,11 +426,7 @@
         self.slow(now, id, job)
             .into_iter()
             .map(|i| self.placement(&m.worker, i, true))
-            .find(|p| {
-                room_of(p.task) <= m.room
-                    && p.cell_epoch == m.epoch
-                    && self.record.fits(id, p).is_ok()
-            })
+            .find(|p| holds(p.task) && p.cell_epoch == m.epoch && self.record.fits(id, p).is_ok())
             .map(|p| vec![p])
     }
 
--- a/landingdrift/src/record/apply/config.rs
+++ b/landingdrift/src/record/apply/config.rs
@@ -3,16 +3,17 @@
 use crate::kernel::digest;
 use crate::record::{Change, Record, Refusal, SendState, TaskState, CHANGES_KEPT};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 
 impl Record {
     pub(super) fn configure(
         &mut self,
         change: &str,
-        base: u64,
+        (base, number): (u64, u64),
         patch: bool,
         value: &Value,
     ) -> Ruling {
-        let hash = digest(format!("{base}/{patch}/{value}").as_bytes());
+        let hash = digest(format!("{base}/{number}/{patch}/{value}").as_bytes());
         if let Some(c) = self.changes.iter().find(|c| c.change == change) {
             return (c.hash == hash)
                 .then(|| json!({"version": c.version, "place": c.place}))
@@ -21,6 +22,12 @@
         (base == self.version).then_some(()).ok_or(Refusal::Rival {
             current: self.version,
         })?;
+        (number == 0 || number > self.version)
+            .then_some(())
+            .ok_or_else(|| Refusal::Invalid {
+                path: "version".into(),
+                remedy: format!("give a number above the current one, {}", self.version),
+            })?;
         let mut next = if patch {
             serde_json::to_value(&self.desired).unwrap_or_default()
         } else {
@@ -39,14 +46,23 @@
             !desired.queues.contains_key(*q)
                 && self.queues.get(*q).is_some_and(|t| t.unfinished > 0)
         };
-        if let Some(q) = self.desired.queues.keys().find(held) {
+        let still: BTreeMap<String, crate::desired::Queue> = self
+            .desired
+            .queues
+            .iter()
+            .filter(|(q, _)| held(q))
+            .map(|(k, q)| (k.clone(), q.clone()))
+            .collect();
+        if let Some(q) = still.keys().next().filter(|_| !desired.retire_queues) {
             return Err(Refusal::Invalid {
                 path: format!("queues.{q}"),
                 remedy: format!("queues.{q}: it holds unfinished jobs: let them end or cancel them, then remove it"),
             });
         }
+        self.retired.extend(still);
+        self.retired.retain(|k, _| !desired.queues.contains_key(k));
         self.desired = desired;
-        self.version += 1;
+        self.version = number.max(self.version + 1);
         self.changes.push_back(Change {
             change: change.into(),
             hash,
@@ -69,25 +85,23 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let tries = self
-                .desired
-                .queues
+            let queues = &self.desired.queues;
+            let queue = queues
                 .get(&job.spec.queue)
-                .map_or(1, |q| q.tries);
+                .or_else(|| self.retired.get(&job.spec.queue));
+            let tries = queue.map_or(1, |q| q.tries);
             let mut recalled = Vec::new();
             let mut failed = false;
-            for t in job
-                .tasks
-                .iter_mut()
-                .filter(|t| t.state == TaskState::Waiting && t.defects >= tries)
-            {
-                recalled.extend(
-                    t.live()
-                        .filter(|s| s.state == SendState::Ordered)
-                        .map(|s| s.no),
-                );
+            for i in 0..job.tasks.len() {
+                let t = &job.tasks[i];
+                let spent = t.state == TaskState::Waiting && t.defects >= tries;
+                if !spent || job.of(i).long_running {
+                    continue;
+                }
+                let ordered = t.live().filter(|s| s.state == SendState::Ordered);
+                recalled.extend(ordered.map(|s| s.no));
                 if t.live().next().is_none() {
-                    t.state = TaskState::Failed;
+                    job.put(i, TaskState::Failed);
                     failed = true;
                 }
             }
@@ -98,6 +112,17 @@
         }
     }
 
+    /// Begins or ends the emptying of a zone; asked twice it does no harm.
+    pub(super) fn empty(&mut self, zone: &str, on: bool) -> Ruling {
+        if on {
+            self.emptied.insert(zone.into());
+        } else {
+            self.emptied.remove(zone);
+        }
+        self.stop_where_closed();
+        Ok(json!({"zone": zone, "emptied": on}))
+    }
+
     /// Orders that have not started are called back from closed places, repeatable work from evacuated ones.
     fn stop_where_closed(&mut self) {
         let numbers: Vec<u64> = self
@@ -114,9 +139,9 @@
                         .tasks
                         .iter()
                         .position(|x| std::ptr::eq(x, t))
-                        .is_some_and(|i| j.spec.tasks[i].may_repeat);
+                        .is_some_and(|i| j.of(i).may_repeat);
                     let unstarted = s.state == SendState::Ordered;
-                    (unstarted && !self.desired.open(zone, &s.worker))
+                    (unstarted && !self.open(zone, &s.worker))
                         || (may_repeat && self.desired.evacuated(zone))
                 })
             })
--- a/landingdrift/src/record/apply/jobs.rs
+++ b/landingdrift/src/record/apply/jobs.rs
@@ -44,21 +44,12 @@
             .ok_or(Refusal::OverQuota { quota })?;
         tally.unfinished += 1;
         self.refusals.remove(&spec.id);
-        let tasks = waits
-            .into_iter()
-            .map(|waits| Task {
-                waits,
-                ..Task::default()
-            })
-            .collect();
         self.jobs.insert(
             spec.id.clone(),
             Job {
-                spec: spec.clone(),
                 hash,
                 accepted: self.at,
-                tasks,
-                ..Job::default()
+                ..Job::new(spec.clone(), waits)
             },
         );
         self.open.insert(spec.id.clone());
@@ -92,14 +83,9 @@
         let job = self.jobs.get(id).ok_or(Refusal::Unknown {
             what: format!("job '{id}'"),
         })?;
-        let i = job
-            .spec
-            .tasks
-            .iter()
-            .position(|t| t.name == task)
-            .ok_or(Refusal::Unknown {
-                what: format!("task '{task}'"),
-            })?;
+        let i = job.find(task).ok_or(Refusal::Unknown {
+            what: format!("task '{task}'"),
+        })?;
         let numbers: Vec<u64> = job.tasks[i]
             .live()
             .filter(|s| s.state == SendState::Unsure)
@@ -148,11 +134,17 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let room = job.spec.tasks[i as usize].room;
+        let k = i as usize;
+        let room = job.of(k).needs();
+        let lasts = job.of(k).long_running;
         let queue = job.spec.queue.clone();
-        let tries = self.desired.queues.get(&queue).map_or(1, |q| q.tries);
+        let queues = &self.desired.queues;
+        let tries = queues
+            .get(&queue)
+            .or_else(|| self.retired.get(&queue))
+            .map_or(1, |q| q.tries);
         let cancel = job.cancel;
-        let task = &mut job.tasks[i as usize];
+        let task = &mut job.tasks[k];
         let Some(send) = task.sends.iter_mut().find(|s| s.no == no) else {
             return;
         };
@@ -161,28 +153,36 @@
         send.ran_ms = ran_ms;
         send.note = note.into();
         let (worker, copy) = (send.worker.clone(), send.copy);
-        let first_well = state == SendState::Well && task.state != TaskState::Done;
-        if first_well {
-            task.state = TaskState::Done;
-        }
+        let first_well = state == SendState::Well && task.state != TaskState::Done && !lasts;
         task.defects += u32::from(state == SendState::Defect);
         // As long as another send may still end well, the task has not failed.
-        if task.state == TaskState::Waiting && task.defects >= tries && task.live().next().is_none()
-        {
-            task.state = if cancel {
-                TaskState::Cancelled
+        let spent = task.state == TaskState::Waiting
+            && !first_well
+            && !lasts
+            && task.defects >= tries
+            && task.live().next().is_none();
+        if first_well && job.ends_as_one(k) {
+            // The members end together: this end counts for all of them.
+            job.gang(k)
+                .into_iter()
+                .for_each(|m| job.put(m, TaskState::Done));
+        } else if first_well {
+            job.put(k, TaskState::Done);
+        } else if spent && cancel {
+            job.put(k, TaskState::Cancelled);
+        } else if spent {
+            job.put(k, TaskState::Failed);
+        }
+        let task = &job.tasks[k];
+        let rest: Vec<u64> =
+            if task.state == TaskState::Waiting || (first_well && job.ends_as_one(k)) {
+                Vec::new()
             } else {
-                TaskState::Failed
+                task.live().map(|s| s.no).collect()
             };
-        }
-        let rest: Vec<u64> = if task.state == TaskState::Waiting {
-            Vec::new()
-        } else {
-            task.live().map(|s| s.no).collect()
-        };
         self.workers.get_mut(&worker).iter_mut().for_each(|w| {
             if w.sends.remove(&no) {
-                w.used = w.used.saturating_sub(room);
+                w.used = w.used.less(room);
             }
         });
         let tally = self.queues.entry(queue).or_default();
@@ -206,17 +206,12 @@
     /// When a gang member has to start again, the rest of the gang is stopped so that it starts whole.
     pub(super) fn recall_gang(&mut self, id: &str, i: u32) {
         let Some(job) = self.jobs.get(id) else { return };
-        let gang = &job.spec.tasks[i as usize].gang;
-        if gang.is_empty() {
-            return;
-        }
         let rest: Vec<u64> = job
-            .spec
-            .tasks
-            .iter()
-            .zip(&job.tasks)
-            .filter(|(s, t)| &s.gang == gang && t.state != TaskState::Done)
-            .flat_map(|(_, t)| t.live().map(|s| s.no).collect::<Vec<_>>())
+            .gang(i as usize)
+            .into_iter()
+            .map(|m| &job.tasks[m])
+            .filter(|t| t.state != TaskState::Done)
+            .flat_map(|t| t.live().map(|s| s.no).collect::<Vec<_>>())
             .collect();
         rest.into_iter().for_each(|no| self.want_stop(no));
     }
@@ -232,10 +227,12 @@
         }
         let failed = job.tasks.iter().any(|t| t.state == TaskState::Failed);
         if job.cancel || failed {
-            job.tasks
-                .iter_mut()
-                .filter(|t| t.state == TaskState::Waiting && t.live().next().is_none())
-                .for_each(|t| t.state = TaskState::Cancelled);
+            for i in 0..job.tasks.len() {
+                let t = &job.tasks[i];
+                if t.state == TaskState::Waiting && t.live().next().is_none() {
+                    job.put(i, TaskState::Cancelled);
+                }
+            }
         }
         let live: Vec<u64> = job
             .tasks
@@ -262,16 +259,13 @@
             JobState::Waiting
         };
         if failed && !job.cancel {
-            job.reason = job
-                .spec
-                .tasks
-                .iter()
-                .zip(&job.tasks)
-                .find(|(_, t)| t.state == TaskState::Failed)
-                .map_or(String::new(), |(s, t)| {
+            job.reason = (0..job.tasks.len())
+                .find(|i| job.tasks[*i].state == TaskState::Failed)
+                .map_or(String::new(), |i| {
+                    let t = &job.tasks[i];
                     format!(
                         "task '{}' failed {} times: {}",
-                        s.name,
+                        job.name(i),
                         t.defects,
                         t.sends.last().map_or("", |s| s.note.as_str())
                     )
@@ -289,18 +283,17 @@
             job.spec.queue.clone(),
             at.saturating_sub(
                 job.accepted
-                    .max(job.spec.tasks.iter().map(|t| t.due).max().unwrap_or(0)),
+                    .max((0..job.tasks.len()).map(|i| job.due(i)).max().unwrap_or(0)),
             ),
         );
         self.open.remove(id);
         self.expiry.insert((at, id.to_string()));
-        let promise = self
-            .desired
-            .queues
-            .get(&queue)
-            .map_or(0, |q| q.finish_within_ms);
-        let tally = self.queues.entry(queue).or_default();
+        let promise = self.queue(&queue).map_or(0, |q| q.finish_within_ms);
+        let tally = self.queues.entry(queue.clone()).or_default();
         tally.unfinished = tally.unfinished.saturating_sub(1);
+        if tally.unfinished == 0 {
+            self.retired.remove(&queue);
+        }
         if state != JobState::Cancelled {
             let kept = state == JobState::Done && (promise == 0 || took <= promise);
             tally.promises.push_back((at, kept));
--- a/landingdrift/src/record/apply/mod.rs
+++ b/landingdrift/src/record/apply/mod.rs
@@ -22,8 +22,9 @@
                 change,
                 base,
                 patch,
+                number,
                 value,
-            } => self.configure(change, *base, *patch, value),
+            } => self.configure(change, (*base, *number), *patch, value),
             Command::Accept { spec, hash, seen } => self.accept(spec, *hash, *seen),
             Command::Cancel { job } => self.cancel(job),
             Command::Start {
@@ -43,6 +44,13 @@
                 incarnation,
                 cell_epoch,
             } => self.lost(worker, *incarnation, *cell_epoch),
+            Command::Lapse {
+                worker,
+                incarnation,
+                cell_epoch,
+                checkpoints,
+            } => self.lapse(worker, *incarnation, *cell_epoch, checkpoints),
+            Command::Empty { zone, on } => self.empty(zone, *on),
             Command::Resolve { job, task, well } => self.resolve(job, task, *well),
             Command::Grant {
                 duty,
@@ -90,7 +98,7 @@
     /// Applies an entry from its bytes.
     pub fn apply_bytes(&mut self, index: u64, at: u64, command: &[u8]) -> Ruling {
         self.place = index;
-        let command = serde_json::from_slice::<Command>(command).map_err(|e| Refusal::Invalid {
+        let command = Command::unpack(command).map_err(|e| Refusal::Invalid {
             path: "entry".into(),
             remedy: format!("{e}: upgrade this process, a newer one wrote the entry"),
         })?;
--- a/landingdrift/src/record/apply/start.rs
+++ b/landingdrift/src/record/apply/start.rs
@@ -1,7 +1,9 @@
 use super::Ruling;
-use crate::record::{cell_duty, queue_duty, Placement, Record, Refusal, Send, SendState};
+use crate::record::{
+    cell_duty, queue_duty, Placement, Record, Refusal, Room, Send, SendState, TaskState,
+};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Record {
     /// Places tasks on workers, all or none. Every rule that a record can check is checked here.
@@ -15,7 +17,7 @@
         grant_ok.then_some(()).ok_or(Refusal::StaleGrant)?;
         (!job.state.ended()).then_some(()).ok_or(Refusal::Ended)?;
         (!job.cancel).then_some(()).ok_or(Refusal::Cancelled)?;
-        let mut taken: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut taken: BTreeMap<&str, Room> = BTreeMap::new();
         for (n, p) in placements.iter().enumerate() {
             (!placements[..n].iter().any(|q| q.task == p.task))
                 .then_some(())
@@ -23,15 +25,25 @@
             self.may_start(id, p.task, p.copy, self.at)?;
             self.fits(id, p)?;
             let sum = taken.entry(p.worker.as_str()).or_default();
-            *sum = sum.saturating_add(job.spec.tasks[p.task as usize].room);
+            *sum = sum.plus(job.of(p.task as usize).needs());
             let free = self
                 .workers
                 .get(&p.worker)
-                .map_or(0, |w| w.facts.room.saturating_sub(w.used));
-            (*sum <= free).then_some(()).ok_or(Refusal::NoRoom)?;
+                .map_or(Room::default(), |w| w.facts.all_room().less(w.used));
+            free.holds(*sum).then_some(()).ok_or(Refusal::NoRoom)?;
+            self.apart(id, p, &placements[..n])?;
         }
         self.gangs_whole(id, placements)?;
-        let numbers: Vec<u64> = placements.iter().map(|p| self.enter(id, p)).collect();
+        // Members of a gang share the number of their run and the checkpoint they go on from.
+        let runs: Vec<(u32, String)> = placements
+            .iter()
+            .map(|p| self.next_run(id, p.task))
+            .collect();
+        let numbers: Vec<u64> = placements
+            .iter()
+            .zip(runs)
+            .map(|(p, run)| self.enter(id, p, run))
+            .collect();
         self.settle(id);
         Ok(json!({"sends": numbers}))
     }
@@ -41,21 +53,17 @@
         let (job, task) = self.task(id, no).ok_or(Refusal::Unknown {
             what: format!("task {no}"),
         })?;
-        let spec = &job.spec.tasks[no as usize];
-        let queue = self
-            .desired
-            .queues
-            .get(&job.spec.queue)
-            .ok_or(Refusal::Unknown {
-                what: format!("queue '{}'", job.spec.queue),
-            })?;
+        let spec = job.of(no as usize);
+        let queue = self.queue(&job.spec.queue).ok_or(Refusal::Unknown {
+            what: format!("queue '{}'", job.spec.queue),
+        })?;
         (task.state == crate::record::TaskState::Waiting)
             .then_some(())
             .ok_or(Refusal::Ended)?;
-        (at >= spec.due).then_some(()).ok_or(Refusal::NotDue)?;
-        task.waits
-            .iter()
-            .all(|d| job.tasks[*d as usize].state == crate::record::TaskState::Done)
+        (at >= job.due(no as usize))
+            .then_some(())
+            .ok_or(Refusal::NotDue)?;
+        job.reached(no as usize)
             .then_some(())
             .ok_or(Refusal::Waiting)?;
         let (mut sure, mut unsure) = (0u32, 0u32);
@@ -68,14 +76,14 @@
         });
         let repeat = if spec.may_repeat {
             // A first or next try, or one copy beside one run.
-            sure != u32::from(copy) || (copy && !spec.gang.is_empty())
+            sure != u32::from(copy) || (copy && job.in_gang(no as usize))
         } else {
             // Never again while a send may be running, and no copies at all.
             copy || sure + unsure > 0
         };
         (!repeat).then_some(()).ok_or(Refusal::Repeat)?;
         // What may be running may fail, or has failed where nobody saw it: it counts as a try.
-        (task.defects + sure + unsure < queue.tries)
+        (spec.long_running || task.defects + sure + unsure < queue.tries)
             .then_some(())
             .ok_or(Refusal::Spent)?;
         if !copy {
@@ -98,13 +106,11 @@
         let job = self.jobs.get(id).ok_or(Refusal::Unknown {
             what: format!("job '{id}'"),
         })?;
-        let spec = job
-            .spec
-            .tasks
-            .get(p.task as usize)
-            .ok_or(Refusal::Unknown {
-                what: format!("task {}", p.task),
-            })?;
+        let known = job.tasks.get(p.task as usize);
+        known.map(|_| ()).ok_or(Refusal::Unknown {
+            what: format!("task {}", p.task),
+        })?;
+        let spec = job.of(p.task as usize);
         let w = self.workers.get(&p.worker).ok_or(Refusal::Unknown {
             what: format!("worker '{}'", p.worker),
         })?;
@@ -119,8 +125,7 @@
         (!w.facts.leaving)
             .then_some(())
             .ok_or_else(|| unfit("it is leaving"))?;
-        self.desired
-            .open(&w.facts.zone, &p.worker)
+        self.open(&w.facts.zone, &p.worker)
             .then_some(())
             .ok_or_else(|| unfit("its zone or itself is drained"))?;
         (w.facts.service == spec.service)
@@ -137,38 +142,65 @@
         let again = job.tasks[p.task as usize]
             .live()
             .any(|s| s.worker == p.worker);
-        (!again).then_some(()).ok_or(Refusal::Repeat)
+        (!again).then_some(()).ok_or(Refusal::Repeat)?;
+        let most = spec.anti_affinity;
+        (most == 0 || job.beside(p.task as usize, &p.worker) < most)
+            .then_some(())
+            .ok_or_else(|| unfit("as many tasks of the step are there as it allows"))
     }
 
     /// All members of a gang that are not done start in one entry, or none.
     fn gangs_whole(&self, id: &str, placements: &[Placement]) -> Result<(), Refusal> {
         let job = &self.jobs[id];
-        let whole = placements
-            .iter()
-            .map(|p| &job.spec.tasks[p.task as usize].gang)
-            .filter(|g| !g.is_empty())
-            .all(|gang| {
-                job.spec
-                    .tasks
+        let placed: BTreeSet<usize> = placements.iter().map(|p| p.task as usize).collect();
+        let mut seen = BTreeSet::new();
+        let whole = placements.iter().all(|p| {
+            let members = job.gang(p.task as usize);
+            // One look at a gang is enough.
+            members.first().is_none_or(|first| !seen.insert(*first))
+                || members
                     .iter()
-                    .zip(&job.tasks)
-                    .enumerate()
-                    .filter(|(_, (s, t))| {
-                        &s.gang == gang && t.state != crate::record::TaskState::Done
-                    })
-                    .all(|(i, _)| placements.iter().any(|p| p.task as usize == i))
-            });
+                    .all(|m| placed.contains(m) || job.tasks[*m].state == TaskState::Done)
+        });
         whole.then_some(()).ok_or(Refusal::GangSplit)
     }
 
-    fn enter(&mut self, id: &str, p: &Placement) -> u64 {
+    /// No more tasks of a step than it allows come to one worker.
+    fn apart(&self, id: &str, p: &Placement, before: &[Placement]) -> Result<(), Refusal> {
+        let job = &self.jobs[id];
+        let most = job.of(p.task as usize).anti_affinity;
+        if most == 0 {
+            return Ok(());
+        }
+        let step = job.tasks[p.task as usize].step;
+        let same = |q: &&Placement| q.worker == p.worker && job.tasks[q.task as usize].step == step;
+        let with = before.iter().filter(same).count() as u32;
+        (job.beside(p.task as usize, &p.worker) + with < most)
+            .then_some(())
+            .ok_or_else(|| Refusal::Unfit {
+                why: "as many tasks of the step are there as it allows".into(),
+            })
+    }
+
+    fn next_run(&self, id: &str, task: u32) -> (u32, String) {
+        let job = &self.jobs[id];
+        let last = |i: usize| job.tasks[i].sends.last().map_or(0, |s| s.run);
+        let own = task as usize;
+        let run = job.gang(own).into_iter().map(last).max();
+        let run = run.unwrap_or_else(|| last(own)) + 1;
+        (run, job.tasks[own].checkpoint.clone())
+    }
+
+    fn enter(&mut self, id: &str, p: &Placement, (run, checkpoint): (u32, String)) -> u64 {
         let no = self.next_send;
         self.next_send += 1;
         let at = self.at;
         let job = self.jobs.get_mut(id).expect("checked before entering");
-        let room = job.spec.tasks[p.task as usize].room;
+        let room = job.of(p.task as usize).needs();
         let send = Send {
             no,
+            run,
+            checkpoint,
             worker: p.worker.clone(),
             incarnation: p.incarnation,
             copy: p.copy,
@@ -182,7 +214,7 @@
         tally.copies += u32::from(p.copy);
         tally.copies_ever += u64::from(p.copy);
         self.workers.get_mut(&p.worker).iter_mut().for_each(|w| {
-            w.used += room;
+            w.used = w.used.plus(room);
             w.sends.insert(no);
         });
         no
--- a/landingdrift/src/record/apply/sweep.rs
+++ b/landingdrift/src/record/apply/sweep.rs
@@ -1,5 +1,5 @@
 use super::Ruling;
-use crate::record::{Record, SendState, Tomb};
+use crate::record::{Record, SendState, TaskState, Tomb};
 use serde_json::Value;
 
 /// How long the mark of a refusal is kept: far longer than any call is worked on.
@@ -37,9 +37,7 @@
             .filter(|(_, _, s)| s.state == SendState::Unsure)
             .map(|(j, _, s)| {
                 let bound = self
-                    .desired
-                    .queues
-                    .get(&j.spec.queue)
+                    .queue(&j.spec.queue)
                     .map_or(60_000, |q| q.unsure_bound_ms);
                 (s.ended + bound, s.no)
             })
@@ -60,10 +58,9 @@
             // Without mayRepeat it is never sent again, whatever the tries.
             let job = self.jobs.get_mut(&id);
             job.into_iter()
-                .filter(|j| !j.spec.tasks[i as usize].may_repeat)
-                .flat_map(|j| j.tasks.get_mut(i as usize))
-                .filter(|t| t.state == crate::record::TaskState::Waiting)
-                .for_each(|t| t.state = crate::record::TaskState::Failed);
+                .filter(|j| !j.of(i as usize).may_repeat)
+                .filter(|j| j.tasks[i as usize].state == TaskState::Waiting)
+                .for_each(|j| j.put(i as usize, TaskState::Failed));
             self.settle(&id);
         }
         let drop: Vec<(u64, String)> = self
--- a/landingdrift/src/record/apply/workers.rs
+++ b/landingdrift/src/record/apply/workers.rs
@@ -17,6 +17,7 @@
             .is_some_and(|g| g.epoch == cell_epoch);
         cell_ok.then_some(()).ok_or(Refusal::StaleGrant)?;
         let at = self.at;
+        self.displace(facts);
         let w = self
             .workers
             .entry(facts.worker.clone())
@@ -39,15 +40,15 @@
                 .for_each(|no| self.restarted(*no, facts.incarnation));
         }
         // What has not started is called back from a worker that may not have it any more.
-        let closed = facts.leaving || !self.desired.open(&facts.zone, &facts.worker);
+        let closed = facts.leaving || !self.open(&facts.zone, &facts.worker);
         let over = self
             .workers
             .get(&facts.worker)
-            .is_some_and(|w| w.used > facts.room);
+            .is_some_and(|w| !facts.all_room().holds(w.used));
         let fits = |(job, i): &(String, u32)| {
             self.jobs
                 .get(job)
-                .is_some_and(|j| facts.serves(&j.spec.tasks[*i as usize]))
+                .is_some_and(|j| facts.serves(j.of(*i as usize)))
         };
         let back: Vec<u64> = sends
             .into_iter()
@@ -61,6 +62,71 @@
         Ok(Value::Null)
     }
 
+    /// Whatever stood at the worker's address before it is gone, and all that ran there.
+    fn displace(&mut self, facts: &WorkerFacts) {
+        if facts.address.is_empty() || self.workers.contains_key(&facts.worker) {
+            return;
+        }
+        let old: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(k, w)| w.facts.address == facts.address && **k != facts.worker)
+            .map(|(k, _)| k.clone())
+            .collect();
+        old.iter().for_each(|k| self.bury(k));
+    }
+
+    /// Nothing runs on a worker any more, and it gets nothing new.
+    fn bury(&mut self, worker: &str) {
+        let at = self.at;
+        let sends = self.workers.get(worker).map(|w| w.sends.clone());
+        for no in sends.unwrap_or_default() {
+            let job = self.live.get(&no).map(|(id, _)| id.clone());
+            self.close(no, SendState::Lapsed, 0, "its worker is gone");
+            job.iter().for_each(|id| self.settle(id));
+        }
+        self.workers.get_mut(worker).iter_mut().for_each(|w| {
+            w.lost = true;
+            w.since = at;
+        });
+    }
+
+    pub(super) fn lapse(
+        &mut self,
+        worker: &str,
+        incarnation: u64,
+        cell_epoch: u64,
+        checkpoints: &[(u64, String)],
+    ) -> Ruling {
+        let w = self.workers.get(worker).ok_or(Refusal::Unknown {
+            what: format!("worker '{worker}'"),
+        })?;
+        let cell_ok = self
+            .holder(&cell_duty(&w.facts.zone))
+            .is_some_and(|g| g.epoch == cell_epoch);
+        (cell_ok && w.facts.incarnation == incarnation)
+            .then_some(())
+            .ok_or(Refusal::StaleGrant)?;
+        checkpoints
+            .iter()
+            .for_each(|(no, text)| self.keep_checkpoint(*no, text));
+        self.bury(worker);
+        Ok(Value::Null)
+    }
+
+    /// Keeps the newest checkpoint of a run; in a gang that ends as one it is good for every member.
+    fn keep_checkpoint(&mut self, no: u64, text: &str) {
+        let Some((id, i)) = self.live.get(&no).filter(|_| !text.is_empty()) else {
+            return;
+        };
+        self.jobs.get_mut(id).into_iter().for_each(|job| {
+            let mut of = job.gang(*i as usize);
+            of.push(*i as usize);
+            of.into_iter()
+                .for_each(|m| job.tasks[m].checkpoint = text.into());
+        });
+    }
+
     /// The worker's process is a new one: what ran in the old one runs no more, but may have finished well.
     fn restarted(&mut self, no: u64, incarnation: u64) {
         let Some((id, i)) = self.live.get(&no).cloned() else {
@@ -72,7 +138,7 @@
         let may_repeat = self
             .jobs
             .get(&id)
-            .is_some_and(|j| j.spec.tasks[i as usize].may_repeat);
+            .is_some_and(|j| j.of(i as usize).may_repeat);
         if old && may_repeat {
             self.close(
                 no,
@@ -162,13 +228,18 @@
             let Some((id, _)) = self.live.get(&e.no).cloned().filter(|_| ours) else {
                 continue;
             };
-            let asked = self.send(e.no).is_some_and(|(_, _, s)| s.stop);
+            self.keep_checkpoint(e.no, &e.checkpoint);
+            // What is unsure was told to stop without an entry.
+            let asked = self
+                .send(e.no)
+                .is_some_and(|(_, _, s)| s.stop || s.state == SendState::Unsure);
             let state = match e.outcome {
                 Outcome::Well => SendState::Well,
                 Outcome::Stopped if asked => SendState::Stopped,
                 // Stopped without our order is the worker's own doing.
                 Outcome::Defect | Outcome::Stopped => SendState::Defect,
                 Outcome::Void => SendState::Void,
+                Outcome::Lapsed => SendState::Lapsed,
             };
             self.close(e.no, state, e.ran_ms, &e.note);
             self.judge(worker, state);
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -1,4 +1,4 @@
-use super::{JobSpec, TaskSpec};
+use super::{JobSpec, Room, TaskSpec};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -12,11 +12,33 @@
     pub service: String,
     pub labels: BTreeSet<String>,
     pub zone: String,
+    /// Processor room.
     pub room: u32,
+    #[serde(default)]
+    pub memory: u32,
+    #[serde(default)]
+    pub accelerators: u32,
+    #[serde(default)]
+    pub rack: String,
+    /// Where the worker stands; a newer worker there proves that this one is gone.
+    #[serde(default)]
+    pub address: String,
     pub leaving: bool,
 }
 
 impl WorkerFacts {
+    /// All its room.
+    pub fn all_room(&self) -> Room {
+        Room {
+            cpu: self.room,
+            memory: self.memory,
+            accelerators: self.accelerators,
+        }
+    }
+    /// Whether data that is near the place named is near this worker.
+    pub fn near(&self, place: &str) -> bool {
+        !place.is_empty() && (place == self.worker || place == self.zone || place == self.rack)
+    }
     /// Whether a worker with these facts is of the task's service and carries its labels.
     pub fn serves(&self, task: &TaskSpec) -> bool {
         self.service == task.service && task.labels.iter().all(|l| self.labels.contains(l))
@@ -35,26 +57,45 @@
 }
 
 /// How a send ended, by its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Outcome {
     Well,
+    #[default]
     Defect,
     Stopped,
     /// Never started, and never will be.
     Void,
+    /// Dead through no fault of its own: its hold passed, or its gang broke up.
+    Lapsed,
+}
+
+/// A run by its names, for workers that do not keep our numbers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct RunName {
+    pub job: String,
+    pub task: String,
+    pub run: u32,
 }
 
 /// The end of a send.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct EndReport {
+    #[serde(default)]
     pub no: u64,
+    /// In place of `no`.
+    #[serde(default)]
+    pub name: Option<RunName>,
     pub outcome: Outcome,
     #[serde(default)]
     pub ran_ms: u64,
     #[serde(default)]
     pub note: String,
+    /// The newest checkpoint of the run.
+    #[serde(default)]
+    pub checkpoint: String,
 }
 
 /// What can be entered into the record.
@@ -68,6 +109,10 @@
         change: String,
         base: u64,
         patch: bool,
+        /// The version it becomes; 0 for the next.
+        #[serde(default)]
+        number: u64,
+        #[serde(with = "super::pack::json")]
         value: serde_json::Value,
     },
     /// `seen` is the place that the admitting node had followed to when the call came.
@@ -102,6 +147,19 @@
         incarnation: u64,
         cell_epoch: u64,
     },
+    /// A worker's hold has surely passed, or it is gone: nothing runs there any more. Checkpoints that were heard go along.
+    Lapse {
+        worker: String,
+        incarnation: u64,
+        cell_epoch: u64,
+        #[serde(default)]
+        checkpoints: Vec<(u64, String)>,
+    },
+    /// A zone is emptied, or serves again; apart from the configuration, so that it races no change.
+    Empty {
+        zone: String,
+        on: bool,
+    },
     /// The operator says how an unsure send ended.
     Resolve {
         job: String,
@@ -140,6 +198,17 @@
     },
 }
 
+impl Command {
+    /// The command as an entry of the log.
+    pub fn pack(&self) -> Vec<u8> {
+        super::pack::pack(self)
+    }
+    /// The command of an entry.
+    pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
+        super::pack::unpack(bytes)
+    }
+}
+
 /// Why the record refused an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Refusal {
--- a/landingdrift/src/record/derive.rs
+++ b/landingdrift/src/record/derive.rs
@@ -44,16 +44,17 @@
     /// The sizes of a job: V = (2/β)·T·√α over the phase at hand.
     pub fn sizing(&self, job: &Job) -> Sizing {
         let (mut ready, mut behind, mut occupied) = (0u32, 0u32, 0u32);
-        for t in job.tasks.iter().filter(|t| t.state == TaskState::Waiting) {
-            let open = t
-                .waits
-                .iter()
-                .all(|d| job.tasks[*d as usize].state == TaskState::Done);
-            *(if open { &mut ready } else { &mut behind }) += 1;
+        for (i, t) in job.tasks.iter().enumerate() {
+            occupied += t.live().count() as u32;
+            // What is not due yet asks for nothing.
+            if t.state == TaskState::Waiting && job.due(i) <= self.at + 1000 {
+                *(if job.reached(i) {
+                    &mut ready
+                } else {
+                    &mut behind
+                }) += 1;
+            }
         }
-        job.tasks
-            .iter()
-            .for_each(|t| occupied += t.live().count() as u32);
         let factor = (2.0 / self.beta(&job.spec.queue)).max(1.0);
         let alpha = if behind == 0 || ready == 0 {
             1.0
@@ -71,41 +72,27 @@
 
     /// Unfinished jobs that could use a slot now, or hold one; those whose tasks all wait for their time share nothing.
     pub fn runnable(&self, at: u64) -> usize {
-        let ready = |job: &Job, t: &Task, due: u64| {
+        let ready = |job: &Job, i: usize, t: &Task| {
             t.live().next().is_some()
-                || (t.state == TaskState::Waiting
-                    && due <= at
-                    && t.waits
-                        .iter()
-                        .all(|d| job.tasks[*d as usize].state == TaskState::Done))
+                || (t.state == TaskState::Waiting && job.due(i) <= at && job.reached(i))
         };
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
-        jobs.filter(|j| {
-            j.spec
-                .tasks
-                .iter()
-                .zip(&j.tasks)
-                .any(|(s, t)| ready(j, t, s.due))
-        })
-        .count()
+        jobs.filter(|j| j.tasks.iter().enumerate().any(|(i, t)| ready(j, i, t)))
+            .count()
     }
 
     /// Room of all workers that take work.
     pub fn total_room(&self) -> u32 {
         self.workers
             .values()
-            .filter(|w| {
-                !w.lost && !w.facts.leaving && self.desired.open(&w.facts.zone, &w.facts.worker)
-            })
+            .filter(|w| !w.lost && !w.facts.leaving && self.open(&w.facts.zone, &w.facts.worker))
             .map(|w| w.facts.room)
             .sum()
     }
 
     /// Whether a queue has used up what it may miss within its window.
     pub fn allowance_spent(&self, queue: &str) -> bool {
-        self.desired
-            .queues
-            .get(queue)
+        self.queue(queue)
             .zip(self.queues.get(queue))
             .is_some_and(|(q, t)| {
                 let within = t
--- a/landingdrift/src/record/mod.rs
+++ b/landingdrift/src/record/mod.rs
@@ -6,19 +6,20 @@
 pub mod command;
 pub mod derive;
 pub mod job;
+pub mod pack;
 
 mod apply;
 
 pub use apply::{pack_ruling, Ruling};
-pub use command::{Change, Command, EndReport, Outcome, Placement, Refusal, WorkerFacts};
-pub use job::{Job, JobSpec, JobState, Send, SendState, Task, TaskSpec, TaskState};
+pub use command::{Change, Command, EndReport, Outcome, Placement, Refusal, RunName, WorkerFacts};
+pub use job::{Job, JobSpec, JobState, Room, Send, SendState, StepSpec, Task, TaskSpec, TaskState};
 
 use crate::desired::Desired;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Version of the record's format; another one is refused.
-pub const RECORD_VERSION: u16 = 1;
+pub const RECORD_VERSION: u16 = 2;
 
 /// How many changes of configuration are remembered one by one.
 pub const CHANGES_KEPT: usize = 200;
@@ -35,7 +36,7 @@
     pub ends: VecDeque<bool>,
     pub since: u64,
     /// Room taken by sends that may be running.
-    pub used: u32,
+    pub used: Room,
     /// Sends that may be running.
     pub sends: BTreeSet<u64>,
 }
@@ -108,6 +109,10 @@
     pub open: BTreeSet<String>,
     pub workers: BTreeMap<String, Worker>,
     pub grants: BTreeMap<String, Grant>,
+    /// Zones that are being emptied, whatever the configuration says.
+    pub emptied: BTreeSet<String>,
+    /// Queues that were removed while they held unfinished jobs, until those end.
+    pub retired: BTreeMap<String, crate::desired::Queue>,
     pub nodes: BTreeMap<String, NodeMember>,
     pub cores: BTreeMap<String, CoreMember>,
     pub queues: BTreeMap<String, QueueTally>,
@@ -141,18 +146,45 @@
 
     /// The record as bytes for a capture.
     pub fn pack(&self) -> Vec<u8> {
-        serde_json::to_vec(self).unwrap_or_default()
+        pack::pack(self)
     }
 
     /// The record from a capture.
     pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
-        let r: Self = serde_json::from_slice(bytes).map_err(|e| {
-            format!("the capture can't be read ({e}): fetch it again from another core")
-        })?;
-        (r.format == RECORD_VERSION)
+        // The format stands first, so that another one is told apart before the rest is read.
+        let other = |f: u16| {
+            format!("the capture has format {f}, this build reads {RECORD_VERSION}: run the build that wrote it")
+        };
+        let format = postcard::take_from_bytes::<u16>(bytes).map_or(0, |(f, _)| f);
+        (format == RECORD_VERSION)
             .then_some(())
-            .ok_or_else(|| format!("the capture has format {}, this build reads {RECORD_VERSION}: run the build that wrote it", r.format))?;
-        Ok(r)
+            .ok_or_else(|| other(format))?;
+        pack::unpack(bytes).map_err(|e| {
+            format!("the capture can't be read ({e}): fetch it again from another core")
+        })
+    }
+
+    /// A queue by the configuration, or as it was when it was removed with jobs in it.
+    pub fn queue(&self, name: &str) -> Option<&crate::desired::Queue> {
+        self.desired
+            .queues
+            .get(name)
+            .or_else(|| self.retired.get(name))
+    }
+
+    /// Whether a worker of a zone may get new work.
+    pub fn open(&self, zone: &str, worker: &str) -> bool {
+        !self.emptied.contains(zone) && self.desired.open(zone, worker)
+    }
+
+    /// The number of the live send that a worker calls by its names.
+    pub fn named(&self, worker: &str, name: &RunName) -> Option<u64> {
+        let job = self.jobs.get(&name.job)?;
+        let task = job.tasks.get(job.find(&name.task)?)?;
+        let send = task
+            .live()
+            .find(|s| s.run == name.run && s.worker == worker)?;
+        Some(send.no)
     }
 
     /// The holder of a duty.
--- a/landingdrift/src/replay/day.rs
+++ b/landingdrift/src/replay/day.rs
@@ -75,11 +75,10 @@
         let mut r = start.clone();
         let mut lines = Vec::new();
         for e in loaded.entries {
-            let entry: Command =
-                serde_json::from_slice(&e.command).map_err(|x| DayDefect::Line {
-                    line: e.index as usize,
-                    why: x.to_string(),
-                })?;
+            let entry: Command = Command::unpack(&e.command).map_err(|why| DayDefect::Line {
+                line: e.index as usize,
+                why,
+            })?;
             let ruled = ruled(&mut r, e.index, e.at, &entry);
             lines.push(Line {
                 place: e.index,
--- a/landingdrift/src/replay/rerun.rs
+++ b/landingdrift/src/replay/rerun.rs
@@ -47,14 +47,14 @@
                 s.took
                     .insert(id.clone(), j.ended.saturating_sub(j.accepted));
             }
-            for (spec, t) in j.spec.tasks.iter().zip(&j.tasks) {
+            for (i, t) in j.tasks.iter().enumerate() {
                 t.sends
                     .iter()
                     .find(|x| x.state == SendState::Well)
                     .into_iter()
                     .for_each(|x| {
                         s.placed
-                            .insert(format!("{id}/{}", spec.name), x.worker.clone());
+                            .insert(format!("{id}/{}", j.name(i)), x.worker.clone());
                     });
             }
         }
@@ -217,6 +217,7 @@
             change: "replay".into(),
             base,
             patch: false,
+            number: 0,
             value,
         });
     }
@@ -310,7 +311,7 @@
         for e in self.node.step(now, msg) {
             match e {
                 Effect::Send(_, Body::Propose(p)) => {
-                    let Ok(c) = serde_json::from_slice::<Command>(&p.command) else {
+                    let Ok(c) = Command::unpack(&p.command) else {
                         continue;
                     };
                     let (place, verdict) = self.enter(&c);
@@ -374,7 +375,7 @@
                     no,
                     outcome,
                     ran_ms: t - from,
-                    note: String::new(),
+                    ..EndReport::default()
                 });
             }
             let running = h
@@ -382,13 +383,14 @@
                 .keys()
                 .map(|no| Running {
                     no: *no,
-                    progress: 0,
+                    ..Running::default()
                 })
                 .collect();
             let beat = Beat {
                 facts: h.facts.clone(),
                 running,
                 ended: h.ended.clone(),
+                ..Beat::default()
             };
             let body = serde_json::to_vec(&beat).unwrap_or_default();
             self.next_call += 1;
@@ -433,7 +435,7 @@
                     no,
                     outcome,
                     ran_ms: 0,
-                    note: String::new(),
+                    ..EndReport::default()
                 });
             }
         }
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -24,6 +24,10 @@
     pub outage_ms: u64,
     /// A core that is silent for this long is replaced by a waiting one.
     pub replace_ms: u64,
+    /// What runs on a worker is held for this long after each beat, then its worker kills it; 0 holds for ever.
+    pub hold_ms: u64,
+    /// How often workers beat; 0 for an eighth of `leave_ms`.
+    pub beat_ms: u64,
 }
 
 impl Default for Bounds {
@@ -36,6 +40,8 @@
             desired_ms: 2000,
             outage_ms: 12_000,
             replace_ms: 10_000,
+            hold_ms: 0,
+            beat_ms: 0,
         }
     }
 }
@@ -71,7 +77,15 @@
     }
     /// How often workers beat.
     pub fn beat(&self) -> u64 {
-        self.leave_ms / 8
+        if self.beat_ms > 0 {
+            self.beat_ms
+        } else {
+            self.leave_ms / 8
+        }
+    }
+    /// When a hold has surely passed, by any worker's clock: those may run 2 % slow.
+    pub fn hold_passed(&self) -> u64 {
+        self.hold_ms + self.hold_ms * 3 / 100
     }
     /// The silence after which a worker is lost.
     pub fn worker_lost(&self) -> u64 {
@@ -179,6 +193,10 @@
     pub seeds: Vec<String>,
     /// The first cores of a new cluster; the seeds when left empty.
     pub founders: Vec<String>,
+    /// This core founds nothing: it asks to be let in by cores that there are. An empty disk of a cluster that runs.
+    pub join_only: bool,
+    /// How many cores vote, at the most; further ones wait to take the place of a silent one.
+    pub voters: u32,
     /// The data folder of a core.
     pub data: String,
     /// `error`, `warn`, `info` or `debug`.
@@ -197,6 +215,8 @@
             zone: String::new(),
             seeds: Vec::new(),
             founders: Vec::new(),
+            join_only: false,
+            voters: 3,
             data: String::new(),
             log: "info".into(),
             bounds: Bounds::default(),
@@ -209,7 +229,9 @@
 impl Settings {
     /// The first cores of a new cluster.
     pub fn founders(&self) -> Vec<String> {
-        if self.founders.is_empty() {
+        if self.join_only {
+            Vec::new()
+        } else if self.founders.is_empty() {
             self.seeds.clone()
         } else {
             self.founders.clone()
@@ -224,6 +246,8 @@
             ("zone", self.zone != new.zone),
             ("seeds", self.seeds != new.seeds),
             ("founders", self.founders != new.founders),
+            ("join_only", self.join_only != new.join_only),
+            ("voters", self.voters != new.voters),
             ("data", self.data != new.data),
         ];
         let live = Settings {
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -176,6 +176,11 @@
         "log",
         "give error, warn, info or debug",
     )?;
+    ensure(
+        (1..=15).contains(&s.voters),
+        "voters",
+        "give 1 to 15; an odd number bears as many losses as the even one above it",
+    )?;
     let b = &s.bounds;
     ensure(
         b.desired_ms >= 400,
@@ -208,6 +213,16 @@
         "bounds.replace_ms",
         "give at least bounds.cancel_ms",
     )?;
+    ensure(
+        b.hold_ms == 0 || b.hold_ms >= b.cancel_ms,
+        "bounds.hold_ms",
+        "give 0, or at least bounds.cancel_ms",
+    )?;
+    ensure(
+        b.beat_ms == 0 || (20..=b.cancel_ms / 3).contains(&b.beat_ms),
+        "bounds.beat_ms",
+        "give 0, or 20 to a third of bounds.cancel_ms",
+    )?;
     let l = &s.limits;
     ensure(
         (1024..=(32 << 20)).contains(&l.job_bytes),
--- a/landingdrift/src/views/mod.rs
+++ b/landingdrift/src/views/mod.rs
@@ -42,6 +42,12 @@
         self.view.is_empty()
     }
 
+    /// Everybody in view with a role.
+    pub fn of_role(&self, role: &str) -> Vec<String> {
+        let of = self.view.iter().filter(|(_, v)| v.0 == role);
+        of.map(|(k, _)| k.clone()).collect()
+    }
+
     /// Everybody in view.
     pub fn addresses(&self) -> Vec<String> {
         self.view.keys().cloned().collect()
--- /dev/null
+++ b/landingdrift/tests/cell.rs
@@ -0,0 +1,283 @@
+//! What the holder of a cell makes of beats: each test drives one node by its messages.
+
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request, Verdict};
+use landingdrift::node::{Beat, Node, Running};
+use landingdrift::record::{
+    Command, EndReport, JobSpec, Outcome, Placement, Record, RunName, StepSpec, TaskSpec,
+    WorkerFacts,
+};
+use landingdrift::settings::{Bounds, Settings};
+use landingdrift::wire::{Body, FeedBatch};
+use serde_json::json;
+
+const NODE: &str = "10.0.0.1:1";
+const CORE: &str = "10.0.0.2:1";
+
+/// A node that holds the cell of zone `z` and owns queue `q`, with one worker.
+struct Desk {
+    r: Record,
+    n: Node,
+    t: u64,
+    call: u64,
+}
+
+fn facts() -> WorkerFacts {
+    WorkerFacts {
+        worker: "w".into(),
+        incarnation: 1,
+        service: "s".into(),
+        zone: "z".into(),
+        room: 4,
+        ..WorkerFacts::default()
+    }
+}
+
+impl Desk {
+    fn new() -> Self {
+        let cfg = Settings {
+            listen: NODE.into(),
+            http: NODE.into(),
+            zone: "z".into(),
+            seeds: vec![CORE.into()],
+            bounds: Bounds {
+                hold_ms: 6000,
+                ..Bounds::default()
+            },
+            ..Settings::default()
+        };
+        let now = Now { mono: 1, wall: 1 };
+        let mut d = Self {
+            r: Record::new(&cfg.cluster),
+            n: Node::new(cfg, now, 1),
+            t: 1,
+            call: 0,
+        };
+        d.enter(Command::Node {
+            node: NODE.into(),
+            zone: "z".into(),
+            http: NODE.into(),
+        });
+        for duty in ["cell/z", "queue/q"] {
+            d.enter(Command::Grant {
+                duty: duty.into(),
+                holder: NODE.into(),
+                from_epoch: 0,
+            });
+        }
+        d.enter(Command::Configure {
+            change: "c".into(),
+            base: 0,
+            patch: false,
+            number: 0,
+            value: json!({"queues": {"q": {"tries": 3, "quota": 9, "windowMs": 1000, "unsureBoundMs": 1000, "speculationPercent": 0}},
+                "services": {"s": {"taskRoom": 4, "gangRoom": 8}}}),
+        });
+        d.enter(Command::Facts {
+            facts: facts(),
+            cell_epoch: 1,
+        });
+        d
+    }
+
+    fn enter(&mut self, c: Command) {
+        let index = self.r.place + 1;
+        self.r
+            .apply(index, 1000 + self.t, &c)
+            .unwrap_or_else(|e| panic!("{c:?}: {e}"));
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            mono: self.t,
+            wall: 1000 + self.t,
+        }
+    }
+
+    /// The node follows to where the record is.
+    fn follow(&mut self) -> Vec<Effect> {
+        let batch = FeedBatch {
+            core: CORE.into(),
+            leader: CORE.into(),
+            ok: true,
+            sent: self.t,
+            quorum_age: 0,
+            clock: 1000 + self.t,
+            commit: self.r.place,
+            capture: self.r.pack(),
+            capture_index: self.r.place,
+            entries: Vec::new(),
+            cores: vec![CORE.into()],
+        };
+        let now = self.now();
+        self.n.step(
+            now,
+            Msg::Wire(CORE.into(), Body::FeedBatch(Box::new(batch))),
+        )
+    }
+
+    /// A job of one step, and a run of its first task on the worker.
+    fn started(&mut self) {
+        let seen = self.r.place;
+        self.enter(Command::Accept {
+            spec: JobSpec {
+                id: "j".into(),
+                queue: "q".into(),
+                steps: vec![StepSpec {
+                    count: 1,
+                    task: TaskSpec {
+                        service: "s".into(),
+                        room: 1,
+                        ..TaskSpec::default()
+                    },
+                    ..StepSpec::default()
+                }],
+                ..JobSpec::default()
+            },
+            hash: 1,
+            seen,
+        });
+        self.enter(Command::Start {
+            job: "j".into(),
+            owner_epoch: 2,
+            placements: vec![Placement {
+                task: 0,
+                worker: "w".into(),
+                incarnation: 1,
+                cell_epoch: 1,
+                copy: false,
+            }],
+        });
+        self.follow();
+    }
+
+    /// A beat of the worker; the answer, and what was proposed with it.
+    fn beat(&mut self, call: u64, running: bool) -> (Option<Verdict>, Vec<Command>) {
+        let name = RunName {
+            job: "j".into(),
+            task: "0.0.0".into(),
+            run: 1,
+        };
+        let run = Running {
+            name: Some(name),
+            ..Running::default()
+        };
+        let beat = Beat {
+            facts: facts(),
+            running: if running { vec![run] } else { Vec::new() },
+            call,
+            named: true,
+            ..Beat::default()
+        };
+        self.call += 1;
+        let req = Request {
+            method: "POST".into(),
+            path: "/v1/beats".into(),
+            body: serde_json::to_vec(&beat).expect("JSON"),
+            ..Request::default()
+        };
+        let now = self.now();
+        said(self.n.step(now, Msg::Call(self.call, req)))
+    }
+}
+
+fn said(effects: Vec<Effect>) -> (Option<Verdict>, Vec<Command>) {
+    let mut answer = None;
+    let mut proposed = Vec::new();
+    for e in effects {
+        match e {
+            Effect::Answer(_, v) => answer = Some(v),
+            Effect::Send(_, Body::Propose(p)) => {
+                proposed.push(Command::unpack(&p.command).expect("a command"))
+            }
+            _ => {}
+        }
+    }
+    (answer, proposed)
+}
+
+fn voids(of: &[Command]) -> Vec<EndReport> {
+    of.iter()
+        .filter_map(|c| match c {
+            Command::Report { ends, .. } => Some(ends.clone()),
+            _ => None,
+        })
+        .flatten()
+        .filter(|e| e.outcome == Outcome::Void)
+        .collect()
+}
+
+#[test]
+fn a_stopped_order_that_no_later_beat_shows_was_never_started() {
+    let mut d = Desk::new();
+    d.started();
+    let (v, _) = d.beat(1, false);
+    let starts = v.expect("answered").body["starts"].clone();
+    assert_eq!(starts[0]["task"], json!("0.0.0"), "the order goes out");
+    d.enter(Command::Cancel { job: "j".into() });
+    d.follow();
+    // The same call again, by another way: the answer with the order may still be under way.
+    assert_eq!(voids(&d.beat(1, false).1), []);
+    // The next call shows that the answer was dropped.
+    assert_eq!(voids(&d.beat(2, false).1).len(), 1);
+}
+
+#[test]
+fn a_stopped_order_that_runs_is_not_void() {
+    let mut d = Desk::new();
+    d.started();
+    d.beat(1, false);
+    d.enter(Command::Cancel { job: "j".into() });
+    d.follow();
+    let (v, proposed) = d.beat(2, true);
+    assert_eq!(voids(&proposed), []);
+    assert_eq!(
+        v.expect("answered").body["stopRuns"],
+        json!([["j", "0.0.0", 1]])
+    );
+}
+
+#[test]
+fn a_new_holder_does_not_judge_by_the_first_call_it_hears() {
+    let mut d = Desk::new();
+    d.started();
+    d.enter(Command::Cancel { job: "j".into() });
+    d.follow();
+    // Its predecessor may have answered this very call with the order.
+    assert_eq!(voids(&d.beat(7, false).1), []);
+    assert_eq!(voids(&d.beat(8, false).1).len(), 1);
+}
+
+#[test]
+fn a_silent_worker_is_let_go_once_its_hold_has_surely_passed_and_not_before() {
+    let mut d = Desk::new();
+    d.started();
+    d.beat(1, true);
+    d.enter(Command::Report {
+        worker: "w".into(),
+        incarnation: 1,
+        running: vec![1],
+        ends: vec![],
+    });
+    let mut lapsed = Vec::new();
+    for t in (20..8000).step_by(20) {
+        d.t = t;
+        d.follow();
+        let now = d.now();
+        let (_, proposed) = said(d.n.step(now, Msg::Tick));
+        // Until the core's word comes the proposal is sent again; the first one counts.
+        let first = lapsed.is_empty();
+        for c in proposed.into_iter().filter(|_| first) {
+            if let Command::Lapse { worker, .. } = &c {
+                lapsed.push((t, worker.clone()));
+            }
+            let index = d.r.place + 1;
+            let _ = d.r.apply(index, 1000 + t, &c);
+        }
+    }
+    assert_eq!(lapsed.len(), 1, "{lapsed:?}");
+    // 6,000 ms by a clock that runs 2 % slow are 6,123.
+    assert!((6123..6400).contains(&lapsed[0].0), "{lapsed:?}");
+    let task = &d.r.jobs["j"].tasks[0];
+    assert_eq!(task.defects, 0);
+    assert!(task.live().next().is_none());
+}
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -39,6 +39,7 @@
             change: "first".into(),
             base: 0,
             patch: false,
+            number: 0,
             value: desired(2),
         });
         d.facts("w", 1, false);
@@ -63,6 +64,7 @@
             zone: "z".into(),
             room: 4,
             leaving,
+            ..WorkerFacts::default()
         };
         self.ok(Command::Facts {
             facts,
@@ -76,6 +78,7 @@
                 id: id.into(),
                 queue: "q".into(),
                 tasks,
+                ..JobSpec::default()
             },
             hash: 1,
             seen,
@@ -118,7 +121,7 @@
                 no,
                 outcome,
                 ran_ms: 5,
-                note: String::new(),
+                ..EndReport::default()
             }],
         });
     }
@@ -206,6 +209,7 @@
         change: "drain".into(),
         base: 1,
         patch: true,
+        number: 0,
         value: json!({"zones": {"z": {"state": "draining"}}}),
     });
     assert!(matches!(
@@ -279,6 +283,7 @@
         change: "none".into(),
         base: 1,
         patch: true,
+        number: 0,
         value: json!({"queues": {"q": {"speculationPercent": 0}}}),
     });
     d.accept("k", vec![repeatable("a")]).expect("accepted");
@@ -342,6 +347,7 @@
         id: id.into(),
         queue: "q".into(),
         tasks: vec![TaskSpec { room, ..task("a") }],
+        ..JobSpec::default()
     };
     let seen = d.r.place;
     d.ok(Command::Accept {
@@ -437,6 +443,7 @@
         change: id.into(),
         base,
         patch: true,
+        number: 0,
         value: json!({"notes": {"n": note}}),
     };
     d.ok(change("a", 1, "x"));
@@ -450,6 +457,7 @@
         change: "c".into(),
         base: 2,
         patch: true,
+        number: 0,
         value: json!({"queues": {"q": {"tries": "many"}}}),
     });
     assert!(
@@ -511,6 +519,7 @@
         change: format!("tries{n}"),
         base,
         patch: true,
+        number: 0,
         value: json!({"queues": {"q": {"tries": n}}}),
     };
     d.ok(tries(1, 3));
@@ -573,6 +582,7 @@
         change: change.into(),
         base: 1,
         patch: true,
+        number: 0,
         value: json!({"queues": {"q": null}}),
     };
     let refused = d.apply(without("a"));
@@ -591,6 +601,7 @@
         change: "more".into(),
         base: 1,
         patch: true,
+        number: 0,
         value: json!({"queues": {"q": {"tries": 100, "quota": 100}}}),
     });
     let mut no = 0;
@@ -668,6 +679,7 @@
         change: format!("lower-{base}"),
         base,
         patch: true,
+        number: 0,
         value: value.clone(),
     };
     d.ok(lower(1));
@@ -690,7 +702,7 @@
             labels: labels.iter().map(ToString::to_string).collect(),
             zone: "z".into(),
             room,
-            leaving: false,
+            ..WorkerFacts::default()
         },
         cell_epoch: 1,
     };
--- a/rehearsal/src/fleet/drive.rs
+++ b/rehearsal/src/fleet/drive.rs
@@ -58,6 +58,7 @@
                 status,
                 retry_ms: body["retryMs"].as_u64().unwrap_or(0),
                 body,
+                ..Verdict::default()
             }
         },
     )
@@ -155,7 +156,7 @@
                     .collect(),
                 zone: format!("z{}", i % 3),
                 room: o.shape.room(),
-                leaving: false,
+                ..WorkerFacts::default()
             },
             life: 0,
             cut: false,
--- a/rehearsal/src/measure/workload.rs
+++ b/rehearsal/src/measure/workload.rs
@@ -53,6 +53,7 @@
                 id: format!("m-{}-{}", jobs.len(), n),
                 queue,
                 tasks,
+                ..JobSpec::default()
             },
         ));
         t += -(1.0 - draw.unit()).ln() * gap;
--- a/rehearsal/src/scenario/mixes.rs
+++ b/rehearsal/src/scenario/mixes.rs
@@ -83,5 +83,6 @@
         id: id.into(),
         queue,
         tasks,
+        ..JobSpec::default()
     }
 }
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -259,7 +259,7 @@
                 labels,
                 zone: format!("z{}", i % 3),
                 room: s.shape.room(),
-                leaving: false,
+                ..WorkerFacts::default()
             };
             w.hands.push(Hand {
                 worker: None,
--- a/rehearsal/src/standin/worker.rs
+++ b/rehearsal/src/standin/worker.rs
@@ -191,6 +191,7 @@
             outcome,
             ran_ms: now - r.started,
             note: note.into(),
+            ..EndReport::default()
         });
         // Ends are told soon, so that the slot is used again.
         self.next_beat = self.next_beat.min(now + 20);
@@ -238,7 +239,7 @@
                     no,
                     outcome: Outcome::Void,
                     ran_ms: 0,
-                    note: String::new(),
+                    ..EndReport::default()
                 });
                 self.next_beat = now + 20;
             }
--- a/rehearsal/tests/checkers.rs
+++ b/rehearsal/tests/checkers.rs
@@ -20,6 +20,7 @@
             id: "j".into(),
             queue: "q".into(),
             tasks,
+            ..JobSpec::default()
         },
     }
 }
@@ -175,6 +176,7 @@
         id: id.clone(),
         queue: "q".into(),
         tasks: vec![task("a")],
+        ..JobSpec::default()
     };
     let mut run = started("w", 1, "a");
     if let Event::Started { job, .. } = &mut run {
@@ -700,6 +702,7 @@
                             id: "k".into(),
                             queue: "q".into(),
                             tasks: vec![task("a")],
+                            ..JobSpec::default()
                         },
                     },
                 ),
@@ -720,6 +723,7 @@
                             id: "k".into(),
                             queue: "q".into(),
                             tasks: vec![task("a")],
+                            ..JobSpec::default()
                         },
                     },
                 ),
