--- a/landingdrift/src/daemon/control.rs
+++ b/landingdrift/src/daemon/control.rs
@@ -1,29 +1,38 @@
+use super::calls::Calls;
 use super::disks::Disk;
-use super::transport::Transport;
-use crate::kernel::{Effect, Msg, Now, Part, Request, Verdict};
-use crate::settings::Settings;
-use dashmap::DashMap;
+use super::traffic::Transport;
+use crate::kernel::{Effect, Msg, Now, Part, Request};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Inputs taken in one round, so that effects don't wait for ever while inputs pour in.
+const ROUND: usize = 256;
+
 /// What reaches the thread of control state.
 pub enum Input {
     Msg(Msg),
     Call(Request, u64),
 }
 
-/// Verdicts that callers wait for, by call.
-pub type Waiting = Arc<DashMap<u64, rocket::tokio::sync::oneshot::Sender<Verdict>>>;
+impl From<Input> for Msg {
+    fn from(i: Input) -> Self {
+        match i {
+            Input::Msg(m) => m,
+            Input::Call(req, call) => Msg::Call(call, req),
+        }
+    }
+}
 
 /// The process's clocks.
 #[derive(Clone, Copy)]
 pub struct Clock(Instant);
 
 impl Clock {
+    /// Clocks that count from now.
     pub fn start() -> Self {
         Self(Instant::now())
     }
+    /// The time.
     pub fn now(&self) -> Now {
         Now {
             mono: 1 + self.0.elapsed().as_millis() as u64,
@@ -34,69 +43,74 @@
     }
 }
 
-/// The thread of control state: one message, one step, its effects, and again.
+/// The thread of control state: all that waits is stepped through, then its effects go out together, and again.
 pub struct Control {
     pub part: Box<dyn Part>,
     pub clock: Clock,
     pub transport: Transport,
     pub disk: Option<Disk>,
-    pub waiting: Waiting,
-    pub settings: Settings,
+    pub calls: Calls,
+    pub tick: Duration,
 }
 
 impl Control {
-    /// Runs until the part is done.
+    /// Runs until the part is done or nobody is left who could reach it.
     pub fn run(mut self, inputs: &Receiver<Input>) {
-        let mut next_tick = Instant::now();
+        let mut next = Instant::now();
+        let mut effects = Vec::new();
         loop {
-            let tick = Duration::from_millis(self.settings.bounds.tick());
-            let msg = match inputs.recv_timeout(next_tick.saturating_duration_since(Instant::now()))
-            {
-                Ok(Input::Msg(m)) => m,
-                Ok(Input::Call(req, call)) => Msg::Call(call, req),
-                Err(RecvTimeoutError::Timeout) => Msg::Tick,
+            let first = match inputs.recv_timeout(next.saturating_duration_since(Instant::now())) {
+                Ok(i) => Some(i),
+                Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            if Instant::now() >= next_tick {
-                next_tick = Instant::now() + tick;
-                if !matches!(msg, Msg::Tick) && self.step(Msg::Tick) {
-                    return;
-                }
-            }
-            if let Msg::Changed(s) = &msg {
-                self.settings = (**s).clone();
+            let now = Instant::now();
+            let tick = (now >= next).then_some(Msg::Tick);
+            if tick.is_some() {
+                next = now + self.tick;
             }
-            if self.step(msg) {
-                return;
+            let msgs = first.into_iter().chain(inputs.try_iter()).map(Msg::from);
+            let exit = tick
+                .into_iter()
+                .chain(msgs.take(ROUND))
+                .any(|m| self.step(m, &mut effects));
+            effects.drain(..).for_each(|e| self.carry_out(e));
+            if exit {
+                return self.tell_end();
             }
         }
     }
 
-    fn step(&mut self, msg: Msg) -> bool {
-        let now = self.clock.now();
-        let mut exit = false;
-        for effect in self.part.step(now, msg) {
-            match effect {
-                Effect::Send(to, body) => self.transport.send(&to, &body),
-                Effect::Save(save) => self.disk.iter().for_each(|d| d.save(save.clone())),
-                Effect::Answer(call, v) => {
-                    self.waiting.remove(&call).into_iter().for_each(|(_, tx)| {
-                        let _ = tx.send(v.clone());
-                    });
+    fn step(&mut self, msg: Msg, effects: &mut Vec<Effect>) -> bool {
+        if let Msg::Changed(s) = &msg {
+            self.tick = Duration::from_millis(s.bounds.tick());
+        }
+        let before = effects.len();
+        effects.extend(self.part.step(self.clock.now(), msg));
+        effects[before..].iter().any(|e| matches!(e, Effect::Exit))
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send(to, body) => self.transport.send(&to, &body),
+            Effect::Save(save) => {
+                if let Some(d) = &self.disk {
+                    d.save(save);
                 }
-                Effect::Line(text) => log::info!("{text}"),
-                Effect::Exit => exit = true,
             }
+            Effect::Answer(call, v) => self.calls.answer(call, v),
+            Effect::Line(text) => log::info!("{text}"),
+            Effect::Exit => {}
         }
-        if exit {
-            let counters: Vec<String> = self
-                .part
-                .counters()
-                .into_iter()
-                .map(|(k, v)| format!("{k}={v}"))
-                .collect();
-            log::info!("ends; counters: {}", counters.join(" "));
-        }
-        exit
+    }
+
+    fn tell_end(&self) {
+        let counters: Vec<String> = self
+            .part
+            .counters()
+            .into_iter()
+            .map(|(k, v)| format!("{k}={v}"))
+            .collect();
+        log::info!("ends; counters: {}", counters.join(" "));
     }
 }
--- a/landingdrift/src/daemon/disks.rs
+++ b/landingdrift/src/daemon/disks.rs
@@ -1,16 +1,17 @@
 use super::control::Input;
+use super::threads;
 use crate::disk::Folder;
 use crate::kernel::{Msg, Save};
 use std::sync::mpsc::{channel, Sender};
-use std::thread;
 
 /// The thread that writes; all that waits is written together and synced once.
 pub struct Disk(Sender<Save>);
 
 impl Disk {
-    pub fn start(mut folder: Folder, inputs: Sender<Input>) -> Self {
+    /// Starts the thread.
+    pub fn start(mut folder: Folder, inputs: Sender<Input>) -> Result<Self, String> {
         let (tx, rx) = channel::<Save>();
-        thread::spawn(move || {
+        threads::spawn("disk", threads::SMALL, move || {
             while let Ok(first) = rx.recv() {
                 let mut batch = vec![first];
                 batch.extend(rx.try_iter());
@@ -23,10 +24,11 @@
                     return;
                 }
             }
-        });
-        Self(tx)
+        })?;
+        Ok(Self(tx))
     }
 
+    /// Hands over what is to be written.
     pub fn save(&self, s: Save) {
         let _ = self.0.send(s);
     }
--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -1,10 +1,15 @@
 //! What surrounds a part in a real process: threads, sockets, files, signals.
 
+mod calls;
 mod control;
 mod disks;
-mod http;
 mod logs;
 mod roles;
-mod transport;
+mod signals;
+mod threads;
+mod traffic;
 
-pub use control::Input;
+pub use calls::Calls;
+pub use control::{Clock, Control, Input};
+pub use disks::Disk;
+pub use traffic::{Asked, Bounded, Frames, Manner, Reply, Traffic, Transport};
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -1,19 +1,18 @@
-use super::control::{Clock, Control, Input, Waiting};
+use super::calls::Calls;
+use super::control::{Clock, Control, Input};
 use super::disks::Disk;
-use super::transport::Transport;
-use super::{http, logs};
+use super::signals::{self, Ended, Watch};
+use super::traffic::{Bounded, Frames, Manner, Traffic};
+use super::{logs, threads};
 use crate::agreement::Core;
 use crate::disk::Folder;
 use crate::kernel::roles::Role;
-use crate::kernel::{digest, Msg, Now, Part};
+use crate::kernel::{digest, Now, Part};
 use crate::node::Node;
 use crate::settings::{from_words, Settings, FLAGS};
-use dashmap::DashMap;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::ffi::OsString;
 use std::path::Path;
-use std::sync::mpsc::{channel, Sender};
-use std::sync::Arc;
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
 inventory::submit! { Role { name: "core", summary: "keeps the record on disk, with two others", run: run_core } }
@@ -68,7 +67,6 @@
     let now = clock.now();
     let logger = logs::start(&s.log);
     let (tx, rx) = channel::<Input>();
-    let patience = Duration::from_millis(s.bounds.election());
     let seed = seed(&s.listen, now);
     let (part, disk): (Box<dyn Part>, Option<Disk>) = if role == "core" {
         let (folder, loaded) = Folder::open(
@@ -79,82 +77,69 @@
         )
         .map_err(|e| e.to_string())?;
         let part = Core::new(s.clone(), loaded, now, seed)?;
-        (Box::new(part), Some(Disk::start(folder, tx.clone())))
+        (Box::new(part), Some(Disk::start(folder, tx.clone())?))
     } else {
         (Box::new(Node::new(s.clone(), now, seed)), None)
     };
-    let transport = Transport::start(&s.cluster, &s.listen, patience, tx.clone()).map_err(|e| {
-        format!(
-            "can't listen at {} ({e}): free the address or name another with --listen",
-            s.listen
-        )
-    })?;
-    let waiting: Waiting = Arc::new(DashMap::new());
+    let traffic = Traffic::start()?;
+    let transport = traffic.listen(frames(&s), tx.clone())?;
+    let calls = Calls::default();
     let addr = s
         .http
         .parse()
         .map_err(|_| format!("'{}' is no address: correct --http", s.http))?;
-    let most = s.limits.job_bytes.max(s.limits.desired_bytes) + 1024;
-    http::start(
+    traffic.http(
         addr,
+        bounded(&s),
+        Manner::default(),
+        calls.clone(),
         tx.clone(),
-        waiting.clone(),
-        Duration::from_millis(s.bounds.state_ms),
-        most,
-    )
-    .map_err(|e| {
-        format!("can't serve HTTP at {addr} ({e}): free the address or name another with --http")
-    })?;
-    signals(role, s.clone(), words, tx, logger)
-        .map_err(|e| format!("can't listen for signals ({e})"))?;
+    )?;
+    let mut signals = signals::take()?;
     log::info!("{role} {} in zone {}, HTTP at {}", s.listen, s.zone, s.http);
-    Control {
+    let control = Control {
         part,
         clock,
         transport,
         disk,
-        waiting,
-        settings: s,
-    }
-    .run(&rx);
+        calls,
+        tick: Duration::from_millis(s.bounds.tick()),
+    };
+    let ended = Ended(signals.handle());
+    let control = threads::spawn("control", threads::CONTROL, move || {
+        let _ended = ended;
+        control.run(&rx);
+    })?;
+    let watch = Watch {
+        core: role == "core",
+        current: s,
+        words,
+        inputs: tx,
+        logger,
+    };
+    watch.run(&mut signals);
+    control
+        .join()
+        .map_err(|_| "the control thread panicked: start the process again".to_string())?;
     // The last frames and verdicts get a moment to leave.
     std::thread::sleep(Duration::from_millis(100));
     Ok(0)
 }
 
-fn signals(
-    role: &'static str,
-    mut current: Settings,
-    words: Vec<OsString>,
-    tx: Sender<Input>,
-    logger: Option<flexi_logger::LoggerHandle>,
-) -> std::io::Result<()> {
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            if signal != SIGHUP {
-                log::info!("asked to stop");
-                let _ = tx.send(Input::Msg(Msg::Stop));
-                continue;
-            }
-            match from_words(words.clone(), role == "core") {
-                Ok(asked) => {
-                    let (live, fixed) = current.take_live(&asked.settings);
-                    fixed.iter().for_each(|f| {
-                        log::warn!("setting '{f}' can't change while the process runs: restart it")
-                    });
-                    if live != current {
-                        log::info!("settings reread");
-                        logger
-                            .iter()
-                            .for_each(|l| l.set_new_spec(logs::spec(&live.log)));
-                        current = live.clone();
-                        let _ = tx.send(Input::Msg(Msg::Changed(Box::new(live))));
-                    }
-                }
-                Err(e) => log::error!("settings not reread: {e}"),
-            }
-        }
-    });
-    Ok(())
+fn frames(s: &Settings) -> Frames {
+    Frames {
+        cluster: s.cluster.clone(),
+        me: s.listen.clone(),
+        patience: Duration::from_millis(s.bounds.election()),
+        longest: Frames::longest(&s.limits),
+    }
+}
+
+/// A part turns away calls beyond its limit itself; as many places again are for the beats and probes it always takes.
+fn bounded(s: &Settings) -> Bounded {
+    Bounded {
+        patience: Duration::from_millis(s.bounds.state_ms),
+        bytes: s.limits.job_bytes.max(s.limits.desired_bytes) + 1024,
+        calls: s.limits.calls.saturating_mul(2),
+    }
 }
--- /dev/null
+++ b/landingdrift/src/daemon/traffic/http/door.rs
@@ -0,0 +1,123 @@
+use super::{Asked, Bounded, Manner};
+use crate::daemon::calls::Calls;
+use crate::daemon::control::Input;
+use crate::kernel::Verdict;
+use rocket::catcher;
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::{Header, Status};
+use rocket::response::Response;
+use rocket::route::{Handler, Outcome};
+use rocket::tokio::sync::Semaphore;
+use rocket::tokio::time::timeout;
+use rocket::Request;
+use std::io::Cursor;
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+
+/// Where calls at one address come in.
+#[derive(Clone)]
+pub struct Door {
+    pub bounded: Bounded,
+    pub manner: Manner,
+    pub calls: Calls,
+    pub inputs: Sender<Input>,
+    pub places: Arc<Semaphore>,
+}
+
+impl Door {
+    async fn verdict(&self, req: &Request<'_>, data: Data<'_>) -> Verdict {
+        match self.places.try_acquire() {
+            Ok(_place) => match self.body(data).await {
+                Ok(body) => self.ask(asked(req, body)).await,
+                Err(refusal) => refusal,
+            },
+            Err(_) => Verdict::error(
+                503,
+                "busy",
+                "this process works on as many calls as it may and took nothing of this one: come back later, or go to another node",
+            )
+            .retry(1000),
+        }
+    }
+
+    async fn body(&self, data: Data<'_>) -> Result<Vec<u8>, Verdict> {
+        let most = self.bounded.bytes;
+        let unread = |why: String| {
+            let message = format!("the body could not be read ({why}): send it again");
+            Verdict::error(400, "noBody", message)
+        };
+        let whole = timeout(self.bounded.patience, data.open(most.bytes()).into_bytes())
+            .await
+            .map_err(|_| unread("it came too slowly".into()))?
+            .map_err(|e| unread(e.to_string()))?;
+        let complete = whole.is_complete();
+        complete.then(|| whole.into_inner()).ok_or_else(|| {
+            let message = format!("no body may have more than {most} bytes: send less");
+            Verdict::error(413, "tooLarge", message)
+        })
+    }
+
+    async fn ask(&self, asked: Asked) -> Verdict {
+        let mut waiting = self.calls.open();
+        let input = (self.manner.read)(asked, waiting.call);
+        let verdict = match self.inputs.send(input) {
+            Ok(()) => timeout(self.bounded.patience, &mut waiting.verdict)
+                .await
+                .ok(),
+            Err(_) => None,
+        };
+        verdict.and_then(Result::ok).unwrap_or_else(|| {
+            Verdict::error(
+                503,
+                "unsure",
+                "this process gave no verdict: ask again, here or at another node",
+            )
+            .retry(1000)
+        })
+    }
+
+    fn respond<'r>(&self, v: Verdict) -> Response<'r> {
+        let reply = (self.manner.write)(v);
+        let mut b = Response::build();
+        b.status(Status::new(reply.status));
+        reply.headers.into_iter().for_each(|(k, v)| {
+            b.header_adjoin(Header::new(k, v));
+        });
+        b.sized_body(reply.body.len(), Cursor::new(reply.body))
+            .finalize()
+    }
+}
+
+fn asked(req: &Request<'_>, body: Vec<u8>) -> Asked {
+    let uri = req.uri();
+    let path = uri.path();
+    Asked {
+        method: req.method().as_str().into(),
+        path: path
+            .percent_decode()
+            .map_or_else(|_| path.to_string(), |p| p.to_string()),
+        query: uri.query().map_or(String::new(), |q| q.to_string()),
+        headers: req
+            .headers()
+            .iter()
+            .map(|h| (h.name.to_string(), h.value.to_string()))
+            .collect(),
+        body,
+    }
+}
+
+#[rocket::async_trait]
+impl Handler for Door {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        Outcome::Success(self.respond(self.verdict(req, data).await))
+    }
+}
+
+/// What the library refuses before it reaches us is told in the same manner.
+#[rocket::async_trait]
+impl catcher::Handler for Door {
+    async fn handle<'r>(&self, status: Status, _: &'r Request<'_>) -> catcher::Result<'r> {
+        let message = format!("the request is no HTTP that is served here ({}): docs/operators/api.md lists methods and routes", status.reason_lossy());
+        Ok(self.respond(Verdict::error(status.code, "wrongRequest", message)))
+    }
+}
--- /dev/null
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -0,0 +1,109 @@
+//! HTTP towards callers, workers and operators, by `rocket`: it reads the call, control gives the verdict.
+
+mod door;
+mod manner;
+
+pub use manner::{Asked, Manner, Reply};
+
+use crate::daemon::calls::Calls;
+use crate::daemon::control::Input;
+use door::Door;
+use rocket::config::{LogLevel, Shutdown};
+use rocket::fairing::AdHoc;
+use rocket::http::Method;
+use rocket::tokio::runtime::Handle;
+use rocket::tokio::sync::Semaphore;
+use rocket::{Catcher, Config, Ignite, Rocket, Route};
+use std::net::SocketAddr;
+use std::sync::mpsc::{sync_channel, Sender, SyncSender};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What one address may cost.
+#[derive(Clone, Debug)]
+pub struct Bounded {
+    /// How long a body may take to come, and then a verdict.
+    pub patience: Duration,
+    /// The longest body in bytes.
+    pub bytes: u64,
+    /// Calls in hand at once; more are told to come back.
+    pub calls: u64,
+}
+
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Patch,
+    Method::Options,
+    Method::Head,
+];
+
+/// Serves an address; says which it became.
+pub fn serve(
+    handle: &Handle,
+    addr: SocketAddr,
+    bounded: Bounded,
+    manner: Manner,
+    calls: Calls,
+    inputs: Sender<Input>,
+) -> Result<SocketAddr, String> {
+    let places = (bounded.calls as usize).min(Semaphore::MAX_PERMITS);
+    let door = Door {
+        bounded,
+        manner,
+        calls,
+        inputs,
+        places: Arc::new(Semaphore::new(places)),
+    };
+    let (tx, rx) = sync_channel(2);
+    let cant = move |why: String| {
+        format!("can't serve HTTP at {addr} ({why}): free the address or name another with --http")
+    };
+    handle.spawn(launch(addr, door, tx));
+    rx.recv()
+        .map_err(|e| cant(e.to_string()))
+        .and_then(|up| up.map_err(cant))
+}
+
+type Up = Result<SocketAddr, String>;
+
+async fn launch(addr: SocketAddr, door: Door, up: SyncSender<Up>) {
+    let lifted = up.clone();
+    let tell = AdHoc::on_liftoff("up", move |r| {
+        let at = SocketAddr::new(r.config().address, r.config().port);
+        let _ = lifted.try_send(Ok(at));
+        Box::pin(async {})
+    });
+    let ended: Result<Rocket<Ignite>, rocket::Error> = rocket::custom(config(addr))
+        .mount(
+            "/",
+            METHODS.map(|m| Route::ranked(0, m, "/<path..>", door.clone())),
+        )
+        .register("/", vec![Catcher::new(None, door)])
+        .attach(tell)
+        .launch()
+        .await;
+    let why = ended.map_or_else(|e| e.to_string(), |_| "it was shut down".into());
+    if up.try_send(Err(why.clone())).is_err() {
+        log::error!("HTTP at {addr} ended ({why}): the process ends, start it again");
+        std::process::exit(1);
+    }
+}
+
+fn config(addr: SocketAddr) -> Config {
+    Config {
+        address: addr.ip(),
+        port: addr.port(),
+        workers: 1,
+        max_blocking: 1,
+        log_level: LogLevel::Off,
+        shutdown: Shutdown {
+            ctrlc: false,
+            signals: Default::default(),
+            ..Default::default()
+        },
+        ..Config::release_default()
+    }
+}
--- /dev/null
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -0,0 +1,72 @@
+//! The one thread that all sockets of a process share.
+
+mod frames;
+mod http;
+
+pub use frames::{Frames, Transport};
+pub use http::{Asked, Bounded, Manner, Reply};
+
+use super::calls::Calls;
+use super::control::Input;
+use super::threads;
+use rocket::tokio::runtime::{Builder, Handle};
+use rocket::tokio::sync::oneshot;
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::thread::JoinHandle;
+
+/// The traffic thread; it ends, and every socket with it, when this is dropped.
+pub struct Traffic {
+    handle: Handle,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Traffic {
+    /// Starts the thread.
+    pub fn start() -> Result<Self, String> {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .max_blocking_threads(1)
+            .thread_stack_size(threads::SMALL)
+            .build()
+            .map_err(|e| format!("no sockets can be had ({e}): raise the limit on open files"))?;
+        let handle = runtime.handle().clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = threads::spawn("traffic", threads::SMALL, move || {
+            let _ = runtime.block_on(stopped);
+            runtime.shutdown_background();
+        })?;
+        Ok(Self {
+            handle,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    /// Listens for frames, hands what comes to `inputs`, and gives what sends frames in the same name.
+    pub fn listen(&self, frames: Frames, inputs: Sender<Input>) -> Result<Transport, String> {
+        frames::listen(&self.handle, frames, inputs)
+    }
+
+    /// Serves HTTP at an address, in a manner, until the thread ends; says which address it became.
+    pub fn http(
+        &self,
+        addr: SocketAddr,
+        bounded: Bounded,
+        manner: Manner,
+        calls: Calls,
+        inputs: Sender<Input>,
+    ) -> Result<SocketAddr, String> {
+        http::serve(&self.handle, addr, bounded, manner, calls, inputs)
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        self.thread.take().into_iter().for_each(|t| {
+            let _ = t.join();
+        });
+    }
+}
--- /dev/null
+++ b/landingdrift/tests/control.rs
@@ -0,0 +1,70 @@
+//! The thread of control state steps its part no more often than it must.
+
+use landingdrift::daemon::{Calls, Clock, Control, Frames, Input, Traffic};
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request, Verdict};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Notes the kinds of all it is told, and ends at the stop.
+struct Noting(Arc<Mutex<Vec<&'static str>>>);
+
+impl Part for Noting {
+    fn step(&mut self, _: Now, msg: Msg) -> Vec<Effect> {
+        let (kind, effects) = match msg {
+            Msg::Tick => ("tick", Vec::new()),
+            Msg::Call(n, _) => ("call", vec![Effect::Answer(n, Verdict::new(200, n.into()))]),
+            Msg::Stop => ("stop", vec![Effect::Exit]),
+            _ => ("other", Vec::new()),
+        };
+        self.0.lock().expect("free").push(kind);
+        effects
+    }
+    fn counters(&self) -> Vec<(String, u64)> {
+        Vec::new()
+    }
+}
+
+fn run(tick: Duration, inputs: Vec<Input>) -> Vec<&'static str> {
+    let traffic = Traffic::start().expect("starts");
+    let (tx, rx) = channel();
+    let frames = Frames {
+        cluster: "tests".into(),
+        me: "127.0.0.1:0".into(),
+        patience: Duration::from_secs(1),
+        longest: 1 << 20,
+    };
+    let noted = Arc::new(Mutex::new(Vec::new()));
+    let control = Control {
+        part: Box::new(Noting(noted.clone())),
+        clock: Clock::start(),
+        transport: traffic.listen(frames, tx.clone()).expect("listens"),
+        disk: None,
+        calls: Calls::default(),
+        tick,
+    };
+    inputs.into_iter().for_each(|i| tx.send(i).expect("taken"));
+    control.run(&rx);
+    let noted = noted.lock().expect("free");
+    noted.clone()
+}
+
+#[test]
+fn a_busy_part_is_told_of_the_time_once_a_tick() {
+    let calls = (0..1000).map(|n| Input::Call(Request::default(), n));
+    let noted = run(
+        Duration::from_secs(3600),
+        calls.chain([Input::Msg(Msg::Stop)]).collect(),
+    );
+    let count = |kind| noted.iter().filter(|k| **k == kind).count();
+    assert_eq!((count("tick"), count("call"), count("stop")), (1, 1000, 1));
+    assert_eq!(noted.last(), Some(&"stop"));
+}
+
+#[test]
+fn nothing_is_stepped_after_the_end() {
+    let stop = Input::Msg(Msg::Stop);
+    let late = Input::Call(Request::default(), 1);
+    let noted = run(Duration::from_secs(3600), vec![stop, late]);
+    assert_eq!(noted, ["tick", "stop"]);
+}
--- /dev/null
+++ b/landingdrift/tests/traffic.rs
@@ -0,0 +1,360 @@
+//! One thread carries all frames and all HTTP of a process.
+
+use landingdrift::daemon::{
+    Asked, Bounded, Calls, Frames, Input, Manner, Reply, Traffic, Transport,
+};
+use landingdrift::kernel::{Msg, Request, Verdict};
+use landingdrift::settings::Limits;
+use landingdrift::wire::{pack, Body, Forwarded, ReadAsk};
+use serde_json::json;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::Duration;
+
+const LONG: Duration = Duration::from_secs(20);
+const LONGEST: u32 = 1 << 20;
+
+fn frames(me: &str) -> Frames {
+    Frames {
+        cluster: "tests".into(),
+        me: me.into(),
+        patience: Duration::from_secs(2),
+        longest: LONGEST,
+    }
+}
+
+fn listen(traffic: &Traffic) -> (Transport, Receiver<Input>) {
+    let (tx, rx) = channel();
+    let transport = traffic.listen(frames("127.0.0.1:0"), tx).expect("listens");
+    (transport, rx)
+}
+
+fn ask(token: u64) -> Body {
+    Body::ReadAsk(Box::new(ReadAsk { token }))
+}
+
+fn forwarded(token: u64, bytes: usize) -> Body {
+    Body::Forwarded(Box::new(Forwarded {
+        token,
+        status: 200,
+        retry_ms: 0,
+        body: vec![7; bytes],
+    }))
+}
+
+fn next(rx: &Receiver<Input>) -> (String, Body) {
+    match rx.recv_timeout(LONG) {
+        Ok(Input::Msg(Msg::Wire(from, body))) => (from, body),
+        _ => panic!("no frame came"),
+    }
+}
+
+fn framed(bytes: &[u8]) -> Vec<u8> {
+    let mut out = (bytes.len() as u32).to_le_bytes().to_vec();
+    out.extend(bytes);
+    out
+}
+
+/// Whether the other side ends the connection without a word.
+fn ends(mut c: TcpStream) -> bool {
+    c.set_read_timeout(Some(LONG)).expect("set");
+    c.read(&mut [0; 8])
+        .map_or_else(|e| e.kind() == ErrorKind::ConnectionReset, |n| n == 0)
+}
+
+#[test]
+fn two_processes_exchange_frames() {
+    let (one, two) = (
+        Traffic::start().expect("starts"),
+        Traffic::start().expect("starts"),
+    );
+    let ((mut a, at_a), (mut b, at_b)) = (listen(&one), listen(&two));
+    a.send(b.me(), &ask(1));
+    assert_eq!(next(&at_b), (a.me().to_string(), ask(1)));
+    b.send(a.me(), &ask(2));
+    assert_eq!(next(&at_a), (b.me().to_string(), ask(2)));
+}
+
+#[test]
+fn parts_in_one_process_share_the_thread_and_keep_their_names() {
+    let traffic = Traffic::start().expect("starts");
+    let ((mut core, at_core), (mut node, at_node)) = (listen(&traffic), listen(&traffic));
+    let (c, n) = (core.me().to_string(), node.me().to_string());
+    node.send(&c, &ask(1));
+    core.send(&n, &ask(2));
+    node.send(&n, &ask(3));
+    assert_eq!(next(&at_core), (n.clone(), ask(1)));
+    let mut got = [next(&at_node), next(&at_node)];
+    got.sort_by_key(|(from, _)| *from == n);
+    assert_eq!(got, [(c, ask(2)), (n, ask(3))]);
+}
+
+#[test]
+fn frames_of_any_size_keep_their_order() {
+    let traffic = Traffic::start().expect("starts");
+    let ((mut a, _at_a), (b, at_b)) = (listen(&traffic), listen(&traffic));
+    let sizes = [0, 10, 900_000, 20, 16 << 10, 40_000, 1];
+    for (i, bytes) in sizes.into_iter().enumerate() {
+        a.send(b.me(), &forwarded(i as u64, bytes));
+    }
+    for (i, bytes) in sizes.into_iter().enumerate() {
+        assert_eq!(next(&at_b).1, forwarded(i as u64, bytes));
+    }
+    assert_eq!(a.dropped, 0);
+}
+
+#[test]
+fn a_receiver_that_does_not_read_holds_up_nobody_else() {
+    let traffic = Traffic::start().expect("starts");
+    let ((mut a, _at_a), (b, at_b)) = (listen(&traffic), listen(&traffic));
+    let deaf = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let deaf_at = deaf.local_addr().expect("an address").to_string();
+    let tries = (0..50_000)
+        .take_while(|i| {
+            a.send(&deaf_at, &forwarded(*i, 8 << 10));
+            a.dropped == 0
+        })
+        .count();
+    assert!(tries < 50_000, "its queue is bounded");
+    a.send(b.me(), &ask(1));
+    assert_eq!(next(&at_b).1, ask(1));
+}
+
+#[test]
+fn a_frame_that_is_too_long_ends_its_connection_and_nothing_else() {
+    let traffic = Traffic::start().expect("starts");
+    let ((mut a, _at_a), (b, at_b)) = (listen(&traffic), listen(&traffic));
+    let mut c = TcpStream::connect(b.me()).expect("connects");
+    c.write_all(&(LONGEST + 1).to_le_bytes()).expect("written");
+    assert!(ends(c));
+    a.send(b.me(), &ask(1));
+    assert_eq!(next(&at_b).1, ask(1));
+    a.send(b.me(), &forwarded(2, LONGEST as usize + 1));
+    assert_eq!(a.dropped, 1, "nor is one sent");
+}
+
+#[test]
+fn a_frame_of_another_kind_is_passed_over() {
+    let traffic = Traffic::start().expect("starts");
+    let (b, at_b) = listen(&traffic);
+    let mut c = TcpStream::connect(b.me()).expect("connects");
+    for bytes in [
+        vec![1, 2, 3],
+        pack("others", "127.0.0.1:1", &ask(1)),
+        pack("tests", "127.0.0.1:1", &ask(2)),
+    ] {
+        c.write_all(&framed(&bytes)).expect("written");
+    }
+    assert_eq!(next(&at_b), ("127.0.0.1:1".into(), ask(2)));
+}
+
+#[test]
+fn a_receiver_that_was_started_again_is_found_again() {
+    let traffic = Traffic::start().expect("starts");
+    let (mut a, _at_a) = listen(&traffic);
+    let first = Traffic::start().expect("starts");
+    let (b, at_b) = listen(&first);
+    let me = b.me().to_string();
+    a.send(&me, &ask(1));
+    assert_eq!(next(&at_b).1, ask(1));
+    drop((b, first));
+    let second = Traffic::start().expect("starts");
+    let (tx, rx) = channel();
+    let _b = second.listen(frames(&me), tx).expect("the address is free");
+    let found = (2..200).any(|i| {
+        a.send(&me, &ask(i));
+        rx.recv_timeout(Duration::from_millis(100)).is_ok()
+    });
+    assert!(found);
+}
+
+#[test]
+fn an_address_that_is_taken_is_told_with_its_remedy() {
+    let traffic = Traffic::start().expect("starts");
+    let (a, _at_a) = listen(&traffic);
+    let (tx, _rx) = channel();
+    let why = traffic
+        .listen(frames(a.me()), tx.clone())
+        .map(|_| ())
+        .expect_err("taken");
+    assert!(why.contains("--listen"), "{why}");
+    let taken = a.me().parse().expect("an address");
+    let why = traffic
+        .http(taken, bounded(), Manner::default(), Calls::default(), tx)
+        .expect_err("taken");
+    assert!(why.contains("--http"), "{why}");
+}
+
+#[test]
+fn the_longest_frame_follows_the_limits_up_to_a_top() {
+    assert_eq!(Frames::longest(&Limits::default()), 256 << 20);
+    let small = Limits {
+        open_jobs: 10,
+        job_bytes: 1 << 20,
+        desired_bytes: 4 << 20,
+        ..Limits::default()
+    };
+    assert_eq!(Frames::longest(&small), 30 << 20);
+}
+
+fn bounded() -> Bounded {
+    Bounded {
+        patience: LONG,
+        bytes: 1000,
+        calls: 10,
+    }
+}
+
+struct Served {
+    at: SocketAddr,
+    calls: Calls,
+    inputs: Receiver<Input>,
+}
+
+fn serve(traffic: &Traffic, bounded: Bounded, manner: Manner) -> Served {
+    let (tx, inputs) = channel();
+    let calls = Calls::default();
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let at = traffic
+        .http(any, bounded, manner, calls.clone(), tx)
+        .expect("serves");
+    Served { at, calls, inputs }
+}
+
+impl Served {
+    fn next(&self) -> (Request, u64) {
+        match self.inputs.recv_timeout(LONG) {
+            Ok(Input::Call(req, call)) => (req, call),
+            _ => panic!("no call came"),
+        }
+    }
+}
+
+/// Calls from a thread of its own; status, a header's value and the text come back.
+fn call(
+    at: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+) -> std::thread::JoinHandle<(u16, Option<String>, String)> {
+    let url = format!("http://{at}{path}");
+    std::thread::spawn(move || {
+        let got = reqwest::blocking::Client::new()
+            .post(url)
+            .header("X-Asks", "tests")
+            .body(body)
+            .send()
+            .expect("answered");
+        let header = got
+            .headers()
+            .get("X-Answers")
+            .and_then(|h| h.to_str().ok())
+            .map(str::to_string);
+        (got.status().as_u16(), header, got.text().expect("text"))
+    })
+}
+
+#[test]
+fn two_addresses_have_handlers_of_their_own() {
+    let traffic = Traffic::start().expect("starts");
+    let own = serve(&traffic, bounded(), Manner::default());
+    let other = serve(
+        &traffic,
+        bounded(),
+        Manner {
+            read: Arc::new(|asked: Asked, call| {
+                let header = asked
+                    .headers
+                    .iter()
+                    .find(|(k, _)| k == "x-asks" || k == "X-Asks");
+                let path = header.map_or(String::new(), |(_, v)| v.clone());
+                Input::Call(
+                    Request {
+                        path,
+                        ..Request::default()
+                    },
+                    call,
+                )
+            }),
+            write: Arc::new(|v| Reply {
+                status: v.status + 1,
+                headers: vec![("X-Answers".into(), "other".into())],
+                body: b"other".to_vec(),
+            }),
+        },
+    );
+    let (to_own, to_other) = (
+        call(own.at, "/a%20b?c=d", b"body".to_vec()),
+        call(other.at, "/x", Vec::new()),
+    );
+    let (req, n) = own.next();
+    let want = Request {
+        method: "POST".into(),
+        path: "/a b".into(),
+        query: "c=d".into(),
+        body: b"body".to_vec(),
+    };
+    assert_eq!(req, want);
+    own.calls.answer(n, Verdict::new(200, json!({"own": true})));
+    let (req, n) = other.next();
+    assert_eq!(req.path, "tests");
+    other.calls.answer(n, Verdict::new(200, json!(null)));
+    assert_eq!(
+        to_own.join().expect("called"),
+        (200, None, "{\"own\":true}\n".into())
+    );
+    assert_eq!(
+        to_other.join().expect("called"),
+        (201, Some("other".into()), "other".into())
+    );
+}
+
+#[test]
+fn calls_beyond_the_bound_are_told_to_come_back() {
+    let traffic = Traffic::start().expect("starts");
+    let one = Bounded {
+        calls: 1,
+        ..bounded()
+    };
+    let s = serve(&traffic, one, Manner::default());
+    let first = call(s.at, "/first", Vec::new());
+    let (_, n) = s.next();
+    let (status, _, text) = call(s.at, "/second", Vec::new()).join().expect("called");
+    assert!(status == 503 && text.contains("retryMs"), "{status} {text}");
+    s.calls.answer(n, Verdict::new(200, json!("done")));
+    assert_eq!(first.join().expect("called"), (200, None, "done".into()));
+}
+
+#[test]
+fn a_body_that_is_too_long_or_no_http_is_refused_in_the_same_manner() {
+    let traffic = Traffic::start().expect("starts");
+    let s = serve(&traffic, bounded(), Manner::default());
+    let (status, _, text) = call(s.at, "/", vec![b'x'; 1001]).join().expect("called");
+    assert!(
+        status == 413 && text.contains("tooLarge"),
+        "{status} {text}"
+    );
+    let mut c = TcpStream::connect(s.at).expect("connects");
+    c.write_all(b"TRACE / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        .expect("written");
+    let mut said = String::new();
+    c.read_to_string(&mut said).expect("read");
+    assert!(said.contains("wrongRequest"), "{said}");
+}
+
+#[test]
+fn nobody_who_decides_is_told_as_unsure() {
+    let traffic = Traffic::start().expect("starts");
+    let s = serve(&traffic, bounded(), Manner::default());
+    drop(s.inputs);
+    let short = Bounded {
+        patience: Duration::from_millis(50),
+        ..bounded()
+    };
+    let silent = serve(&traffic, short, Manner::default());
+    for at in [s.at, silent.at] {
+        let (status, _, text) = call(at, "/", Vec::new()).join().expect("called");
+        assert!(status == 503 && text.contains("unsure"), "{status} {text}");
+    }
+}
