--- a/landingdrift/src/daemon/traffic/http/manner.rs
+++ b/landingdrift/src/daemon/traffic/http/manner.rs
@@ -1,3 +1,4 @@
+use crate::daemon::control::Input;
 use crate::kernel::{Request, Verdict};
 use serde_json::Value;
 use std::sync::Arc;
@@ -20,46 +21,36 @@
     pub body: Vec<u8>,
 }
 
-/// What is done with a call.
-pub enum Handling {
-    /// The part is asked, and its verdict told so.
-    Ask(Request, Box<dyn FnOnce(Verdict) -> Reply + Send>),
-    /// It is answered without asking.
-    Reply(Reply),
-}
-
-/// How calls at an address become requests, and verdicts replies.
+/// How calls at an address become inputs, and verdicts replies.
 #[derive(Clone)]
 pub struct Manner {
-    pub(super) read: Arc<dyn Fn(Asked) -> Handling + Send + Sync>,
-}
-
-impl Manner {
-    /// A manner of one's own.
-    pub fn new(read: Arc<dyn Fn(Asked) -> Handling + Send + Sync>) -> Self {
-        Self { read }
-    }
+    /// The input for a call, which carries the call's number.
+    pub read: Arc<dyn Fn(Asked, u64) -> Input + Send + Sync>,
+    /// The reply for a verdict, also for those given before anybody is asked.
+    pub write: Arc<dyn Fn(Verdict) -> Reply + Send + Sync>,
 }
 
 impl Default for Manner {
     /// The manner of landingdrift's own pages: JSON, and text where the body is a string.
     fn default() -> Self {
-        Self::new(Arc::new(read))
+        Self {
+            read: Arc::new(read),
+            write: Arc::new(write),
+        }
     }
 }
 
-fn read(a: Asked) -> Handling {
+fn read(a: Asked, call: u64) -> Input {
     let req = Request {
         method: a.method,
         path: a.path,
         query: a.query,
         body: a.body,
     };
-    Handling::Ask(req, Box::new(write))
+    Input::Call(req, call)
 }
 
-/// A verdict in the manner of landingdrift's own pages.
-pub(super) fn write(mut v: Verdict) -> Reply {
+fn write(mut v: Verdict) -> Reply {
     let retry = Some(v.retry_ms).filter(|ms| *ms > 0);
     if let (Some(ms), Value::Object(o)) = (retry, &mut v.body) {
         o.insert("retryMs".into(), ms.into());
