--- a/landingdrift/src/daemon/traffic/http/door.rs
+++ b/landingdrift/src/daemon/traffic/http/door.rs
@@ -1,4 +1,5 @@
-use super::{Asked, Bounded, Manner};
+use super::manner::write;
+use super::{Asked, Bounded, Handling, Manner, Reply};
 use crate::daemon::calls::Calls;
 use crate::daemon::control::Input;
 use crate::kernel::Verdict;
@@ -25,18 +26,21 @@
 }
 
 impl Door {
-    async fn verdict(&self, req: &Request<'_>, data: Data<'_>) -> Verdict {
+    async fn reply(&self, req: &Request<'_>, data: Data<'_>) -> Reply {
         match self.places.try_acquire() {
             Ok(_place) => match self.body(data).await {
-                Ok(body) => self.ask(asked(req, body)).await,
-                Err(refusal) => refusal,
+                Ok(body) => match (self.manner.read)(asked(req, body)) {
+                    Handling::Ask(req, tell) => tell(self.ask(req).await),
+                    Handling::Reply(r) => r,
+                },
+                Err(refusal) => write(refusal),
             },
-            Err(_) => Verdict::error(
+            Err(_) => write(Verdict::error(
                 503,
                 "busy",
                 "this process works on as many calls as it may and took nothing of this one: come back later, or go to another node",
             )
-            .retry(1000),
+            .retry(1000)),
         }
     }
 
@@ -57,27 +61,25 @@
         })
     }
 
-    async fn ask(&self, asked: Asked) -> Verdict {
+    async fn ask(&self, req: crate::kernel::Request) -> Verdict {
         let mut waiting = self.calls.open();
-        let input = (self.manner.read)(asked, waiting.call);
-        let verdict = match self.inputs.send(input) {
-            Ok(()) => timeout(self.bounded.patience, &mut waiting.verdict)
-                .await
-                .ok(),
-            Err(_) => None,
-        };
-        verdict.and_then(Result::ok).unwrap_or_else(|| {
-            Verdict::error(
-                503,
-                "unsure",
-                "this process gave no verdict: ask again, here or at another node",
-            )
-            .retry(1000)
-        })
+        let sent = self.inputs.send(Input::Call(req, waiting.call));
+        timeout(self.bounded.patience, &mut waiting.verdict)
+            .await
+            .ok()
+            .filter(|_| sent.is_ok())
+            .and_then(Result::ok)
+            .unwrap_or_else(|| {
+                Verdict::error(
+                    503,
+                    "unsure",
+                    "this process gave no verdict: ask again, here or at another node",
+                )
+                .retry(1000)
+            })
     }
 
-    fn respond<'r>(&self, v: Verdict) -> Response<'r> {
-        let reply = (self.manner.write)(v);
+    fn respond<'r>(reply: Reply) -> Response<'r> {
         let mut b = Response::build();
         b.status(Status::new(reply.status));
         reply.headers.into_iter().for_each(|(k, v)| {
@@ -109,7 +111,7 @@
 #[rocket::async_trait]
 impl Handler for Door {
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        Outcome::Success(self.respond(self.verdict(req, data).await))
+        Outcome::Success(Self::respond(self.reply(req, data).await))
     }
 }
 
@@ -118,6 +120,10 @@
 impl catcher::Handler for Door {
     async fn handle<'r>(&self, status: Status, _: &'r Request<'_>) -> catcher::Result<'r> {
         let message = format!("the request is no HTTP that is served here ({}): docs/operators/api.md lists methods and routes", status.reason_lossy());
-        Ok(self.respond(Verdict::error(status.code, "wrongRequest", message)))
+        Ok(Self::respond(write(Verdict::error(
+            status.code,
+            "wrongRequest",
+            message,
+        ))))
     }
 }
--- a/landingdrift/src/daemon/traffic/http/manner.rs
+++ b/landingdrift/src/daemon/traffic/http/manner.rs
@@ -1,4 +1,3 @@
-use crate::daemon::control::Input;
 use crate::kernel::{Request, Verdict};
 use serde_json::Value;
 use std::sync::Arc;
@@ -21,36 +20,46 @@
     pub body: Vec<u8>,
 }
 
-/// How calls at an address become inputs, and verdicts replies.
+/// What is done with a call.
+pub enum Handling {
+    /// The part is asked, and its verdict told so.
+    Ask(Request, Box<dyn FnOnce(Verdict) -> Reply + Send>),
+    /// It is answered without asking.
+    Reply(Reply),
+}
+
+/// How calls at an address become requests, and verdicts replies.
 #[derive(Clone)]
 pub struct Manner {
-    /// The input for a call, which carries the call's number.
-    pub read: Arc<dyn Fn(Asked, u64) -> Input + Send + Sync>,
-    /// The reply for a verdict, also for those given before anybody is asked.
-    pub write: Arc<dyn Fn(Verdict) -> Reply + Send + Sync>,
+    pub(super) read: Arc<dyn Fn(Asked) -> Handling + Send + Sync>,
+}
+
+impl Manner {
+    /// A manner of one's own.
+    pub fn new(read: Arc<dyn Fn(Asked) -> Handling + Send + Sync>) -> Self {
+        Self { read }
+    }
 }
 
 impl Default for Manner {
     /// The manner of landingdrift's own pages: JSON, and text where the body is a string.
     fn default() -> Self {
-        Self {
-            read: Arc::new(read),
-            write: Arc::new(write),
-        }
+        Self::new(Arc::new(read))
     }
 }
 
-fn read(a: Asked, call: u64) -> Input {
+fn read(a: Asked) -> Handling {
     let req = Request {
         method: a.method,
         path: a.path,
         query: a.query,
         body: a.body,
     };
-    Input::Call(req, call)
+    Handling::Ask(req, Box::new(write))
 }
 
-fn write(mut v: Verdict) -> Reply {
+/// A verdict in the manner of landingdrift's own pages.
+pub(super) fn write(mut v: Verdict) -> Reply {
     let retry = Some(v.retry_ms).filter(|ms| *ms > 0);
     if let (Some(ms), Value::Object(o)) = (retry, &mut v.body) {
         o.insert("retryMs".into(), ms.into());
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -3,7 +3,7 @@
 mod door;
 mod manner;
 
-pub use manner::{Asked, Manner, Reply};
+pub use manner::{Asked, Handling, Manner, Reply};
 
 use crate::daemon::calls::Calls;
 use crate::daemon::control::Input;
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -4,7 +4,7 @@
 mod http;
 
 pub use frames::{Frames, Transport};
-pub use http::{Asked, Bounded, Manner, Reply};
+pub use http::{Asked, Bounded, Handling, Manner, Reply};
 
 use super::calls::Calls;
 use super::control::Input;
--- a/landingdrift/tests/traffic.rs
+++ b/landingdrift/tests/traffic.rs
@@ -1,7 +1,7 @@
 //! One thread carries all frames and all HTTP of a process.
 
 use landingdrift::daemon::{
-    Asked, Bounded, Calls, Frames, Input, Manner, Reply, Traffic, Transport,
+    Asked, Bounded, Calls, Frames, Handling, Input, Manner, Reply, Traffic, Transport,
 };
 use landingdrift::kernel::{Msg, Request, Verdict};
 use landingdrift::settings::Limits;
@@ -41,6 +41,7 @@
         status: 200,
         retry_ms: 0,
         body: vec![7; bytes],
+        by: String::new(),
     }))
 }
 
@@ -262,27 +263,25 @@
     let other = serve(
         &traffic,
         bounded(),
-        Manner {
-            read: Arc::new(|asked: Asked, call| {
-                let header = asked
-                    .headers
-                    .iter()
-                    .find(|(k, _)| k == "x-asks" || k == "X-Asks");
-                let path = header.map_or(String::new(), |(_, v)| v.clone());
-                Input::Call(
-                    Request {
-                        path,
-                        ..Request::default()
-                    },
-                    call,
-                )
-            }),
-            write: Arc::new(|v| Reply {
-                status: v.status + 1,
-                headers: vec![("X-Answers".into(), "other".into())],
-                body: b"other".to_vec(),
-            }),
-        },
+        Manner::new(Arc::new(|asked: Asked| {
+            let header = asked
+                .headers
+                .iter()
+                .find(|(k, _)| k == "x-asks" || k == "X-Asks");
+            let path = header.map_or(String::new(), |(_, v)| v.clone());
+            let req = Request {
+                path,
+                ..Request::default()
+            };
+            Handling::Ask(
+                req,
+                Box::new(|v| Reply {
+                    status: v.status + 1,
+                    headers: vec![("X-Answers".into(), "other".into())],
+                    body: b"other".to_vec(),
+                }),
+            )
+        })),
     );
     let (to_own, to_other) = (
         call(own.at, "/a%20b?c=d", b"body".to_vec()),
--- a/rehearsal/tests/promises.rs
+++ b/rehearsal/tests/promises.rs
@@ -45,9 +45,9 @@
         Kind::ALL.iter().map(|k| k.name()).collect(),
         "kinds of faults"
     );
-    let tests: BTreeSet<String> = stems("tests", ".rs")
-        .union(&stems("../landingdrift/tests", ".rs"))
-        .cloned()
+    let tests: BTreeSet<String> = ["tests", "../landingdrift/tests", "../platform/tests"]
+        .iter()
+        .flat_map(|folder| stems(folder, ".rs"))
         .collect();
     assert_eq!(named("test"), tests, "tests");
 }
