--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -6,6 +6,9 @@
 impl Core {
     pub(super) fn arm_election(&mut self, now: Now) {
         let span = self.cfg.bounds.election();
+        // Just awake and with no leader heard of, there is most likely none: a total outage.
+        let eager = now.mono < self.eager_until && self.leader.is_empty();
+        let span = if eager { span / 4 } else { span };
         self.election_at = now.mono + span + self.draw.below(span);
     }
 
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -5,6 +5,9 @@
 use crate::kernel::Now;
 use crate::wire::{Body, FeedBatch, FeedPull, NodePlace, Proposed, ReadPlace};
 
+/// So many entries are taken in by a capture rather than one by one.
+const FAR: u64 = 1024;
+
 pub(crate) struct Read {
     to: String,
     token: u64,
@@ -61,12 +64,11 @@
             leaving: m.leaving,
             successor: m.successor,
         };
-        self.send_batch(now, from, m.sent, true, Some(m.place));
-        let commit = self.commit;
+        let reached = self.send_batch(now, from, m.sent, true, Some(m.place));
         self.followers
             .get_mut(&m.node)
             .iter_mut()
-            .for_each(|f| f.sent = commit.min(f.sent + 512).max(f.sent));
+            .for_each(|f| f.sent = reached.max(f.sent));
     }
 
     /// New entries go out as soon as they are committed.
@@ -82,15 +84,16 @@
             .map(|(k, f)| (k.clone(), f.echo, f.sent))
             .collect();
         for (to, echo, place) in due {
-            self.send_batch(now, &to, echo, true, Some(place));
+            let reached = self.send_batch(now, &to, echo, true, Some(place));
             self.followers
                 .get_mut(&to)
                 .iter_mut()
-                .for_each(|f| f.sent = commit.min(place + 512));
+                .for_each(|f| f.sent = reached.max(f.sent));
         }
     }
 
-    fn send_batch(&mut self, now: Now, to: &str, sent: u64, ok: bool, place: Option<u64>) {
+    /// Sends what follows a place; says how far that reaches.
+    fn send_batch(&mut self, now: Now, to: &str, sent: u64, ok: bool, place: Option<u64>) -> u64 {
         let age = if ok {
             now.mono.saturating_sub(self.quorum_at(now))
         } else {
@@ -98,8 +101,10 @@
         };
         let (mut capture, mut capture_index, mut entries) = (Vec::new(), 0, Vec::new());
         if let Some(p) = place {
-            // A place behind the log, or ahead of it (of a cluster that was), starts over from a capture.
-            if p < self.base.0 || p > self.commit {
+            // A place behind the log, or ahead of it (of a cluster that was), starts over from a capture; so does one far
+            // behind, since the record is smaller than all that made it.
+            let far = self.commit.saturating_sub(p) > FAR;
+            if p < self.base.0 || p > self.commit || far {
                 capture = self.record.pack();
                 capture_index = self.record.place;
                 self.count("feed_captures", 1);
@@ -109,6 +114,8 @@
             }
         }
         self.count("feed_entries", entries.len() as u64);
+        let last = entries.last().map(|e| e.index);
+        let reached = last.or(place).unwrap_or(0).max(capture_index);
         let cores = self.members().into_keys().collect();
         let clock = self.clock.read(now);
         let batch = FeedBatch {
@@ -125,6 +132,7 @@
             cores,
         };
         self.send(to, Body::FeedBatch(Box::new(batch)));
+        reached
     }
 
     pub(super) fn on_propose(&mut self, now: Now, from: &str, token: u64, command: Vec<u8>) {
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -101,6 +101,8 @@
     waking: Option<wake::Waking>,
     heard_leader: u64,
     election_at: u64,
+    /// Until when a core that woke stands early.
+    eager_until: u64,
     votes: BTreeSet<String>,
     peers: BTreeMap<String, Peer>,
     round: u64,
@@ -187,6 +189,7 @@
             waking: Some(waking),
             heard_leader: now.mono,
             election_at: now.mono + cfg.bounds.election(),
+            eager_until: 0,
             votes: BTreeSet::new(),
             peers: BTreeMap::new(),
             round: 0,
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -195,6 +195,7 @@
         }
         self.damaged = false;
         self.heard_leader = self.heard_leader.min(now.mono);
+        self.eager_until = now.mono + 4 * self.cfg.bounds.election();
         self.arm_election(now);
         self.line(format!(
             "awake at {index} of term {term}, {} others heard",
--- a/landingdrift/src/node/cell.rs
+++ b/landingdrift/src/node/cell/mod.rs
@@ -1,5 +1,9 @@
 //! A cell: a zone's workers, their beats and their reservation queues. Hopper's worker side.
 
+mod pace;
+
+pub use pace::{judge, Pace, Run, Why};
+
 use super::propose::Purpose;
 use super::Node;
 use crate::kernel::{Now, Verdict};
@@ -27,6 +31,9 @@
     /// The worker keeps runs by their names: stops are told by names, too.
     #[serde(default)]
     pub named: bool,
+    /// How long a leaving worker stays at least; what won't end by then is called back.
+    #[serde(default)]
+    pub leaves_in_ms: Option<u64>,
 }
 
 /// A send that is running on a worker.
@@ -77,7 +84,10 @@
     /// Starts given, each with the newest call whose answer had it.
     given: BTreeMap<u64, u64>,
     checkpoints: BTreeMap<u64, String>,
-    pub progress: BTreeMap<u64, u32>,
+    paces: BTreeMap<u64, Pace>,
+    recall_asked: bool,
+    /// It does badly: no offers are made for it until then.
+    suspect_until: u64,
 }
 
 /// Room promised to an accepted offer.
@@ -253,7 +263,19 @@
         }
         held.leaving = beat.facts.leaving;
         held.room = beat.facts.all_room();
-        held.progress = beat.running.iter().map(|r| (r.no, r.progress)).collect();
+        let mut paces = std::mem::take(&mut held.paces);
+        held.paces = beat
+            .running
+            .iter()
+            .filter(|r| r.no > 0)
+            .map(|r| {
+                let new = Pace::new(now.mono, r.progress);
+                let mut pace = paces.remove(&r.no).unwrap_or(new);
+                pace.hear(now.mono, r.progress);
+                (r.no, pace)
+            })
+            .collect();
+        let paces = held.paces.clone();
         held.checkpoints = beat
             .running
             .iter()
@@ -266,6 +288,12 @@
         let ask_report = has_report && !held.report_asked;
         held.report_asked |= has_report;
         let within = self.cfg.bounds.call();
+        let recalling = held.recall_asked;
+        let leaves = beat.leaves_in_ms.filter(|_| beat.facts.leaving);
+        let (late, blame) = self.stragglers(now, &id, &paces, leaves);
+        if !late.is_empty() && !recalling {
+            self.recall(now, &id, epoch, late, blame);
+        }
         if ask_facts {
             self.propose(
                 now,
@@ -294,6 +322,46 @@
         self.orders(&beat, epoch)
     }
 
+    /// Calls sends back that do no good where they are.
+    fn recall(&mut self, now: Now, worker: &str, cell_epoch: u64, sends: Vec<u64>, blame: bool) {
+        let until = now.mono + self.cfg.bounds.cancel_ms;
+        let held = self
+            .cells
+            .values_mut()
+            .find_map(|c| c.workers.get_mut(worker));
+        held.into_iter().for_each(|w| {
+            w.recall_asked = true;
+            if blame {
+                w.suspect_until = until;
+            }
+        });
+        self.count("sends_recalled", sends.len() as u64);
+        if blame {
+            self.line(format!(
+                "worker {worker} stands still or crawls: {} of its runs are called back",
+                sends.len()
+            ));
+            self.count("workers_suspected", 1);
+        }
+        let command = Command::Recall {
+            worker: worker.into(),
+            cell_epoch,
+            sends,
+            blame,
+        };
+        let purpose = Purpose::Recall {
+            worker: worker.into(),
+        };
+        self.propose(now, &command, purpose, self.cfg.bounds.call());
+    }
+
+    pub(super) fn recall_over(&mut self, worker: &str) {
+        self.cells
+            .values_mut()
+            .filter_map(|c| c.workers.get_mut(worker))
+            .for_each(|w| w.recall_asked = false);
+    }
+
     /// A worker says that it has left: what ran there is dead in a moment.
     pub(super) fn left(&mut self, now: Now, worker: &str) {
         let at = now.mono + self.cfg.bounds.obey();
@@ -576,6 +644,7 @@
                 (w.episode.is_none()
                     && !w.queue.is_empty()
                     && now.mono >= w.idle_until
+                    && now.mono >= w.suspect_until
                     && !w.leaving)
                     .then(|| (z.clone(), k.clone()))
             })
--- /dev/null
+++ b/landingdrift/src/node/cell/pace.rs
@@ -0,0 +1,201 @@
+//! What the progress of runs says: those that will not end before their worker leaves, that stand still or crawl, are
+//! called back to run elsewhere.
+
+use crate::kernel::Now;
+use crate::node::Node;
+use crate::record::{Job, Record};
+use std::collections::BTreeMap;
+
+/// Progress is told in parts of this.
+const WHOLE: f64 = 1000.0;
+/// A run that gets less than this share of the work done that was guessed is slow.
+const CRAWL: f64 = 0.4;
+/// So many runs tell whether their worker is slow.
+const ENOUGH: usize = 3;
+
+/// How a run got on, as its beats told.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    from: (u64, u32),
+    moved: (u64, u32),
+}
+
+impl Pace {
+    /// The first that is heard of a run.
+    pub fn new(at: u64, progress: u32) -> Self {
+        Self {
+            from: (at, progress),
+            moved: (at, progress),
+        }
+    }
+
+    /// What a later beat told.
+    pub fn hear(&mut self, at: u64, progress: u32) {
+        if progress != self.moved.1 {
+            // A step back is a new beginning.
+            if progress < self.moved.1 {
+                self.from = (at, progress);
+            }
+            self.moved = (at, progress);
+        }
+    }
+
+    /// Parts of the whole for each millisecond, once enough was heard.
+    fn rate(&self, now: u64, patience: u64) -> Option<f64> {
+        let span = now.saturating_sub(self.from.0);
+        (span >= patience).then(|| f64::from(self.moved.1 - self.from.1) / span as f64)
+    }
+}
+
+/// Why runs are called back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    Leaves,
+    Stuck,
+    Slow,
+}
+
+/// What is known of a run when it is judged.
+pub struct Run {
+    pub pace: Pace,
+    pub estimate: f64,
+    /// A copy may be made instead.
+    pub repeats: bool,
+    pub lasts: bool,
+    /// It keeps its progress when it is stopped.
+    pub keeps: bool,
+    /// It waits for the others of its gang, as far as one can tell.
+    pub waits: bool,
+}
+
+/// Which runs of a worker do better elsewhere, and why: `leaves` is the time the worker has left, `patience` the shortest
+/// span to judge by.
+///
+/// Tasks of a step are uneven and guesses rough, so one run tells nothing of its worker: it is judged by all that it
+/// runs. Only where a single one is all there is, standing still for long is enough.
+pub fn judge(runs: &[Run], now: u64, leaves: Option<u64>, patience: u64) -> Vec<Option<Why>> {
+    if let Some(ms) = leaves {
+        let late = |r: &Run| r.lasts || r.need(now, patience) + 100.0 > ms as f64;
+        return runs
+            .iter()
+            .map(|r| late(r).then_some(Why::Leaves))
+            .collect();
+    }
+    let works: Vec<&Run> = runs.iter().filter(|r| r.works()).collect();
+    let still = |r: &&Run| r.still(now) > 1.5 * patience as f64 && r.still(now) > 0.06 * r.estimate;
+    let long = |r: &&Run| r.still(now) > 3.0 * patience as f64 && still(r);
+    let stuck = if works.len() > 1 {
+        works.iter().all(still)
+    } else {
+        works.iter().any(long)
+    };
+    let mut shares: Vec<f64> = works
+        .iter()
+        .filter_map(|r| r.pace.rate(now, patience).map(|x| x * r.estimate / WHOLE))
+        .collect();
+    shares.sort_by(f64::total_cmp);
+    let slow = shares.len() >= ENOUGH && shares[shares.len() / 2] < CRAWL;
+    runs.iter()
+        .map(|r| {
+            let judged = r.works();
+            if judged && stuck {
+                Some(Why::Stuck)
+            } else {
+                (judged && slow && !r.repeats && r.pays(now, patience)).then_some(Why::Slow)
+            }
+        })
+        .collect()
+}
+
+impl Run {
+    /// Whether its progress says anything of its worker.
+    fn works(&self) -> bool {
+        !self.lasts && !self.waits && f64::from(self.pace.moved.1) < WHOLE && self.estimate > 0.0
+    }
+
+    fn still(&self, now: u64) -> f64 {
+        now.saturating_sub(self.pace.moved.0) as f64
+    }
+
+    fn left(&self) -> f64 {
+        WHOLE - f64::from(self.pace.moved.1)
+    }
+
+    /// How long it still takes where it is.
+    fn need(&self, now: u64, patience: u64) -> f64 {
+        let rate = self.pace.rate(now, patience).filter(|x| *x > 0.0);
+        self.left() / rate.unwrap_or(WHOLE / self.estimate.max(1.0))
+    }
+
+    /// Whether it ends sooner when it starts anew elsewhere.
+    fn pays(&self, now: u64, patience: u64) -> bool {
+        let anew = if self.keeps { self.left() } else { WHOLE } * self.estimate / WHOLE;
+        self.need(now, patience) > 1.3 * anew + patience as f64
+    }
+}
+
+/// What the record says of a send that runs, for judging.
+fn run_of(record: &Record, no: u64, pace: Pace, now: u64, gang_ms: u64) -> Option<Run> {
+    let (job, i) = record.live.get(&no)?;
+    let job: &Job = record.jobs.get(job)?;
+    let spec = job.of(*i as usize);
+    let fresh = now.saturating_sub(pace.from.0) < gang_ms;
+    Some(Run {
+        estimate: f64::from(spec.estimate_ms),
+        repeats: spec.may_repeat,
+        lasts: spec.long_running,
+        keeps: spec.checkpoints,
+        waits: job.in_gang(*i as usize) && pace.moved.1 == 0 && fresh,
+        pace,
+    })
+}
+
+impl Node {
+    /// Judges what runs on a worker by its newest beat; the sends to call back, and whether the worker is to blame.
+    pub(super) fn stragglers(
+        &self,
+        now: Now,
+        worker: &str,
+        paces: &BTreeMap<u64, Pace>,
+        leaves: Option<u64>,
+    ) -> (Vec<u64>, bool) {
+        let patience = self.cfg.bounds.reserve();
+        let gang_ms = 2 * self.cfg.bounds.cancel_ms;
+        let stopped = |no: u64| self.record.send(no).is_none_or(|(_, _, s)| s.stop);
+        let (numbers, runs): (Vec<u64>, Vec<Run>) = paces
+            .iter()
+            .filter(|(no, _)| !stopped(**no))
+            .filter_map(|(no, pace)| {
+                run_of(&self.record, *no, *pace, now.mono, gang_ms).map(|r| (*no, r))
+            })
+            .unzip();
+        let of: Vec<(u64, Why)> = numbers
+            .into_iter()
+            .zip(judge(&runs, now.mono, leaves, patience))
+            .filter_map(|(no, why)| why.map(|w| (no, w)))
+            .filter(|(no, why)| *why != Why::Slow || self.room_elsewhere(worker, *no))
+            .collect();
+        let blame = of.iter().any(|(_, why)| *why != Why::Leaves);
+        (of.into_iter().map(|(no, _)| no).collect(), blame)
+    }
+
+    fn room_elsewhere(&self, worker: &str, no: u64) -> bool {
+        let Some(t) = self
+            .record
+            .live
+            .get(&no)
+            .and_then(|(j, i)| self.record.jobs.get(j).map(|j| j.of(*i as usize)))
+        else {
+            return false;
+        };
+        self.record.workers.iter().any(|(k, w)| {
+            k != worker
+                && !w.lost
+                && !w.facts.leaving
+                && w.probation == 0
+                && w.facts.serves(t)
+                && self.record.open(&w.facts.zone, k)
+                && w.facts.all_room().less(w.used).holds(t.needs())
+        })
+    }
+}
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -62,6 +62,8 @@
             return;
         }
         let beat = self.cfg.bounds.heartbeat();
+        // Who follows nobody yet looks round faster.
+        let beat = if self.feed.captured { beat } else { beat / 2 };
         self.feed.next_pull = now.mono + beat;
         if self.feed.core.is_empty() || now.mono.saturating_sub(self.feed.answered) > 4 * beat {
             self.turn();
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -8,7 +8,7 @@
 mod propose;
 mod scheduler;
 
-pub use cell::{Beat, Running};
+pub use cell::{judge, Beat, Pace, Run, Running, Why};
 
 use crate::kernel::{digest, Draw, Effect, Msg, Now, Part, Verdict};
 use crate::record::Record;
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -33,6 +33,9 @@
     Lapse {
         worker: String,
     },
+    Recall {
+        worker: String,
+    },
 }
 
 /// One proposal with its ledger.
@@ -180,6 +183,7 @@
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
             Purpose::Lapse { worker } => self.lapse_over(&worker),
+            Purpose::Recall { worker } => self.recall_over(&worker),
         }
     }
 
@@ -211,6 +215,7 @@
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
             Purpose::Lapse { worker } => self.lapse_over(&worker),
+            Purpose::Recall { worker } => self.recall_over(&worker),
         }
     }
 }
--- a/landingdrift/src/record/apply/mod.rs
+++ b/landingdrift/src/record/apply/mod.rs
@@ -50,6 +50,12 @@
                 cell_epoch,
                 checkpoints,
             } => self.lapse(worker, *incarnation, *cell_epoch, checkpoints),
+            Command::Recall {
+                worker,
+                cell_epoch,
+                sends,
+                blame,
+            } => self.recall(worker, *cell_epoch, sends, *blame),
             Command::Empty { zone, on } => self.empty(zone, *on),
             Command::Resolve { job, task, well } => self.resolve(job, task, *well),
             Command::Grant {
--- a/landingdrift/src/record/apply/workers.rs
+++ b/landingdrift/src/record/apply/workers.rs
@@ -114,6 +114,35 @@
         Ok(Value::Null)
     }
 
+    pub(super) fn recall(
+        &mut self,
+        worker: &str,
+        cell_epoch: u64,
+        sends: &[u64],
+        blame: bool,
+    ) -> Ruling {
+        let w = self.workers.get_mut(worker).ok_or(Refusal::Unknown {
+            what: format!("worker '{worker}'"),
+        })?;
+        let duty = cell_duty(&w.facts.zone);
+        let cell_ok = self
+            .grants
+            .get(&duty)
+            .is_some_and(|g| g.epoch == cell_epoch);
+        cell_ok.then_some(()).ok_or(Refusal::StaleGrant)?;
+        if blame {
+            w.probation = REDEEMED;
+            w.ends.clear();
+        }
+        let own: Vec<u64> = sends
+            .iter()
+            .copied()
+            .filter(|no| w.sends.contains(no))
+            .collect();
+        own.into_iter().for_each(|no| self.want_stop(no));
+        Ok(Value::Null)
+    }
+
     /// Keeps the newest checkpoint of a run; in a gang that ends as one it is good for every member.
     fn keep_checkpoint(&mut self, no: u64, text: &str) {
         let Some((id, i)) = self.live.get(&no).filter(|_| !text.is_empty()) else {
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -155,6 +155,13 @@
         #[serde(default)]
         checkpoints: Vec<(u64, String)>,
     },
+    /// Sends that do no good where they are: told to stop, so that they run elsewhere. `blame` says that the worker is at fault.
+    Recall {
+        worker: String,
+        cell_epoch: u64,
+        sends: Vec<u64>,
+        blame: bool,
+    },
     /// A zone is emptied, or serves again; apart from the configuration, so that it races no change.
     Empty {
         zone: String,
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -779,3 +779,27 @@
         assert_eq!(d.state("j"), JobState::Done, "a late end still counts");
     }
 }
+
+#[test]
+fn what_is_called_back_runs_elsewhere_and_uses_up_no_try() {
+    let mut d = Desk::new();
+    d.accept("j", vec![task("a")]).expect("accepted");
+    d.start("j", &[(0, "w")]).expect("starts");
+    let recall = |cell_epoch| Command::Recall {
+        worker: "w".into(),
+        cell_epoch,
+        sends: vec![1],
+        blame: true,
+    };
+    assert_eq!(d.apply(recall(9)), Err(Refusal::StaleGrant));
+    d.ok(recall(1));
+    assert!(d.r.workers["w"].probation > 0);
+    assert_eq!(
+        d.start("j", &[(0, "v")]),
+        Err(Refusal::Repeat),
+        "not before it has ended"
+    );
+    d.end("w", 1, Outcome::Stopped);
+    assert_eq!(d.r.jobs["j"].tasks[0].defects, 0);
+    d.start("j", &[(0, "v")]).expect("elsewhere");
+}
