--- a/landingdrift/src/daemon/traffic/frames/deliver.rs
+++ b/landingdrift/src/daemon/traffic/frames/deliver.rs
@@ -1,4 +1,5 @@
-use super::{socket, Frames, QUEUE};
+use super::{Frames, QUEUE};
+use crate::daemon::traffic::socket;
 use rocket::tokio::io::AsyncWriteExt;
 use rocket::tokio::net::TcpStream;
 use rocket::tokio::runtime::Handle;
--- a/landingdrift/src/daemon/traffic/frames/mod.rs
+++ b/landingdrift/src/daemon/traffic/frames/mod.rs
@@ -2,7 +2,6 @@
 
 mod deliver;
 mod receive;
-mod socket;
 
 use crate::daemon::control::Input;
 use crate::settings::Limits;
--- a/landingdrift/src/daemon/traffic/frames/receive.rs
+++ b/landingdrift/src/daemon/traffic/frames/receive.rs
@@ -1,5 +1,6 @@
-use super::{socket, Frames};
+use super::Frames;
 use crate::daemon::control::Input;
+use crate::daemon::traffic::socket;
 use crate::kernel::Msg;
 use crate::wire::unpack;
 use rocket::tokio::io::{AsyncRead, AsyncReadExt, BufReader};
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod frames;
 mod http;
+mod socket;
 
 pub use frames::{Frames, Transport};
 pub use http::{Asked, Bounded, Manner, Reply};
