--- /dev/null
+++ b/rehearsal/src/cli/capacity.rs
@@ -0,0 +1,80 @@
+use super::Words;
+use crate::measure::capacity::{report, sizes, Clockwork};
+
+/// The commit that the figures belong to, where git knows it.
+pub(super) fn commit() -> String {
+    let git = |words: &[&str]| {
+        std::process::Command::new("git")
+            .args(words)
+            .output()
+            .ok()
+            .filter(|o| o.status.success())
+            .map(|o| String::from_utf8_lossy(&o.stdout).trim().to_string())
+    };
+    let changed = git(&[
+        "status",
+        "--porcelain",
+        "--",
+        "landingdrift",
+        "rehearsal/src",
+    ])
+    .is_some_and(|s| !s.is_empty());
+    git(&["rev-parse", "--short", "HEAD"]).map_or("unknown".into(), |c| {
+        c + if changed { " with changes" } else { "" }
+    })
+}
+
+/// Sizes from a list of numbers.
+pub(super) fn list(w: &Words, or: &str, most: usize) -> Result<Vec<usize>, String> {
+    w.text("sizes")
+        .unwrap_or(or)
+        .split(',')
+        .map(|x| {
+            x.parse()
+                .ok()
+                .filter(|n| (1..=most).contains(n))
+                .ok_or_else(|| {
+                    format!("--sizes takes numbers of workers from 1 to {most}, not '{x}'")
+                })
+        })
+        .collect()
+}
+
+pub fn run(w: &Words) -> Result<bool, String> {
+    let mut workers = list(w, "40,80,120", 200)?;
+    workers.sort_unstable();
+    workers.dedup();
+    (workers.len() >= 3)
+        .then_some(())
+        .ok_or("--sizes: give at least three sizes, so that slopes can be told")?;
+    let bounded = |name: &str, or: u64| {
+        let n = w.number(name, or)?;
+        (10..=600)
+            .contains(&n)
+            .then_some(n)
+            .ok_or_else(|| format!("--{name}: give 10 to 600 seconds"))
+    };
+    let (warm, window, seed) = (
+        bounded("warm", 75)?,
+        bounded("seconds", 40)?,
+        w.number("seed", 1)?,
+    );
+    let runs: Vec<_> = sizes(&workers)
+        .into_iter()
+        .map(|s| {
+            eprintln!(
+                "{} workers, {} nodes, {:.1} starts a second",
+                s.workers, s.nodes, s.starts
+            );
+            Clockwork::new(s, seed).run(warm, window)
+        })
+        .collect();
+    let named: Vec<String> = workers.iter().map(ToString::to_string).collect();
+    landingdrift::say!(
+        "    rehearsal capacity --sizes {} --warm {warm} --seconds {window} --seed {seed}\n\nBuild of {}; virtual time, no faults.\n",
+        named.join(","),
+        commit()
+    );
+    landingdrift::say!("{}", report(&runs));
+    Ok(true)
+}
--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line of the rehearsal kit.
 
+mod capacity;
 mod fleet;
 mod measure;
 mod run;
@@ -45,6 +46,8 @@
                                                  real processes on this machine; a leader and a node are killed midway
   measure [--shape S] [--seeds N] [--seconds N] [--load U,..] [--beta B,..] [--vary NAME=VALUE,..]
                                                  admission against FIFO and SRPT with best-effort copies
+  capacity [--sizes N,N,N] [--warm SECONDS] [--seconds N] [--seed N]
+                                                 what each role costs in virtual time, and at the users' target
 
 Exit codes: 0 no rule was broken, 1 a rule was broken, 2 wrong command line.";
 
@@ -58,7 +61,7 @@
     let plain = ["log", "help", "last"];
     let valued = [
         "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle",
-        "rate", "folder", "program", "scenario", "out", "load", "beta", "vary",
+        "rate", "folder", "program", "scenario", "out", "load", "beta", "vary", "sizes", "warm",
     ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
@@ -109,6 +112,7 @@
             Some("sweep") => sweep::run(&w),
             Some("fleet") => fleet::run(&w),
             Some("measure") => measure::run(&w),
+            Some("capacity") => capacity::run(&w),
             Some(other) => Err(format!("no command is called '{other}'")),
             None => Err("no command was given".into()),
         }
--- /dev/null
+++ b/rehearsal/src/measure/capacity/table.rs
@@ -0,0 +1,278 @@
+use super::clockwork::{Duty, Run};
+use super::fit::{fit, Fit};
+use super::footprint::memory_of_a_byte;
+use super::load::TASKS;
+use super::meter::Tally;
+use super::target::{Target, TARGET};
+use landingdrift::settings::Settings;
+
+/// A figure of a role: its name with the unit, and how it is read.
+type Figure = (&'static str, fn(&Tally) -> f64);
+
+const FIGURES: [Figure; 8] = [
+    ("messages in a second", |t| t.messages_in),
+    ("messages out a second", |t| t.messages_out),
+    ("bytes in a second", |t| t.bytes_in),
+    ("bytes out a second", |t| t.bytes_out),
+    ("calls a second", |t| t.calls),
+    ("log bytes a second", |t| t.log_bytes),
+    ("processor in `step`, µs a second", |t| t.step / 1000.0),
+    ("processor in `pack` and `unpack`, µs a second", |t| {
+        t.wire / 1000.0
+    }),
+];
+
+/// What a role's cost hangs on.
+fn terms(d: Duty, workers: f64, nodes: f64, starts: f64) -> Vec<f64> {
+    if matches!(d, Duty::Leader | Duty::Follower) {
+        vec![1.0, workers, nodes, starts, nodes * starts]
+    } else {
+        vec![1.0, workers, workers / nodes, starts, workers * starts]
+    }
+}
+
+fn named(d: Duty) -> [&'static str; 5] {
+    if matches!(d, Duty::Leader | Duty::Follower) {
+        [
+            "fixed",
+            "a worker",
+            "a node",
+            "a start/s",
+            "a node · start/s",
+        ]
+    } else {
+        [
+            "fixed",
+            "a worker",
+            "a worker per node",
+            "a start/s",
+            "a worker · start/s",
+        ]
+    }
+}
+
+fn short(x: f64) -> String {
+    let a = x.abs();
+    if a == 0.0 {
+        "0".into()
+    } else if a >= 100.0 {
+        format!("{x:.0}")
+    } else if a >= 1.0 {
+        format!("{x:.1}")
+    } else {
+        format!("{x:.2e}")
+    }
+}
+
+fn row(cells: &[String]) -> String {
+    format!("| {} |\n", cells.join(" | "))
+}
+
+fn head(cells: &[&str]) -> String {
+    let rule: Vec<String> = cells.iter().map(|_| "---".to_string()).collect();
+    row(&cells.iter().map(|c| (*c).to_string()).collect::<Vec<_>>()) + &row(&rule)
+}
+
+fn verdict(holds: bool) -> &'static str {
+    if holds {
+        "holds"
+    } else {
+        "**does not hold**"
+    }
+}
+
+fn measured(runs: &[Run]) -> String {
+    let mut out = String::from("### Measured, a second\n\nMean over the processes of a role. Bytes are packed envelopes between processes; calls over HTTP are counted, not weighed.\n\n");
+    out += &head(&[
+        "workers, nodes",
+        "starts/s",
+        "role",
+        "how many",
+        "messages in",
+        "out",
+        "bytes in",
+        "out",
+        "calls",
+        "log bytes",
+        "`step`, µs",
+        "`pack`, `unpack`, µs",
+    ]);
+    for r in runs {
+        for (d, (n, t)) in &r.roles {
+            let cells = [
+                format!("{}, {}", r.size.workers, r.size.nodes),
+                format!("{:.1}", r.starts),
+                d.name().to_string(),
+                n.to_string(),
+            ];
+            let figures = FIGURES.iter().map(|(_, f)| short(f(t)));
+            out += &row(&cells.into_iter().chain(figures).collect::<Vec<_>>());
+        }
+    }
+    out
+}
+
+fn a_start(runs: &[Run]) -> String {
+    let mut out = String::from("\n### Measured, a start\n\nThe same divided by the starts of the whole cluster; processor time also as the ratio to the reference work (a digest of 64 KiB, paired: done every virtual second of the same run).\n\n");
+    out += &head(&[
+        "workers, nodes",
+        "starts/s",
+        "role",
+        "messages in",
+        "out",
+        "bytes in",
+        "out",
+        "log bytes",
+        "`step`, µs",
+        "`step`, ratio to the reference",
+        "reference, µs",
+    ]);
+    for r in runs {
+        for (d, (_, t)) in &r.roles {
+            let t = t.per(r.starts.max(1e-9));
+            out += &row(&[
+                format!("{}, {}", r.size.workers, r.size.nodes),
+                format!("{:.1}", r.starts),
+                d.name().to_string(),
+                short(t.messages_in),
+                short(t.messages_out),
+                short(t.bytes_in),
+                short(t.bytes_out),
+                short(t.log_bytes),
+                short(t.step / 1000.0),
+                short(t.step / r.reference),
+                short(r.reference / 1000.0),
+            ]);
+        }
+    }
+    out
+}
+
+/// The record at the target's peak: slopes of its packed length, and what they come to.
+struct State {
+    fit: Fit,
+    jobs: f64,
+    bytes: f64,
+    memory: f64,
+    pack_ns_a_byte: f64,
+}
+
+fn state(runs: &[Run], t: &Target) -> State {
+    let all = || runs.iter().flat_map(|r| &r.samples);
+    let x: Vec<Vec<f64>> = all()
+        .map(|s| vec![1.0, s.workers, s.jobs, s.running])
+        .collect();
+    let y: Vec<f64> = all().map(|s| s.bytes).collect();
+    let fit = fit(&x, &y);
+    let kept = Settings::default().limits.retain_ms as f64 / 1000.0 + t.running / t.starts;
+    let jobs = (t.starts / TASKS as f64 * kept).min(t.jobs_a_day);
+    let bytes = fit.at(&[1.0, t.workers, jobs, t.running]);
+    let times = runs.last().map_or(0.0, |r| memory_of_a_byte(&r.record));
+    State {
+        jobs,
+        bytes,
+        memory: bytes * times,
+        pack_ns_a_byte: all().map(|s| s.pack).sum::<f64>() / y.iter().sum::<f64>().max(1.0),
+        fit,
+    }
+}
+
+fn record(s: &State) -> String {
+    let f = &s.fit.slopes;
+    let mut out = String::from("\n### State\n\nLength of `Record::pack`, least squares over all samples of all runs (one each 5 virtual seconds).\n\n");
+    out += &head(&["what", "bytes"]);
+    [
+        ("fixed (24 queues, 7 zones, 2 services)", f[0]),
+        ("a worker, with its share of nodes", f[1]),
+        ("a job kept, with its tasks", f[2]),
+        ("a running task, more than one that ended or waits", f[3]),
+    ]
+    .iter()
+    .for_each(|(n, v)| out += &row(&[(*n).to_string(), short(*v)]));
+    out + &format!("\nResidual {:.1} %. At the target {:.0} jobs are kept (peak rate over `limits.retain_ms`, {TASKS} tasks a job): {:.1} MB packed, {:.0} MB resident for one copy ({:.2} resident bytes a packed byte). Packing takes {:.2} ns a byte: {:.0} ms for a capture at the target. Tombs of the day's jobs are not counted.\n", 100.0 * s.fit.residual, s.jobs, s.bytes / 1e6, s.memory / 1e6, s.memory / s.bytes.max(1.0), s.pack_ns_a_byte, s.bytes * s.pack_ns_a_byte / 1e6)
+}
+
+/// Fits of all figures of a role, in the order of `FIGURES`.
+fn fits(runs: &[Run], d: Duty) -> Option<Vec<Fit>> {
+    let of: Vec<(&Run, &Tally)> = runs
+        .iter()
+        .filter_map(|r| r.roles.get(&d).map(|(_, t)| (r, t)))
+        .collect();
+    let x: Vec<Vec<f64>> = of
+        .iter()
+        .map(|(r, _)| terms(d, r.size.workers as f64, r.size.nodes as f64, r.starts))
+        .collect();
+    let y = |f: fn(&Tally) -> f64| of.iter().map(|(_, t)| f(t)).collect::<Vec<f64>>();
+    (!of.is_empty()).then(|| FIGURES.iter().map(|(_, f)| fit(&x, &y(*f))).collect())
+}
+
+fn slopes(all: &[(Duty, Vec<Fit>)], t: &Target) -> String {
+    let mut out = String::from("\n### Slopes and what they foretell\n\nLeast squares of the relative errors, slopes not below 0. Residual: root of the mean square of the relative errors. Left out: the relative error at the largest size when the fit doesn't know it. At the target: 600 workers, 602 nodes, 270 starts/s.\n\n");
+    out += &head(&[
+        "role",
+        "figure",
+        "slopes",
+        "residual, %",
+        "left out, %",
+        "at the target",
+    ]);
+    for (d, fits) in all {
+        let at = terms(*d, t.workers, t.nodes, t.starts);
+        for ((name, _), f) in FIGURES.iter().zip(fits) {
+            // Where callers call is the stand-ins' own luck.
+            if f.slopes.iter().all(|s| *s == 0.0) || name.starts_with("calls") {
+                continue;
+            }
+            let parts: Vec<String> = f
+                .slopes
+                .iter()
+                .zip(named(*d))
+                .filter(|(s, _)| **s > 0.0)
+                .map(|(s, n)| format!("{} {n}", short(*s)))
+                .collect();
+            out += &row(&[
+                d.name().to_string(),
+                (*name).to_string(),
+                parts.join(" + "),
+                format!("{:.1}", 100.0 * f.residual),
+                format!("{:+.1}", 100.0 * f.missed),
+                short(f.at(&at)),
+            ]);
+        }
+    }
+    out
+}
+
+fn verdicts(all: &[(Duty, Vec<Fit>)], s: &State, t: &Target) -> String {
+    let mut out = String::from("\n### Against the bounds\n\nBytes in and out together; `step`, `pack` and `unpack` together, without sockets, disk and HTTP; memory of one copy of the record alone.\n\n");
+    out += &head(&["role", "4.1 % of a core", "", "6 KB/s", "", "256 MB", ""]);
+    for (d, fits) in all {
+        let at = terms(*d, t.workers, t.nodes, t.starts);
+        let v: Vec<f64> = fits.iter().map(|f| f.at(&at)).collect();
+        let (percent, bytes) = ((v[6] + v[7]) / 1e4, v[2] + v[3]);
+        out += &row(&[
+            d.name().to_string(),
+            format!("{percent:.2} %"),
+            verdict(percent <= t.core_percent).into(),
+            format!("{:.1} KB/s", bytes / 1000.0),
+            verdict(bytes <= t.bytes).into(),
+            format!("{:.0} MB", s.memory / 1e6),
+            verdict(s.memory <= t.memory).into(),
+        ]);
+    }
+    out
+}
+
+/// All tables, as Markdown.
+pub fn report(runs: &[Run]) -> String {
+    let s = state(runs, &TARGET);
+    let all: Vec<(Duty, Vec<Fit>)> = Duty::ALL
+        .iter()
+        .filter_map(|d| fits(runs, *d).map(|f| (*d, f)))
+        .collect();
+    measured(runs)
+        + &a_start(runs)
+        + &record(&s)
+        + &slopes(&all, &TARGET)
+        + &verdicts(&all, &s, &TARGET)
+}
--- a/rehearsal/src/measure/mod.rs
+++ b/rehearsal/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Figures of admission in virtual time: the product against this kit's own comparators.
 
+pub mod capacity;
 mod comparators;
 mod workload;
 
