--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod measure;
 mod run;
+mod scale;
 mod sweep;
 
 use crate::scenario::{Scenario, Shape};
@@ -48,6 +49,8 @@
                                                  admission against FIFO and SRPT with best-effort copies
   capacity [--sizes N,N,N] [--warm SECONDS] [--seconds N] [--seed N]
                                                  what each role costs in virtual time, and at the users' target
+  scale [--sizes N,..] [--nodes N] [--starts N] [--seconds N] [--seed N] [--folder DIR] [--program FILE]
+                                                 real cores and nodes beside hollow workers and nodes, on this machine
 
 Exit codes: 0 no rule was broken, 1 a rule was broken, 2 wrong command line.";
 
@@ -62,6 +65,7 @@
     let valued = [
         "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle",
         "rate", "folder", "program", "scenario", "out", "load", "beta", "vary", "sizes", "warm",
+        "nodes", "starts",
     ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
@@ -113,6 +117,7 @@
             Some("fleet") => fleet::run(&w),
             Some("measure") => measure::run(&w),
             Some("capacity") => capacity::run(&w),
+            Some("scale") => scale::run(&w),
             Some(other) => Err(format!("no command is called '{other}'")),
             None => Err("no command was given".into()),
         }
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod history;
 pub mod measure;
+pub mod scale;
 pub mod scenario;
 pub mod simulator;
 pub mod standin;
--- /dev/null
+++ b/rehearsal/tests/scale.rs
@@ -0,0 +1,62 @@
+//! The scale run: it starts, stops by itself, tells what each process took; wrong words are refused with the remedy.
+
+use rehearsal::fleet::program;
+use rehearsal::scale::{run, usage, Options};
+use std::process::Command;
+
+#[test]
+fn a_small_run_starts_tasks_and_tells_what_each_process_took() {
+    let folder = std::env::temp_dir().join(format!("landingdrift-scaled-{}", std::process::id()));
+    // Two runs in one process don't meet.
+    for place in 0..2 {
+        let o = Options {
+            workers: 14,
+            nodes: 3,
+            place,
+            // A job a second in the mean, so that some are handed in within the time measured.
+            starts: 60.0,
+            seconds: 9,
+            program: program(),
+            folder: folder.join(place.to_string()),
+            seed: 4,
+        };
+        let out = run(&o).unwrap_or_else(|e| panic!("{e}; logs in {}", folder.display()));
+        assert!(out.starts > 0.0 && out.jobs > 0, "{}", out.starts);
+        assert_eq!(out.taken.len(), 3 + 4 + 1);
+        assert!(out.taken.iter().all(|t| t.resident > 0));
+        assert!(out.taken.iter().any(|t| t.name.starts_with("core leader")));
+        assert!(out.each.len() >= out.first.len());
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn a_process_that_is_not_there_took_nothing() {
+    assert_eq!(usage(u32::MAX), Default::default());
+    assert!(usage(std::process::id()).resident > 1 << 20);
+}
+
+#[test]
+fn wrong_words_are_refused_with_the_remedy() {
+    let cases: [(&[&str], &str); 7] = [
+        (&["capacity", "--sizes", "40,80"], "at least three sizes"),
+        (&["capacity", "--sizes", "40,x,80"], "numbers of workers"),
+        (&["capacity", "--seconds", "5"], "10 to 600"),
+        (&["scale", "--sizes", "5000"], "from 1 to 1000"),
+        (&["scale", "--nodes", "500"], "1 to 200"),
+        (&["scale", "--seconds", "7200"], "6 to 600"),
+        (
+            &["scale", "--sizes", "2", "--program", "no-such-program"],
+            "cargo build",
+        ),
+    ];
+    for (words, remedy) in cases {
+        let out = Command::new(env!("CARGO_BIN_EXE_rehearsal"))
+            .args(words)
+            .output()
+            .expect("the program runs");
+        let told = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(2), "{words:?}: {told}");
+        assert!(told.contains(remedy), "{words:?}: {told}");
+    }
+}
