--- a/rehearsal/src/cli/capacity.rs
+++ b/rehearsal/src/cli/capacity.rs
@@ -1,10 +1,11 @@
 use super::Words;
-use crate::measure::capacity::{report, sizes, Clockwork};
+use crate::measure::capacity::{memory_of_a_byte, report, sizes, Clockwork, Run};
+use std::process::Command;
 
 /// The commit that the figures belong to, where git knows it.
 pub(super) fn commit() -> String {
     let git = |words: &[&str]| {
-        std::process::Command::new("git")
+        Command::new("git")
             .args(words)
             .output()
             .ok()
@@ -40,8 +41,39 @@
         .collect()
 }
 
+/// Has a new process of this program unpack a record, and say what a packed byte takes in memory.
+fn footprint(runs: &[Run]) -> Result<f64, String> {
+    let file = std::env::temp_dir().join(format!("landingdrift-record-{}", std::process::id()));
+    let defect = |e: std::io::Error| {
+        format!(
+            "a record can't be weighed ({e}): see that {} can be written",
+            file.display()
+        )
+    };
+    let packed = runs.last().map_or(&[][..], |r| &r.record);
+    std::fs::write(&file, packed).map_err(defect)?;
+    let out = std::env::current_exe().and_then(|exe| {
+        Command::new(exe)
+            .args(["capacity", "--record"])
+            .arg(&file)
+            .output()
+    });
+    let _ = std::fs::remove_file(&file);
+    let told = out.map_err(defect)?.stdout;
+    String::from_utf8_lossy(&told)
+        .trim()
+        .parse()
+        .map_err(|_| "the record could not be unpacked: run the command again".into())
+}
+
 pub fn run(w: &Words) -> Result<bool, String> {
-    let mut workers = list(w, "40,80,120", 200)?;
+    if let Some(file) = w.text("record") {
+        let packed = std::fs::read(file)
+            .map_err(|e| format!("'{file}' can't be read ({e}): name a packed record"))?;
+        landingdrift::say!("{}", memory_of_a_byte(&packed));
+        return Ok(true);
+    }
+    let mut workers = list(w, "40,80,160", 200)?;
     workers.sort_unstable();
     workers.dedup();
     (workers.len() >= 3)
@@ -75,6 +107,6 @@
         named.join(","),
         commit()
     );
-    landingdrift::say!("{}", report(&runs));
+    landingdrift::say!("{}", report(&runs, footprint(&runs)?));
     Ok(true)
 }
--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -48,7 +48,8 @@
   measure [--shape S] [--seeds N] [--seconds N] [--load U,..] [--beta B,..] [--vary NAME=VALUE,..]
                                                  admission against FIFO and SRPT with best-effort copies
   capacity [--sizes N,N,N] [--warm SECONDS] [--seconds N] [--seed N]
-                                                 what each role costs in virtual time, and at the users' target
+                                                 what each role costs in virtual time, and at the users' target;
+                                                 with --record FILE: bytes of memory a byte of a packed record
   scale [--sizes N,..] [--nodes N] [--starts N] [--seconds N] [--seed N] [--folder DIR] [--program FILE]
                                                  real cores and nodes beside hollow workers and nodes, on this machine
 
@@ -65,7 +66,7 @@
     let valued = [
         "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle",
         "rate", "folder", "program", "scenario", "out", "load", "beta", "vary", "sizes", "warm",
-        "nodes", "starts",
+        "nodes", "starts", "record",
     ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
--- a/rehearsal/src/measure/capacity/clockwork.rs
+++ b/rehearsal/src/measure/capacity/clockwork.rs
@@ -1,3 +1,4 @@
+use super::footprint::State;
 use super::load;
 use super::meter::{clock_cost, reference, timed, Tally};
 use super::target::ZONES;
@@ -140,18 +141,6 @@
     }
 }
 
-/// The record at a moment.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Sample {
-    pub workers: f64,
-    pub jobs: f64,
-    pub running: f64,
-    /// Length of the packed record.
-    pub bytes: f64,
-    /// Processor time of packing it, in nanoseconds.
-    pub pack: f64,
-}
-
 /// What a run came to.
 pub struct Run {
     pub size: Size,
@@ -159,9 +148,9 @@
     pub starts: f64,
     /// By duty: how many processes, and the mean of their tallies a second.
     pub roles: BTreeMap<Duty, (usize, Tally)>,
-    pub samples: Vec<Sample>,
     /// Mean processor time of the reference work, in nanoseconds.
     pub reference: f64,
+    pub state: State,
     /// The packed record at the end.
     pub record: Vec<u8>,
 }
@@ -296,14 +285,10 @@
     pub fn run(mut self, warm: u64, window: u64) -> Run {
         let end = warm + window;
         self.plan(end * 1000);
-        let mut samples = Vec::new();
         let (mut refs, mut before, mut started) = (Vec::new(), Vec::new(), 0.0);
         for second in 1..=end {
             self.run_to(second * 1000);
             refs.push(reference(self.clock));
-            if second % 5 == 0 && second >= 10 {
-                samples.push(self.sample());
-            }
             if second == warm {
                 before = self.tallies();
                 started = self.started;
@@ -324,8 +309,8 @@
             size: self.size,
             starts: (self.started - started) / window as f64,
             roles,
-            samples,
             reference: refs.iter().sum::<f64>() / refs.len().max(1) as f64,
+            state: State::of(self.leader().record(), self.clock),
             record: self.leader().record().pack(),
         }
     }
@@ -348,18 +333,6 @@
             .unwrap_or(&self.procs[0])
     }
 
-    fn sample(&self) -> Sample {
-        let r = self.leader().record();
-        let (bytes, pack) = timed(self.clock, || r.pack().len() as f64);
-        Sample {
-            workers: r.workers.len() as f64,
-            jobs: r.jobs.len() as f64,
-            running: r.live.len() as f64,
-            bytes,
-            pack,
-        }
-    }
-
     fn tallies(&self) -> Vec<Tally> {
         self.procs
             .iter()
--- a/rehearsal/src/measure/capacity/mod.rs
+++ b/rehearsal/src/measure/capacity/mod.rs
@@ -8,8 +8,9 @@
 mod table;
 mod target;
 
-pub use clockwork::{Clockwork, Duty, Run, Sample, Size};
+pub use clockwork::{Clockwork, Duty, Run, Size};
 pub use fit::{fit, Fit};
+pub use footprint::{memory_of_a_byte, State};
 pub use load::{desired, facts, job, ROOM, TASKS};
 pub use meter::Tally;
 pub use table::report;
--- a/rehearsal/src/measure/capacity/table.rs
+++ b/rehearsal/src/measure/capacity/table.rs
@@ -1,6 +1,6 @@
 use super::clockwork::{Duty, Run};
 use super::fit::{fit, Fit};
-use super::footprint::memory_of_a_byte;
+use super::footprint::State;
 use super::load::TASKS;
 use super::meter::Tally;
 use super::target::{Target, TARGET};
@@ -148,48 +148,78 @@
     out
 }
 
-/// The record at the target's peak: slopes of its packed length, and what they come to.
-struct State {
-    fit: Fit,
+/// The record at the target's peak.
+struct Peak {
     jobs: f64,
     bytes: f64,
     memory: f64,
-    pack_ns_a_byte: f64,
+    pack_ns: f64,
 }
 
-fn state(runs: &[Run], t: &Target) -> State {
-    let all = || runs.iter().flat_map(|r| &r.samples);
-    let x: Vec<Vec<f64>> = all()
-        .map(|s| vec![1.0, s.workers, s.jobs, s.running])
-        .collect();
-    let y: Vec<f64> = all().map(|s| s.bytes).collect();
-    let fit = fit(&x, &y);
+/// Bytes a worker, a task kept, a running task, and the fixed rest.
+fn parts(s: &State) -> [f64; 4] {
+    [
+        s.of_workers / s.workers.max(1.0),
+        s.of_jobs / s.tasks.max(1.0),
+        s.of_running / s.running.max(1.0),
+        s.bytes - s.of_workers - s.of_jobs - s.of_running,
+    ]
+}
+
+fn peak(runs: &[Run], t: &Target, memory_of_a_byte: f64) -> Peak {
     let kept = Settings::default().limits.retain_ms as f64 / 1000.0 + t.running / t.starts;
     let jobs = (t.starts / TASKS as f64 * kept).min(t.jobs_a_day);
-    let bytes = fit.at(&[1.0, t.workers, jobs, t.running]);
-    let times = runs.last().map_or(0.0, |r| memory_of_a_byte(&r.record));
-    State {
+    let sum = |f: fn(&Run) -> f64| runs.iter().map(f).sum::<f64>();
+    // By the largest run; all of them are shown.
+    let bytes = runs.last().map_or(0.0, |r| {
+        let [worker, task, running, fixed] = parts(&r.state);
+        fixed + worker * t.workers + task * jobs * TASKS as f64 + running * t.running
+    });
+    let pack = sum(|r| r.state.pack / r.reference) / sum(|r| r.state.bytes).max(1.0);
+    Peak {
         jobs,
         bytes,
-        memory: bytes * times,
-        pack_ns_a_byte: all().map(|s| s.pack).sum::<f64>() / y.iter().sum::<f64>().max(1.0),
-        fit,
+        memory: bytes * memory_of_a_byte,
+        pack_ns: bytes * pack * quiet(runs),
     }
 }
 
-fn record(s: &State) -> String {
-    let f = &s.fit.slopes;
-    let mut out = String::from("\n### State\n\nLength of `Record::pack`, least squares over all samples of all runs (one each 5 virtual seconds).\n\n");
-    out += &head(&["what", "bytes"]);
-    [
-        ("fixed (24 queues, 7 zones, 2 services)", f[0]),
-        ("a worker, with its share of nodes", f[1]),
-        ("a job kept, with its tasks", f[2]),
-        ("a running task, more than one that ended or waits", f[3]),
-    ]
-    .iter()
-    .for_each(|(n, v)| out += &row(&[(*n).to_string(), short(*v)]));
-    out + &format!("\nResidual {:.1} %. At the target {:.0} jobs are kept (peak rate over `limits.retain_ms`, {TASKS} tasks a job): {:.1} MB packed, {:.0} MB resident for one copy ({:.2} resident bytes a packed byte). Packing takes {:.2} ns a byte: {:.0} ms for a capture at the target. Tombs of the day's jobs are not counted.\n", 100.0 * s.fit.residual, s.jobs, s.bytes / 1e6, s.memory / 1e6, s.memory / s.bytes.max(1.0), s.pack_ns_a_byte, s.bytes * s.pack_ns_a_byte / 1e6)
+fn record(runs: &[Run], s: &Peak) -> String {
+    let mut out = String::from("\n### State\n\nBytes of `Record::pack` at the end of each run. Of jobs, workers, running tasks: what is missing when they are left out; a running task stands in its job and its worker as well.\n\n");
+    out += &head(&[
+        "workers, nodes",
+        "jobs kept",
+        "tasks kept",
+        "running",
+        "all, KB",
+        "a job",
+        "a task of a job",
+        "a worker",
+        "a running task",
+        "rest, KB",
+    ]);
+    for r in runs {
+        let x = &r.state;
+        let [worker, task, running, fixed] = parts(x);
+        out += &row(&[
+            format!("{}, {}", r.size.workers, r.size.nodes),
+            short(x.jobs),
+            short(x.tasks),
+            short(x.running),
+            short(x.bytes / 1000.0),
+            short(x.of_jobs / x.jobs.max(1.0)),
+            short(task),
+            short(worker),
+            short(running),
+            short(fixed / 1000.0),
+        ]);
+    }
+    out + &format!("\nAt the target {:.0} jobs are kept (peak rate over `limits.retain_ms`, {TASKS} tasks a job): {:.1} MB packed, {:.0} MB resident for one copy ({:.2} resident bytes a packed byte, measured in a process of its own). A capture of it takes {:.0} ms of processor time in one step. Tombs of the day's jobs are not counted.\n", s.jobs, s.bytes / 1e6, s.memory / 1e6, s.memory / s.bytes.max(1.0), s.pack_ns / 1e6)
+}
+
+/// The reference's time in the quietest run: processor time is fitted as the ratio to the reference of the same run.
+fn quiet(runs: &[Run]) -> f64 {
+    runs.iter().map(|r| r.reference).fold(f64::MAX, f64::min)
 }
 
 /// Fits of all figures of a role, in the order of `FIGURES`.
@@ -202,12 +232,26 @@
         .iter()
         .map(|(r, _)| terms(d, r.size.workers as f64, r.size.nodes as f64, r.starts))
         .collect();
-    let y = |f: fn(&Tally) -> f64| of.iter().map(|(_, t)| f(t)).collect::<Vec<f64>>();
-    (!of.is_empty()).then(|| FIGURES.iter().map(|(_, f)| fit(&x, &y(*f))).collect())
+    let y = |name: &str, f: fn(&Tally) -> f64| -> Vec<f64> {
+        let paired = |r: &Run| {
+            if name.starts_with("processor") {
+                quiet(runs) / r.reference
+            } else {
+                1.0
+            }
+        };
+        of.iter().map(|(r, t)| f(t) * paired(r)).collect()
+    };
+    (!of.is_empty()).then(|| {
+        FIGURES
+            .iter()
+            .map(|(name, f)| fit(&x, &y(name, *f)))
+            .collect()
+    })
 }
 
 fn slopes(all: &[(Duty, Vec<Fit>)], t: &Target) -> String {
-    let mut out = String::from("\n### Slopes and what they foretell\n\nLeast squares of the relative errors, slopes not below 0. Residual: root of the mean square of the relative errors. Left out: the relative error at the largest size when the fit doesn't know it. At the target: 600 workers, 602 nodes, 270 starts/s.\n\n");
+    let mut out = String::from("\n### Slopes and what they foretell\n\nLeast squares of the relative errors, slopes not below 0; processor time as the ratio to the reference of the same run, shown at the reference's time in the quietest one. Residual: root of the mean square of the relative errors. Left out: the relative error at the largest size when the fit doesn't know it. At the target: 600 workers, 602 nodes, 270 starts/s.\n\n");
     out += &head(&[
         "role",
         "figure",
@@ -243,7 +287,7 @@
     out
 }
 
-fn verdicts(all: &[(Duty, Vec<Fit>)], s: &State, t: &Target) -> String {
+fn verdicts(all: &[(Duty, Vec<Fit>)], s: &Peak, t: &Target) -> String {
     let mut out = String::from("\n### Against the bounds\n\nBytes in and out together; `step`, `pack` and `unpack` together, without sockets, disk and HTTP; memory of one copy of the record alone.\n\n");
     out += &head(&["role", "4.1 % of a core", "", "6 KB/s", "", "256 MB", ""]);
     for (d, fits) in all {
@@ -263,16 +307,16 @@
     out
 }
 
-/// All tables, as Markdown.
-pub fn report(runs: &[Run]) -> String {
-    let s = state(runs, &TARGET);
+/// All tables, as Markdown; how many bytes a packed byte takes in memory is measured elsewhere.
+pub fn report(runs: &[Run], memory_of_a_byte: f64) -> String {
+    let s = peak(runs, &TARGET, memory_of_a_byte);
     let all: Vec<(Duty, Vec<Fit>)> = Duty::ALL
         .iter()
         .filter_map(|d| fits(runs, *d).map(|f| (*d, f)))
         .collect();
     measured(runs)
         + &a_start(runs)
-        + &record(&s)
+        + &record(runs, &s)
         + &slopes(&all, &TARGET)
         + &verdicts(&all, &s, &TARGET)
 }
--- a/rehearsal/tests/capacity.rs
+++ b/rehearsal/tests/capacity.rs
@@ -60,7 +60,7 @@
 
 #[test]
 fn the_report_has_all_tables_and_a_verdict_for_each_duty() {
-    let text = report(&[run(12), run(16), run(20)]);
+    let text = report(&[run(12), run(16), run(20)], 2.5);
     [
         "### Measured, a second",
         "### Measured, a start",
--- a/rehearsal/tests/scale.rs
+++ b/rehearsal/tests/scale.rs
@@ -38,10 +38,14 @@
 
 #[test]
 fn wrong_words_are_refused_with_the_remedy() {
-    let cases: [(&[&str], &str); 7] = [
+    let cases: [(&[&str], &str); 8] = [
         (&["capacity", "--sizes", "40,80"], "at least three sizes"),
         (&["capacity", "--sizes", "40,x,80"], "numbers of workers"),
         (&["capacity", "--seconds", "5"], "10 to 600"),
+        (
+            &["capacity", "--record", "no-such-file"],
+            "name a packed record",
+        ),
         (&["scale", "--sizes", "5000"], "from 1 to 1000"),
         (&["scale", "--nodes", "500"], "1 to 200"),
         (&["scale", "--seconds", "7200"], "6 to 600"),
