--- a/rehearsal/src/cli/capacity.rs
+++ b/rehearsal/src/cli/capacity.rs
@@ -103,7 +103,7 @@
         .collect();
     let named: Vec<String> = workers.iter().map(ToString::to_string).collect();
     landingdrift::say!(
-        "    rehearsal capacity --sizes {} --warm {warm} --seconds {window} --seed {seed}\n\nBuild of {}; virtual time, no faults.\n",
+        "    rehearsal capacity --sizes {} --warm {warm} --seconds {window} --seed {seed}\n\nCheckout at {}; virtual time, no faults.\n",
         named.join(","),
         commit()
     );
--- a/rehearsal/src/cli/scale.rs
+++ b/rehearsal/src/cli/scale.rs
@@ -53,7 +53,7 @@
     );
     let own = w.text("folder").is_none();
     landingdrift::say!(
-        "    rehearsal scale --sizes {} --nodes {nodes} --starts {starts} --seconds {seconds} --seed {seed}\n\nBuild of {}; wall clock of this machine, last two thirds of each run.\n",
+        "    rehearsal scale --sizes {} --nodes {nodes} --starts {starts} --seconds {seconds} --seed {seed}\n\nCheckout at {}; wall clock of this machine, last two thirds of each run.\n",
         sizes.iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
         commit()
     );
