Revert: options of rocket's listener set through /proc/self/fd

It needed the only unsafe line of the repository to reach a socket that the library keeps to itself. Idle callers are closed by the library's keep-alive (5 s); one that vanishes amid an answer is let go by TCP itself, later. The calls in hand are bounded, so such connections are few.

--- a/landingdrift/src/daemon/traffic/frames/deliver.rs
+++ b/landingdrift/src/daemon/traffic/frames/deliver.rs
@@ -1,5 +1,4 @@
-use super::{Frames, QUEUE};
-use crate::daemon::traffic::socket;
+use super::{socket, Frames, QUEUE};
 use rocket::tokio::io::AsyncWriteExt;
 use rocket::tokio::net::TcpStream;
 use rocket::tokio::runtime::Handle;
--- a/landingdrift/src/daemon/traffic/frames/mod.rs
+++ b/landingdrift/src/daemon/traffic/frames/mod.rs
@@ -2,6 +2,7 @@
 
 mod deliver;
 mod receive;
+mod socket;
 
 use crate::daemon::control::Input;
 use crate::settings::Limits;
--- a/landingdrift/src/daemon/traffic/frames/receive.rs
+++ b/landingdrift/src/daemon/traffic/frames/receive.rs
@@ -1,6 +1,5 @@
-use super::Frames;
+use super::{socket, Frames};
 use crate::daemon::control::Input;
-use crate::daemon::traffic::socket;
 use crate::kernel::Msg;
 use crate::wire::unpack;
 use rocket::tokio::io::{AsyncRead, AsyncReadExt, BufReader};
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -7,7 +7,6 @@
 
 use crate::daemon::calls::Calls;
 use crate::daemon::control::Input;
-use crate::daemon::traffic::socket;
 use door::Door;
 use rocket::config::{LogLevel, Shutdown};
 use rocket::fairing::AdHoc;
@@ -62,16 +61,10 @@
     let cant = move |why: String| {
         format!("can't serve HTTP at {addr} ({why}): free the address or name another with --http")
     };
-    let patience = door.bounded.patience;
     handle.spawn(launch(addr, door, tx));
-    let at = rx
-        .recv()
+    rx.recv()
         .map_err(|e| cant(e.to_string()))
-        .and_then(|up| up.map_err(cant))?;
-    socket::prepare_listener(at, patience).unwrap_or_else(|e| {
-        log::warn!("callers at {at} that vanish are not noticed ({e}): mount /proc, or keep their connections short")
-    });
-    Ok(at)
+        .and_then(|up| up.map_err(cant))
 }
 
 type Up = Result<SocketAddr, String>;
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -2,7 +2,6 @@
 
 mod frames;
 mod http;
-mod socket;
 
 pub use frames::{Frames, Transport};
 pub use http::{Asked, Bounded, Handling, Manner, Reply};
