--- a/landingdrift/src/node/cell/pace.rs
+++ b/landingdrift/src/node/cell/pace.rs
@@ -1,10 +1,10 @@
 //! What the progress of runs says: those that will not end before their worker leaves, that stand still or crawl, are
 //! called back to run elsewhere.
 
-use crate::kernel::Now;
+use crate::kernel::{digest, Now};
 use crate::node::Node;
-use crate::record::{Job, Record};
-use std::collections::BTreeMap;
+use crate::record::{Job, Record, Send, SendState};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Progress is told in parts of this.
 const WHOLE: f64 = 1000.0;
@@ -58,6 +58,10 @@
 /// What is known of a run when it is judged.
 pub struct Run {
     pub pace: Pace,
+    /// Alike for the tasks of one step: they are as uneven together, and a gang goes at one pace.
+    pub group: u64,
+    /// It was called back before.
+    pub moved: bool,
     pub estimate: f64,
     /// A copy may be made instead.
     pub repeats: bool,
@@ -71,8 +75,8 @@
 /// Which runs of a worker do better elsewhere, and why: `leaves` is the time the worker has left, `patience` the shortest
 /// span to judge by.
 ///
-/// Tasks of a step are uneven and guesses rough, so one run tells nothing of its worker: it is judged by all that it
-/// runs. Only where a single one is all there is, standing still for long is enough.
+/// Tasks are uneven, steps as a whole too, and guesses rough, so one step tells nothing of its worker: it is judged by
+/// all that it runs. Only where a single one is all there is, standing still for long is enough.
 pub fn judge(runs: &[Run], now: u64, leaves: Option<u64>, patience: u64) -> Vec<Option<Why>> {
     if let Some(ms) = leaves {
         let late = |r: &Run| r.lasts || r.need(now, patience) + 100.0 > ms as f64;
@@ -84,15 +88,21 @@
     let works: Vec<&Run> = runs.iter().filter(|r| r.works()).collect();
     let still = |r: &&Run| r.still(now) > 1.5 * patience as f64 && r.still(now) > 0.06 * r.estimate;
     let long = |r: &&Run| r.still(now) > 3.0 * patience as f64 && still(r);
-    let stuck = if works.len() > 1 {
+    let groups = |of: &[&Run]| of.iter().map(|r| r.group).collect::<BTreeSet<u64>>().len();
+    let stuck = if groups(&works) > 1 {
         works.iter().all(still)
     } else {
-        works.iter().any(long)
+        !works.is_empty() && works.iter().all(long)
     };
-    let mut shares: Vec<f64> = works
-        .iter()
-        .filter_map(|r| r.pace.rate(now, patience).map(|x| x * r.estimate / WHOLE))
-        .collect();
+    // Each group counts once, by its fastest.
+    let mut fastest: BTreeMap<u64, f64> = BTreeMap::new();
+    for r in &works {
+        if let Some(x) = r.pace.rate(now, patience) {
+            let best = fastest.entry(r.group).or_default();
+            *best = best.max(x * r.estimate / WHOLE);
+        }
+    }
+    let mut shares: Vec<f64> = fastest.into_values().collect();
     shares.sort_by(f64::total_cmp);
     let slow = shares.len() >= ENOUGH && shares[shares.len() / 2] < CRAWL;
     runs.iter()
@@ -101,7 +111,8 @@
             if judged && stuck {
                 Some(Why::Stuck)
             } else {
-                (judged && slow && !r.repeats && r.pays(now, patience)).then_some(Why::Slow)
+                (judged && slow && !r.repeats && !r.moved && r.pays(now, patience))
+                    .then_some(Why::Slow)
             }
         })
         .collect()
@@ -140,7 +151,13 @@
     let job: &Job = record.jobs.get(job)?;
     let spec = job.of(*i as usize);
     let fresh = now.saturating_sub(pace.from.0) < gang_ms;
+    let step = job.tasks[*i as usize].step;
+    let mut name = job.spec.id.as_bytes().to_vec();
+    name.extend(step.to_le_bytes());
+    let stopped = |s: &Send| s.state == SendState::Stopped;
     Some(Run {
+        group: digest(&name),
+        moved: job.tasks[*i as usize].sends.iter().any(stopped),
         estimate: f64::from(spec.estimate_ms),
         repeats: spec.may_repeat,
         lasts: spec.long_running,
--- a/landingdrift/tests/pace.rs
+++ b/landingdrift/tests/pace.rs
@@ -3,6 +3,8 @@
 use landingdrift::node::{judge, Pace, Run, Why};
 
 const PATIENCE: u64 = 1000;
+/// Each run is of a step of its own unless a test says otherwise.
+static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
 
 /// A run of a second's work that told its progress at these times.
 fn run(told: &[(u64, u32)]) -> Run {
@@ -10,6 +12,8 @@
     told[1..].iter().for_each(|(at, p)| pace.hear(*at, *p));
     Run {
         pace,
+        group: NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed),
+        moved: false,
         estimate: 4000.0,
         repeats: false,
         lasts: false,
@@ -89,6 +93,22 @@
     );
 }
 
+#[test]
+fn the_tasks_of_one_step_count_once_and_move_once() {
+    let crawl = |group, moved| Run {
+        group,
+        moved,
+        ..run(&steps(4, 20))
+    };
+    let gang = [crawl(7, false), crawl(7, false), crawl(7, false)];
+    assert_eq!(why(&gang, 1900, None), [None; 3]);
+    let mixed = [crawl(7, true), crawl(8, false), crawl(9, false)];
+    assert_eq!(
+        why(&mixed, 1900, None),
+        [None, Some(Why::Slow), Some(Why::Slow)]
+    );
+}
+
 #[test]
 fn what_will_not_end_before_its_worker_leaves_is_called_back() {
     let half = || run(&steps(25, 21));
