--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -1,10 +1,14 @@
 //! The leader's loops: each works out the difference between what is wanted and what is.
 
 use super::{Core, Peer};
+use crate::kernel::digest;
 use crate::kernel::Now;
 use crate::record::{cell_duty, queue_duty, Command};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Nodes with less than so many thousandths of a core get duties only where there is nobody else.
+const TINY: u64 = 100;
+
 impl Core {
     pub(super) fn lead_tick(&mut self, now: Now) {
         let span = self.cfg.bounds.election();
@@ -158,13 +162,13 @@
 
     /// Every zone with workers or nodes has its cell held, every queue its owner, spread evenly.
     fn grant_duty(&mut self, now: Now) -> Option<Command> {
-        let span = self.cfg.bounds.node_lost();
+        let (span, queue_lost) = (self.cfg.bounds.node_lost(), self.cfg.bounds.queue_lost());
         let staying = |n: &str| {
             self.record.nodes.get(n).is_some_and(|x| x.alive)
                 && self
                     .followers
                     .get(n)
-                    .is_some_and(|f| !f.leaving && now.mono.saturating_sub(f.heard) < span)
+                    .is_some_and(|f| !f.leaving && now.mono.saturating_sub(f.heard) < queue_lost)
         };
         let mut load: BTreeMap<&str, usize> = self
             .record
@@ -201,12 +205,41 @@
             .iter()
             .map(|z| (cell_duty(z), Some(*z)))
             .chain(queues.iter().map(|q| (queue_duty(q), None)));
+        let place = |n: &str, zone: Option<&str>, load: usize| self.place(n, zone, load);
+        let mut better = None;
         for (duty, zone) in duties {
             let current = self.record.grants.get(&duty);
             let holder = current.map_or("", |g| g.holder.as_str());
             let alive = self.record.nodes.get(holder).is_some_and(|n| n.alive);
             let leaving = self.followers.get(holder).is_some_and(|f| f.leaving);
-            if alive && !leaving {
+            let quiet = zone.is_none()
+                && self
+                    .followers
+                    .get(holder)
+                    .map_or(self.led_since, |f| f.heard)
+                    + queue_lost
+                    < now.mono;
+            let best = load
+                .iter()
+                .map(|(n, l)| {
+                    (
+                        place(n, zone, *l + usize::from(*n != holder)),
+                        n.to_string(),
+                    )
+                })
+                .min();
+            let from_epoch = current.map_or(0, |g| g.epoch);
+            if alive && !leaving && !quiet {
+                // A much better place is worth a move, one at a time.
+                let held = load.get(holder).map(|l| place(holder, zone, *l));
+                better = better.or(best
+                    .zip(held)
+                    .filter(|((b, _), h)| b.0 < h.0 || (b.0 == h.0 && b.1 * 3 < h.1 * 2))
+                    .map(|((_, to), _)| Command::Grant {
+                        duty,
+                        holder: to,
+                        from_epoch,
+                    }));
                 continue;
             }
             let named = self
@@ -215,26 +248,33 @@
                 .filter(|f| f.leaving)
                 .map(|f| f.successor.as_str())
                 .filter(|s| staying(s));
-            let to = named.map(str::to_string).or_else(|| {
-                load.iter()
-                    .min_by_key(|(n, l)| {
-                        (
-                            zone.is_some_and(|z| {
-                                self.record.nodes.get(**n).is_none_or(|x| x.zone != z)
-                            }),
-                            **l,
-                            n.to_string(),
-                        )
-                    })
-                    .map(|(n, _)| n.to_string())
-            })?;
+            let to = named.map(str::to_string).or(best.map(|(_, n)| n))?;
             return Some(Command::Grant {
                 duty,
                 holder: to,
-                from_epoch: current.map_or(0, |g| g.epoch),
+                from_epoch,
             });
         }
-        None
+        let calm = now.mono > self.led_since.max(self.moved) + 2 * span;
+        let move_ = better.filter(|_| calm);
+        if move_.is_some() {
+            self.moved = now.mono;
+            self.count("duties_moved", 1);
+        }
+        move_
+    }
+
+    /// How good a place a node is for a duty, the smaller the better: in the zone, able to carry it, and with the least
+    /// load for its share. A core beside it counts as most of the share: one loss should not hit both.
+    fn place(&self, node: &str, zone: Option<&str>, load: usize) -> (u32, u64, u64) {
+        let away = zone.is_some_and(|z| self.record.nodes.get(node).is_none_or(|x| x.zone != z));
+        let (share, core) = self.followers.get(node).map_or((1000, false), |f| {
+            (u64::from(f.share.max(1)), f.beside_core)
+        });
+        let class = 2 * u32::from(away) + u32::from(share < TINY);
+        let left = if core { share / 4 } else { share };
+        let weight = (load as u64 * 1000 * 1000) / left.max(1);
+        (class, weight, digest(node.as_bytes()))
     }
 
     fn sweep_duty(&mut self, now: Now) -> Option<Command> {
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -63,6 +63,8 @@
             http: m.http,
             leaving: m.leaving,
             successor: m.successor,
+            share: m.share,
+            beside_core: m.beside_core,
         };
         let reached = self.send_batch(now, from, m.sent, true, Some(m.place));
         self.followers
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -67,6 +67,8 @@
     http: String,
     leaving: bool,
     successor: String,
+    share: u32,
+    beside_core: bool,
 }
 
 /// A core.
@@ -110,6 +112,8 @@
     led_since: u64,
     opened: u64,
     duty_index: u64,
+    /// When a duty was last moved to a better place.
+    moved: u64,
     followers: BTreeMap<String, Follower>,
     reads: Vec<feed::Read>,
     asked: BTreeMap<u64, (String, u64)>,
@@ -197,6 +201,7 @@
             led_since: 0,
             opened: 0,
             duty_index: 0,
+            moved: 0,
             followers: BTreeMap::new(),
             reads: Vec::new(),
             asked: BTreeMap::new(),
--- a/landingdrift/src/daemon/traffic/frames/deliver.rs
+++ b/landingdrift/src/daemon/traffic/frames/deliver.rs
@@ -49,8 +49,9 @@
     }
 }
 
+/// A lost opening packet is sent again by TCP only after a second: trying anew reaches a machine that just came up sooner.
 async fn connect(addr: SocketAddr, patience: Duration) -> Option<TcpStream> {
-    timeout(patience, TcpStream::connect(addr))
+    timeout(patience / 4, TcpStream::connect(addr))
         .await
         .ok()?
         .and_then(|c| socket::prepare(c, patience))
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -408,6 +408,18 @@
             Some(h) if h != self.name && !h.is_empty() && !remote => {
                 self.pass_on(now, origin, &h, &req)
             }
+            Some(h) if h != self.name && !h.is_empty() => {
+                // A beat is passed on once; who is asked by another names the holder it knows.
+                let v = Verdict {
+                    by: h,
+                    ..Verdict::error(
+                        503,
+                        "notHolder",
+                        "another node holds the cell: ask that one",
+                    )
+                };
+                self.reply(&origin, v);
+            }
             None => {
                 let v = self.found_zone(&beat);
                 self.reply(&origin, v);
--- a/landingdrift/src/node/cell/mod.rs
+++ b/landingdrift/src/node/cell/mod.rs
@@ -156,7 +156,7 @@
     pub(super) fn beat(&mut self, now: Now, mut beat: Beat) -> Verdict {
         let zone = beat.facts.zone.clone();
         let id = beat.facts.worker.clone();
-        let Some(epoch) = self.epoch(&cell_duty(&zone)).filter(|_| self.fresh(now)) else {
+        let Some(epoch) = self.epoch(&cell_duty(&zone)).filter(|_| self.speaks(now)) else {
             return Verdict::error(
                 503,
                 "notReady",
@@ -364,7 +364,7 @@
 
     /// A worker says that it has left: what ran there is dead in a moment.
     pub(super) fn left(&mut self, now: Now, worker: &str) {
-        let at = now.mono + self.cfg.bounds.obey();
+        let at = now.mono + self.cfg.bounds.obey() / 2;
         self.cells
             .values_mut()
             .filter_map(|c| c.workers.get_mut(worker))
@@ -532,7 +532,7 @@
 
     pub(super) fn cells_tick(&mut self, now: Now) {
         let (lost_after, offer) = (self.cfg.bounds.worker_lost(), self.cfg.bounds.offer());
-        if !self.fresh(now) {
+        if !self.speaks(now) {
             // Nothing is decided on old news, and silence is not held against workers meanwhile.
             self.cells
                 .values_mut()
@@ -631,7 +631,7 @@
 
     /// Offers every free slot for its worker.
     pub(super) fn offer_all(&mut self, now: Now) {
-        if !self.fresh(now) || self.cells.is_empty() {
+        if !self.speaks(now) || self.cells.is_empty() {
             return;
         }
         let record = &self.record;
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -86,6 +86,8 @@
             successor,
             clock: if carried { self.agreed(now) } else { now.wall },
             carried,
+            share: self.cfg.share,
+            beside_core: self.cfg.beside_core,
         };
         if !to.is_empty() {
             self.send(&to, Body::FeedPull(Box::new(pull)));
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -90,6 +90,12 @@
         self.feed.captured && now.mono.saturating_sub(self.feed.fresh_at) <= self.cfg.bounds.fresh()
     }
 
+    /// Whether this node may speak for the cells it holds.
+    pub(crate) fn speaks(&self, now: Now) -> bool {
+        self.feed.captured
+            && now.mono.saturating_sub(self.feed.fresh_at) <= self.cfg.bounds.speaks()
+    }
+
     fn ready(&self, now: Now) -> bool {
         self.fresh(now) && self.stopping.is_none()
     }
--- a/landingdrift/src/relay/mod.rs
+++ b/landingdrift/src/relay/mod.rs
@@ -7,6 +7,9 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 
+/// The query of a beat whose worker says that it leaves.
+pub const LEAVING: &str = "leaving";
+
 struct Open {
     call: u64,
     req: Request,
@@ -72,7 +75,7 @@
         };
         let to = self.pick(&o.asked);
         o.asked.push(to.clone());
-        o.again = now.mono + self.cfg.bounds.obey() / 2;
+        o.again = now.mono + self.cfg.bounds.obey() / 5;
         let m = Forward {
             token,
             method: o.req.method.clone(),
@@ -99,15 +102,7 @@
             .filter(|(_, o)| now.mono >= o.until)
             .map(|(k, _)| *k)
             .collect();
-        for token in over {
-            let call = self.open.remove(&token).map(|o| o.call);
-            self.count("given_up");
-            let v = Verdict::error(503, "noCell", "no node answered for the cell: call again");
-            call.iter().for_each(|c| {
-                self.out
-                    .push(Effect::Answer(*c, v.clone().retry(self.cfg.bounds.beat())))
-            });
-        }
+        over.into_iter().for_each(|token| self.give_up(token));
         let again: Vec<u64> = self
             .open
             .iter()
@@ -123,6 +118,27 @@
         }
     }
 
+    /// Nobody speaks for the cell now. A worker that is told so by a refusal comes back after a growing pause, and what it
+    /// runs is not held meanwhile; so it is told that there are no orders and when to beat again. That acknowledges
+    /// nothing: one that says it leaves is refused.
+    fn give_up(&mut self, token: u64) {
+        let Some(o) = self.open.remove(&token) else {
+            return;
+        };
+        self.count("given_up");
+        let beat = self.cfg.bounds.beat();
+        let v = if o.req.path == "/v1/beats" && o.req.query != LEAVING {
+            Verdict::new(
+                200,
+                json!({"starts": [], "stops": [], "settled": [], "beatMs": beat}),
+            )
+        } else {
+            let why = "no node answered for the cell: call again";
+            Verdict::error(503, "noCell", why).retry(beat)
+        };
+        self.out.push(Effect::Answer(o.call, v));
+    }
+
     fn on_call(&mut self, now: Now, call: u64, req: Request) {
         match (req.method.as_str(), req.path.as_str()) {
             ("GET", "/live" | "/ready") => {
@@ -137,7 +153,7 @@
                 self.next += 1;
                 let token = self.next;
                 // An answer that takes longer is not obeyed.
-                let until = now.mono + self.cfg.bounds.obey() * 9 / 5;
+                let until = now.mono + self.cfg.bounds.obey() * 4 / 5;
                 let o = Open {
                     call,
                     req,
@@ -161,14 +177,23 @@
                 let _ = self.views.take(*m, &mut self.draw);
             }
             Msg::Wire(from, Body::Forwarded(m)) => {
-                if m.status == 503 && self.open.get(&m.token).is_some_and(|o| o.asked.len() < 4) {
-                    // Not the holder, or not able to speak for the cell now: another may be.
-                    self.holder.clear();
+                if m.status == 503 && self.open.contains_key(&m.token) {
+                    // Not the holder, which it may name, or not able to speak for the cell now: another may be.
+                    let named = !m.by.is_empty() && m.by != from;
+                    self.holder = if named { m.by } else { String::new() };
+                    let asked = self
+                        .open
+                        .get(&m.token)
+                        .map(|o| o.asked.contains(&self.holder));
+                    if named && asked == Some(false) {
+                        self.pass(now, m.token);
+                        return std::mem::take(&mut self.out);
+                    }
                     let soon = now.mono + self.cfg.bounds.tick();
                     self.open
                         .get_mut(&m.token)
                         .into_iter()
-                        .for_each(|o| o.again = soon);
+                        .for_each(|o| o.again = o.again.min(soon).max(now.mono + 1));
                 } else if let Some(o) = self.open.remove(&m.token) {
                     if m.status == 200 {
                         self.holder = if m.by.is_empty() { from } else { m.by };
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -63,17 +63,25 @@
     pub fn wake(&self) -> u64 {
         self.outage_ms / 8
     }
-    /// How old a node's feed may be while it gives start orders.
+    /// How old a node's feed may be while it answers callers from it.
     pub fn fresh(&self) -> u64 {
         self.cancel_ms / 3
     }
+    /// How old the feed of a cell's holder may be while it gives orders and holds.
+    pub fn speaks(&self) -> u64 {
+        self.cancel_ms / 6
+    }
     /// How old a beat's answer may be when its worker obeys a start order.
     pub fn obey(&self) -> u64 {
-        self.cancel_ms / 6
+        self.cancel_ms / 3
     }
-    /// The silence after which a node's duties pass to others; longer than `fresh` and `obey` together.
+    /// The silence after which a node's cells pass to others; longer than `speaks` and `obey` together.
     pub fn node_lost(&self) -> u64 {
-        self.cancel_ms * 2 / 3
+        self.cancel_ms * 11 / 20
+    }
+    /// The silence after which a node's queues pass to others: their starts are fenced by the record alone.
+    pub fn queue_lost(&self) -> u64 {
+        self.cancel_ms / 4
     }
     /// How often workers beat.
     pub fn beat(&self) -> u64 {
@@ -197,6 +205,10 @@
     pub join_only: bool,
     /// How many cores vote, at the most; further ones wait to take the place of a silent one.
     pub voters: u32,
+    /// The share of a core that this process may use, in thousandths; duties go where there is more of it.
+    pub share: u32,
+    /// A core stands on the same machine: duties rather go elsewhere, so that one loss does not hit both.
+    pub beside_core: bool,
     /// The data folder of a core.
     pub data: String,
     /// `error`, `warn`, `info` or `debug`.
@@ -217,6 +229,8 @@
             founders: Vec::new(),
             join_only: false,
             voters: 3,
+            share: 1000,
+            beside_core: false,
             data: String::new(),
             log: "info".into(),
             bounds: Bounds::default(),
@@ -248,6 +262,8 @@
             ("founders", self.founders != new.founders),
             ("join_only", self.join_only != new.join_only),
             ("voters", self.voters != new.voters),
+            ("share", self.share != new.share),
+            ("beside_core", self.beside_core != new.beside_core),
             ("data", self.data != new.data),
         ];
         let live = Settings {
--- a/landingdrift/tests/cell.rs
+++ b/landingdrift/tests/cell.rs
@@ -7,7 +7,7 @@
     WorkerFacts,
 };
 use landingdrift::settings::{Bounds, Settings};
-use landingdrift::wire::{Body, FeedBatch};
+use landingdrift::wire::{Body, FeedBatch, Forward};
 use serde_json::json;
 
 const NODE: &str = "10.0.0.1:1";
@@ -281,3 +281,41 @@
     assert_eq!(task.defects, 0);
     assert!(task.live().next().is_none());
 }
+
+#[test]
+fn a_beat_that_comes_to_another_node_learns_who_holds_the_cell() {
+    let mut d = Desk::new();
+    let other = "10.0.0.3:1";
+    d.enter(Command::Node {
+        node: other.into(),
+        zone: "z".into(),
+        http: other.into(),
+    });
+    d.enter(Command::Grant {
+        duty: "cell/z".into(),
+        holder: other.into(),
+        from_epoch: 1,
+    });
+    d.follow();
+    let beat = Beat {
+        facts: facts(),
+        ..Beat::default()
+    };
+    let m = Forward {
+        token: 5,
+        method: "POST".into(),
+        path: "/v1/beats".into(),
+        query: String::new(),
+        body: serde_json::to_vec(&beat).expect("JSON"),
+    };
+    let now = d.now();
+    let told = d.n.step(
+        now,
+        Msg::Wire("10.0.0.9:1".into(), Body::Forward(Box::new(m))),
+    );
+    let by = told.iter().find_map(|e| match e {
+        Effect::Send(_, Body::Forwarded(f)) => Some((f.status, f.by.clone())),
+        _ => None,
+    });
+    assert_eq!(by, Some((503, other.to_string())));
+}
--- /dev/null
+++ b/landingdrift/tests/relay.rs
@@ -0,0 +1,118 @@
+//! A relay carries a worker's calls; each test drives one by its messages.
+
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request, Verdict};
+use landingdrift::relay::{Relay, LEAVING};
+use landingdrift::settings::Settings;
+use landingdrift::wire::{Body, Forwarded};
+use serde_json::json;
+
+fn relay() -> Relay {
+    let cfg = Settings {
+        listen: "10.0.0.9:1".into(),
+        seeds: vec!["10.0.0.1:1".into(), "10.0.0.2:1".into()],
+        ..Settings::default()
+    };
+    Relay::new(cfg, 1)
+}
+
+fn step(r: &mut Relay, mono: u64, msg: Msg) -> Vec<Effect> {
+    r.step(Now { mono, wall: mono }, msg)
+}
+
+fn beat(query: &str) -> Msg {
+    let req = Request {
+        method: "POST".into(),
+        path: "/v1/beats".into(),
+        query: query.into(),
+        body: b"{}".to_vec(),
+    };
+    Msg::Call(7, req)
+}
+
+/// Whom calls were passed to, with their tokens.
+fn passed(effects: &[Effect]) -> Vec<(String, u64)> {
+    effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Send(to, Body::Forward(f)) => Some((to.clone(), f.token)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn answer(effects: &[Effect]) -> Option<Verdict> {
+    effects.iter().find_map(|e| match e {
+        Effect::Answer(7, v) => Some(v.clone()),
+        _ => None,
+    })
+}
+
+fn back(token: u64, status: u16, by: &str) -> Msg {
+    let m = Forwarded {
+        token,
+        status,
+        retry_ms: 0,
+        body: json!({"beatMs": 150}).to_string().into_bytes(),
+        by: by.into(),
+    };
+    Msg::Wire("10.0.0.1:1".into(), Body::Forwarded(Box::new(m)))
+}
+
+#[test]
+fn the_node_that_answered_is_asked_first_the_next_time() {
+    let mut r = relay();
+    let (_, token) = passed(&step(&mut r, 10, beat("")))[0].clone();
+    let v = answer(&step(&mut r, 15, back(token, 200, "10.0.0.5:1"))).expect("answered");
+    assert_eq!(v.status, 200);
+    assert_eq!(passed(&step(&mut r, 160, beat("")))[0].0, "10.0.0.5:1");
+}
+
+#[test]
+fn one_that_is_silent_or_cannot_speak_makes_way_for_another() {
+    let mut r = relay();
+    let (first, token) = passed(&step(&mut r, 10, beat("")))[0].clone();
+    step(&mut r, 12, back(token, 503, "10.0.0.1:1"));
+    let again = passed(&step(&mut r, 40, Msg::Tick));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, first);
+}
+
+#[test]
+fn a_node_that_names_the_holder_is_followed_at_once() {
+    let mut r = relay();
+    let (_, token) = passed(&step(&mut r, 10, beat("")))[0].clone();
+    let next = passed(&step(&mut r, 12, back(token, 503, "10.0.0.5:1")));
+    assert_eq!(next, [("10.0.0.5:1".to_string(), token)]);
+    // A holder that can't speak names nobody, and is not asked again at once.
+    let m = back(token, 503, "10.0.0.1:1");
+    assert_eq!(passed(&step(&mut r, 14, m)), []);
+}
+
+/// The answers given while nobody speaks for the cell, over a second and a half.
+fn in_vain(query: &str) -> Vec<(u64, Verdict)> {
+    let mut r = relay();
+    step(&mut r, 1, beat(query));
+    (20..1500)
+        .step_by(20)
+        .filter_map(|t| answer(&step(&mut r, t, Msg::Tick)).map(|v| (t, v)))
+        .collect()
+}
+
+#[test]
+fn a_beat_in_vain_is_told_when_to_come_back_before_its_worker_gives_it_up() {
+    let told = in_vain("");
+    assert_eq!(told.len(), 1);
+    let (t, v) = &told[0];
+    assert!(*t < 1000, "a worker drops what comes after a second");
+    assert_eq!(v.status, 200, "a refusal makes it wait longer each time");
+    assert!(v.body["beatMs"].as_u64().is_some_and(|ms| ms > 0));
+    let nothing = ["holdMs", "epoch", "settledTo"];
+    assert!(nothing.iter().all(|k| v.body.get(k).is_none()));
+}
+
+#[test]
+fn a_worker_that_leaves_is_not_told_that_it_was_heard() {
+    let told = in_vain(LEAVING);
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].1.status, 503);
+}
