--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -32,8 +32,8 @@
         });
         self.clock.steer(now, 2 * span);
         let beat_due = now.mono >= self.last_round + self.cfg.bounds.heartbeat();
-        if beat_due || std::mem::take(&mut self.wants_round) {
-            self.send_round(now);
+        if beat_due || std::mem::take(&mut self.wants_beat) {
+            self.send_round(now, true);
         }
         if self.voters().len() == 1 {
             self.advance(now);
@@ -249,6 +249,9 @@
                 .map(|f| f.successor.as_str())
                 .filter(|s| staying(s));
             let to = named.map(str::to_string).or(best.map(|(_, n)| n))?;
+            if current.is_some() {
+                self.moved = now.mono;
+            }
             return Some(Command::Grant {
                 duty,
                 holder: to,
--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -202,7 +202,7 @@
         self.line(format!("leader of term {}", self.hard.term));
         let leader = self.name.clone();
         self.opened = self.push(now, &Command::Opened { leader });
-        self.send_round(now);
+        self.send_round(now, true);
     }
 
     /// Names a successor: the core that is farthest and was heard last.
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -4,6 +4,7 @@
 use super::{Core, Follower, Role};
 use crate::kernel::Now;
 use crate::wire::{Body, FeedBatch, FeedPull, NodePlace, Proposed, ReadPlace};
+use std::collections::BTreeSet;
 
 /// So many entries are taken in by a capture rather than one by one.
 const FAR: u64 = 1024;
@@ -73,15 +74,24 @@
             .for_each(|f| f.sent = reached.max(f.sent));
     }
 
-    /// New entries go out as soon as they are committed.
+    /// New entries go out as soon as they are committed to those who hold duties; the others hear them when they pull.
     pub(super) fn push_feed(&mut self, now: Now) {
+        let holders: BTreeSet<String> = self
+            .record
+            .grants
+            .values()
+            .map(|g| g.holder.clone())
+            .collect();
         let commit = self.commit;
         let span = self.cfg.bounds.fresh();
         let due: Vec<(String, u64, u64)> = self
             .followers
             .iter()
-            .filter(|(_, f)| {
-                f.sent < commit && now.mono.saturating_sub(f.heard) < span && f.sent >= self.base.0
+            .filter(|(k, f)| {
+                holders.contains(*k)
+                    && f.sent < commit
+                    && now.mono.saturating_sub(f.heard) < span
+                    && f.sent >= self.base.0
             })
             .map(|(k, f)| (k.clone(), f.echo, f.sent))
             .collect();
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -123,6 +123,8 @@
     hard_ticket: u64,
     joins: BTreeMap<String, (u64, u64)>,
     wants_round: bool,
+    /// All others are to hear from this leader with its next tick.
+    wants_beat: bool,
     last_round: u64,
     /// How far the log agrees with that of the present leader.
     verified: u64,
@@ -209,6 +211,7 @@
             hard_ticket: 0,
             joins: BTreeMap::new(),
             wants_round: false,
+            wants_beat: false,
             last_round: 0,
             verified: 0,
             clock: AgreedClock::default(),
@@ -546,7 +549,8 @@
             },
         }
         if self.role == Role::Leader && std::mem::take(&mut self.wants_round) {
-            self.send_round(now);
+            let read = !self.reads.is_empty();
+            self.send_round(now, read);
         }
         self.flush();
         std::mem::take(&mut self.out)
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -45,16 +45,19 @@
         }
     }
 
-    /// Sends entries, or just a beat, to all other cores.
-    pub(super) fn send_round(&mut self, now: Now) {
+    /// Sends entries to all other cores; with a beat those hear it, too, for whom there is nothing new or whose batch is
+    /// still under way.
+    pub(super) fn send_round(&mut self, now: Now, beat: bool) {
         self.next_round(now);
-        self.last_round = now.mono;
+        if beat {
+            self.last_round = now.mono;
+        }
         let to: Vec<String> = self.peers.keys().cloned().collect();
-        to.iter().for_each(|p| self.replicate(now, p));
+        to.iter().for_each(|p| self.replicate(now, p, beat));
     }
 
     /// One batch of entries is under way to a core at a time; beats go out beside it.
-    fn replicate(&mut self, now: Now, to: &str) {
+    fn replicate(&mut self, now: Now, to: &str, beat: bool) {
         let patience = 4 * self.cfg.bounds.heartbeat();
         let Some(p) = self.peers.get_mut(to) else {
             return;
@@ -67,6 +70,9 @@
         let p = p.clone();
         let (term, commit) = (self.hard.term, self.commit);
         let sure = p.pending > 0;
+        if !beat && (sure || p.next > self.last().0) {
+            return;
+        }
         let from = if sure { p.matched } else { p.next - 1 };
         let Some((prev, prev_term)) = self
             .term_at(from)
@@ -331,13 +337,13 @@
             self.advance(now);
             let more = self.peers.get(from).is_some_and(|p| p.next <= last);
             if more && fresh {
-                self.replicate(now, from);
+                self.replicate(now, from, false);
             }
         } else if fresh {
             // Back to where the logs may agree; a shorter log than confirmed before means its disk lost some.
             p.matched = p.matched.min(m.last_index);
             p.next = (m.last_index + 1).min(m.matched).max(1);
-            self.replicate(now, from);
+            self.replicate(now, from, true);
         }
         self.answer_reads(now);
     }
@@ -361,8 +367,8 @@
         if mark > self.commit && self.term_at(mark) == Some(self.hard.term) {
             self.commit = mark;
             self.apply_committed();
-            // The others hear at once what was confirmed.
-            self.wants_round = true;
+            // The others hear soon what was confirmed.
+            self.wants_beat = true;
             self.push_feed(now);
             self.answer_reads(now);
         }
--- a/landingdrift/src/node/cell/mod.rs
+++ b/landingdrift/src/node/cell/mod.rs
@@ -78,6 +78,8 @@
     /// When its hold was last renewed, by this node's clock; or when it said that it left.
     renewed: u64,
     left: Option<u64>,
+    /// When a report was last proposed.
+    reported: u64,
     /// The first call heard by this holder, and the newest.
     first_call: u64,
     call: u64,
@@ -203,12 +205,21 @@
             );
         }
         let new_facts = known.facts != beat.facts || known.lost;
+        // How long a run took, where its worker does not say: since its first beat here.
+        let held = self.cells.get(&zone).and_then(|c| c.workers.get(&id));
+        let ran = |no: u64| {
+            held.and_then(|w| w.paces.get(&no))
+                .map_or(0, |p| p.since(now.mono))
+        };
         let mut ends: Vec<EndReport> = beat
             .ended
             .iter()
             .filter(|e| self.record.live.contains_key(&e.no))
             .map(|e| EndReport {
                 name: None,
+                ran_ms: Some(e.ran_ms)
+                    .filter(|ms| *ms > 0)
+                    .unwrap_or_else(|| ran(e.no)),
                 ..e.clone()
             })
             .collect();
@@ -284,9 +295,14 @@
             .collect();
         let ask_facts = new_facts && !held.facts_asked;
         held.facts_asked |= new_facts;
-        let has_report = !ends.is_empty() || !running.is_empty();
+        // That something runs is told with the next end, or after a while: it decides little, and an entry costs much.
+        let waited = now.mono >= held.reported + self.cfg.bounds.cancel_ms / 4;
+        let has_report = !ends.is_empty() || (!running.is_empty() && waited);
         let ask_report = has_report && !held.report_asked;
         held.report_asked |= has_report;
+        if ask_report {
+            held.reported = now.mono;
+        }
         let within = self.cfg.bounds.call();
         let recalling = held.recall_asked;
         let leaves = beat.leaves_in_ms.filter(|_| beat.facts.leaving);
--- a/landingdrift/src/node/cell/pace.rs
+++ b/landingdrift/src/node/cell/pace.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// How long ago it was first heard of.
+    pub fn since(&self, now: u64) -> u64 {
+        now.saturating_sub(self.from.0)
+    }
+
     /// What a later beat told.
     pub fn hear(&mut self, at: u64, progress: u32) {
         if progress != self.moved.1 {
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -162,6 +162,7 @@
                     self.record = r;
                     self.count("feed_captures", 1);
                     self.sched.all_dirty = true;
+                    self.sched.reserve_anew();
                     changed = true;
                 }
                 Err(why) => self.line(why),
@@ -211,6 +212,12 @@
             Some(Command::Accept { spec, .. }) => {
                 self.sched.dirty.insert(spec.id.clone());
             }
+            Some(Command::Grant { duty, .. }) => {
+                self.sched.all_dirty = true;
+                if duty.starts_with("cell/") {
+                    self.sched.reserve_anew();
+                }
+            }
             Some(
                 Command::Start { .. }
                 | Command::Opened { .. }
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -43,6 +43,13 @@
     copies: u32,
 }
 
+impl Scheduler {
+    /// A cell has changed hands and its new holder has no reservations: they are placed at once, not when they are due.
+    pub fn reserve_anew(&mut self) {
+        self.reserved.clear();
+    }
+}
+
 impl Node {
     fn owns(&self, queue: &str) -> Option<u64> {
         self.epoch(&queue_duty(queue))
--- a/landingdrift/tests/cell.rs
+++ b/landingdrift/tests/cell.rs
@@ -7,7 +7,7 @@
     WorkerFacts,
 };
 use landingdrift::settings::{Bounds, Settings};
-use landingdrift::wire::{Body, FeedBatch, Forward};
+use landingdrift::wire::{Body, Entry, FeedBatch, Forward};
 use serde_json::json;
 
 const NODE: &str = "10.0.0.1:1";
@@ -319,3 +319,69 @@
     });
     assert_eq!(by, Some((503, other.to_string())));
 }
+
+#[test]
+fn when_a_cell_changes_hands_reservations_are_placed_anew_at_once() {
+    let mut d = Desk::new();
+    let other = "10.0.0.3:1";
+    d.enter(Command::Node {
+        node: other.into(),
+        zone: "z".into(),
+        http: other.into(),
+    });
+    let seen = d.r.place;
+    d.enter(Command::Accept {
+        spec: JobSpec {
+            id: "k".into(),
+            queue: "q".into(),
+            steps: vec![StepSpec {
+                count: 8,
+                task: TaskSpec {
+                    service: "s".into(),
+                    room: 1,
+                    ..TaskSpec::default()
+                },
+                ..StepSpec::default()
+            }],
+            ..JobSpec::default()
+        },
+        hash: 1,
+        seen,
+    });
+    d.follow();
+    let grant = Command::Grant {
+        duty: "cell/z".into(),
+        holder: other.into(),
+        from_epoch: 1,
+    };
+    d.enter(grant.clone());
+    d.t += 30;
+    let batch = FeedBatch {
+        core: CORE.into(),
+        leader: CORE.into(),
+        ok: true,
+        sent: d.t,
+        quorum_age: 0,
+        clock: 1000 + d.t,
+        commit: d.r.place,
+        capture: Vec::new(),
+        capture_index: 0,
+        entries: vec![Entry {
+            index: d.r.place,
+            term: 1,
+            at: 1000 + d.t,
+            command: grant.pack(),
+        }],
+        cores: vec![CORE.into()],
+    };
+    let now = d.now();
+    let out = d.n.step(
+        now,
+        Msg::Wire(CORE.into(), Body::FeedBatch(Box::new(batch))),
+    );
+    let placed = out.iter().any(|e| match e {
+        Effect::Send(to, Body::Reserve(r)) => to == other && r.reservations[0].job == "k",
+        _ => false,
+    });
+    assert!(placed, "{out:?}");
+}
