--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Nodes with less than so many thousandths of a core get duties only where there is nobody else.
-const TINY: u64 = 100;
+pub(super) const TINY: u64 = 100;
 
 impl Core {
     pub(super) fn lead_tick(&mut self, now: Now) {
@@ -165,10 +165,9 @@
         let (span, queue_lost) = (self.cfg.bounds.node_lost(), self.cfg.bounds.queue_lost());
         let staying = |n: &str| {
             self.record.nodes.get(n).is_some_and(|x| x.alive)
-                && self
-                    .followers
-                    .get(n)
-                    .is_some_and(|f| !f.leaving && now.mono.saturating_sub(f.heard) < queue_lost)
+                && self.followers.get(n).is_some_and(|f| {
+                    !f.leaving && !f.light && now.mono.saturating_sub(f.heard) < queue_lost
+                })
         };
         let mut load: BTreeMap<&str, usize> = self
             .record
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -3,6 +3,7 @@
 use super::clock::Told;
 use super::{Core, Follower, Role};
 use crate::kernel::Now;
+use crate::record::Command;
 use crate::wire::{Body, FeedBatch, FeedPull, NodePlace, Proposed, ReadPlace};
 use std::collections::BTreeSet;
 
@@ -54,8 +55,11 @@
             carried: m.carried,
         };
         self.clock.sample(now, &m.node, told);
-        let f = self.followers.entry(m.node.clone()).or_default();
-        *f = Follower {
+        let light = self.wants_light(now, &m);
+        let captured = self.followers.get(&m.node).map_or(0, |f| f.captured);
+        // Another kind of copy than it has starts over.
+        let place = if light == m.light { m.place } else { u64::MAX };
+        let f = Follower {
             place: m.place,
             sent: m.place,
             heard: now.mono,
@@ -66,14 +70,37 @@
             successor: m.successor,
             share: m.share,
             beside_core: m.beside_core,
+            light,
+            captured,
         };
-        let reached = self.send_batch(now, from, m.sent, true, Some(m.place));
+        self.followers.insert(m.node.clone(), f);
+        let reached = self.send_batch(now, from, m.sent, true, Some(place));
         self.followers
             .get_mut(&m.node)
             .iter_mut()
             .for_each(|f| f.sent = reached.max(f.sent));
     }
 
+    /// Whether a node is to follow a light copy: it has too little of a processor for duties, and others have enough.
+    fn wants_light(&self, now: Now, m: &FeedPull) -> bool {
+        let able = |f: &Follower| u64::from(f.share) >= super::duties::TINY;
+        u64::from(m.share) < super::duties::TINY
+            && (now.mono < self.led_since + 2 * self.cfg.bounds.node_lost()
+                || self.followers.values().any(able))
+    }
+
+    /// The record as bytes; not packed anew for each who asks within a short while.
+    fn packed(&mut self) -> (u64, Vec<u8>) {
+        let place = self.record.place;
+        let kept = self
+            .packed
+            .take()
+            .filter(|(at, _)| *at >= self.base.0 && place.saturating_sub(*at) <= FAR / 4);
+        let now = kept.unwrap_or_else(|| (place, self.record.pack()));
+        self.packed = Some(now.clone());
+        now
+    }
+
     /// New entries go out as soon as they are committed to those who hold duties; the others hear them when they pull.
     pub(super) fn push_feed(&mut self, now: Now) {
         let holders: BTreeSet<String> = self
@@ -112,22 +139,40 @@
             0
         };
         let (mut capture, mut capture_index, mut entries) = (Vec::new(), 0, Vec::new());
+        let (light, captured) = self
+            .followers
+            .get(to)
+            .map_or((false, 0), |f| (f.light, f.captured));
+        let mut reached = place.unwrap_or(0);
         if let Some(p) = place {
             // A place behind the log, or ahead of it (of a cluster that was), starts over from a capture; so does one far
             // behind, since the record is smaller than all that made it.
-            let far = self.commit.saturating_sub(p) > FAR;
+            let far = self.commit.saturating_sub(p) > FAR && !light;
             if p < self.base.0 || p > self.commit || far {
-                capture = self.record.pack();
-                capture_index = self.record.place;
-                self.count("feed_captures", 1);
+                // Not more often than one can arrive over a narrow link.
+                if captured == 0 || now.mono >= captured + 20 * self.cfg.bounds.heartbeat() {
+                    (capture_index, capture) = if light {
+                        (self.record.place, self.record.light().pack())
+                    } else {
+                        self.packed()
+                    };
+                    self.count("feed_captures", 1);
+                    self.followers
+                        .get_mut(to)
+                        .into_iter()
+                        .for_each(|f| f.captured = now.mono);
+                }
+                reached = capture_index;
             } else {
                 let most = (self.commit - p).min(512) as usize;
                 entries = self.entries(p + 1, most);
+                reached = entries.last().map_or(p, |e| e.index);
+                if light {
+                    entries.retain(|e| Command::concerns_all(&e.command));
+                }
             }
         }
         self.count("feed_entries", entries.len() as u64);
-        let last = entries.last().map(|e| e.index);
-        let reached = last.or(place).unwrap_or(0).max(capture_index);
         let cores = self.members().into_keys().collect();
         let clock = self.clock.read(now);
         let batch = FeedBatch {
@@ -142,6 +187,8 @@
             capture_index,
             entries,
             cores,
+            light,
+            reached,
         };
         self.send(to, Body::FeedBatch(Box::new(batch)));
         reached
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -69,6 +69,10 @@
     successor: String,
     share: u32,
     beside_core: bool,
+    /// It follows a light copy of the record.
+    light: bool,
+    /// When it was last sent a capture.
+    captured: u64,
 }
 
 /// A core.
@@ -115,6 +119,8 @@
     /// When a duty was last moved to a better place.
     moved: u64,
     followers: BTreeMap<String, Follower>,
+    /// The record packed lately, with its place.
+    packed: Option<(u64, Vec<u8>)>,
     reads: Vec<feed::Read>,
     asked: BTreeMap<u64, (String, u64)>,
     /// Whom to tell what has become durable, and the round it asked in.
@@ -205,6 +211,7 @@
             duty_index: 0,
             moved: 0,
             followers: BTreeMap::new(),
+            packed: None,
             reads: Vec::new(),
             asked: BTreeMap::new(),
             confirmed: None,
--- a/landingdrift/src/node/calls/at.rs
+++ b/landingdrift/src/node/calls/at.rs
@@ -41,6 +41,9 @@
             return self.reply(&origin, v);
         };
         let id = path[prefix..].trim_matches('/').to_string();
+        if self.light && req.method == "GET" {
+            return self.pass_to_duty(now, origin, req);
+        }
         match (req.method.as_str(), id.as_str()) {
             ("GET", "") => {
                 let waiting = self.waiting(&queue);
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -96,7 +96,32 @@
         .map(|(_, v)| v)
 }
 
+/// Whether a call asks what a light copy of the record does not know.
+fn about_jobs(method: &str, parts: &[&str]) -> bool {
+    method == "GET" && matches!(parts, ["v1", "jobs" | "status" | "workers", ..])
+}
+
 impl Node {
+    /// Passes a call on to a node that holds a duty, and so follows jobs and workers.
+    pub(super) fn pass_to_duty(&mut self, now: Now, origin: Origin, req: &Request) {
+        let holders: Vec<String> = self
+            .record
+            .grants
+            .values()
+            .map(|g| g.holder.clone())
+            .filter(|h| !h.is_empty() && *h != self.name)
+            .collect();
+        let to = self.draw.pick(&holders).cloned();
+        match to.filter(|_| matches!(origin, Origin::Local(_))) {
+            Some(to) => self.pass_on(now, origin, &to, req),
+            None => {
+                let why = "this node keeps no jobs and knows of none that does: come back later, or go to another node";
+                let v = Verdict::error(503, "noDuty", why).retry(self.cfg.bounds.back());
+                self.reply(&origin, v);
+            }
+        }
+    }
+
     pub(super) fn on_call(&mut self, now: Now, origin: Origin, req: Request) {
         self.count("calls", 1);
         let path = req.path.trim_end_matches('/').to_string();
@@ -114,6 +139,9 @@
                 .retry(self.cfg.bounds.back()),
             );
         }
+        if self.light && about_jobs(&req.method, &parts) {
+            return self.pass_to_duty(now, origin, &req);
+        }
         match (req.method.as_str(), parts.as_slice()) {
             ("GET", ["live"]) => self.reply(&origin, Verdict::new(200, json!({"live": true}))),
             ("GET", ["ready"]) => {
--- a/landingdrift/src/node/cell/mod.rs
+++ b/landingdrift/src/node/cell/mod.rs
@@ -74,7 +74,8 @@
     facts_asked: bool,
     report_asked: bool,
     /// Its sends are being ended since its hold has passed: it is not held on meanwhile.
-    lapsing: bool,
+    lapsing: Vec<u64>,
+    lapse_asked: bool,
     /// When its hold was last renewed, by this node's clock; or when it said that it left.
     renewed: u64,
     left: Option<u64>,
@@ -172,7 +173,7 @@
             .cells
             .get(&zone)
             .and_then(|c| c.workers.get(&id))
-            .is_some_and(|w| w.lapsing || (beat.call > 0 && beat.call < w.call));
+            .is_some_and(|w| !w.lapsing.is_empty() || (beat.call > 0 && beat.call < w.call));
         if late {
             return Verdict::error(
                 503,
@@ -390,11 +391,16 @@
             });
     }
 
-    pub(super) fn lapse_over(&mut self, worker: &str) {
+    pub(super) fn lapse_over(&mut self, worker: &str, ruled: bool) {
         self.cells
             .values_mut()
             .filter_map(|c| c.workers.get_mut(worker))
-            .for_each(|w| w.lapsing = false);
+            .for_each(|w| {
+                w.lapse_asked = false;
+                if ruled {
+                    w.lapsing.clear();
+                }
+            });
     }
 
     /// Start and stop orders, derived from the record; repeated until beats confirm them.
@@ -576,10 +582,19 @@
                     .workers
                     .get(k)
                     .is_some_and(|r| !r.sends.is_empty());
-                if (passed || left) && holds && !w.lapsing && !w.facts_asked {
-                    w.lapsing = true;
+                if w.lapsing.is_empty() && (passed || left) && holds && !w.facts_asked {
+                    let sends = self.record.workers.get(k).map(|r| r.sends.clone());
+                    w.lapsing = sends.unwrap_or_default().into_iter().collect();
+                }
+                if !w.lapsing.is_empty() && !w.lapse_asked {
+                    w.lapse_asked = true;
                     let known = std::mem::take(&mut w.checkpoints);
-                    lapsed.push((k.clone(), c.epoch, known.into_iter().collect()));
+                    lapsed.push((
+                        k.clone(),
+                        c.epoch,
+                        w.lapsing.clone(),
+                        known.into_iter().collect(),
+                    ));
                 }
                 let silent = now.mono.saturating_sub(w.last_beat) > lost_after;
                 if silent && !w.facts_asked && self.record.workers.get(k).is_some_and(|r| !r.lost) {
@@ -607,7 +622,7 @@
                 self.cfg.bounds.call(),
             );
         }
-        for (worker, cell_epoch, checkpoints) in lapsed {
+        for (worker, cell_epoch, sends, checkpoints) in lapsed {
             let known = self.record.workers.get(&worker);
             let incarnation = known.map_or(0, |w| w.facts.incarnation);
             self.line(format!(
@@ -618,6 +633,7 @@
                 worker: worker.clone(),
                 incarnation,
                 cell_epoch,
+                sends,
                 checkpoints,
             };
             let within = self.cfg.bounds.call();
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -88,6 +88,7 @@
             carried,
             share: self.cfg.share,
             beside_core: self.cfg.beside_core,
+            light: self.light,
         };
         if !to.is_empty() {
             self.send(&to, Body::FeedPull(Box::new(pull)));
@@ -129,6 +130,8 @@
             capture: Vec::new(),
             capture_index: 0,
             entries: Vec::new(),
+            light: false,
+            reached: 0,
             cores: self.views.cores.iter().cloned().collect(),
         };
         self.send(from, Body::FeedBatch(Box::new(batch)));
@@ -155,11 +158,14 @@
         self.views.set_cores(m.cores);
         let mut changed = false;
         if !m.capture.is_empty()
-            && (m.capture_index > self.record.place || m.commit < self.record.place)
+            && (m.capture_index > self.record.place
+                || m.commit < self.record.place
+                || m.light != self.light)
         {
             match Record::unpack(&m.capture) {
                 Ok(r) => {
                     self.record = r;
+                    self.light = m.light;
                     self.count("feed_captures", 1);
                     self.sched.all_dirty = true;
                     self.sched.reserve_anew();
@@ -168,12 +174,19 @@
                 Err(why) => self.line(why),
             }
         }
-        for e in &m.entries {
-            if e.index == self.record.place + 1 {
+        let own_kind = m.light == self.light;
+        for e in m.entries.iter().filter(|_| own_kind) {
+            let next = self.record.place + 1;
+            if e.index == next || (self.light && e.index > next) {
                 self.follow_entry(e.index, e.at, &e.command);
                 changed = true;
             }
         }
+        if self.light && own_kind && m.reached > self.record.place {
+            // What lies between concerns jobs and workers, of which a light copy keeps nothing.
+            self.record.place = m.reached;
+            changed = true;
+        }
         if self.record.place >= m.commit && m.commit > 0 {
             if !self.feed.captured {
                 self.line(format!("follows the feed from place {}", self.record.place));
@@ -184,7 +197,7 @@
                 .fresh_at
                 .max(m.sent.saturating_sub(m.quorum_age).min(now.mono));
             self.feed.clock = (m.clock, now.mono);
-        } else if self.record.place < m.commit {
+        } else if self.record.place < m.commit && changed {
             self.feed.next_pull = now.mono;
         }
         self.answer_fresh(now);
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -23,6 +23,8 @@
     pub(crate) name: String,
     pub(crate) draw: Draw,
     pub(crate) record: Record,
+    /// It follows a light copy: configuration, duties and members, neither jobs nor workers.
+    pub(crate) light: bool,
     pub(crate) feed: feed::Feed,
     pub(crate) views: Views,
     pub(crate) cells: BTreeMap<String, cell::Cell>,
@@ -45,6 +47,7 @@
         let boot = draw.number();
         Self {
             record: Record::new(&cfg.cluster),
+            light: false,
             feed: feed::Feed::new(now),
             views: Views::new(&name, "node", &cfg.zone, &cfg.seeds),
             cells: BTreeMap::new(),
@@ -199,6 +202,7 @@
             .iter()
             .map(|(k, v)| (k.to_string(), *v))
             .collect();
+        all.push(("follows_light".into(), u64::from(self.light)));
         all.push(("feed_place".into(), self.record.place));
         all.push(("version_in_force".into(), self.record.version));
         all.push(("cells_held".into(), self.cells.len() as u64));
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -182,7 +182,7 @@
             } => self.start_ruled(m.token, offer, &cell, &worker, m.place, ruled.is_ok()),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
-            Purpose::Lapse { worker } => self.lapse_over(&worker),
+            Purpose::Lapse { worker } => self.lapse_over(&worker, true),
             Purpose::Recall { worker } => self.recall_over(&worker),
         }
     }
@@ -214,7 +214,8 @@
             } => self.start_ruled(token, offer, &cell, &worker, 0, false),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
-            Purpose::Lapse { worker } => self.lapse_over(&worker),
+            // It may still come through: nothing is renewed until the core has ruled.
+            Purpose::Lapse { worker } => self.lapse_over(&worker, false),
             Purpose::Recall { worker } => self.recall_over(&worker),
         }
     }
--- a/landingdrift/src/record/apply/mod.rs
+++ b/landingdrift/src/record/apply/mod.rs
@@ -48,8 +48,9 @@
                 worker,
                 incarnation,
                 cell_epoch,
+                sends,
                 checkpoints,
-            } => self.lapse(worker, *incarnation, *cell_epoch, checkpoints),
+            } => self.lapse((worker, *incarnation), *cell_epoch, sends, checkpoints),
             Command::Recall {
                 worker,
                 cell_epoch,
--- a/landingdrift/src/record/apply/workers.rs
+++ b/landingdrift/src/record/apply/workers.rs
@@ -76,26 +76,30 @@
         old.iter().for_each(|k| self.bury(k));
     }
 
-    /// Nothing runs on a worker any more, and it gets nothing new.
+    /// Nothing of what a worker ran runs any more, and it gets nothing new until it is heard again.
     fn bury(&mut self, worker: &str) {
         let at = self.at;
         let sends = self.workers.get(worker).map(|w| w.sends.clone());
-        for no in sends.unwrap_or_default() {
-            let job = self.live.get(&no).map(|(id, _)| id.clone());
-            self.close(no, SendState::Lapsed, 0, "its worker is gone");
-            job.iter().for_each(|id| self.settle(id));
-        }
+        self.end_lapsed(sends.unwrap_or_default());
         self.workers.get_mut(worker).iter_mut().for_each(|w| {
             w.lost = true;
             w.since = at;
         });
     }
 
+    fn end_lapsed(&mut self, sends: BTreeSet<u64>) {
+        for no in sends {
+            let job = self.live.get(&no).map(|(id, _)| id.clone());
+            self.close(no, SendState::Lapsed, 0, "its worker is gone");
+            job.iter().for_each(|id| self.settle(id));
+        }
+    }
+
     pub(super) fn lapse(
         &mut self,
-        worker: &str,
-        incarnation: u64,
+        (worker, incarnation): (&str, u64),
         cell_epoch: u64,
+        sends: &[u64],
         checkpoints: &[(u64, String)],
     ) -> Ruling {
         let w = self.workers.get(worker).ok_or(Refusal::Unknown {
@@ -110,7 +114,11 @@
         checkpoints
             .iter()
             .for_each(|(no, text)| self.keep_checkpoint(*no, text));
-        self.bury(worker);
+        // A copy that comes late ends none but those that it names.
+        let here = &self.workers[worker].sends;
+        let own = sends.iter().copied().filter(|no| here.contains(no));
+        let own: BTreeSet<u64> = own.collect();
+        self.end_lapsed(own);
         Ok(Value::Null)
     }
 
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -147,11 +147,12 @@
         incarnation: u64,
         cell_epoch: u64,
     },
-    /// A worker's hold has surely passed, or it is gone: nothing runs there any more. Checkpoints that were heard go along.
+    /// A worker's hold has surely passed, or it is gone: these sends run there no more. Checkpoints that were heard go along.
     Lapse {
         worker: String,
         incarnation: u64,
         cell_epoch: u64,
+        sends: Vec<u64>,
         #[serde(default)]
         checkpoints: Vec<(u64, String)>,
     },
@@ -210,6 +211,12 @@
     pub fn pack(&self) -> Vec<u8> {
         super::pack::pack(self)
     }
+    /// Whether an entry says something of the system as a whole (configuration, duties, members) and not of one job or
+    /// worker: what a light copy of the record follows. Told by the number of its kind alone.
+    pub fn concerns_all(bytes: &[u8]) -> bool {
+        let kind = postcard::take_from_bytes::<u32>(bytes).map_or(0, |(k, _)| k);
+        matches!(kind, 0 | 1 | 10 | 12..=17)
+    }
     /// The command of an entry.
     pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
         super::pack::unpack(bytes)
--- a/landingdrift/src/record/mod.rs
+++ b/landingdrift/src/record/mod.rs
@@ -149,6 +149,26 @@
         pack::pack(self)
     }
 
+    /// The record without jobs and workers: configuration, duties and members.
+    pub fn light(&self) -> Self {
+        Self {
+            format: self.format,
+            cluster: self.cluster.clone(),
+            place: self.place,
+            at: self.at,
+            version: self.version,
+            desired: self.desired.clone(),
+            changes: self.changes.clone(),
+            grants: self.grants.clone(),
+            emptied: self.emptied.clone(),
+            nodes: self.nodes.clone(),
+            cores: self.cores.clone(),
+            next_send: self.next_send,
+            next_epoch: self.next_epoch,
+            ..Self::default()
+        }
+    }
+
     /// The record from a capture.
     pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
         // The format stands first, so that another one is told apart before the rest is read.
--- a/landingdrift/src/replay/rerun.rs
+++ b/landingdrift/src/replay/rerun.rs
@@ -301,6 +301,8 @@
             capture,
             capture_index,
             entries,
+            light: false,
+            reached: self.core.place,
             cores: vec![CORE.into()],
         };
         self.step(Msg::Wire(CORE.into(), Body::FeedBatch(Box::new(batch))));
--- a/landingdrift/tests/cell.rs
+++ b/landingdrift/tests/cell.rs
@@ -107,6 +107,8 @@
             capture_index: self.r.place,
             entries: Vec::new(),
             cores: vec![CORE.into()],
+            light: false,
+            reached: self.r.place,
         };
         let now = self.now();
         self.n.step(
@@ -373,6 +375,8 @@
             command: grant.pack(),
         }],
         cores: vec![CORE.into()],
+        light: false,
+        reached: d.r.place,
     };
     let now = d.now();
     let out = d.n.step(
@@ -385,3 +389,26 @@
     });
     assert!(placed, "{out:?}");
 }
+
+#[test]
+fn while_it_is_unsure_whether_a_worker_was_let_go_no_hold_is_renewed() {
+    let mut d = Desk::new();
+    d.started();
+    d.beat(1, true);
+    let mut proposed = Vec::new();
+    // No core answers, and in the end the proposal is given up: it may still come through.
+    for t in (20..12_000).step_by(20) {
+        d.t = t;
+        d.follow();
+        let now = d.now();
+        proposed.extend(said(d.n.step(now, Msg::Tick)).1);
+    }
+    let lapses: Vec<&Command> = proposed
+        .iter()
+        .filter(|c| matches!(c, Command::Lapse { .. }))
+        .collect();
+    assert!(lapses.len() > 1, "it is proposed until the core has ruled");
+    let (v, _) = d.beat(2, true);
+    let v = v.expect("answered");
+    assert_eq!((v.status, v.body.get("holdMs")), (503, None));
+}
--- /dev/null
+++ b/landingdrift/tests/light.rs
@@ -0,0 +1,230 @@
+//! Light copies of the record: configuration, duties and members, neither jobs nor workers.
+
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request};
+use landingdrift::node::Node;
+use landingdrift::record::{Command, JobSpec, Outcome, Record, WorkerFacts};
+use landingdrift::settings::Settings;
+use landingdrift::wire::{Body, Entry, FeedBatch};
+use serde_json::json;
+
+const CORE: &str = "10.0.0.2:1";
+const HOLDER: &str = "10.0.0.3:1";
+
+/// One command of each kind, and whether it concerns the system as a whole.
+fn kinds() -> Vec<(Command, bool)> {
+    let text = String::new;
+    vec![
+        (Command::Opened { leader: text() }, true),
+        (
+            Command::Configure {
+                change: text(),
+                base: 0,
+                patch: false,
+                number: 0,
+                value: json!({}),
+            },
+            true,
+        ),
+        (
+            Command::Accept {
+                spec: JobSpec::default(),
+                hash: 0,
+                seen: 0,
+            },
+            false,
+        ),
+        (Command::Cancel { job: text() }, false),
+        (
+            Command::Start {
+                job: text(),
+                owner_epoch: 0,
+                placements: vec![],
+            },
+            false,
+        ),
+        (
+            Command::Facts {
+                facts: WorkerFacts::default(),
+                cell_epoch: 0,
+            },
+            false,
+        ),
+        (
+            Command::Report {
+                worker: text(),
+                incarnation: 0,
+                running: vec![],
+                ends: vec![],
+            },
+            false,
+        ),
+        (
+            Command::Lost {
+                worker: text(),
+                incarnation: 0,
+                cell_epoch: 0,
+            },
+            false,
+        ),
+        (
+            Command::Lapse {
+                worker: text(),
+                incarnation: 0,
+                cell_epoch: 0,
+                sends: vec![],
+                checkpoints: vec![],
+            },
+            false,
+        ),
+        (
+            Command::Recall {
+                worker: text(),
+                cell_epoch: 0,
+                sends: vec![],
+                blame: false,
+            },
+            false,
+        ),
+        (
+            Command::Empty {
+                zone: text(),
+                on: true,
+            },
+            true,
+        ),
+        (
+            Command::Resolve {
+                job: text(),
+                task: text(),
+                well: Outcome::Well == Outcome::Defect,
+            },
+            false,
+        ),
+        (
+            Command::Grant {
+                duty: text(),
+                holder: text(),
+                from_epoch: 0,
+            },
+            true,
+        ),
+        (
+            Command::Node {
+                node: text(),
+                zone: text(),
+                http: text(),
+            },
+            true,
+        ),
+        (Command::NodeGone { node: text() }, true),
+        (Command::Found { cores: vec![] }, true),
+        (
+            Command::Core {
+                core: text(),
+                voter: true,
+                disk: 0,
+            },
+            true,
+        ),
+        (Command::CoreGone { core: text() }, true),
+        (
+            Command::Sweep {
+                retain_ms: 0,
+                identity_ms: 0,
+            },
+            false,
+        ),
+    ]
+}
+
+#[test]
+fn what_concerns_all_is_told_by_the_kind_of_an_entry() {
+    for (c, all) in kinds() {
+        assert_eq!(Command::concerns_all(&c.pack()), all, "{c:?}");
+    }
+}
+
+fn batch(r: &Record, t: u64) -> FeedBatch {
+    FeedBatch {
+        core: CORE.into(),
+        leader: CORE.into(),
+        ok: true,
+        sent: t,
+        quorum_age: 0,
+        clock: 1000 + t,
+        commit: r.place,
+        capture: Vec::new(),
+        capture_index: 0,
+        entries: Vec::new(),
+        cores: vec![CORE.into()],
+        light: true,
+        reached: r.place,
+    }
+}
+
+#[test]
+fn a_light_node_follows_over_gaps_and_passes_questions_after_jobs_on() {
+    let cfg = Settings {
+        listen: "10.0.0.1:1".into(),
+        seeds: vec![CORE.into()],
+        share: 50,
+        ..Settings::default()
+    };
+    let mut r = Record::new(&cfg.cluster);
+    let mut n = Node::new(cfg, Now { mono: 1, wall: 1 }, 1);
+    let enter = |r: &mut Record, c: Command| {
+        let index = r.place + 1;
+        r.apply(index, 1000, &c)
+            .map(|_| c)
+            .map_err(|e| e.to_string())
+    };
+    let node = Command::Node {
+        node: HOLDER.into(),
+        zone: "z".into(),
+        http: HOLDER.into(),
+    };
+    enter(&mut r, node).expect("entered");
+    let first = FeedBatch {
+        capture: r.light().pack(),
+        capture_index: r.place,
+        ..batch(&r, 1)
+    };
+    let hear = |n: &mut Node, t: u64, b: FeedBatch| {
+        let now = Now { mono: t, wall: t };
+        n.step(now, Msg::Wire(CORE.into(), Body::FeedBatch(Box::new(b))))
+    };
+    hear(&mut n, 1, first);
+    // Entries that concern a job lie between, and are left out.
+    r.place += 7;
+    let grant = Command::Grant {
+        duty: "queue/q".into(),
+        holder: HOLDER.into(),
+        from_epoch: 0,
+    };
+    let grant = enter(&mut r, grant).expect("entered");
+    let entry = Entry {
+        index: r.place,
+        term: 1,
+        at: 1000,
+        command: grant.pack(),
+    };
+    r.place += 3;
+    let next = FeedBatch {
+        entries: vec![entry],
+        ..batch(&r, 20)
+    };
+    hear(&mut n, 20, next);
+    assert_eq!(n.record().place, r.place);
+    assert_eq!(n.record().grants["queue/q"].holder, HOLDER);
+    assert!(n.is_ready(Now { mono: 30, wall: 30 }));
+    let ask = Request {
+        method: "GET".into(),
+        path: "/v1/jobs/j".into(),
+        ..Request::default()
+    };
+    let out = n.step(Now { mono: 30, wall: 30 }, Msg::Call(1, ask));
+    let passed = out.iter().any(|e| {
+        matches!(e, Effect::Send(to, Body::Forward(f)) if to == HOLDER && f.path == "/v1/jobs/j")
+    });
+    assert!(passed, "{out:?}");
+}
--- a/landingdrift/tests/record.rs
+++ b/landingdrift/tests/record.rs
@@ -803,3 +803,23 @@
     assert_eq!(d.r.jobs["j"].tasks[0].defects, 0);
     d.start("j", &[(0, "v")]).expect("elsewhere");
 }
+
+#[test]
+fn a_late_copy_of_a_lapse_ends_nothing_that_started_since() {
+    let mut d = Desk::new();
+    d.accept("j", vec![task("a")]).expect("accepted");
+    d.start("j", &[(0, "w")]).expect("starts");
+    let lapse = Command::Lapse {
+        worker: "w".into(),
+        incarnation: 1,
+        cell_epoch: 1,
+        sends: vec![1],
+        checkpoints: vec![],
+    };
+    d.ok(lapse.clone());
+    assert_eq!(d.r.jobs["j"].tasks[0].defects, 0);
+    d.facts("w", 1, false);
+    d.start("j", &[(0, "w")]).expect("again");
+    d.ok(lapse);
+    assert_eq!(d.r.jobs["j"].tasks[0].live().count(), 1);
+}
