--- a/landingdrift/src/node/cell/mod.rs
+++ b/landingdrift/src/node/cell/mod.rs
@@ -666,21 +666,29 @@
         if !self.speaks(now) || self.cells.is_empty() {
             return;
         }
-        let record = &self.record;
         let idle: Vec<(String, String)> = self
             .cells
-            .iter_mut()
-            .flat_map(|(z, c)| c.workers.iter_mut().map(move |(k, w)| (z, k, w)))
-            .filter_map(|(z, k, w)| {
-                w.queue.retain(|r| record.open.contains(&r.job));
-                (w.episode.is_none()
+            .iter()
+            .flat_map(|(z, c)| c.workers.iter().map(move |(k, w)| (z, k, w)))
+            .filter(|(_, _, w)| {
+                w.episode.is_none()
                     && !w.queue.is_empty()
                     && now.mono >= w.idle_until
                     && now.mono >= w.suspect_until
-                    && !w.leaving)
-                    .then(|| (z.clone(), k.clone()))
+                    && !w.leaving
             })
+            .filter(|(z, k, _)| self.free_room(z, k).cpu > 0)
+            .map(|(z, k, _)| (z.clone(), k.clone()))
             .collect();
+        // Only where there is room to offer is the queue looked through.
+        let record = &self.record;
+        for (zone, worker) in &idle {
+            self.cells
+                .get_mut(zone)
+                .and_then(|c| c.workers.get_mut(worker))
+                .into_iter()
+                .for_each(|w| w.queue.retain(|r| record.open.contains(&r.job)));
+        }
         for (zone, worker) in idle {
             if self.free_room(&zone, &worker).cpu > 0 {
                 self.begin(now, &zone, &worker);
--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -35,10 +35,7 @@
     let waiting = jobs.filter(|j| !j.cancel && at >= j.accepted + patience);
     let oldest = waiting
         .filter_map(|j| {
-            let first = |i: &usize| {
-                let id = &j.spec.id;
-                members(record, id, *i as u32).first() == Some(&(*i as u32))
-            };
+            let first = |i: &usize| j.leads_gang(*i);
             let ripe = |i: &usize| at >= j.due(*i) + patience;
             (0..j.tasks.len())
                 .filter(|i| j.in_gang(*i) && j.tasks[*i].state == TaskState::Waiting)
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -22,11 +22,16 @@
     /// Starts proposed and not yet seen in the feed.
     pending: BTreeMap<u64, Pending>,
     claim: Option<gangs::Claim>,
+    /// Unsatisfied jobs, the smallest first, as of the last full look.
+    ranked: Vec<String>,
     /// Jobs among which the slots are shared.
     runnable: usize,
     next_full: u64,
 }
 
+/// So many of the smallest jobs are looked at when a refusal is to name one.
+const NAMED: usize = 8;
+
 struct Pending {
     job: String,
     placements: Vec<Placement>,
@@ -66,6 +71,7 @@
             let patience = 2 * self.cfg.bounds.reserve();
             self.sched.claim = gangs::claim(&self.record, self.agreed(now), patience);
             self.sched.runnable = self.record.runnable(self.agreed(now));
+            self.sched.ranked = self.rank();
             let open = &self.record.open;
             self.sched.reserved.retain(|j, _| open.contains(j));
         }
@@ -203,12 +209,7 @@
     /// Running sends that are worth a spare copy, the slowest first: what is left would take longer than a new run.
     fn slow(&self, now: Now, id: &str, job: &Job) -> Vec<u32> {
         let queue = &job.spec.queue;
-        let Some(median) = self.record.duration_quantile(queue, 0.5).filter(|_| {
-            self.record
-                .queues
-                .get(queue)
-                .is_some_and(|t| t.durations.len() >= 5)
-        }) else {
+        let Some(median) = self.record.median(queue) else {
             return Vec::new();
         };
         let agreed = self.agreed(now);
@@ -410,7 +411,7 @@
                 }
             } else {
                 // Its first member that is not done speaks for the gang.
-                if gangs::members(&self.record, id, i).first() != Some(&i) {
+                if !job.leads_gang(i as usize) {
                     continue;
                 }
                 let mut held: BTreeMap<String, Room> = BTreeMap::new();
@@ -439,27 +440,36 @@
 
     /// The smallest unsatisfied job of this scheduler that could use the slot.
     fn smallest_unsatisfied(&self, now: Now, m: &Offer) -> Vec<Sizes> {
+        // The order of a moment ago is good enough to look at the smallest few as they are now.
+        let floor = self.floor();
+        self.sched
+            .ranked
+            .iter()
+            .filter(|id| **id != m.job)
+            .filter_map(|id| self.record.jobs.get(id))
+            .filter(|j| !j.state.ended() && !j.cancel && self.owns(&j.spec.queue).is_some())
+            .take(NAMED)
+            .map(|j| (j, self.sizes(j, floor)))
+            .find(|(j, s)| s.unsatisfied && self.pick(now, j, m).is_some())
+            .map(|(_, s)| s)
+            .into_iter()
+            .collect()
+    }
+
+    /// The jobs of this scheduler that want more slots, the smallest first.
+    fn rank(&self) -> Vec<String> {
         let floor = self.floor();
         let mut of: Vec<Sizes> = self
             .record
             .open
             .iter()
-            .filter(|id| **id != m.job)
             .filter_map(|id| self.record.jobs.get(id))
             .filter(|j| !j.cancel && self.owns(&j.spec.queue).is_some())
             .map(|j| self.sizes(j, floor))
             .filter(|s| s.unsatisfied)
             .collect();
         of.sort_by(|a, b| a.size.total_cmp(&b.size));
-        of.into_iter()
-            .find(|s| {
-                self.record
-                    .jobs
-                    .get(&s.job)
-                    .is_some_and(|j| self.pick(now, j, m).is_some())
-            })
-            .into_iter()
-            .collect()
+        of.into_iter().map(|s| s.job).collect()
     }
 
     pub(super) fn start_ruled(
--- a/landingdrift/src/record/apply/jobs.rs
+++ b/landingdrift/src/record/apply/jobs.rs
@@ -190,12 +190,7 @@
         tally.copies -= u32::from(copy).min(tally.copies);
         tally.copies_won += u64::from(copy && first_well);
         if first_well && ran_ms > 0 {
-            tally
-                .durations
-                .push_back(ran_ms.min(u64::from(u32::MAX)) as u32);
-            if tally.durations.len() > 256 {
-                tally.durations.pop_front();
-            }
+            tally.ran(ran_ms.min(u64::from(u32::MAX)) as u32);
         }
         rest.into_iter().for_each(|n| self.want_stop(n));
         if !matches!(state, SendState::Well) {
--- a/landingdrift/src/record/apply/start.rs
+++ b/landingdrift/src/record/apply/start.rs
@@ -8,7 +8,7 @@
 impl Record {
     /// Places tasks on workers, all or none. Every rule that a record can check is checked here.
     pub(super) fn start(&mut self, id: &str, owner_epoch: u64, placements: &[Placement]) -> Ruling {
-        let job = self.jobs.get(id).ok_or(Refusal::Unknown {
+        let job = self.jobs.get(id).ok_or_else(|| Refusal::Unknown {
             what: format!("job '{id}'"),
         })?;
         let grant_ok = self
@@ -50,16 +50,18 @@
 
     /// Whether a task may get a send at a moment, leaving the worker aside.
     pub fn may_start(&self, id: &str, no: u32, copy: bool, at: u64) -> Result<(), Refusal> {
-        let (job, task) = self.task(id, no).ok_or(Refusal::Unknown {
+        let (job, task) = self.task(id, no).ok_or_else(|| Refusal::Unknown {
             what: format!("task {no}"),
         })?;
-        let spec = job.of(no as usize);
-        let queue = self.queue(&job.spec.queue).ok_or(Refusal::Unknown {
-            what: format!("queue '{}'", job.spec.queue),
-        })?;
-        (task.state == crate::record::TaskState::Waiting)
+        (task.state == TaskState::Waiting)
             .then_some(())
             .ok_or(Refusal::Ended)?;
+        let spec = job.of(no as usize);
+        let queue = self
+            .queue(&job.spec.queue)
+            .ok_or_else(|| Refusal::Unknown {
+                what: format!("queue '{}'", job.spec.queue),
+            })?;
         (at >= job.due(no as usize))
             .then_some(())
             .ok_or(Refusal::NotDue)?;
@@ -89,13 +91,10 @@
         if !copy {
             return Ok(());
         }
-        let tally = self
-            .queues
-            .get(&job.spec.queue)
-            .cloned()
-            .unwrap_or_default();
-        let budget = (tally.running * queue.speculation_percent).div_ceil(100);
-        (tally.copies < budget && !self.allowance_spent(&job.spec.queue))
+        let tally = self.queues.get(&job.spec.queue);
+        let (running, copies) = tally.map_or((0, 0), |t| (t.running, t.copies));
+        let budget = (running * queue.speculation_percent).div_ceil(100);
+        (copies < budget && !self.allowance_spent(&job.spec.queue))
             .then_some(())
             .ok_or(Refusal::Budget)
     }
@@ -103,17 +102,20 @@
     /// Whether a worker may get a task of a job.
     pub fn fits(&self, id: &str, p: &Placement) -> Result<(), Refusal> {
         let unfit = |why: &str| Refusal::Unfit { why: why.into() };
-        let job = self.jobs.get(id).ok_or(Refusal::Unknown {
+        let job = self.jobs.get(id).ok_or_else(|| Refusal::Unknown {
             what: format!("job '{id}'"),
         })?;
         let known = job.tasks.get(p.task as usize);
-        known.map(|_| ()).ok_or(Refusal::Unknown {
+        known.map(|_| ()).ok_or_else(|| Refusal::Unknown {
             what: format!("task {}", p.task),
         })?;
         let spec = job.of(p.task as usize);
-        let w = self.workers.get(&p.worker).ok_or(Refusal::Unknown {
-            what: format!("worker '{}'", p.worker),
-        })?;
+        let w = self
+            .workers
+            .get(&p.worker)
+            .ok_or_else(|| Refusal::Unknown {
+                what: format!("worker '{}'", p.worker),
+            })?;
         let cell_ok = self
             .holder(&cell_duty(&w.facts.zone))
             .is_some_and(|g| g.epoch == p.cell_epoch);
--- a/landingdrift/src/record/derive.rs
+++ b/landingdrift/src/record/derive.rs
@@ -1,6 +1,6 @@
 //! What Hopper needs to know, derived from the record.
 
-use super::{Job, Record, Task, TaskState};
+use super::{Job, QueueTally, Record, Task, TaskState};
 
 /// What admission knows of a job.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -15,30 +15,53 @@
     pub occupied: u32,
 }
 
+/// So many good runs give a median, and so many a shape.
+const FEW: usize = 5;
+const ENOUGH: usize = 20;
+/// Durations that are looked at, and how many new ones make it worth while to look again.
+const KEPT: usize = 256;
+const EVERY: usize = 8;
+
+impl QueueTally {
+    /// Takes note of how long a good run took.
+    pub fn ran(&mut self, ms: u32) {
+        self.durations.push_back(ms);
+        if self.durations.len() > KEPT {
+            self.durations.pop_front();
+        }
+        self.seen = self.seen.wrapping_add(1);
+        if self.durations.len() > ENOUGH && !(self.seen as usize).is_multiple_of(EVERY) {
+            return;
+        }
+        let mut sorted: Vec<u32> = self.durations.iter().copied().collect();
+        sorted.sort_unstable();
+        self.median = sorted[(sorted.len() - 1) / 2];
+        if sorted.len() >= ENOUGH {
+            let tail = &sorted[sorted.len() / 20..];
+            let low = f64::from(tail[0].max(1));
+            let logs: f64 = tail
+                .iter()
+                .map(|d| (f64::from((*d).max(1)) / low).ln())
+                .sum();
+            self.beta = (tail.len() as f64 / logs.max(1e-9)).clamp(1.05, 2.0);
+        }
+    }
+}
+
 impl Record {
     /// The shape of a queue's task durations, by the likelihood of its latest good runs.
     pub fn beta(&self, queue: &str) -> f64 {
         self.queues
             .get(queue)
-            .filter(|t| t.durations.len() >= 20)
-            .map_or(1.5, |t| {
-                let mut sorted: Vec<f64> =
-                    t.durations.iter().map(|d| f64::from((*d).max(1))).collect();
-                sorted.sort_by(f64::total_cmp);
-                let tail = &sorted[sorted.len() / 20..];
-                let low = tail[0];
-                let logs: f64 = tail.iter().map(|d| (d / low).ln()).sum();
-                (tail.len() as f64 / logs.max(1e-9)).clamp(1.05, 2.0)
-            })
+            .map(|t| t.beta)
+            .filter(|b| *b > 0.0)
+            .unwrap_or(1.5)
     }
 
-    /// A duration that a share of a queue's good runs stays under.
-    pub fn duration_quantile(&self, queue: &str, share: f64) -> Option<f64> {
-        let mut sorted: Vec<u32> = self.queues.get(queue)?.durations.iter().copied().collect();
-        sorted.sort_unstable();
-        sorted
-            .get(((sorted.len().saturating_sub(1)) as f64 * share) as usize)
-            .map(|d| f64::from(*d))
+    /// The median of a queue's good runs, once there are enough.
+    pub fn median(&self, queue: &str) -> Option<f64> {
+        let t = self.queues.get(queue)?;
+        (t.durations.len() >= FEW).then(|| f64::from(t.median))
     }
 
     /// The sizes of a job: V = (2/β)·T·√α over the phase at hand.
--- a/landingdrift/src/record/job.rs
+++ b/landingdrift/src/record/job.rs
@@ -394,6 +394,15 @@
         (first..first + self.spec.steps[t.step as usize].count as usize).collect()
     }
 
+    /// Whether a task speaks for its gang: the first member that is not done.
+    pub fn leads_gang(&self, i: usize) -> bool {
+        if !self.spec.steps.is_empty() {
+            return self.in_gang(i) && self.tasks[i].index == 0;
+        }
+        let open = |k: &usize| self.tasks[*k].state != TaskState::Done;
+        self.gang(i).into_iter().find(open) == Some(i)
+    }
+
     /// Runs of a task's step that may be on a worker.
     pub fn beside(&self, i: usize, worker: &str) -> u32 {
         let step = self.tasks[i].step;
--- a/landingdrift/src/record/mod.rs
+++ b/landingdrift/src/record/mod.rs
@@ -76,6 +76,11 @@
 pub struct QueueTally {
     /// How long good runs took, the latest last.
     pub durations: VecDeque<u32>,
+    /// The shape of their tail, and their median; worked out anew when some have come.
+    pub beta: f64,
+    pub median: u32,
+    /// Good runs so far.
+    pub seen: u32,
     /// Ends of jobs within the window: when, and whether the promise was kept.
     pub promises: VecDeque<(u64, bool)>,
     pub unfinished: u32,
