--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -1,7 +1,6 @@
 //! Gangs are placed whole, in one entry of the record.
 
 use super::Node;
-use crate::kernel::Now;
 use crate::record::{cell_duty, Job, Placement, Record, Room, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -97,21 +96,19 @@
     /// on one rack goes there whole if a rack has the room now, and else only when it has waited for `patience`.
     pub(super) fn place_gang(
         &self,
-        now: Now,
+        at: u64,
         (job, task): (&str, u32),
         offered: &str,
         held: &BTreeMap<String, Room>,
     ) -> Option<Vec<Placement>> {
         let record = &self.record;
-        let at = self.agreed(now);
         if !startable(record, at, job, task) {
             return None;
         }
         let j = record.jobs.get(job)?;
-        let spec = j.of(task as usize);
         let mut tasks = members(record, job, task);
         tasks.sort_by_key(|i| std::cmp::Reverse(j.of(*i as usize).room));
-        let near = &spec.near;
+        let near = &j.of(task as usize).near;
         let mut free: Vec<(&String, &str, Room)> = record
             .workers
             .iter()
@@ -126,18 +123,8 @@
             let far = !near.is_empty() && near != rack && near != *k;
             (far, k.as_str() != offered, std::cmp::Reverse(room.cpu))
         });
-        if !spec.same_rack {
-            let close = free.iter().filter(|(k, _, _)| {
-                let w = record.workers.get(*k);
-                w.is_some_and(|w| w.facts.near(near))
-            });
-            let close = self.spread(job, j, &tasks, close.copied().collect());
-            return close.or_else(|| {
-                let waits = self.waits_for_near(now, j, task as usize);
-                (!waits)
-                    .then(|| self.spread(job, j, &tasks, free))
-                    .flatten()
-            });
+        if !j.of(task as usize).same_rack {
+            return self.spread(job, j, &tasks, free);
         }
         let mut racks: Vec<&str> = Vec::new();
         free.iter()
@@ -151,7 +138,7 @@
             let of = free.iter().filter(|(_, r, _)| r == rack).copied();
             self.spread(job, j, &tasks, of.collect())
         });
-        let patience = self.near_patience(spec).max(self.cfg.bounds.reserve());
+        let patience = self.cfg.bounds.reserve();
         let waited = at >= j.accepted.max(j.due(task as usize)) + patience;
         whole.or_else(|| waited.then(|| self.spread(job, j, &tasks, free)).flatten())
     }
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -9,7 +9,6 @@
     cell_duty, queue_duty, Command, Job, Placement, Room, SendState, TaskSpec, TaskState,
 };
 use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What the scheduler keeps beside the record.
@@ -23,8 +22,6 @@
     /// Starts proposed and not yet seen in the feed.
     pending: BTreeMap<u64, Pending>,
     claim: Option<gangs::Claim>,
-    /// Since when tasks of a job's step and time wait for a place near their data.
-    pub near_wait: RefCell<BTreeMap<(String, u32, u32), u64>>,
     /// Unsatisfied jobs, the smallest first, as of the last full look.
     ranked: Vec<String>,
     /// Jobs among which the slots are shared.
@@ -77,8 +74,6 @@
             self.sched.ranked = self.rank();
             let open = &self.record.open;
             self.sched.reserved.retain(|j, _| open.contains(j));
-            let waits = self.sched.near_wait.get_mut();
-            waits.retain(|(j, _, _), _| open.contains(j));
         }
         self.schedule(now);
     }
@@ -411,9 +406,6 @@
             tried.push(spec);
             if !job.in_gang(i as usize) {
                 let p = self.placement(&m.worker, i, false);
-                if !facts.near(&spec.near) && self.waits_for_near(now, job, i as usize) {
-                    continue;
-                }
                 if holds(i) && p.cell_epoch == m.epoch && self.record.fits(id, &p).is_ok() {
                     return Some(vec![p]);
                 }
@@ -432,7 +424,7 @@
                         *sum = sum.plus(*r);
                     });
                 let placed = self
-                    .place_gang(now, (id, i), &m.worker, &held)
+                    .place_gang(agreed, (id, i), &m.worker, &held)
                     .filter(|all| all.iter().all(|p| !pending.contains(&p.task)));
                 if placed.is_some() {
                     return placed;
@@ -446,34 +438,6 @@
             .map(|p| vec![p])
     }
 
-    /// How long a task waits for a place near its data, or its gang for one rack: half of what being away would cost.
-    pub(super) fn near_patience(&self, spec: &TaskSpec) -> u64 {
-        let extra = (self.cfg.hopper.far_factor - 1.0) * f64::from(spec.estimate_ms);
-        (extra as u64 / 2).min(self.cfg.bounds.cancel_ms)
-    }
-
-    /// Whether a task does better to wait: its data is elsewhere, workers there could hold it, and it has not waited long.
-    pub(super) fn waits_for_near(&self, now: Now, job: &Job, i: usize) -> bool {
-        let spec = job.of(i);
-        let patience = self.near_patience(spec);
-        if spec.near.is_empty() || patience == 0 {
-            return false;
-        }
-        let able = self.record.workers.iter().any(|(k, w)| {
-            w.facts.near(&spec.near)
-                && !w.lost
-                && !w.facts.leaving
-                && w.probation == 0
-                && w.facts.serves(spec)
-                && self.record.open(&w.facts.zone, k)
-                && w.facts.all_room().holds(spec.needs())
-        });
-        let key = (job.spec.id.clone(), job.tasks[i].step, job.tasks[i].time);
-        let mut waits = self.sched.near_wait.borrow_mut();
-        let since = *waits.entry(key).or_insert(now.mono);
-        able && now.mono < since + patience
-    }
-
     /// The smallest unsatisfied job of this scheduler that could use the slot.
     fn smallest_unsatisfied(&self, now: Now, m: &Offer) -> Vec<Sizes> {
         // The order of a moment ago is good enough to look at the smallest few as they are now.
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -172,8 +172,6 @@
     pub locality: f64,
     /// A running send is slow when it has run this many times the median of its queue.
     pub slow_factor: f64,
-    /// How many times as long work takes away from its data or spread over racks; above 1 it waits for a near place first.
-    pub far_factor: f64,
 }
 
 impl Default for Hopper {
@@ -184,7 +182,6 @@
             epsilon: 0.1,
             locality: 0.03,
             slow_factor: 2.0,
-            far_factor: 1.0,
         }
     }
 }
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -273,11 +273,6 @@
         "hopper.locality",
         "give 0 to 1",
     )?;
-    ensure(
-        (1.0..=100.0).contains(&h.far_factor),
-        "hopper.far_factor",
-        "give 1 to 100",
-    )?;
     ensure(
         h.slow_factor >= 1.0,
         "hopper.slow_factor",
--- a/landingdrift/tests/cell.rs
+++ b/landingdrift/tests/cell.rs
@@ -34,11 +34,7 @@
 
 impl Desk {
     fn new() -> Self {
-        Self::with(|_| {})
-    }
-
-    fn with(set: impl Fn(&mut Settings)) -> Self {
-        let mut cfg = Settings {
+        let cfg = Settings {
             listen: NODE.into(),
             http: NODE.into(),
             zone: "z".into(),
@@ -49,7 +45,6 @@
             },
             ..Settings::default()
         };
-        set(&mut cfg);
         let now = Now { mono: 1, wall: 1 };
         let mut d = Self {
             r: Record::new(&cfg.cluster),
@@ -417,72 +412,3 @@
     let v = v.expect("answered");
     assert_eq!((v.status, v.body.get("holdMs")), (503, None));
 }
-
-#[test]
-fn work_waits_for_a_place_near_its_data_but_not_for_ever() {
-    let mut d = Desk::with(|s| s.hopper.far_factor = 3.0);
-    // The worker near the data is full, another one is free.
-    d.enter(Command::Facts {
-        facts: WorkerFacts {
-            rack: "r1".into(),
-            ..facts()
-        },
-        cell_epoch: 1,
-    });
-    d.enter(Command::Facts {
-        facts: WorkerFacts {
-            worker: "v".into(),
-            rack: "r2".into(),
-            ..facts()
-        },
-        cell_epoch: 1,
-    });
-    let job = |id: &str, near: &str, room| Command::Accept {
-        spec: JobSpec {
-            id: id.into(),
-            queue: "q".into(),
-            steps: vec![StepSpec {
-                count: 1,
-                task: TaskSpec {
-                    service: "s".into(),
-                    near: near.into(),
-                    estimate_ms: 1000,
-                    room,
-                    ..TaskSpec::default()
-                },
-                ..StepSpec::default()
-            }],
-            ..JobSpec::default()
-        },
-        hash: 1,
-        seen: 100,
-    };
-    d.enter(job("full", "", 4));
-    d.enter(Command::Start {
-        job: "full".into(),
-        owner_epoch: 2,
-        placements: vec![Placement {
-            task: 0,
-            worker: "w".into(),
-            incarnation: 1,
-            cell_epoch: 1,
-            copy: false,
-        }],
-    });
-    d.enter(job("near", "r1", 1));
-    let mut started = Vec::new();
-    for t in (20..3000).step_by(20) {
-        d.t = t;
-        let mut out = d.follow();
-        let now = d.now();
-        out.extend(d.n.step(now, Msg::Tick));
-        let of = said(out).1.into_iter().filter_map(|c| match c {
-            Command::Start { job, .. } if job == "near" => Some(t),
-            _ => None,
-        });
-        started.extend(of);
-    }
-    // Being away costs 2,000 ms more, half of that is waited.
-    let first = started.first().copied().unwrap_or(0);
-    assert!((1000..1600).contains(&first), "{started:?}");
-}
