--- a/rehearsal/src/fleet/drive.rs
+++ b/rehearsal/src/fleet/drive.rs
@@ -38,7 +38,7 @@
 type Answer = (Ent, u64, Verdict);
 
 /// Makes one call and gives what came back; a lost answer has status 0.
-fn call(http: &Http, to: &str, req: &Request) -> Verdict {
+pub fn call(http: &Http, to: &str, req: &Request) -> Verdict {
     let method = reqwest::Method::from_bytes(req.method.as_bytes()).unwrap_or_default();
     let query = if req.query.is_empty() {
         String::new()
--- a/rehearsal/src/fleet/mod.rs
+++ b/rehearsal/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 mod drive;
 mod launch;
 
-pub use drive::{run, Outcome};
+pub use drive::{call, run, Outcome};
 pub use launch::{program, Fleet};
 
 use crate::scenario::{Fault, Shape};
--- a/rehearsal/src/scale/callers.rs
+++ b/rehearsal/src/scale/callers.rs
@@ -1,6 +1,6 @@
+use crate::fleet::call;
 use landingdrift::kernel::{Request, Verdict};
 use reqwest::blocking::Client as Http;
-use serde_json::Value;
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -8,32 +8,6 @@
 
 const THREADS: usize = 32;
 
-/// Makes one call and gives what came back; a lost answer has status 0.
-pub fn call(http: &Http, to: &str, req: &Request) -> Verdict {
-    let method = reqwest::Method::from_bytes(req.method.as_bytes()).unwrap_or_default();
-    let query = if req.query.is_empty() {
-        String::new()
-    } else {
-        format!("?{}", req.query)
-    };
-    http.request(method, format!("http://{to}{}{query}", req.path))
-        .body(req.body.clone())
-        .send()
-        .map_or_else(
-            |_| Verdict::default(),
-            |r| {
-                let status = r.status().as_u16();
-                let body: Value = r.json().unwrap_or(Value::Null);
-                Verdict {
-                    status,
-                    retry_ms: body["retryMs"].as_u64().unwrap_or(0),
-                    body,
-                    ..Verdict::default()
-                }
-            },
-        )
-}
-
 /// A caller of real processes.
 pub fn http(patience: u64) -> Http {
     Http::builder()
--- a/rehearsal/src/scale/drive.rs
+++ b/rehearsal/src/scale/drive.rs
@@ -93,7 +93,7 @@
         .procs
         .iter()
         .filter_map(|p| {
-            let role = callers::call(
+            let role = crate::fleet::call(
                 &callers::http(1000),
                 &p.http,
                 &request("GET", "/v1/status", "", None),
