--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -129,7 +129,7 @@
     hard_ticket: u64,
     joins: BTreeMap<String, (u64, u64)>,
     wants_round: bool,
-    /// All others are to hear from this leader with its next tick.
+    /// All others are to hear from this leader, whether there are entries for them or not.
     wants_beat: bool,
     last_round: u64,
     /// How far the log agrees with that of the present leader.
@@ -556,8 +556,8 @@
             },
         }
         if self.role == Role::Leader && std::mem::take(&mut self.wants_round) {
-            let read = !self.reads.is_empty();
-            self.send_round(now, read);
+            let beat = std::mem::take(&mut self.wants_beat) || !self.reads.is_empty();
+            self.send_round(now, beat);
         }
         self.flush();
         std::mem::take(&mut self.out)
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -367,7 +367,8 @@
         if mark > self.commit && self.term_at(mark) == Some(self.hard.term) {
             self.commit = mark;
             self.apply_committed();
-            // The others hear soon what was confirmed.
+            // The others hear at once what was confirmed: should this disk lose it, they remember.
+            self.wants_round = true;
             self.wants_beat = true;
             self.push_feed(now);
             self.answer_reads(now);
