--- a/landingdrift/tests/cell.rs
+++ b/landingdrift/tests/cell.rs
@@ -117,15 +117,15 @@
         )
     }
 
-    /// A job of one step, and a run of its first task on the worker.
-    fn started(&mut self) {
+    /// A job of one step of so many tasks.
+    fn accept(&mut self, id: &str, count: u32) {
         let seen = self.r.place;
         self.enter(Command::Accept {
             spec: JobSpec {
-                id: "j".into(),
+                id: id.into(),
                 queue: "q".into(),
                 steps: vec![StepSpec {
-                    count: 1,
+                    count,
                     task: TaskSpec {
                         service: "s".into(),
                         room: 1,
@@ -138,6 +138,11 @@
             hash: 1,
             seen,
         });
+    }
+
+    /// A job of one task, and a run of it on the worker.
+    fn started(&mut self) {
+        self.accept("j", 1);
         self.enter(Command::Start {
             job: "j".into(),
             owner_epoch: 2,
@@ -331,25 +336,7 @@
         zone: "z".into(),
         http: other.into(),
     });
-    let seen = d.r.place;
-    d.enter(Command::Accept {
-        spec: JobSpec {
-            id: "k".into(),
-            queue: "q".into(),
-            steps: vec![StepSpec {
-                count: 8,
-                task: TaskSpec {
-                    service: "s".into(),
-                    room: 1,
-                    ..TaskSpec::default()
-                },
-                ..StepSpec::default()
-            }],
-            ..JobSpec::default()
-        },
-        hash: 1,
-        seen,
-    });
+    d.accept("k", 8);
     d.follow();
     let grant = Command::Grant {
         duty: "cell/z".into(),
