Membership by agreement: address and disk, odd voters, standbys, exchange of leavers

Cause: every machine with a disk became a voter (VOTERS = 9). A planned replacement added its newcomer first, 3 -> 4 voters, and nothing removed the old one afterwards: only a waiting learner caused a removal. With 4 voters of which 3 live, one more loss left 2 of 4 for ever. A wiped disk at an old address went on under its old identity.

Ruled out: a constant of three voters. It breaks where two machines may be lost at once.

Change: the number of voters is 2f+1, f from what the settings say may be lost. A pure reconciler (agreement/membership.rs) derives one change at a time: replaced identities go, newcomers stand by, silent or leaving voters are exchanged for standbys, an even number shrinks where one is dead, voters spread over the zones. A member is its address and its disk: votes, acknowledgements and quorum reads of another disk count for nothing. A replica that stops hands the lead on, keeps answering, and ends once a standby votes in its place or the leader says that there is none. Three founders vote at the first start in place of one; no order is accepted before the first configuration until a majority of voters holds f+1 disks. Metrics and status tell what may still be lost.

--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -35,6 +35,7 @@
         if beat_due || std::mem::take(&mut self.wants_beat) {
             self.send_round(now, true);
         }
+        self.watch_resilience(now);
         if self.voters().len() == 1 {
             self.advance(now);
             self.answer_reads(now);
@@ -50,81 +51,12 @@
     }
 
     fn next_duty(&mut self, now: Now) -> Option<Command> {
-        self.core_duty(now)
+        self.membership_duty(now)
             .or_else(|| self.node_duty(now))
             .or_else(|| self.grant_duty(now))
             .or_else(|| self.sweep_duty(now))
     }
 
-    /// Founders enter the record; a waiting core becomes a learner, then takes the place of a silent one.
-    fn core_duty(&mut self, now: Now) -> Option<Command> {
-        if self.record.cores.is_empty() {
-            return Some(Command::Found {
-                cores: self.cfg.founders(),
-            });
-        }
-        let span = self.cfg.bounds.replace_ms;
-        self.joins
-            .retain(|_, (at, _)| now.mono.saturating_sub(*at) < span);
-        let me = self.name.clone();
-        let members = self.members();
-        if let Some((core, (_, disk))) = self
-            .joins
-            .iter()
-            .find(|(k, _)| !members.contains_key(*k))
-            .map(|(k, v)| (k.clone(), *v))
-        {
-            return Some(Command::Core {
-                core,
-                voter: false,
-                disk,
-            });
-        }
-        let voters: Vec<String> = members
-            .iter()
-            .filter(|(_, v)| **v)
-            .map(|(k, _)| k.clone())
-            .collect();
-        let commit = self.commit;
-        let learner = members
-            .iter()
-            .filter(|(_, v)| !**v)
-            .map(|(k, _)| k.clone())
-            .find(|k| {
-                self.peers.get(k).is_some_and(|p| {
-                    p.matched + 64 >= commit
-                        && p.matched > 0
-                        && now.mono.saturating_sub(p.heard) < self.cfg.bounds.election()
-                })
-            })?;
-        // Where a voter is silent, its place is taken, not one more made: the majority must not grow past the living.
-        let heard = |v: &str, within: u64| {
-            v == me
-                || self
-                    .peers
-                    .get(v)
-                    .is_some_and(|p| now.mono.saturating_sub(p.heard) <= within)
-        };
-        let all_there = voters
-            .iter()
-            .all(|v| heard(v, 2 * self.cfg.bounds.election()));
-        if (voters.len() < self.cfg.voters as usize && all_there)
-            || voters.len() < 3.min(self.cfg.voters as usize)
-        {
-            let disk = self.peers.get(&learner).map_or(0, |p| p.disk);
-            return Some(Command::Core {
-                core: learner,
-                voter: true,
-                disk,
-            });
-        }
-        let silent = voters.into_iter().find(|v| !heard(v, span))?;
-        self.line(format!(
-            "core {silent} was silent for {span} ms: {learner} takes its place"
-        ));
-        Some(Command::CoreGone { core: silent })
-    }
-
     fn node_duty(&mut self, now: Now) -> Option<Command> {
         let span = self.cfg.bounds.node_lost();
         let fresh: Option<Command> = self
@@ -290,8 +222,4 @@
                 identity_ms,
             })
     }
-
-    pub(super) fn on_join(&mut self, now: Now, from: &str, disk: u64) {
-        self.joins.insert(from.into(), (now.mono, disk));
-    }
 }
--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -57,7 +57,7 @@
 
     fn ask_votes(&mut self, now: Now, pre: bool, handed: bool) {
         let me = self.name.clone();
-        self.votes = [me.clone()].into();
+        self.votes = [(me.clone(), self.disk)].into();
         let (last_index, last_term) = self.last();
         let term = self.hard.term + u64::from(pre);
         let body = Body::Vote(Box::new(Vote {
@@ -66,6 +66,7 @@
             term,
             last_index,
             last_term,
+            disk: self.disk,
         }));
         for v in self.voters().into_iter().filter(|v| *v != me) {
             if pre {
@@ -94,7 +95,8 @@
         if self.waking.is_some() || (led && !m.handed) {
             return;
         }
-        let known = self.members().contains_key(from);
+        // A candidate that is not known yet may be one promoted in entries that are missing here.
+        let known = !self.members().contains_key(from) || self.is_identity(from, m.disk);
         let reaches = (m.last_term, m.last_index) >= self.answerable(now);
         if m.pre {
             let granted =
@@ -109,6 +111,7 @@
                         self.hard.term.max(self.hard.silent_to)
                     },
                     granted,
+                    disk: self.disk,
                 })),
             );
             return;
@@ -131,6 +134,7 @@
                 pre: false,
                 term,
                 granted,
+                disk: self.disk,
             })),
         );
     }
@@ -146,14 +150,18 @@
             _ => false,
         };
         if fits && m.granted {
-            self.votes.insert(from.into());
+            self.votes.insert(from.into(), m.disk);
             self.tally(now);
         }
     }
 
     pub(super) fn tally(&mut self, now: Now) {
         let voters = self.voters();
-        let got = self.votes.iter().filter(|v| voters.contains(v)).count();
+        let given = self.votes.clone();
+        let got = given
+            .iter()
+            .filter(|(address, disk)| voters.contains(address) && self.is_identity(address, **disk))
+            .count();
         if got < self.majority() {
             return;
         }
@@ -205,14 +213,15 @@
         self.send_round(now, true);
     }
 
-    /// Names a successor: the core that is farthest and was heard last.
-    pub(super) fn hand_over(&mut self) {
+    /// Names a successor: the voter that is farthest and was heard last, and does not leave itself.
+    pub(super) fn hand_over(&mut self, now: Now) {
+        self.handed_at = now.mono;
         let voters = self.voters();
         let term = self.hard.term;
         let to = self
             .peers
             .iter()
-            .filter(|(k, _)| voters.contains(k))
+            .filter(|(k, p)| voters.contains(k) && !p.leaving)
             .max_by_key(|(_, p)| (p.matched, p.heard))
             .map(|(k, _)| k.clone());
         to.iter()
@@ -227,6 +236,7 @@
         if term == self.hard.term
             && self.role == Role::Follower
             && self.waking.is_none()
+            && self.stopping.is_none()
             && self.is_voter()
             && self.floor <= own
         {
--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -20,22 +20,8 @@
 impl Core {
     /// Until when this leader surely led: a majority answered a round sent then.
     pub(super) fn quorum_at(&mut self, now: Now) -> u64 {
-        let me = self.name.clone();
-        let mut at: Vec<u64> = self
-            .voters()
-            .iter()
-            .map(|v| {
-                if *v == me {
-                    now.mono
-                } else {
-                    self.peers.get(v).map_or(0, |p| p.round_sent)
-                }
-            })
-            .collect();
-        at.sort_unstable();
-        at.get((at.len().saturating_sub(1)) / 2)
-            .copied()
-            .unwrap_or(0)
+        let sent = self.by_voter(now.mono, |p| p.round_sent);
+        Self::reached_by_majority(sent)
     }
 
     fn settled(&self) -> bool {
@@ -195,7 +181,7 @@
     }
 
     pub(super) fn on_propose(&mut self, now: Now, from: &str, token: u64, command: Vec<u8>) {
-        if !self.settled() || self.stopping.is_some() {
+        if !self.settled() || self.stopping.is_some() || !self.accepts_orders(now) {
             let leader = if self.role == Role::Leader {
                 String::new()
             } else {
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -4,18 +4,20 @@
 mod duties;
 mod elect;
 mod feed;
+mod members;
+pub mod membership;
 mod replicate;
 mod wake;
 
 pub use clock::AgreedClock;
 
 use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save, Verdict};
-use crate::record::{Command, Record};
+use crate::record::Record;
 use crate::settings::Settings;
 use crate::views::Views;
 use crate::wire::{Body, Entry, Note};
 use serde_json::json;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// What a core finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
@@ -45,7 +47,11 @@
 pub(crate) struct Peer {
     next: u64,
     matched: u64,
+    /// The disk that answered last, 0 before any did, and the newest round it answered.
     disk: u64,
+    answered: u64,
+    /// It is being shut down in order.
+    leaving: bool,
     /// When the latest round that it answered was sent.
     round_sent: u64,
     /// When it was last heard, and when entries were last sent.
@@ -56,6 +62,20 @@
     installing: u64,
 }
 
+impl Peer {
+    /// Takes note of the disk that answers. What an earlier disk at this address confirmed is gone with it.
+    fn take_disk(&mut self, disk: u64) {
+        if self.disk != 0 && self.disk != disk {
+            self.matched = 0;
+            self.round_sent = 0;
+            self.next = 1;
+            self.pending = 0;
+            self.installing = 0;
+        }
+        self.disk = disk;
+    }
+}
+
 /// What a leader knows of a node that follows the feed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Follower {
@@ -98,7 +118,8 @@
     /// Last index in each save not yet durable.
     saving: VecDeque<(u64, u64)>,
     unsaved: Save,
-    notes: BTreeMap<String, Note>,
+    /// What each identity (address and disk) may have confirmed.
+    notes: BTreeMap<(String, u64), Note>,
     /// The farthest place this core has confirmed, as others remember it.
     floor: (u64, u64),
     /// The farthest log it heard of when it woke, and until when it leaves the lead to whoever holds that.
@@ -109,7 +130,8 @@
     election_at: u64,
     /// Until when a core that woke stands early.
     eager_until: u64,
-    votes: BTreeSet<String>,
+    /// Those that gave their vote, with their disks.
+    votes: BTreeMap<String, u64>,
     peers: BTreeMap<String, Peer>,
     round: u64,
     rounds: VecDeque<(u64, u64)>,
@@ -127,7 +149,15 @@
     confirmed: Option<(String, u64)>,
     /// The ticket that makes the current term durable.
     hard_ticket: u64,
-    joins: BTreeMap<String, (u64, u64)>,
+    /// Requests to be admitted, and when they came.
+    join_requests: BTreeMap<String, (u64, membership::JoinRequest)>,
+    /// Zones of other replicas, as they said when they or this one started.
+    zones: BTreeMap<String, String>,
+    /// When this replica last asked to be admitted.
+    joined_at: u64,
+    /// This replica's disk is empty while others have a log: it is a newcomer, whatever the settings say of founders.
+    joining: bool,
+    resilience: membership::Resilience,
     wants_round: bool,
     /// All others are to hear from this leader, whether there are entries for them or not.
     wants_beat: bool,
@@ -137,8 +167,12 @@
     clock: AgreedClock,
     views: Views,
     last_tick: u64,
-    members_cache: Option<BTreeMap<String, bool>>,
+    members_cache: Option<members::Members>,
+    /// Asked to stop: until when it may go on, and whether the leader lets it end.
     stopping: Option<u64>,
+    released: bool,
+    /// When the lead was last offered to another.
+    handed_at: u64,
     disk_dead: bool,
     counters: BTreeMap<&'static str, u64>,
     out: Vec<Effect>,
@@ -169,13 +203,22 @@
         let last = log.back().map_or(base.0, |e| e.index);
         let name = cfg.listen.clone();
         let waking = wake::Waking::new(now, cfg.bounds.wake());
+        let fresh = log.is_empty() && base.0 == 0 && loaded.hard == Hard::default();
+        let mut hard = loaded.hard;
+        let mut unsaved = Save::default();
+        if fresh && !cfg.join_only {
+            // A founder stays one after a restart, whatever the settings say then.
+            hard.founders = cfg.founders();
+            unsaved.hard = Some(hard.clone());
+        }
         let mut views = Views::new(&cfg.listen, "core", &cfg.zone, &cfg.seeds);
         views.cores = record.cores.keys().cloned().chain(cfg.founders()).collect();
         Ok(Self {
             name,
             disk: loaded.disk,
             draw: Draw::new(seed),
-            hard: loaded.hard,
+            joining: hard.founders.is_empty(),
+            hard,
             role: Role::Follower,
             leader: String::new(),
             log,
@@ -189,11 +232,11 @@
             saved: 0,
             held: VecDeque::new(),
             saving: VecDeque::new(),
-            unsaved: Save::default(),
+            unsaved,
             notes: loaded
                 .notes
                 .into_iter()
-                .map(|n| (n.core.clone(), n))
+                .map(|n| ((n.core.clone(), n.disk), n))
                 .collect(),
             floor: (0, 0),
             yields: ((0, 0), 0),
@@ -202,7 +245,7 @@
             heard_leader: now.mono,
             election_at: now.mono + cfg.bounds.election(),
             eager_until: 0,
-            votes: BTreeSet::new(),
+            votes: BTreeMap::new(),
             peers: BTreeMap::new(),
             round: 0,
             rounds: VecDeque::new(),
@@ -216,7 +259,10 @@
             asked: BTreeMap::new(),
             confirmed: None,
             hard_ticket: 0,
-            joins: BTreeMap::new(),
+            join_requests: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            joined_at: 0,
+            resilience: membership::Resilience::default(),
             wants_round: false,
             wants_beat: false,
             last_round: 0,
@@ -226,6 +272,8 @@
             last_tick: now.mono,
             members_cache: None,
             stopping: None,
+            released: false,
+            handed_at: 0,
             disk_dead: false,
             counters: BTreeMap::new(),
             out: Vec::new(),
@@ -277,54 +325,6 @@
             .collect()
     }
 
-    /// The cores by the latest entries of the log, committed or not; true for voters.
-    fn members(&mut self) -> BTreeMap<String, bool> {
-        if let Some(m) = &self.members_cache {
-            return m.clone();
-        }
-        let mut m: BTreeMap<String, bool> = self
-            .record
-            .cores
-            .iter()
-            .map(|(k, c)| (k.clone(), c.voter))
-            .collect();
-        if m.is_empty() {
-            m = self.cfg.founders().into_iter().map(|a| (a, true)).collect();
-        }
-        let place = self.record.place;
-        for e in self.log.iter().filter(|e| e.index > place) {
-            match Command::unpack(&e.command) {
-                Ok(Command::Found { cores }) => m = cores.into_iter().map(|c| (c, true)).collect(),
-                Ok(Command::Core { core, voter, .. }) => {
-                    m.insert(core, voter);
-                }
-                Ok(Command::CoreGone { core }) => {
-                    m.remove(&core);
-                }
-                _ => {}
-            }
-        }
-        self.members_cache = Some(m.clone());
-        m
-    }
-
-    fn voters(&mut self) -> Vec<String> {
-        self.members()
-            .into_iter()
-            .filter(|(_, v)| *v)
-            .map(|(k, _)| k)
-            .collect()
-    }
-
-    fn majority(&mut self) -> usize {
-        self.voters().len() / 2 + 1
-    }
-
-    fn is_voter(&mut self) -> bool {
-        let me = self.name.clone();
-        self.members().get(&me).copied().unwrap_or(false)
-    }
-
     /// Hands what has changed to the disk; returns the ticket that confirms it.
     fn flush(&mut self) -> u64 {
         let s = &self.unsaved;
@@ -444,6 +444,7 @@
             self.followers.values_mut().for_each(|f| f.heard = now.mono);
         }
         self.wake_tick(now);
+        self.join_tick(now);
         let every = self.cfg.bounds.shuffle();
         self.views
             .tick(now, every, &mut self.draw)
@@ -454,18 +455,32 @@
             _ if now.mono >= self.election_at => self.stand(now),
             _ => {}
         }
-        if self
-            .stopping
-            .is_some_and(|until| now.mono >= until || self.role != Role::Leader)
-        {
-            self.out.push(Effect::Exit);
-        }
+        self.stop_tick(now);
     }
 
     fn on_stop(&mut self, now: Now) {
-        self.stopping = Some(now.mono + self.cfg.bounds.election());
+        if self.stopping.is_some() {
+            return;
+        }
+        self.stopping = Some(now.mono + self.cfg.bounds.leave());
+        self.released = false;
         if self.role == Role::Leader {
-            self.hand_over();
+            self.hand_over(now);
+        }
+    }
+
+    /// A replica that stops hands the lead on, and ends once a standby votes in its place, or the leader says that none
+    /// can, or its time is over.
+    fn stop_tick(&mut self, now: Now) {
+        let Some(until) = self.stopping else { return };
+        let votes = self.record.cores.get(&self.name).is_some_and(|m| m.voter);
+        let replaced = self.role != Role::Leader && (!votes || self.released);
+        if now.mono >= until || replaced {
+            self.out.push(Effect::Exit);
+            return;
+        }
+        if self.role == Role::Leader && now.mono >= self.handed_at + self.cfg.bounds.heartbeat() {
+            self.hand_over(now);
         }
     }
 
@@ -488,10 +503,12 @@
             ("GET", "/metrics") => self.metrics(),
             ("GET", "/v1/status") => {
                 let members = self.members();
+                let left = &self.resilience;
                 Verdict::new(
                     200,
                     json!({"core": self.name, "role": format!("{:?}", self.role), "leader": self.leader, "term": self.hard.term, "commit": self.commit,
-                           "last": self.last().0, "members": members, "version": self.record.version}),
+                           "last": self.last().0, "members": members, "version": self.record.version,
+                           "machineLossesLeft": left.machine_losses_left, "zoneLossSurvivable": left.zone_loss_survivable}),
                 )
             }
             _ => Verdict::error(
@@ -540,7 +557,7 @@
                 Body::AppendVerdict(m) => self.on_append_verdict(now, &from, &m),
                 Body::Install(m) => self.on_install(now, &from, *m),
                 Body::HandOver(m) => self.on_hand_over(now, m.term),
-                Body::Join(m) => self.on_join(now, &from, m.disk),
+                Body::Join(m) => self.on_join(now, &from, *m),
                 Body::FeedPull(m) => self.on_pull(now, &from, *m),
                 Body::Shuffle(m) => {
                     let members = self.members().into_keys().collect();
@@ -575,6 +592,15 @@
         all.push(("jobs_open".into(), self.record.open.len() as u64));
         all.push(("jobs_kept".into(), self.record.jobs.len() as u64));
         all.push(("log_entries_in_memory".into(), self.log.len() as u64));
+        if self.role == Role::Leader {
+            let left = &self.resilience;
+            all.push(("voters".into(), left.voters as u64));
+            all.push(("standbys".into(), left.standbys as u64));
+            let losses = left.machine_losses_left.max(0) as u64;
+            all.push(("machine_losses_left".into(), losses));
+            let zone = u64::from(left.zone_loss_survivable);
+            all.push(("zone_loss_survivable".into(), zone));
+        }
         all
     }
 }
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -124,6 +124,7 @@
             term: self.term_at(self.durable).unwrap_or(0),
         };
         let notes: Vec<Note> = self.notes.values().cloned().chain([own]).collect();
+        let may_leave = self.may_leave(now, to);
         let clock = if self.clock.set() {
             self.clock.read(now)
         } else {
@@ -140,6 +141,7 @@
                 entries,
                 notes,
                 clock,
+                may_leave,
             })),
         );
     }
@@ -159,6 +161,7 @@
                     clock: told.at,
                     carried: told.carried,
                     disk,
+                    leaving: self.stopping.is_some(),
                 })),
             );
             return;
@@ -168,6 +171,7 @@
         self.arm_election(now);
         let me = self.name.clone();
         self.clock.hear(now, m.clock);
+        self.released = m.may_leave;
         m.notes
             .into_iter()
             .filter(|n| n.core != me)
@@ -215,6 +219,7 @@
                 clock: told.at,
                 carried: told.carried,
                 disk,
+                leaving: self.stopping.is_some(),
             },
         );
     }
@@ -235,10 +240,10 @@
     pub(super) fn remember(&mut self, n: Note) {
         let farther = self
             .notes
-            .get(&n.core)
+            .get(&(n.core.clone(), n.disk))
             .is_none_or(|old| (old.term, old.index) < (n.term, n.index));
         if farther {
-            self.notes.insert(n.core.clone(), n);
+            self.notes.insert((n.core.clone(), n.disk), n);
         }
     }
 
@@ -283,6 +288,7 @@
                     clock: 0,
                     carried: false,
                     disk,
+                    leaving: self.stopping.is_some(),
                 },
             );
         }
@@ -312,9 +318,17 @@
         let Some(p) = self.peers.get_mut(from) else {
             return;
         };
+        if m.round >= p.answered {
+            p.answered = m.round;
+            p.leaving = m.leaving;
+            p.take_disk(m.disk);
+        }
+        if p.disk != m.disk {
+            // A late word of a disk that is gone.
+            return;
+        }
         p.heard = now.mono;
         p.round_sent = p.round_sent.max(sent);
-        p.disk = m.disk;
         p.installing = 0;
         // A verdict on an older round says nothing about the batch under way.
         let fresh = m.round >= p.pending;
@@ -350,20 +364,8 @@
 
     /// Commits what a majority has on disk.
     pub(super) fn advance(&mut self, now: Now) {
-        let me = self.name.clone();
-        let voters = self.voters();
-        let mut marks: Vec<u64> = voters
-            .iter()
-            .map(|v| {
-                if *v == me {
-                    self.durable
-                } else {
-                    self.peers.get(v).map_or(0, |p| p.matched)
-                }
-            })
-            .collect();
-        marks.sort_unstable();
-        let mark = marks[(marks.len() - 1) / 2];
+        let matched = self.by_voter(self.durable, |p| p.matched);
+        let mark = Self::reached_by_majority(matched);
         if mark > self.commit && self.term_at(mark) == Some(self.hard.term) {
             self.commit = mark;
             self.apply_committed();
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -1,21 +1,19 @@
 //! What a core does before it counts: it asks the others what it had confirmed.
 
-use super::{Core, Role};
+use super::Core;
 use crate::kernel::Now;
-use crate::wire::{Body, Hello, Join, Note};
-use std::collections::BTreeSet;
+use crate::wire::{Body, Hello, Note};
+use std::collections::{BTreeMap, BTreeSet};
 
 pub(crate) struct Waking {
     until: u64,
     next_hello: u64,
-    heard: BTreeSet<String>,
+    /// Those that answered, with their disks.
+    heard: BTreeMap<String, u64>,
     knowing: bool,
     farthest: (u64, u64),
     highest_term: u64,
     noted: Option<(u64, u64)>,
-    member: Option<bool>,
-    /// Who the cores are, by those that know.
-    told: BTreeSet<String>,
 }
 
 impl Waking {
@@ -23,13 +21,11 @@
         Self {
             until: now.mono + wait,
             next_hello: 0,
-            heard: BTreeSet::new(),
+            heard: BTreeMap::new(),
             knowing: false,
             farthest: (0, 0),
             highest_term: 0,
             noted: None,
-            member: None,
-            told: BTreeSet::new(),
         }
     }
 }
@@ -39,9 +35,11 @@
         self.last().0 == 0
     }
 
-    fn hello(&mut self, to: &str, reply: bool) {
+    /// Asks what this replica had confirmed, or answers that question of the disk at the address.
+    fn hello(&mut self, to: &str, reply: Option<u64>) {
         let (last_index, last_term) = self.last();
-        let noted = self.notes.get(to).cloned().unwrap_or(Note {
+        let asked = (to.to_string(), reply.unwrap_or(0));
+        let noted = self.notes.get(&asked).cloned().unwrap_or(Note {
             core: to.into(),
             disk: 0,
             index: 0,
@@ -57,7 +55,8 @@
             term: self.hard.term,
             last_index,
             last_term,
-            reply,
+            reply: reply.is_some(),
+            zone: self.cfg.zone.clone(),
             knows: !self.empty(),
             noted: Box::new(noted),
             members,
@@ -74,39 +73,44 @@
             .into_iter()
             .filter(|n| n.core != me)
             .for_each(|n| self.remember(n));
+        self.zones.insert(from.into(), m.zone.clone());
         if !m.reply {
             // A core that starts anew: what it confirmed before may be gone.
             self.peers.get_mut(from).iter_mut().for_each(|p| {
+                p.take_disk(m.disk);
                 p.next = m.last_index + 1;
                 p.matched = p.matched.min(m.last_index);
                 p.installing = 0;
                 p.pending = 0;
-                p.disk = m.disk;
             });
-            self.hello(from, true);
+            self.hello(from, Some(m.disk));
             return;
         }
         let mut fresh = Vec::new();
         if let Some(w) = self.waking.as_mut() {
-            w.heard.insert(from.into());
+            w.heard.insert(from.into(), m.disk);
             w.highest_term = w.highest_term.max(m.term);
             if m.knows {
                 w.knowing = true;
                 w.farthest = w.farthest.max((m.last_term, m.last_index));
-                w.member = Some(w.member.unwrap_or(false) || m.members.contains(&me));
-                w.told.extend(m.members.iter().cloned());
             }
-            if m.noted.index > 0 {
+            if m.noted.index > 0 && m.noted.disk == self.disk {
                 w.noted = w.noted.max(Some((m.noted.term, m.noted.index)));
             }
             fresh = m.members;
         }
         let others: Vec<String> = fresh
             .into_iter()
-            .filter(|a| *a != me && self.waking.as_ref().is_some_and(|w| !w.heard.contains(a)))
+            .filter(|a| {
+                *a != me
+                    && self
+                        .waking
+                        .as_ref()
+                        .is_some_and(|w| !w.heard.contains_key(a))
+            })
             .collect();
         if self.empty() {
-            others.iter().for_each(|a| self.hello(a, false));
+            others.iter().for_each(|a| self.hello(a, None));
         }
         self.try_wake(now);
     }
@@ -122,62 +126,35 @@
             targets.extend(self.cfg.seeds.iter().cloned());
             targets.extend(self.views.cores.iter().cloned());
             targets.remove(&me);
-            targets.iter().for_each(|a| self.hello(a, false));
+            targets.iter().for_each(|a| self.hello(a, None));
             let beat = self.cfg.bounds.heartbeat();
             self.waking
                 .iter_mut()
                 .for_each(|w| w.next_hello = now.mono + beat);
         }
         self.try_wake(now);
-        if self.waking.is_none()
-            && self.role != Role::Leader
-            && !self.members().contains_key(&me)
-            && now.mono % (4 * self.cfg.bounds.heartbeat()) < self.cfg.bounds.tick()
-        {
-            let targets: BTreeSet<String> = self
-                .members()
-                .into_keys()
-                .chain(self.cfg.seeds.iter().cloned())
-                .chain(self.views.cores.iter().cloned())
-                .chain(Some(self.leader.clone()).filter(|l| !l.is_empty()))
-                .filter(|a| *a != me)
-                .collect();
-            let disk = self.disk;
-            targets
-                .iter()
-                .for_each(|a| self.send(a, Body::Join(Box::new(Join { disk }))));
-        }
     }
 
     /// Ends the waking once all voters were heard, or the wait is over and a majority was.
     fn try_wake(&mut self, now: Now) {
-        let me = self.name.clone();
-        let mut voters = self.voters();
         let Some(w) = self.waking.as_ref() else {
             return;
         };
-        if voters.is_empty() {
-            voters = w.told.iter().cloned().collect();
+        if w.knowing && self.empty() && !self.joining {
+            self.line("the disk is empty while others have a log: joins as a newcomer".into());
+            self.joining = true;
+            self.members_cache = None;
         }
-        let heard = voters
-            .iter()
-            .filter(|v| **v == me || w.heard.contains(*v))
-            .count();
-        let all = heard == voters.len() && !voters.is_empty();
-        if !(all
-            || (now.mono >= w.until && heard > voters.len() / 2)
-            || (w.member == Some(false) && self.empty()))
-        {
+        if self.is_voter() && !self.enough_heard(now) {
             return;
         }
         let Some(w) = self.waking.take() else { return };
         let (index, term) = self.last();
-        let empty = self.empty();
-        // What others remember of us; where nobody does and our disk is new or damaged, the farthest that anybody has.
+        // What others remember of this disk; where nobody does and it is damaged, the farthest that anybody has.
         let floor = w
             .noted
             .filter(|n| *n > (term, index))
-            .or((w.knowing && (empty || self.damaged)).then_some(w.farthest));
+            .or((w.knowing && self.damaged).then_some(w.farthest));
         if let Some(f) = floor.filter(|f| *f > (term, index)) {
             self.floor = f;
             self.hard.silent_to = self.hard.silent_to.max(w.highest_term).max(self.hard.term);
@@ -203,6 +180,28 @@
         ));
     }
 
+    /// Whether all voters answered, or a majority did and the wait is over. Who answers with another disk than the one
+    /// that is a member knows nothing of what that one confirmed, and does not count.
+    fn enough_heard(&mut self, now: Now) -> bool {
+        let name = self.name.clone();
+        let voters = self.voters();
+        let Some(waking) = self.waking.as_ref() else {
+            return false;
+        };
+        let waited = now.mono >= waking.until;
+        let answers: BTreeMap<String, u64> = waking.heard.clone();
+        let heard = voters
+            .iter()
+            .filter(|v| {
+                **v == name
+                    || answers
+                        .get(*v)
+                        .is_some_and(|disk| self.is_identity(v, *disk))
+            })
+            .count();
+        heard == voters.len() || (waited && heard >= self.majority())
+    }
+
     /// The place this core must answer for when it votes or stands: as (term, index).
     pub(super) fn answerable(&self, now: Now) -> (u64, u64) {
         let (index, term) = self.last();
--- a/landingdrift/src/kernel/mod.rs
+++ b/landingdrift/src/kernel/mod.rs
@@ -96,6 +96,9 @@
     pub vote: String,
     /// Votes in terms up to this one may have been given and forgotten.
     pub silent_to: u64,
+    /// The first members of the cluster, for a replica that was started as one of them.
+    #[serde(default)]
+    pub founders: Vec<String>,
 }
 
 /// The record as it was at an index.
--- a/landingdrift/src/record/apply/members.rs
+++ b/landingdrift/src/record/apply/members.rs
@@ -1,6 +1,7 @@
 use super::Ruling;
-use crate::record::{Grant, NodeMember, Record, Refusal};
+use crate::record::{CoreMember, Grant, NodeMember, Record, Refusal};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 
 impl Record {
     pub(super) fn grant(&mut self, duty: &str, holder: &str, from_epoch: u64) -> Ruling {
@@ -61,3 +62,30 @@
         Ok(Value::Null)
     }
 }
+
+/// Replicas of the log. The rules that need no view of who is reachable are checked here, whoever proposed a change.
+impl Record {
+    pub(super) fn found(&mut self, cores: &BTreeMap<String, CoreMember>) -> Ruling {
+        if !self.cores.is_empty() {
+            return Err(Refusal::Ended);
+        }
+        self.cores = cores.clone();
+        Ok(Value::Null)
+    }
+
+    pub(super) fn core(&mut self, core: &str, member: &CoreMember) -> Ruling {
+        self.cores.insert(core.into(), member.clone());
+        Ok(Value::Null)
+    }
+
+    pub(super) fn core_gone(&mut self, core: &str, disk: u64) -> Ruling {
+        let known = self.cores.get(core).is_some_and(|m| m.disk == disk);
+        if !known {
+            return Err(Refusal::Unknown {
+                what: format!("replica '{core}' with this disk"),
+            });
+        }
+        self.cores.remove(core);
+        Ok(Value::Null)
+    }
+}
--- a/landingdrift/src/record/apply/mod.rs
+++ b/landingdrift/src/record/apply/mod.rs
@@ -66,35 +66,9 @@
             } => self.grant(duty, holder, *from_epoch),
             Command::Node { node, zone, http } => self.node(node, zone, http),
             Command::NodeGone { node } => self.node_gone(node),
-            Command::Found { cores } => {
-                self.cores = cores
-                    .iter()
-                    .map(|c| {
-                        (
-                            c.clone(),
-                            super::CoreMember {
-                                voter: true,
-                                disk: 0,
-                            },
-                        )
-                    })
-                    .collect();
-                Ok(Value::Null)
-            }
-            Command::Core { core, voter, disk } => {
-                self.cores.insert(
-                    core.clone(),
-                    super::CoreMember {
-                        voter: *voter,
-                        disk: *disk,
-                    },
-                );
-                Ok(Value::Null)
-            }
-            Command::CoreGone { core } => {
-                self.cores.remove(core);
-                Ok(Value::Null)
-            }
+            Command::Found { cores } => self.found(cores),
+            Command::Core { core, member } => self.core(core, member),
+            Command::CoreGone { core, disk } => self.core_gone(core, *disk),
             Command::Sweep {
                 retain_ms,
                 identity_ms,
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -1,6 +1,6 @@
-use super::{JobSpec, Room, TaskSpec};
+use super::{CoreMember, JobSpec, Room, TaskSpec};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a worker says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -187,17 +187,19 @@
     NodeGone {
         node: String,
     },
-    /// The first cores, all at once.
+    /// The first replicas, all at once; refused where there are some already.
     Found {
-        cores: Vec<String>,
+        cores: BTreeMap<String, CoreMember>,
     },
+    /// A replica is admitted, promoted or demoted.
     Core {
         core: String,
-        voter: bool,
-        disk: u64,
+        member: CoreMember,
     },
+    /// An identity (an address with its disk) leaves the membership.
     CoreGone {
         core: String,
+        disk: u64,
     },
     /// Lets bounds that have passed take effect.
     Sweep {
--- a/landingdrift/src/record/mod.rs
+++ b/landingdrift/src/record/mod.rs
@@ -19,7 +19,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Version of the record's format; another one is refused.
-pub const RECORD_VERSION: u16 = 2;
+pub const RECORD_VERSION: u16 = 3;
 
 /// How many changes of configuration are remembered one by one.
 pub const CHANGES_KEPT: usize = 200;
@@ -56,11 +56,16 @@
     pub alive: bool,
 }
 
-/// A core as the record knows it.
+/// A replica of the log as the cluster state lists it. Its identity is its address together with its disk.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CoreMember {
     pub voter: bool,
+    /// Drawn when the data folder was made; 0 only before the first members are agreed on.
     pub disk: u64,
+    pub zone: String,
+    /// It does not vote as long as others can.
+    #[serde(default)]
+    pub standby_only: bool,
 }
 
 /// What is left of a job after it was retained for its time.
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -28,6 +28,8 @@
     pub hold_ms: u64,
     /// How often workers beat; 0 for an eighth of `leave_ms`.
     pub beat_ms: u64,
+    /// A process that is asked to stop is ended by force after this time.
+    pub grace_ms: u64,
 }
 
 impl Default for Bounds {
@@ -42,6 +44,7 @@
             replace_ms: 10_000,
             hold_ms: 0,
             beat_ms: 0,
+            grace_ms: 6000,
         }
     }
 }
@@ -59,6 +62,10 @@
     pub fn election(&self) -> u64 {
         self.desired_ms / 4
     }
+    /// How long a replica that is asked to stop waits for a standby to vote in its place.
+    pub fn leave(&self) -> u64 {
+        self.grace_ms * 7 / 10
+    }
     /// How long a waking core waits for all others.
     pub fn wake(&self) -> u64 {
         self.outage_ms / 8
@@ -203,8 +210,10 @@
     pub founders: Vec<String>,
     /// This core founds nothing: it asks to be let in by cores that there are. An empty disk of a cluster that runs.
     pub join_only: bool,
-    /// How many cores vote, at the most; further ones wait to take the place of a silent one.
+    /// How many replicas vote: 2f+1 where f machines may be lost at once. Further ones are standbys.
     pub voters: u32,
+    /// This replica does not vote as long as others can: its loss is not counted on.
+    pub standby_only: bool,
     /// The share of a core that this process may use, in thousandths; duties go where there is more of it.
     pub share: u32,
     /// A core stands on the same machine: duties rather go elsewhere, so that one loss does not hit both.
@@ -229,6 +238,7 @@
             founders: Vec::new(),
             join_only: false,
             voters: 3,
+            standby_only: false,
             share: 1000,
             beside_core: false,
             data: String::new(),
@@ -262,6 +272,7 @@
             ("founders", self.founders != new.founders),
             ("join_only", self.join_only != new.join_only),
             ("voters", self.voters != new.voters),
+            ("standby_only", self.standby_only != new.standby_only),
             ("share", self.share != new.share),
             ("beside_core", self.beside_core != new.beside_core),
             ("data", self.data != new.data),
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -177,9 +177,9 @@
         "give error, warn, info or debug",
     )?;
     ensure(
-        (1..=15).contains(&s.voters),
+        (1..=15).contains(&s.voters) && s.voters % 2 == 1,
         "voters",
-        "give 1 to 15; an odd number bears as many losses as the even one above it",
+        "give an odd number from 1 to 15: 2f+1 where f machines may be lost at once",
     )?;
     let b = &s.bounds;
     ensure(
@@ -213,6 +213,11 @@
         "bounds.replace_ms",
         "give at least bounds.cancel_ms",
     )?;
+    ensure(
+        b.grace_ms >= b.desired_ms,
+        "bounds.grace_ms",
+        "give at least bounds.desired_ms",
+    )?;
     ensure(
         b.hold_ms == 0 || b.hold_ms >= b.cancel_ms,
         "bounds.hold_ms",
--- a/landingdrift/tests/disk.rs
+++ b/landingdrift/tests/disk.rs
@@ -51,6 +51,7 @@
         term: 3,
         vote: "a".into(),
         silent_to: 2,
+        founders: vec!["10.0.0.1:7000".into()],
     };
     let notes = vec![Note {
         core: "b".into(),
--- a/landingdrift/tests/light.rs
+++ b/landingdrift/tests/light.rs
@@ -117,16 +117,26 @@
             true,
         ),
         (Command::NodeGone { node: text() }, true),
-        (Command::Found { cores: vec![] }, true),
+        (
+            Command::Found {
+                cores: Default::default(),
+            },
+            true,
+        ),
         (
             Command::Core {
                 core: text(),
-                voter: true,
+                member: Default::default(),
+            },
+            true,
+        ),
+        (
+            Command::CoreGone {
+                core: text(),
                 disk: 0,
             },
             true,
         ),
-        (Command::CoreGone { core: text() }, true),
         (
             Command::Sweep {
                 retain_ms: 0,
