Model checker of the replicas; silent voters are exchanged by promoting first

A standby is promoted beside a silent voter, which is demoted next; the span for that is four election spans, since the voter only becomes a standby. 'rehearsal explore' takes many walks.

--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -10,6 +10,7 @@
 /// So many entries are taken in by a capture rather than one by one.
 const FAR: u64 = 1024;
 
+#[derive(Clone)]
 pub(crate) struct Read {
     to: String,
     token: u64,
--- /dev/null
+++ b/landingdrift/src/agreement/inspect.rs
@@ -0,0 +1,61 @@
+//! What tests and the model checker may look at. Nothing here changes a replica.
+
+use super::{Core, Role};
+use crate::record::Record;
+use crate::wire::Entry;
+
+impl Core {
+    /// The cluster state as far as this replica has applied it.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Whether this replica leads.
+    pub fn leads(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// Whether this replica still finds out what it had confirmed before it started.
+    pub fn recovers(&self) -> bool {
+        self.waking.is_some()
+    }
+
+    /// The term this replica is in.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// The index up to which this replica knows entries to be committed.
+    pub fn commit_index(&self) -> u64 {
+        self.commit
+    }
+
+    /// The index of the last entry of the log.
+    pub fn last_index(&self) -> u64 {
+        self.last().0
+    }
+
+    /// The committed entries that are still in memory.
+    pub fn committed_entries(&self) -> impl Iterator<Item = &Entry> {
+        let commit = self.commit;
+        self.log.iter().take_while(move |e| e.index <= commit)
+    }
+
+    /// A number that tells states apart which differ in what the protocol depends on, timers left out.
+    pub fn fingerprint(&self) -> u64 {
+        use std::hash::{DefaultHasher, Hash, Hasher};
+        let mut hasher = DefaultHasher::new();
+        (self.role as u8, self.hard.term, &self.hard.vote).hash(&mut hasher);
+        (self.hard.silent_to, self.floor, self.commit, self.base).hash(&mut hasher);
+        (&self.leader, self.durable, self.verified).hash(&mut hasher);
+        (self.waking.is_some(), self.stopping.is_some(), self.joining).hash(&mut hasher);
+        self.votes.hash(&mut hasher);
+        for entry in &self.log {
+            (entry.index, entry.term, &entry.command).hash(&mut hasher);
+        }
+        for (address, peer) in &self.peers {
+            (address, peer.next, peer.matched, peer.disk, peer.leaving).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
--- a/landingdrift/src/agreement/members.rs
+++ b/landingdrift/src/agreement/members.rs
@@ -213,14 +213,13 @@
     }
 
     fn observe_member(&self, now: Now, address: &str, member: &CoreMember) -> Observed {
-        let replacement_span = self.cfg.bounds.replace_ms;
         let peer = self.peers.get(address).cloned().unwrap_or_default();
         let silence = now.mono.saturating_sub(peer.heard);
         let requested = self.join_requests.get(address).map_or(0, |(_, r)| r.disk);
         let other_disk = |disk: u64| disk != 0 && disk != member.disk;
         let health = if other_disk(peer.disk) || other_disk(requested) {
             Health::Replaced
-        } else if silence > replacement_span {
+        } else if silence > self.cfg.bounds.exchange() {
             Health::Silent
         } else if peer.leaving {
             Health::Leaving
@@ -232,7 +231,7 @@
         Observed {
             health,
             caught_up: answers && caught_up,
-            long_silent: silence > STANDBY_SILENT_SPANS * replacement_span,
+            long_silent: silence > STANDBY_SILENT_SPANS * self.cfg.bounds.replace_ms,
         }
     }
 
@@ -287,7 +286,7 @@
         let name = self.name.clone();
         let silence = now.mono.saturating_sub(self.heard_leader);
         let admitted = self.is_identity(&name, self.disk);
-        let abandoned = silence > self.cfg.bounds.replace_ms / 2;
+        let abandoned = silence > self.cfg.bounds.exchange();
         let every = JOIN_EVERY_HEARTBEATS * self.cfg.bounds.heartbeat();
         let due = now.mono >= self.joined_at + every;
         if self.waking.is_some() || self.role == Role::Leader || !due || (admitted && !abandoned) {
--- a/landingdrift/src/agreement/membership.rs
+++ b/landingdrift/src/agreement/membership.rs
@@ -13,7 +13,7 @@
     Reachable,
     /// It answers, and is being shut down in order.
     Leaving,
-    /// It has not answered for longer than the replacement span.
+    /// It has not answered for longer than the span after which a voter is exchanged.
     Silent,
     /// Another disk answers at its address: this identity will never answer again.
     Replaced,
@@ -83,7 +83,7 @@
         self.remove_replaced()
             .or_else(|| self.admit())
             .or_else(|| self.demote_surplus())
-            .or_else(|| self.demote_silent())
+            .or_else(|| self.demote_from_even())
             .or_else(|| self.promote_missing())
             .or_else(|| self.promote_for_exchange())
             .or_else(|| self.remove_silent_standby())
@@ -217,38 +217,43 @@
         Some(MembershipChange::Demote(worst.to_string()))
     }
 
-    /// A silent voter is demoted where a standby can take its place, or where the majority gets smaller by it.
-    fn demote_silent(&self) -> Option<MembershipChange> {
+    /// Of an even number of voters, one that is silent or leaving is demoted: the majority gets smaller by it.
+    fn demote_from_even(&self) -> Option<MembershipChange> {
         let count = self.voters().len();
-        let shrinks = count.is_multiple_of(2) && count > 2;
-        let replaceable = count > 2 && !self.ready_standbys().is_empty();
-        if !shrinks && !replaceable {
+        if count <= 2 || !count.is_multiple_of(2) {
             return None;
         }
-        let silent = self.first_voter_with(Health::Silent)?;
-        Some(MembershipChange::Demote(silent.to_string()))
+        let outgoing = self.outgoing_voter()?;
+        Some(MembershipChange::Demote(outgoing.to_string()))
     }
 
-    /// Where there are fewer voters than wanted, a standby is promoted; an odd number grows only by two.
+    /// A voter whose place a standby should take.
+    fn outgoing_voter(&self) -> Option<&str> {
+        self.first_voter_with(Health::Silent)
+            .or_else(|| self.first_voter_with(Health::Leaving))
+    }
+
+    /// Where there are fewer voters than wanted, a standby is promoted; an odd number grows only by two, or where one
+    /// voter is demoted next.
     fn promote_missing(&self) -> Option<MembershipChange> {
         let count = self.voters().len();
         if count >= self.target_voters {
             return None;
         }
-        let ready = self.ready_standbys().len();
-        let needed = if count.is_multiple_of(2) || count == 1 {
-            1
-        } else {
-            2
-        };
-        if ready < needed {
+        let one_suffices = count.is_multiple_of(2) || count == 1 || self.outgoing_voter().is_some();
+        let needed = if one_suffices { 1 } else { 2 };
+        if self.ready_standbys().len() < needed {
             return None;
         }
         let best = self.best_standby()?;
         Some(MembershipChange::Promote(best.to_string()))
     }
 
-    /// A standby is promoted beside a voter that is leaving, or that stands in a crowded zone, which is demoted next.
+    /// A standby is promoted beside a voter that is silent, leaving or in a crowded zone, which is demoted next.
+    ///
+    /// The other order, demoting first, can end for ever: of three voters one is silent and demoted, the second is lost
+    /// before that is committed, and the first comes back; it may not be elected with its shorter log, and the leader
+    /// that was counts on the lost one alone. Promoting first, whoever comes back counts.
     fn promote_for_exchange(&self) -> Option<MembershipChange> {
         if self.voters().len() != self.target_voters {
             return None;
@@ -260,8 +265,7 @@
             .map(|v| self.voters_in(self.zone(v)))
             .max();
         let spreads = crowded.is_some_and(|most| most >= self.voters_in(self.zone(best)) + 2);
-        let leaves = self.first_voter_with(Health::Leaving).is_some();
-        if !leaves && !spreads {
+        if self.outgoing_voter().is_none() && !spreads {
             return None;
         }
         Some(MembershipChange::Promote(best.to_string()))
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -4,6 +4,7 @@
 mod duties;
 mod elect;
 mod feed;
+mod inspect;
 mod members;
 pub mod membership;
 mod replicate;
@@ -96,6 +97,7 @@
 }
 
 /// A core.
+#[derive(Clone)]
 pub struct Core {
     pub(crate) cfg: Settings,
     pub(crate) name: String,
@@ -519,21 +521,6 @@
         };
         self.out.push(Effect::Answer(call, verdict));
     }
-
-    /// The record, for tests and for the simulator's checks.
-    pub fn record(&self) -> &Record {
-        &self.record
-    }
-
-    /// Whether this core leads.
-    pub fn leads(&self) -> bool {
-        self.role == Role::Leader
-    }
-
-    /// The term this core is in.
-    pub fn term(&self) -> u64 {
-        self.hard.term
-    }
 }
 
 impl Part for Core {
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -5,6 +5,7 @@
 use crate::wire::{Body, Hello, Note};
 use std::collections::{BTreeMap, BTreeSet};
 
+#[derive(Clone)]
 pub(crate) struct Waking {
     until: u64,
     next_hello: u64,
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -22,7 +22,7 @@
     pub desired_ms: u64,
     /// Service returns within this time after a total outage.
     pub outage_ms: u64,
-    /// A core that is silent for this long is replaced by a waiting one.
+    /// A standby that is silent for three times as long is dropped from the membership.
     pub replace_ms: u64,
     /// What runs on a worker is held for this long after each beat, then its worker kills it; 0 holds for ever.
     pub hold_ms: u64,
@@ -62,6 +62,10 @@
     pub fn election(&self) -> u64 {
         self.desired_ms / 4
     }
+    /// The silence after which a voter is exchanged for a standby that is caught up: it only becomes a standby itself.
+    pub fn exchange(&self) -> u64 {
+        4 * self.election()
+    }
     /// How long a replica that is asked to stop waits for a standby to vote in its place.
     pub fn leave(&self) -> u64 {
         self.grace_ms * 7 / 10
--- a/rehearsal/src/cli/mod.rs
+++ b/rehearsal/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line of the rehearsal kit.
 
 mod capacity;
+mod explore;
 mod fleet;
 mod measure;
 mod run;
@@ -42,6 +43,8 @@
   sweep FILE [--from N] [--seeds N] [--random N] [--shape S] [--last] [--threads N]
                                                  rehearse it with many seeds; a failing one is shrunk;
                                                  --last adds a fault straight before the closing reads
+  explore [--voters N] [--standbys N] [--from N] [--seeds N] [--random N] [--seconds N] [--threads N]
+                                                 random walks of the replicas alone, under the model checker
   fleet [--shape odvoza|gunasekera] [--seconds N] [--settle N] [--rate N] [--folder DIR]
         [--program FILE] [--scenario FILE] [--history FILE]
                                                  real processes on this machine; a leader and a node are killed midway
@@ -66,7 +69,7 @@
     let valued = [
         "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle",
         "rate", "folder", "program", "scenario", "out", "load", "beta", "vary", "sizes", "warm",
-        "nodes", "starts", "record",
+        "nodes", "starts", "record", "voters", "standbys",
     ];
     while let Some(arg) = p.next().map_err(bad)? {
         match arg {
@@ -115,6 +118,7 @@
         match w.rest.first().map(String::as_str) {
             Some("run") => run::run(&w),
             Some("sweep") => sweep::run(&w),
+            Some("explore") => explore::run(&w),
             Some("fleet") => fleet::run(&w),
             Some("measure") => measure::run(&w),
             Some("capacity") => capacity::run(&w),
--- /dev/null
+++ b/rehearsal/src/explorer/cluster.rs
@@ -0,0 +1,504 @@
+//! A few replicas with their disks and the messages between them, under the checker's control.
+
+use super::ledger::{Invariant, Ledger};
+use crate::simulator::disk::SimDisk;
+use landingdrift::agreement::Core;
+use landingdrift::kernel::{Effect, Msg, Now, Part, Save};
+use landingdrift::record::{Command, CoreMember};
+use landingdrift::settings::{Bounds, Settings};
+use landingdrift::wire::{Body, Entry, Propose, ReadAsk};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Where answers to clients go.
+pub const CLIENT: &str = "client";
+
+/// The time of day when a walk begins, in milliseconds since 1970.
+const EPOCH: u64 = 1_700_000_000_000;
+
+/// When the whole cluster starts for the first time, in its own time.
+const FIRST_START: u64 = 1000;
+
+/// How a replica misbehaves on purpose, to show that an invariant catches it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// It gives its vote to everybody who asks.
+    VotesForAll,
+    /// It says that entries are on its disk which are not.
+    ConfirmsUnsaved,
+    /// It answers reads at once with an old index.
+    AnswersOldReads,
+    /// It tells every proposer that its change has won.
+    AcknowledgesRivals,
+}
+
+/// One machine with a disk.
+#[derive(Clone)]
+pub struct Replica {
+    pub address: String,
+    pub zone: String,
+    pub core: Option<Box<Core>>,
+    pub disk: SimDisk,
+    pub disk_number: u64,
+    pub frozen: bool,
+    /// It will never come back.
+    pub gone: bool,
+    /// Since when it has been up and awake.
+    pub up_since: u64,
+    /// How far its steady clock is ahead of the cluster's time.
+    pub clock_ahead: u64,
+    inbox: Vec<Msg>,
+}
+
+/// A message under way.
+#[derive(Clone, Debug)]
+pub struct InFlight {
+    pub from: String,
+    pub to: String,
+    pub body: Body,
+    pub due: u64,
+}
+
+/// The replicas, their messages, and what was seen of them.
+#[derive(Clone)]
+pub struct Cluster {
+    pub now: u64,
+    pub replicas: Vec<Replica>,
+    pub network: Vec<InFlight>,
+    pub ledger: Ledger,
+    pub settings: Settings,
+    pub defect: Option<Defect>,
+    /// Saves are confirmed at once; else by [`Cluster::sync`].
+    pub instant_disks: bool,
+    /// What the replicas write, where that is wanted.
+    pub log: Option<Vec<String>>,
+    next_token: u64,
+    next_number: u64,
+}
+
+impl Cluster {
+    /// Founders in zones of their own, all started; `voters` is the wanted number.
+    pub fn new(founders: usize, voters: u32, seed: u64) -> Self {
+        let addresses: Vec<String> = (0..founders).map(address).collect();
+        let bounds = Bounds {
+            replace_ms: 3000,
+            ..Bounds::default()
+        };
+        let settings = Settings {
+            seeds: addresses.clone(),
+            voters,
+            bounds,
+            ..Settings::default()
+        };
+        let mut cluster = Self {
+            now: FIRST_START,
+            replicas: Vec::new(),
+            network: Vec::new(),
+            ledger: Ledger::default(),
+            settings,
+            defect: None,
+            instant_disks: true,
+            log: None,
+            next_token: 1,
+            next_number: seed.wrapping_mul(0x9e37_79b9) | 1,
+        };
+        for (i, address) in addresses.into_iter().enumerate() {
+            cluster.add(address, format!("z{i}"));
+        }
+        cluster
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number = self.next_number.wrapping_mul(6_364_136_223_846_793_005) + 2;
+        self.next_number >> 8 | 1
+    }
+
+    /// A new machine with an empty disk, started.
+    pub fn add(&mut self, address: String, zone: String) -> usize {
+        let disk_number = self.number();
+        self.replicas.push(Replica {
+            address,
+            zone,
+            core: None,
+            disk: SimDisk::new(disk_number),
+            disk_number,
+            frozen: false,
+            gone: false,
+            up_since: 0,
+            clock_ahead: 0,
+            inbox: Vec::new(),
+        });
+        let i = self.replicas.len() - 1;
+        self.start(i);
+        i
+    }
+
+    /// A new machine at an address that nobody has had.
+    pub fn add_newcomer(&mut self, zone: String) -> usize {
+        let address = address(self.replicas.len());
+        self.add(address, zone)
+    }
+
+    fn settings_of(&self, i: usize) -> Settings {
+        let replica = &self.replicas[i];
+        let others = self.replicas.iter().filter(|r| r.core.is_some());
+        let listed: Vec<String> = others.map(|r| r.address.clone()).take(3).collect();
+        let first_start = self.now == FIRST_START;
+        Settings {
+            // A later machine is told of others that are up when it starts.
+            seeds: if first_start || listed.is_empty() {
+                self.settings.seeds.clone()
+            } else {
+                listed
+            },
+            listen: replica.address.clone(),
+            http: replica.address.clone(),
+            zone: replica.zone.clone(),
+            data: "d".into(),
+            // Only the first start of the whole cluster founds it.
+            join_only: !first_start,
+            ..self.settings.clone()
+        }
+    }
+
+    /// Starts a replica from its disk.
+    pub fn start(&mut self, i: usize) {
+        if self.replicas[i].core.is_some() || self.replicas[i].gone {
+            return;
+        }
+        let settings = self.settings_of(i);
+        let seed = self.number();
+        let loaded = self.replicas[i].disk.load();
+        let now = self.clock(i);
+        match Core::new(settings, loaded, now, seed) {
+            Ok(core) => self.replicas[i].core = Some(Box::new(core)),
+            Err(why) => self.ledger.broken(Invariant::Progress, why),
+        }
+        self.replicas[i].frozen = false;
+        self.replicas[i].up_since = self.now;
+    }
+
+    fn clock(&self, i: usize) -> Now {
+        let mono = self.now + self.replicas[i].clock_ahead;
+        Now {
+            mono,
+            wall: EPOCH + self.now,
+        }
+    }
+
+    /// Ends a process. After a loss of power only the first `arrived` of the unconfirmed saves are on the disk.
+    pub fn crash(&mut self, i: usize, arrived: usize) {
+        let replica = &mut self.replicas[i];
+        replica.core = None;
+        replica.inbox.clear();
+        replica.disk.crash(arrived);
+        let address = replica.address.clone();
+        self.network
+            .retain(|m| m.from != address && m.to != address);
+    }
+
+    /// The machine loses its disk; it starts again with an empty one.
+    pub fn wipe(&mut self, i: usize) {
+        self.crash(i, 0);
+        let disk_number = self.number();
+        self.replicas[i].disk = SimDisk::new(disk_number);
+        self.replicas[i].disk_number = disk_number;
+    }
+
+    /// The machine is gone for good.
+    pub fn remove(&mut self, i: usize) {
+        self.crash(i, 0);
+        self.replicas[i].gone = true;
+    }
+
+    /// Stops a replica, or lets it go on with all that reached it meanwhile.
+    pub fn freeze(&mut self, i: usize, frozen: bool) {
+        self.replicas[i].frozen = frozen;
+        if frozen {
+            return;
+        }
+        self.replicas[i].up_since = self.now;
+        for msg in std::mem::take(&mut self.replicas[i].inbox) {
+            self.step(i, msg);
+        }
+    }
+
+    /// One step of a replica.
+    pub fn step(&mut self, i: usize, msg: Msg) {
+        if self.replicas[i].frozen {
+            self.replicas[i].inbox.push(msg);
+            return;
+        }
+        let now = self.clock(i);
+        let Some(core) = self.replicas[i].core.as_mut() else {
+            return;
+        };
+        let effects = core.step(now, msg);
+        for effect in effects {
+            self.carry_out(i, effect);
+        }
+        self.observe(i);
+    }
+
+    fn carry_out(&mut self, i: usize, effect: Effect) {
+        match effect {
+            Effect::Send(to, body) => self.post(i, to, body),
+            Effect::Save(save) => self.save(i, save),
+            Effect::Exit => self.crash(i, usize::MAX),
+            Effect::Line(text) => self.log_line(i, &text),
+            Effect::Answer(..) => {}
+        }
+    }
+
+    fn log_line(&mut self, i: usize, text: &str) {
+        if let Some(log) = &mut self.log {
+            let address = &self.replicas[i].address;
+            log.push(format!("{:>6} {address} {text}", self.now));
+        }
+    }
+
+    fn post(&mut self, i: usize, to: String, body: Body) {
+        let from = self.replicas[i].address.clone();
+        let body = self.defect.map_or(body.clone(), |d| distort(d, body));
+        if to == CLIENT {
+            self.answer(&body);
+            return;
+        }
+        let delay = 1 + self.number() % 3;
+        let due = self.now + delay;
+        self.network.push(InFlight {
+            from,
+            to,
+            body,
+            due,
+        });
+    }
+
+    fn save(&mut self, i: usize, save: Save) {
+        let ticket = save.ticket;
+        self.replicas[i].disk.pending.push_back(save);
+        if self.defect == Some(Defect::ConfirmsUnsaved) {
+            self.step(i, Msg::Saved(ticket));
+        } else if self.instant_disks {
+            self.replicas[i].disk.done(ticket);
+            self.step(i, Msg::Saved(ticket));
+        }
+    }
+
+    /// The disk confirms everything that it was handed.
+    pub fn sync(&mut self, i: usize) {
+        let ticket = self.replicas[i].disk.pending.back().map(|s| s.ticket);
+        let Some(ticket) = ticket.filter(|_| self.replicas[i].core.is_some()) else {
+            return;
+        };
+        if self.defect != Some(Defect::ConfirmsUnsaved) {
+            self.replicas[i].disk.done(ticket);
+            self.step(i, Msg::Saved(ticket));
+        }
+    }
+
+    /// Delivers a message to its replica, if that is up.
+    pub fn deliver(&mut self, message: InFlight) {
+        let to = self
+            .replicas
+            .iter()
+            .position(|r| r.address == message.to && r.core.is_some());
+        if let Some(i) = to {
+            self.step(i, Msg::Wire(message.from, message.body));
+        }
+    }
+
+    /// A client proposes a configuration on top of a version at a replica.
+    pub fn propose(&mut self, i: usize, base: u64) {
+        let token = self.token();
+        let change = format!("change-{token}");
+        self.ledger.proposes(token, change.clone());
+        let value = json!({"queues": {}, "notes": {"by": change}});
+        let command = Command::Configure {
+            change,
+            base,
+            patch: false,
+            number: 0,
+            value,
+        };
+        let propose = Propose {
+            token,
+            command: command.pack(),
+        };
+        self.step(
+            i,
+            Msg::Wire(CLIENT.into(), Body::Propose(Box::new(propose))),
+        );
+    }
+
+    /// A client asks a replica how far the log goes.
+    pub fn read(&mut self, i: usize) {
+        let token = self.token();
+        self.ledger.reads(token);
+        let ask = Body::ReadAsk(Box::new(ReadAsk { token }));
+        self.step(i, Msg::Wire(CLIENT.into(), ask));
+    }
+
+    fn token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    fn answer(&mut self, body: &Body) {
+        match body {
+            Body::Proposed(answer) if answer.outcome == 0 => {
+                if let Some(index) = self.ledger.proposed(answer) {
+                    self.check_durable(index);
+                }
+            }
+            Body::ReadPlace(answer) => self.ledger.read(answer),
+            _ => {}
+        }
+    }
+
+    /// An acknowledged entry is on as many disks as may be lost at once, and one more.
+    fn check_durable(&mut self, index: u64) {
+        let term = self.ledger.committed_term(index);
+        let holds = |r: &&Replica| {
+            let loaded = r.disk.load();
+            let covered = loaded.capture.is_some_and(|c| c.index >= index);
+            let same = |e: &Entry| e.index == index && term.is_none_or(|t| t == e.term);
+            covered || loaded.entries.iter().any(same)
+        };
+        let disks = self.replicas.iter().filter(holds).count();
+        let needed = self.settings.voters as usize / 2 + 1;
+        if disks < needed {
+            let what = format!("entry {index} was acknowledged on {disks} disks, not {needed}");
+            self.ledger
+                .broken(Invariant::AcknowledgedOnEnoughDisks, what);
+        }
+    }
+
+    fn observe(&mut self, i: usize) {
+        let Some(core) = self.replicas[i].core.as_ref() else {
+            return;
+        };
+        let address = &self.replicas[i].address;
+        if core.leads() {
+            let life = format!("{address} (disk {})", self.replicas[i].disk_number);
+            self.ledger.leads(core.term(), &life);
+        }
+        let seen_to = self.ledger.committed_to().saturating_sub(8);
+        for entry in core.committed_entries().filter(|e| e.index > seen_to) {
+            self.ledger
+                .commits(address, entry.index, entry.term, &entry.command);
+        }
+    }
+
+    /// Compares the states of all replicas that have applied the same entries.
+    pub fn check_states(&mut self) {
+        for replica in &self.replicas {
+            if let Some(core) = &replica.core {
+                let record = core.record();
+                self.ledger
+                    .state(&replica.address, record.place, &record.pack());
+            }
+        }
+    }
+
+    /// The membership by the replica that knows most.
+    pub fn membership(&self) -> BTreeMap<String, CoreMember> {
+        let cores = self.replicas.iter().filter_map(|r| r.core.as_ref());
+        cores
+            .max_by_key(|c| c.record().place)
+            .map(|c| c.record().cores.clone())
+            .unwrap_or_default()
+    }
+
+    /// The replica that leads in the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |i: &usize| {
+            let replica = &self.replicas[*i];
+            replica.core.as_ref().is_some_and(|c| c.leads()) && !replica.frozen
+        };
+        (0..self.replicas.len())
+            .filter(leads)
+            .max_by_key(|i| self.replicas[*i].core.as_ref().map_or(0, |c| c.term()))
+    }
+
+    /// The members that vote, as indices of the replicas whose disks they are; identities that are lost have none.
+    pub fn intact_voters(&self) -> (usize, Vec<usize>) {
+        let membership = self.membership();
+        let voters: Vec<(&String, &CoreMember)> =
+            membership.iter().filter(|(_, m)| m.voter).collect();
+        let intact = voters.iter().filter_map(|(address, member)| {
+            self.replicas
+                .iter()
+                .position(|r| r.address == **address && r.disk_number == member.disk && !r.gone)
+        });
+        (voters.len(), intact.collect())
+    }
+
+    /// Lets time pass: messages arrive when they are due, replicas look at the time.
+    /// Disks named as stalled confirm nothing.
+    pub fn run(
+        &mut self,
+        ms: u64,
+        stalled: &BTreeSet<usize>,
+        mut lossy: impl FnMut(&InFlight) -> bool,
+    ) {
+        let until = self.now + ms;
+        let tick = self.settings.bounds.tick();
+        while self.now < until {
+            self.now += 1;
+            self.deliver_due(&mut lossy);
+            if self.now.is_multiple_of(tick) {
+                (0..self.replicas.len()).for_each(|i| self.step_if_awake(i));
+            }
+            if self.now.is_multiple_of(2) {
+                (0..self.replicas.len())
+                    .filter(|i| !stalled.contains(i))
+                    .for_each(|i| self.sync(i));
+            }
+        }
+    }
+
+    fn step_if_awake(&mut self, i: usize) {
+        if !self.replicas[i].frozen {
+            self.step(i, Msg::Tick);
+        }
+    }
+
+    fn deliver_due(&mut self, lossy: &mut impl FnMut(&InFlight) -> bool) {
+        let now = self.now;
+        let network = std::mem::take(&mut self.network);
+        let (due, later): (Vec<InFlight>, Vec<InFlight>) =
+            network.into_iter().partition(|m| m.due <= now);
+        self.network = later;
+        for message in due {
+            if !lossy(&message) {
+                self.deliver(message);
+            }
+        }
+    }
+}
+
+fn address(i: usize) -> String {
+    format!("10.0.0.{}:7000", i + 1)
+}
+
+/// What a misbehaving replica sends in place of a message.
+fn distort(defect: Defect, body: Body) -> Body {
+    match (defect, body) {
+        (Defect::VotesForAll, Body::VoteVerdict(mut verdict)) => {
+            verdict.granted = true;
+            Body::VoteVerdict(verdict)
+        }
+        (Defect::AnswersOldReads, Body::ReadPlace(mut answer)) => {
+            answer.ok = true;
+            answer.place = 0;
+            Body::ReadPlace(answer)
+        }
+        (Defect::AcknowledgesRivals, Body::Proposed(mut answer)) => {
+            let won = json!({"done": {"version": 1, "place": answer.place}});
+            answer.verdict = serde_json::to_vec(&won).unwrap_or_default();
+            Body::Proposed(answer)
+        }
+        (_, body) => body,
+    }
+}
--- /dev/null
+++ b/rehearsal/src/explorer/mod.rs
@@ -0,0 +1,9 @@
+//! A model checker for the replicas: it drives the real `step` functions of a few of them, without nodes and workers,
+//! through orders of delivery, loss, crashes, lost disks and membership changes, and checks invariants after each step.
+//!
+//! [`search`] walks every order of events to a stated depth; [`walk`] takes long random ways in virtual time.
+
+pub mod cluster;
+pub mod ledger;
+pub mod search;
+pub mod walk;
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod checkers;
 pub mod cli;
+pub mod explorer;
 pub mod fleet;
 pub mod history;
 pub mod measure;
--- a/rehearsal/src/simulator/mod.rs
+++ b/rehearsal/src/simulator/mod.rs
@@ -1,6 +1,6 @@
 //! The same parts as the daemons run, in virtual time; one seed decides all.
 
-mod disk;
+pub(crate) mod disk;
 mod faults;
 mod world;
 
--- /dev/null
+++ b/rehearsal/tests/explorer.rs
@@ -0,0 +1,187 @@
+//! The replicas under the model checker: random walks, every order of events to a depth, and planted defects.
+
+use rehearsal::explorer::cluster::{Cluster, Defect};
+use rehearsal::explorer::ledger::Invariant;
+use rehearsal::explorer::search::{search, Budget, Found};
+use rehearsal::explorer::walk::{Trouble, Walk};
+use std::collections::BTreeSet;
+
+fn must_hold(walk: &Walk) {
+    let outcome = walk.take();
+    if let Some(violation) = outcome.violations.first() {
+        let shrunk = walk.shrunk(violation.invariant);
+        panic!("{violation:?}\n  shortest way found: {shrunk:#?}");
+    }
+    assert!(outcome.acknowledgements > 20, "hardly anything was served");
+    assert!(outcome.reads > 20, "hardly any read was answered");
+}
+
+fn planned(troubles: &[(u64, Trouble)], standbys: usize, voters: u32) -> Walk {
+    Walk {
+        seed: 7,
+        founders: 3,
+        voters,
+        standbys,
+        length_ms: 40_000,
+        troubles: troubles.to_vec(),
+        defect: None,
+    }
+}
+
+const PLANNED: Trouble = Trouble::ReplacePlanned {
+    who: 0,
+    overlap_ms: 4000,
+};
+const REPLACE: Trouble = Trouble::Replace {
+    who: 0,
+    newcomer_ms: 1000,
+};
+const WIPE: Trouble = Trouble::Wipe {
+    who: 0,
+    down_ms: 1000,
+};
+const ALL_POWER: Trouble = Trouble::PowerLossOfAll {
+    arrived: 0,
+    down_ms: 1000,
+};
+
+#[test]
+fn a_loss_after_a_planned_replacement_leaves_a_majority() {
+    must_hold(&planned(&[(6000, PLANNED), (20_000, REPLACE)], 0, 3));
+}
+
+#[test]
+fn a_loss_after_a_wipe_and_a_wipe_after_a_loss_leave_a_majority() {
+    must_hold(&planned(
+        &[(6000, WIPE), (14_000, REPLACE), (24_000, WIPE)],
+        0,
+        3,
+    ));
+}
+
+#[test]
+fn power_lost_in_the_middle_of_each_step_of_a_replacement_loses_nothing() {
+    for after in (0..8000).step_by(400) {
+        let troubles = [
+            (6000, PLANNED),
+            (6000 + after, ALL_POWER),
+            (28_000, REPLACE),
+        ];
+        must_hold(&planned(&troubles, 0, 3));
+        let troubles = [(6000, WIPE), (6000 + after, ALL_POWER), (28_000, REPLACE)];
+        must_hold(&planned(&troubles, 0, 3));
+    }
+}
+
+#[test]
+fn random_walks_of_three_voters_break_nothing() {
+    (0..24).for_each(|seed| must_hold(&Walk::drawn(seed, 3, 0, 40_000, 16)));
+}
+
+#[test]
+fn random_walks_of_five_voters_with_standbys_break_nothing() {
+    (0..10).for_each(|seed| must_hold(&Walk::drawn(1000 + seed, 5, 3, 40_000, 16)));
+}
+
+/// A cluster of three with a leader and a first configuration.
+fn settled(voters: u32) -> Cluster {
+    let mut cluster = Cluster::new(3, voters, 5);
+    cluster.run(4000, &BTreeSet::new(), |_| false);
+    let leader = cluster.leader().expect("somebody leads");
+    cluster.propose(leader, 0);
+    cluster.run(500, &BTreeSet::new(), |_| false);
+    cluster.network.clear();
+    cluster
+}
+
+const CALM: Budget = Budget {
+    depth: 6,
+    window: 3,
+    losses: 0,
+    duplicates: 0,
+    timeouts: 0,
+    crashes: 0,
+    wipes: 0,
+    stops: 0,
+    freezes: 0,
+    proposals: 0,
+};
+
+fn holds(found: &Found, states: usize) {
+    assert_eq!(found.broken, None);
+    assert!(found.states > states, "only {} states", found.states);
+}
+
+#[test]
+fn every_order_of_an_election_after_a_crash_keeps_the_invariants() {
+    let budget = Budget {
+        timeouts: 2,
+        crashes: 1,
+        losses: 1,
+        proposals: 1,
+        ..CALM
+    };
+    holds(&search(&settled(3), budget), 500);
+}
+
+#[test]
+fn every_order_around_a_lost_disk_keeps_the_invariants() {
+    let budget = Budget {
+        timeouts: 1,
+        wipes: 1,
+        duplicates: 1,
+        proposals: 1,
+        ..CALM
+    };
+    holds(&search(&settled(3), budget), 500);
+}
+
+#[test]
+fn every_order_around_a_stop_and_a_freeze_keeps_the_invariants() {
+    let budget = Budget {
+        timeouts: 1,
+        stops: 1,
+        freezes: 1,
+        proposals: 1,
+        ..CALM
+    };
+    holds(&search(&settled(3), budget), 500);
+}
+
+/// Whether a planted defect is caught in some walk, by the invariant that is meant for it.
+fn caught(defect: Defect, invariant: Invariant) -> bool {
+    (0..40).any(|seed| {
+        let walk = Walk {
+            defect: Some(defect),
+            ..Walk::drawn(seed, 3, 0, 30_000, 24)
+        };
+        let outcome = walk.take();
+        outcome.violations.iter().any(|v| v.invariant == invariant)
+    })
+}
+
+#[test]
+fn votes_for_everybody_are_caught_as_two_leaders_in_a_term() {
+    assert!(caught(Defect::VotesForAll, Invariant::OneLeaderPerTerm));
+}
+
+#[test]
+fn unsaved_confirmations_are_caught_as_acknowledged_on_too_few_disks() {
+    assert!(caught(
+        Defect::ConfirmsUnsaved,
+        Invariant::AcknowledgedOnEnoughDisks
+    ));
+}
+
+#[test]
+fn old_answers_are_caught_as_stale_reads() {
+    assert!(caught(Defect::AnswersOldReads, Invariant::NoStaleRead));
+}
+
+#[test]
+fn two_acknowledged_rivals_are_caught() {
+    assert!(caught(
+        Defect::AcknowledgesRivals,
+        Invariant::OneWinnerPerVersion
+    ));
+}
