Orders take effect once: an identity and a deadline, checked where entries are applied

A node sends a proposal to another core when no answer comes, so copies of one order may reach the log in any order. Emptying a zone, cancelling and resolving had no identity, so a late copy was obeyed anew: a zone was emptied again after the order that ended it, a new job under an id was cancelled by a copy of a cancel that had been refused, and a change that had been refused as a rival took effect once its base was current. Accepted changes were known by a 64-bit digest and only while 200 newer ones had not come; after that an acknowledged change was refused as a rival.

Sending no copies: one lost answer would then leave every order unsure. A check at the leader: it forgets at every election. A larger count of remembered changes: any count has a rate that breaks it.

Configure, Empty, Cancel and Resolve travel in one envelope, Command::Order, with the proposer's address, its process's life, a number, and a deadline in agreed time. Applying it gives every copy the answer of the first one; a copy after the deadline commits as nothing and is answered as unsure. Answers are kept until their deadline. An order waits at its node until the agreed time is known. RECORD_VERSION is 3.

--- a/landingdrift/src/node/calls/desired.rs
+++ b/landingdrift/src/node/calls/desired.rs
@@ -1,8 +1,8 @@
 use super::{param, Origin, State, Then};
 use crate::kernel::{Now, Request, Verdict};
-use crate::node::propose::{Purpose, Ruled};
+use crate::node::propose::Purpose;
 use crate::node::Node;
-use crate::record::{Command, Refusal};
+use crate::record::{Command, Refusal, Ruling};
 use crate::wire::NodePlace;
 use serde_json::{json, Value};
 
@@ -72,17 +72,20 @@
         );
     }
 
-    pub(super) fn configured_verdict(&mut self, change: &str, place: u64, ruled: Ruled) -> Verdict {
+    pub(super) fn configured_verdict(&mut self, change: &str, ruled: Ruling) -> Verdict {
         match ruled {
             Ok(v) => Verdict::new(
                 200,
-                json!({"change": change, "version": v["version"], "place": place}),
+                json!({"change": change, "version": v["version"], "place": v["place"]}),
             ),
             Err(Refusal::Rival { current }) => {
                 let mut v = Verdict::error(409, "rival", Refusal::Rival { current }.to_string());
                 v.body["version"] = json!(current);
                 v
             }
+            Err(r @ Refusal::TooManyChanges) => {
+                Verdict::error(503, "full", r.to_string()).retry(5 * self.cfg.bounds.back())
+            }
             Err(Refusal::Invalid { path, remedy }) => {
                 let mut v = Verdict::error(400, "wrongDesired", remedy);
                 v.body["path"] = json!(path);
--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -1,8 +1,8 @@
 use super::{param, Origin, ReadThen, State, Then};
 use crate::kernel::{digest, Now, Verdict};
-use crate::node::propose::{Purpose, Ruled};
+use crate::node::propose::Purpose;
 use crate::node::Node;
-use crate::record::{Command, Job, JobSpec, JobState, Refusal, SendState};
+use crate::record::{Command, Job, JobSpec, JobState, Refusal, Ruling, SendState};
 use serde_json::{json, Value};
 
 /// Jobs on one page, at the most.
@@ -88,7 +88,7 @@
         );
     }
 
-    pub(super) fn accepted_verdict(&mut self, id: &str, ruled: Ruled) -> Verdict {
+    pub(super) fn accepted_verdict(&mut self, id: &str, ruled: Ruling) -> Verdict {
         let back = self.cfg.bounds.back();
         match ruled {
             Ok(v) => {
@@ -200,7 +200,7 @@
         );
     }
 
-    pub(super) fn cancelled_verdict(&mut self, id: &str, ruled: Ruled) -> Verdict {
+    pub(super) fn cancelled_verdict(&mut self, id: &str, ruled: Ruling) -> Verdict {
         ruled.map_or_else(
             |r| Verdict::error(404, "unknownJob", r.to_string()),
             |v| Verdict::new(200, json!({"id": id, "state": v["state"]})),
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -6,10 +6,9 @@
 mod status;
 
 use super::cell::Beat;
-use super::propose::Ruled;
 use super::Node;
 use crate::kernel::{Effect, Now, Part, Request, Verdict};
-use crate::record::cell_duty;
+use crate::record::{cell_duty, Refusal, Ruling};
 use crate::wire::{Body, Forward, Forwarded, NodePlace, ReadAsk, ReadPlace};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -381,12 +380,17 @@
     }
 
     /// The record has ruled on what a call proposed.
-    pub(super) fn call_ruled(&mut self, call: u64, then: Then, place: u64, ruled: Ruled) {
+    pub(super) fn call_ruled(&mut self, call: u64, then: Then, ruled: Ruling) {
         let v = match then {
+            // An earlier copy may have been taken.
+            _ if ruled == Err(Refusal::Late) => self.unsure_verdict(),
             Then::Accepted { id } => self.accepted_verdict(&id, ruled),
             Then::Cancelled { id } => self.cancelled_verdict(&id, ruled),
-            Then::Configured { change } => self.configured_verdict(&change, place, ruled),
-            Then::Emptied => Verdict::new(200, ruled.unwrap_or_default()),
+            Then::Configured { change } => self.configured_verdict(&change, ruled),
+            Then::Emptied => ruled.map_or_else(
+                |r| Verdict::error(409, "refused", r.to_string()),
+                |v| Verdict::new(200, v),
+            ),
             Then::Resolved { id } => ruled.map_or_else(
                 |r| Verdict::error(409, "refused", r.to_string()),
                 |_| Verdict::new(200, json!({"id": id, "resolved": true})),
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -33,6 +33,13 @@
     }
 }
 
+impl Feed {
+    /// Whether a core has told the agreed time.
+    pub fn clock_known(&self) -> bool {
+        self.clock.0 > 0
+    }
+}
+
 impl Node {
     /// The agreed time, as well as a node can know it; never ahead of what a core said.
     pub(crate) fn agreed(&self, now: Now) -> u64 {
@@ -75,7 +82,7 @@
         } else {
             String::new()
         };
-        let carried = self.feed.clock.0 > 0;
+        let carried = self.feed.clock_known();
         let pull = FeedPull {
             node: self.name.clone(),
             zone: self.cfg.zone.clone(),
@@ -213,7 +220,7 @@
     fn follow_entry(&mut self, index: u64, at: u64, bytes: &[u8]) {
         let command = Command::unpack(bytes).ok();
         let version = self.record.version;
-        match &command {
+        match command.as_ref().map(Command::action) {
             Some(Command::Report { ends, .. }) => {
                 let touched: Vec<String> = ends
                     .iter()
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -31,6 +31,8 @@
     pub(crate) sched: scheduler::Scheduler,
     pub(crate) calls: calls::Calls,
     pub(crate) proposals: BTreeMap<u64, propose::Proposal>,
+    /// This life of the process: an answer to a former one is nobody's.
+    pub(crate) incarnation: u64,
     next_token: u64,
     last_tick: u64,
     stopping: Option<u64>,
@@ -45,6 +47,7 @@
         let name = cfg.listen.clone();
         let mut draw = Draw::new(seed ^ digest(name.as_bytes()));
         let boot = draw.number();
+        let incarnation = draw.number();
         Self {
             record: Record::new(&cfg.cluster),
             light: false,
@@ -54,6 +57,7 @@
             sched: scheduler::Scheduler::default(),
             calls: calls::Calls::default(),
             proposals: BTreeMap::new(),
+            incarnation,
             next_token: boot >> 16,
             last_tick: now.mono,
             stopping: None,
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -3,9 +3,8 @@
 use super::calls::Then;
 use super::Node;
 use crate::kernel::Now;
-use crate::record::{Command, Refusal};
+use crate::record::{unpack_ruling, Command, Order, ProposalId};
 use crate::wire::{Body, Propose, Proposed};
-use serde_json::Value;
 
 /// What came of one send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,13 +40,21 @@
 /// One proposal with its ledger.
 pub struct Proposal {
     pub purpose: Purpose,
-    command: Vec<u8>,
+    /// As it goes out; an order is packed with its deadline when the agreed time is known.
+    command: Packed,
     /// Entering it twice does no harm, so that a lost answer may be asked for again.
     idempotent: bool,
     until: u64,
     sends: Vec<(String, u64, Came)>,
 }
 
+/// A command on its way to the log.
+enum Packed {
+    Ready(Vec<u8>),
+    /// An order that waits for the agreed time.
+    Order(Command),
+}
+
 /// The next move of a proposal.
 enum Move {
     Wait,
@@ -74,18 +81,6 @@
     }
 }
 
-/// The ruling of the record, as it came over the wire.
-pub type Ruled = Result<Value, Refusal>;
-
-fn read_ruling(bytes: &[u8]) -> Option<Ruled> {
-    let v: Value = serde_json::from_slice(bytes).ok()?;
-    v.get("done").cloned().map(Ok).or_else(|| {
-        v.get("refused")
-            .and_then(|r| serde_json::from_value(r.clone()).ok())
-            .map(Err)
-    })
-}
-
 impl Node {
     pub(crate) fn propose(
         &mut self,
@@ -96,12 +91,16 @@
     ) -> u64 {
         let token = self.token();
         let idempotent = !matches!(command, Command::Start { .. });
-        let bytes = command.pack();
+        let command = if command.is_order() {
+            Packed::Order(command.clone())
+        } else {
+            Packed::Ready(command.pack())
+        };
         self.proposals.insert(
             token,
             Proposal {
                 purpose,
-                command: bytes,
+                command,
                 idempotent,
                 until: now.mono + within,
                 sends: Vec::new(),
@@ -120,27 +119,57 @@
         match p.next(now, beat) {
             Move::Wait => {}
             Move::GiveUp => self.give_up(token),
-            Move::SendOn => {
-                let cores = self.cores();
-                let last = p
-                    .sends
-                    .last()
-                    .map(|(to, _, _)| to.clone())
-                    .unwrap_or_default();
-                let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty() && *l != last);
-                let others: Vec<String> = cores.into_iter().filter(|c| *c != last).collect();
-                let to = hint
-                    .filter(|h| !h.is_empty())
-                    .or(leader)
-                    .or_else(|| self.draw.pick(&others).cloned())
-                    .unwrap_or(last);
-                let Some(p) = self.proposals.get_mut(&token) else {
-                    return;
-                };
-                p.sends.push((to.clone(), now.mono, Came::Nothing));
-                let command = p.command.clone();
-                self.send(&to, Body::Propose(Box::new(Propose { token, command })));
-            }
+            Move::SendOn => self.send_on(now, token, hint),
+        }
+    }
+
+    /// Sends a copy of a proposal to the core that most likely leads, and not to the one that was asked last.
+    fn send_on(&mut self, now: Now, token: u64, hint: Option<String>) {
+        let Some(command) = self.packed(now, token) else {
+            return;
+        };
+        let Some(p) = self.proposals.get(&token) else {
+            return;
+        };
+        let last = p
+            .sends
+            .last()
+            .map(|(to, _, _)| to.clone())
+            .unwrap_or_default();
+        let others: Vec<String> = self.cores().into_iter().filter(|c| *c != last).collect();
+        let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty() && *l != last);
+        let to = hint
+            .filter(|h| !h.is_empty())
+            .or(leader)
+            .or_else(|| self.draw.pick(&others).cloned())
+            .unwrap_or(last);
+        let Some(p) = self.proposals.get_mut(&token) else {
+            return;
+        };
+        p.sends.push((to.clone(), now.mono, Came::Nothing));
+        self.send(&to, Body::Propose(Box::new(Propose { token, command })));
+    }
+
+    /// The bytes of a proposal, the same for every copy; none while an order waits for the agreed time.
+    fn packed(&mut self, now: Now, token: u64) -> Option<Vec<u8>> {
+        let agreed = self.feed.clock_known().then(|| self.agreed(now));
+        let proposal = ProposalId {
+            proposer: self.name.clone(),
+            incarnation: self.incarnation,
+            number: token,
+        };
+        let p = self.proposals.get_mut(&token)?;
+        if let Packed::Order(action) = &p.command {
+            let order = Order {
+                action: Box::new(action.clone()),
+                proposal,
+                deadline: agreed? + p.until.saturating_sub(now.mono),
+            };
+            p.command = Packed::Ready(Command::Order(order).pack());
+        }
+        match &p.command {
+            Packed::Ready(bytes) => Some(bytes.clone()),
+            Packed::Order(_) => None,
         }
     }
 
@@ -170,11 +199,11 @@
         let Some(p) = self.proposals.remove(&m.token) else {
             return;
         };
-        let Some(ruled) = read_ruling(&m.verdict) else {
+        let Some(ruled) = unpack_ruling(&m.verdict) else {
             return;
         };
         match p.purpose {
-            Purpose::Call(call, then) => self.call_ruled(call, then, m.place, ruled),
+            Purpose::Call(call, then) => self.call_ruled(call, then, ruled),
             Purpose::Start {
                 offer,
                 cell,
--- a/landingdrift/src/record/apply/config.rs
+++ b/landingdrift/src/record/apply/config.rs
@@ -1,8 +1,8 @@
 use super::Ruling;
 use crate::desired::{merge, read};
-use crate::kernel::digest;
-use crate::record::{Change, Record, Refusal, SendState, TaskState, CHANGES_KEPT};
+use crate::record::{Change, Record, Refusal, SendState, TaskState, CHANGES_KEPT_MS, CHANGES_MOST};
 use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 
 impl Record {
@@ -13,15 +13,20 @@
         patch: bool,
         value: &Value,
     ) -> Ruling {
-        let hash = digest(format!("{base}/{number}/{patch}/{value}").as_bytes());
+        let asked = format!("{base}/{number}/{patch}/{value}");
+        let digest: [u8; 32] = Sha256::digest(asked.as_bytes()).into();
         if let Some(c) = self.changes.iter().find(|c| c.change == change) {
-            return (c.hash == hash)
+            return (c.digest == digest)
                 .then(|| json!({"version": c.version, "place": c.place}))
                 .ok_or(Refusal::OtherBody);
         }
         (base == self.version).then_some(()).ok_or(Refusal::Rival {
             current: self.version,
         })?;
+        self.forget_changes();
+        (self.changes.len() < CHANGES_MOST)
+            .then_some(())
+            .ok_or(Refusal::TooManyChanges)?;
         (number == 0 || number > self.version)
             .then_some(())
             .ok_or_else(|| Refusal::Invalid {
@@ -65,19 +70,24 @@
         self.version = number.max(self.version + 1);
         self.changes.push_back(Change {
             change: change.into(),
-            hash,
+            digest,
             version: self.version,
             place: self.place,
             at: self.at,
         });
-        if self.changes.len() > CHANGES_KEPT {
-            self.changes.pop_front();
-        }
         self.stop_where_closed();
         self.fail_what_is_spent();
         Ok(json!({"version": self.version, "place": self.place}))
     }
 
+    /// Drops the identities of changes made long ago, but never the newest: it is acknowledged again however late.
+    fn forget_changes(&mut self) {
+        let kept_from = self.at.saturating_sub(CHANGES_KEPT_MS);
+        while self.changes.len() > 1 && self.changes[0].at < kept_from {
+            self.changes.pop_front();
+        }
+    }
+
     /// Where a limit of tries was lowered: what has failed as often is not tried again, and does not wait for ever.
     fn fail_what_is_spent(&mut self) {
         let open: Vec<String> = self.open.iter().cloned().collect();
--- a/landingdrift/src/record/apply/mod.rs
+++ b/landingdrift/src/record/apply/mod.rs
@@ -1,6 +1,7 @@
 mod config;
 mod jobs;
 mod members;
+mod orders;
 mod start;
 mod sweep;
 mod workers;
@@ -16,6 +17,11 @@
     pub fn apply(&mut self, index: u64, at: u64, command: &Command) -> Ruling {
         self.place = index;
         self.at = self.at.max(at);
+        self.dispose(command)
+    }
+
+    /// Does what a command says.
+    fn dispose(&mut self, command: &Command) -> Ruling {
         match command {
             Command::Opened { .. } => Ok(Value::Null),
             Command::Configure {
@@ -99,6 +105,7 @@
                 retain_ms,
                 identity_ms,
             } => self.sweep(*retain_ms, *identity_ms),
+            Command::Order(order) => self.order(order),
         }
     }
 
@@ -113,6 +120,16 @@
     }
 }
 
+/// The verdict from its bytes.
+pub fn unpack_ruling(bytes: &[u8]) -> Option<Ruling> {
+    let v: Value = serde_json::from_slice(bytes).ok()?;
+    v.get("done").cloned().map(Ok).or_else(|| {
+        v.get("refused")
+            .and_then(|r| serde_json::from_value(r.clone()).ok())
+            .map(Err)
+    })
+}
+
 /// The verdict as bytes.
 pub fn pack_ruling(r: &Ruling) -> Vec<u8> {
     serde_json::to_vec(
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -1,4 +1,4 @@
-use super::{JobSpec, Room, TaskSpec};
+use super::{JobSpec, Order, Room, TaskSpec};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -204,19 +204,47 @@
         retain_ms: u64,
         identity_ms: u64,
     },
+    /// An order of an operator or caller, which takes effect at most once and not after its deadline.
+    Order(Order),
 }
 
+/// The number of [`Command::Order`] in a packed entry.
+const ORDER_KIND: u32 = 19;
+
 impl Command {
     /// The command as an entry of the log.
     pub fn pack(&self) -> Vec<u8> {
         super::pack::pack(self)
     }
     /// Whether an entry says something of the system as a whole (configuration, duties, members) and not of one job or
-    /// worker: what a light copy of the record follows. Told by the number of its kind alone.
+    /// worker: what a light copy of the record follows. Told by the number of its kind alone, or of what it orders.
     pub fn concerns_all(bytes: &[u8]) -> bool {
-        let kind = postcard::take_from_bytes::<u32>(bytes).map_or(0, |(k, _)| k);
+        let take = |bytes| postcard::take_from_bytes::<u32>(bytes).unwrap_or((0, &[]));
+        let (kind, rest) = take(bytes);
+        let kind = if kind == ORDER_KIND {
+            take(rest).0
+        } else {
+            kind
+        };
         matches!(kind, 0 | 1 | 10 | 12..=17)
     }
+    /// Whether copies of this command must take effect once at the most.
+    pub fn is_order(&self) -> bool {
+        matches!(
+            self,
+            Self::Configure { .. }
+                | Self::Empty { .. }
+                | Self::Cancel { .. }
+                | Self::Resolve { .. }
+        )
+    }
+    /// What the command does: of an order, what is ordered.
+    pub fn action(&self) -> &Self {
+        match self {
+            Self::Order(order) => &order.action,
+            other => other,
+        }
+    }
     /// The command of an entry.
     pub fn unpack(bytes: &[u8]) -> Result<Self, String> {
         super::pack::unpack(bytes)
@@ -244,6 +272,10 @@
     },
     /// The same id was turned away after this call was made.
     TurnedAway,
+    /// This copy of an order entered the log after its deadline; an earlier one may have taken effect.
+    Late,
+    /// No change of configuration can be remembered beside those of the last day.
+    TooManyChanges,
     /// The proposer's grant has passed to another.
     StaleGrant,
     Ended,
@@ -269,6 +301,8 @@
             Self::Unknown { what } => write!(f, "{what} is not known: check the name"),
             Self::OverQuota { quota } => write!(f, "the queue holds its quota of {quota} unfinished jobs: come back later"),
             Self::TurnedAway => write!(f, "the same id was turned away while this call was under way: hand it in again"),
+            Self::Late => write!(f, "the order came after its deadline: look whether it has taken effect, then give it again"),
+            Self::TooManyChanges => write!(f, "too many changes of configuration were made within a day: come back later"),
             Self::StaleGrant => write!(f, "the duty has passed to another node: propose again through its holder"),
             Self::Ended => write!(f, "it has ended already: nothing more can be done to it"),
             Self::Cancelled => write!(f, "the job is cancelled: hand in a new one"),
@@ -288,7 +322,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     pub change: String,
-    pub hash: u64,
+    /// The SHA-256 of what was asked for.
+    pub digest: [u8; 32],
     pub version: u64,
     pub place: u64,
     pub at: u64,
--- a/landingdrift/src/record/mod.rs
+++ b/landingdrift/src/record/mod.rs
@@ -6,23 +6,28 @@
 pub mod command;
 pub mod derive;
 pub mod job;
+pub mod order;
 pub mod pack;
 
 mod apply;
 
-pub use apply::{pack_ruling, Ruling};
+pub use apply::{pack_ruling, unpack_ruling, Ruling};
 pub use command::{Change, Command, EndReport, Outcome, Placement, Refusal, RunName, WorkerFacts};
 pub use job::{Job, JobSpec, JobState, Room, Send, SendState, StepSpec, Task, TaskSpec, TaskState};
+pub use order::{Order, ProposalId};
 
 use crate::desired::Desired;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Version of the record's format; another one is refused.
-pub const RECORD_VERSION: u16 = 2;
+pub const RECORD_VERSION: u16 = 3;
 
-/// How many changes of configuration are remembered one by one.
-pub const CHANGES_KEPT: usize = 200;
+/// How long, by the agreed clock, a change of configuration is known by its identity; the newest one always is.
+pub const CHANGES_KEPT_MS: u64 = 86_400_000;
+
+/// More changes than this within that time are refused rather than forgotten.
+pub const CHANGES_MOST: usize = 50_000;
 
 /// A worker as the record knows it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -103,7 +108,10 @@
     pub at: u64,
     pub version: u64,
     pub desired: Desired,
+    /// The changes of configuration that are known by their identity, the newest last.
     pub changes: VecDeque<Change>,
+    /// The answers to orders whose deadline has not passed, by deadline and proposal, as they go over the wire.
+    pub orders: BTreeMap<(u64, ProposalId), Vec<u8>>,
     pub jobs: BTreeMap<String, Job>,
     pub tombs: BTreeMap<String, Tomb>,
     /// Jobs and tombs to drop, by time.
@@ -164,6 +172,7 @@
             version: self.version,
             desired: self.desired.clone(),
             changes: self.changes.clone(),
+            orders: self.orders.clone(),
             grants: self.grants.clone(),
             emptied: self.emptied.clone(),
             nodes: self.nodes.clone(),
--- a/landingdrift/src/replay/rerun.rs
+++ b/landingdrift/src/replay/rerun.rs
@@ -153,7 +153,7 @@
     while s.t < until {
         s.t += STEP;
         while let Some(l) = inputs.pop_front_if(|l| l.at <= at0 + s.t) {
-            match &l.entry {
+            match l.entry.action() {
                 Command::Configure { .. } if desired.is_none() => {
                     s.enter(&l.entry);
                 }
--- /dev/null
+++ b/landingdrift/tests/common/mod.rs
@@ -0,0 +1,233 @@
+//! Nodes beside one record that stands for the log; the test says which proposal is committed when, and how often.
+
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request, Verdict};
+use landingdrift::node::Node;
+use landingdrift::record::{pack_ruling, Command, Record};
+use landingdrift::settings::Settings;
+use landingdrift::wire::{Body, FeedBatch, Propose, Proposed};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+pub const CORE: &str = "10.0.0.2:1";
+const START_MS: u64 = 1_000_000;
+
+/// A call at a node and the proposal that it made.
+pub struct Order {
+    node: usize,
+    call: u64,
+    propose: Propose,
+    /// The newest copy was committed.
+    committed: bool,
+}
+
+/// What the log made of one copy of a proposal.
+pub struct Ruled {
+    pub place: u64,
+    pub verdict: Vec<u8>,
+}
+
+/// What the caller was told.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    body: Value,
+}
+
+impl Reply {
+    pub fn kind(&self) -> &str {
+        self.body["error"].as_str().unwrap_or_default()
+    }
+    pub fn version(&self) -> u64 {
+        self.body["version"].as_u64().unwrap_or_default()
+    }
+}
+
+/// A whole configuration on top of a version.
+pub fn put(base: u64, query: &str, body: &Value) -> Request {
+    Request {
+        method: "PUT".into(),
+        path: "/v1/desired".into(),
+        query: format!("base={base}&{query}"),
+        body: body.to_string().into_bytes(),
+    }
+}
+
+pub struct Cluster {
+    pub record: Record,
+    nodes: Vec<Node>,
+    elapsed: u64,
+    calls: u64,
+    replies: BTreeMap<u64, Reply>,
+}
+
+impl Cluster {
+    /// Nodes that follow a record with version 1 in force, one queue and one service.
+    pub fn new(nodes: usize) -> Self {
+        let settings = |n: usize| Settings {
+            listen: format!("10.0.1.{n}:1"),
+            seeds: vec![CORE.into()],
+            ..Settings::default()
+        };
+        let now = Now { mono: 1, wall: 1 };
+        let start = |n: usize| Node::new(settings(n), now, n as u64);
+        let mut cluster = Self {
+            record: Record::new(&Settings::default().cluster),
+            nodes: (0..nodes).map(start).collect(),
+            elapsed: 1,
+            calls: 0,
+            replies: BTreeMap::new(),
+        };
+        let first = Command::Configure {
+            change: "first".into(),
+            base: 0,
+            patch: false,
+            number: 0,
+            value: json!({"queues": {"q": {"tries": 3, "quota": 9, "windowMs": 1000, "unsureBoundMs": 1000, "speculationPercent": 0}},
+                "services": {"s": {"taskRoom": 4, "gangRoom": 8}}}),
+        };
+        let at = cluster.agreed();
+        cluster.record.apply(1, at, &first).expect("a right one");
+        (0..nodes).for_each(|n| cluster.follow(n));
+        cluster
+    }
+
+    fn agreed(&self) -> u64 {
+        START_MS + self.elapsed
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            mono: self.elapsed,
+            wall: self.agreed(),
+        }
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.elapsed += ms;
+    }
+
+    fn follow(&mut self, node: usize) {
+        let batch = FeedBatch {
+            core: CORE.into(),
+            leader: CORE.into(),
+            ok: true,
+            sent: self.elapsed,
+            quorum_age: 0,
+            clock: self.agreed(),
+            commit: self.record.place,
+            capture: self.record.pack(),
+            capture_index: self.record.place,
+            entries: Vec::new(),
+            cores: vec![CORE.into()],
+            light: false,
+            reached: self.record.place,
+        };
+        let body = Body::FeedBatch(Box::new(batch));
+        self.step(node, Msg::Wire(CORE.into(), body));
+    }
+
+    fn step(&mut self, node: usize, msg: Msg) -> Vec<Effect> {
+        let now = self.now();
+        let effects = self.nodes[node].step(now, msg);
+        for e in &effects {
+            if let Effect::Answer(call, Verdict { status, body, .. }) = e {
+                let (status, body) = (*status, body.clone());
+                let before = self.replies.insert(*call, Reply { status, body });
+                assert!(before.is_none(), "call {call} was answered twice");
+            }
+        }
+        effects
+    }
+
+    /// What the caller of an order was told, if anything yet.
+    pub fn reply(&self, order: &Order) -> Option<Reply> {
+        self.replies.get(&order.call).cloned()
+    }
+
+    /// A call at a node that makes one proposal, which is under way from now on.
+    pub fn call(&mut self, node: usize, request: Request) -> Order {
+        self.follow(node);
+        self.calls += 1;
+        let call = self.calls;
+        let effects = self.step(node, Msg::Call(call, request));
+        let propose = effects.into_iter().find_map(|e| match e {
+            Effect::Send(_, Body::Propose(p)) => Some(*p),
+            _ => None,
+        });
+        Order {
+            node,
+            call,
+            propose: propose.expect("it is proposed"),
+            committed: false,
+        }
+    }
+
+    /// One copy of the proposal reaches the log.
+    pub fn commit(&mut self, order: &mut Order) -> Ruled {
+        order.committed = true;
+        let (place, at) = (self.record.place + 1, self.agreed());
+        let ruling = self.record.apply_bytes(place, at, &order.propose.command);
+        Ruled {
+            place,
+            verdict: pack_ruling(&ruling),
+        }
+    }
+
+    fn proposed(&mut self, order: &Order, answer: Proposed) {
+        let body = Body::Proposed(Box::new(answer));
+        self.step(order.node, Msg::Wire(CORE.into(), body));
+    }
+
+    /// The answer to a copy arrives at the node; what the caller is told.
+    pub fn answer(&mut self, order: &Order, ruled: &Ruled) -> Option<Reply> {
+        let answer = Proposed {
+            token: order.propose.token,
+            outcome: 0,
+            place: ruled.place,
+            leader: CORE.into(),
+            verdict: ruled.verdict.clone(),
+        };
+        self.proposed(order, answer);
+        self.reply(order)
+    }
+
+    /// The core that the newest copy went to doesn't lead and has taken nothing: the node sends another copy.
+    pub fn refuse_as_follower(&mut self, order: &mut Order) {
+        if order.committed || self.reply(order).is_some() {
+            return;
+        }
+        let answer = Proposed {
+            token: order.propose.token,
+            outcome: 1,
+            place: 0,
+            leader: String::new(),
+            verdict: Vec::new(),
+        };
+        self.proposed(order, answer);
+        self.pass(50);
+        let sent = self.step(order.node, Msg::Tick);
+        let own = |p: &Propose| p.command == order.propose.command;
+        let again = sent.into_iter().find_map(|e| match e {
+            Effect::Send(_, Body::Propose(p)) if own(&p) => Some(*p),
+            _ => None,
+        });
+        order.propose = again.unwrap_or_else(|| order.propose.clone());
+    }
+
+    /// Time passes at all nodes, and no core answers.
+    pub fn silence(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.pass(20);
+            (0..self.nodes.len()).for_each(|n| {
+                self.step(n, Msg::Tick);
+            });
+        }
+    }
+
+    /// A call whose proposal is committed and answered at once.
+    pub fn order(&mut self, node: usize, request: Request) -> Reply {
+        let mut order = self.call(node, request);
+        let ruled = self.commit(&mut order);
+        self.answer(&order, &ruled).expect("answered")
+    }
+}
--- a/landingdrift/tests/light.rs
+++ b/landingdrift/tests/light.rs
@@ -2,7 +2,7 @@
 
 use landingdrift::kernel::{Effect, Msg, Now, Part, Request};
 use landingdrift::node::Node;
-use landingdrift::record::{Command, JobSpec, Outcome, Record, WorkerFacts};
+use landingdrift::record::{Command, JobSpec, Order, Outcome, ProposalId, Record, WorkerFacts};
 use landingdrift::settings::Settings;
 use landingdrift::wire::{Body, Entry, FeedBatch};
 use serde_json::json;
@@ -137,6 +137,29 @@
     ]
 }
 
+/// What is ordered, as an order.
+fn ordered(action: Command) -> Command {
+    Command::Order(Order {
+        action: Box::new(action),
+        proposal: ProposalId {
+            proposer: HOLDER.into(),
+            incarnation: u64::MAX,
+            number: 7,
+        },
+        deadline: u64::MAX,
+    })
+}
+
+#[test]
+fn an_order_concerns_all_if_what_is_ordered_does() {
+    let orders = kinds().into_iter().filter(|(c, _)| c.is_order());
+    let orders: Vec<_> = orders.map(|(c, all)| (ordered(c), all)).collect();
+    assert_eq!(orders.len(), 4);
+    for (c, all) in orders {
+        assert_eq!(Command::concerns_all(&c.pack()), all, "{c:?}");
+    }
+}
+
 #[test]
 fn what_concerns_all_is_told_by_the_kind_of_an_entry() {
     for (c, all) in kinds() {
