An answer is taken only from the peer that was asked, for the send that was asked

Answers were matched by a number alone, whose start was random for each life of a process. Who answered was not compared, nor what kind of request the number stood for: a forwarded answer could end a read or a proposal, a stranger or a peer at an address used again could answer anything, and a "not taken" that came twice was counted against a later send. A relay sent every call again after silence or any 503, so a zone order that one node had taken went to a second one, and told "nothing was taken" of calls that may have been.

A larger random number: it makes a wrong match rare and leaves its kind, its peer and its copy unchecked.

RequestToken on the wire: the asking process's life, the request's number and which of its sends, echoed by whoever answers. A node compares life, peer, kind and send for Proposed, ReadPlace, Forwarded, OfferVerdict and OfferDone; a relay for Forwarded. What doesn't fit is counted (answers_unasked, answers_to_another_life) and dropped. A relay repeats only calls of which two copies do no more than one (relay/repeat.rs); others go out once, to another node only after a clear refusal, and silence is told as unsure. WIRE_VERSION is 4.

--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -4,7 +4,7 @@
 use super::{Core, Follower, Role};
 use crate::kernel::Now;
 use crate::record::Command;
-use crate::wire::{Body, FeedBatch, FeedPull, NodePlace, Proposed, ReadPlace};
+use crate::wire::{Body, FeedBatch, FeedPull, NodePlace, Proposed, ReadPlace, RequestToken};
 use std::collections::BTreeSet;
 
 /// So many entries are taken in by a capture rather than one by one.
@@ -12,7 +12,7 @@
 
 pub(crate) struct Read {
     to: String,
-    token: u64,
+    token: RequestToken,
     asked: u64,
     place: u64,
 }
@@ -194,7 +194,13 @@
         reached
     }
 
-    pub(super) fn on_propose(&mut self, now: Now, from: &str, token: u64, command: Vec<u8>) {
+    pub(super) fn on_propose(
+        &mut self,
+        now: Now,
+        from: &str,
+        token: RequestToken,
+        command: Vec<u8>,
+    ) {
         if !self.settled() || self.stopping.is_some() {
             let leader = if self.role == Role::Leader {
                 String::new()
@@ -219,7 +225,7 @@
         self.wants_round = true;
     }
 
-    pub(super) fn on_read(&mut self, now: Now, from: &str, token: u64) {
+    pub(super) fn on_read(&mut self, now: Now, from: &str, token: RequestToken) {
         if !self.settled() {
             let leader = if self.role == Role::Leader {
                 String::new()
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -13,7 +13,7 @@
 use crate::record::{Command, Record};
 use crate::settings::Settings;
 use crate::views::Views;
-use crate::wire::{Body, Entry, Note};
+use crate::wire::{Body, Entry, Note, RequestToken};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -122,7 +122,7 @@
     /// The record packed lately, with its place.
     packed: Option<(u64, Vec<u8>)>,
     reads: Vec<feed::Read>,
-    asked: BTreeMap<u64, (String, u64)>,
+    asked: BTreeMap<u64, (String, RequestToken)>,
     /// Whom to tell what has become durable, and the round it asked in.
     confirmed: Option<(String, u64)>,
     /// The ticket that makes the current term durable.
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -9,7 +9,7 @@
 use super::Node;
 use crate::kernel::{Effect, Now, Part, Request, Verdict};
 use crate::record::{cell_duty, Refusal, Ruling};
-use crate::wire::{Body, Forward, Forwarded, NodePlace, ReadAsk, ReadPlace};
+use crate::wire::{Body, Forward, Forwarded, NodePlace, ReadAsk, ReadPlace, RequestToken};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
@@ -18,7 +18,7 @@
 pub enum Origin {
     Local(u64),
     /// Another node passed it on: its address and token.
-    Remote(String, u64),
+    Remote(String, RequestToken),
 }
 
 /// What is done once the core has ruled on a proposal.
@@ -45,8 +45,12 @@
 enum State {
     /// Waits for a ruling of the record.
     Proposed,
-    /// Asked a core how far the record goes.
-    Asked { then: ReadThen, next: u64 },
+    /// Asked cores how far the record goes, one after the other; the next is asked at `next`.
+    Asked {
+        then: ReadThen,
+        next: u64,
+        asked: Vec<String>,
+    },
     /// Waits until the feed has come to a place.
     Following {
         then: ReadThen,
@@ -59,8 +63,8 @@
         asked: u64,
         patience: u64,
     },
-    /// Passed on to another node.
-    Passed,
+    /// Passed on to another node, once.
+    Passed { to: String },
 }
 
 struct Open {
@@ -228,6 +232,7 @@
             State::Asked {
                 then,
                 next: now.mono,
+                asked: Vec::new(),
             },
         );
         self.ask_place(now, call, None);
@@ -243,22 +248,30 @@
             .unwrap_or_default();
         let again = 5 * self.cfg.bounds.heartbeat();
         if let Some(Open {
-            state: State::Asked { next, .. },
+            state: State::Asked { next, asked, .. },
             ..
         }) = self.calls.open.get_mut(&call)
         {
             *next = now.mono + again;
-            self.send(&to, Body::ReadAsk(Box::new(ReadAsk { token: call })));
+            let attempt = asked.len();
+            asked.push(to.clone());
+            let token = self.request_token(call, attempt);
+            self.send(&to, Body::ReadAsk(Box::new(ReadAsk { token })));
         }
     }
 
-    pub(super) fn on_read_place(&mut self, now: Now, m: ReadPlace) {
-        let Some(o) = self.calls.open.get_mut(&m.token) else {
+    pub(super) fn on_read_place(&mut self, now: Now, from: &str, m: ReadPlace) {
+        let call = m.token.number;
+        let Some(o) = self.calls.open.get_mut(&call) else {
             return;
         };
-        let State::Asked { then, next } = &mut o.state else {
+        let State::Asked { then, next, asked } = &mut o.state else {
             return;
         };
+        let attempt = m.token.attempt as usize;
+        if asked.get(attempt).is_none_or(|to| to != from) {
+            return self.count("answers_unasked", 1);
+        }
         if m.ok {
             let then = then.clone();
             o.state = State::Following {
@@ -270,7 +283,7 @@
         } else {
             *next = now.mono + self.cfg.bounds.heartbeat() / 2;
             if !m.leader.is_empty() && m.leader != self.feed.leader {
-                self.ask_place(now, m.token, Some(m.leader));
+                self.ask_place(now, call, Some(m.leader));
             } else {
                 let cores = self.cores();
                 self.feed.leader = self.draw.pick(&cores).cloned().unwrap_or_default();
@@ -355,7 +368,7 @@
         for call in over {
             let passed = matches!(
                 self.calls.open.get(&call).map(|o| &o.state),
-                Some(State::Passed)
+                Some(State::Passed { .. })
             );
             let v = if passed {
                 self.unsure_verdict()
@@ -490,9 +503,9 @@
     }
 
     fn pass_on(&mut self, now: Now, origin: Origin, to: &str, req: &Request) {
-        let call = self.open(now, origin, State::Passed);
+        let call = self.open(now, origin, State::Passed { to: to.into() });
         let m = Forward {
-            token: call,
+            token: self.request_token(call, 0),
             method: req.method.clone(),
             path: req.path.clone(),
             query: req.query.clone(),
@@ -515,10 +528,15 @@
         );
     }
 
-    pub(super) fn on_forwarded(&mut self, m: Forwarded) {
+    pub(super) fn on_forwarded(&mut self, from: &str, m: Forwarded) {
+        let call = m.token.number;
+        let passed = self.calls.open.get(&call).map(|o| &o.state);
+        if !matches!(passed, Some(State::Passed { to }) if to == from) {
+            return self.count("answers_unasked", 1);
+        }
         let body = serde_json::from_slice(&m.body).unwrap_or(Value::Null);
         self.finish(
-            m.token,
+            call,
             Verdict {
                 status: m.status,
                 retry_ms: m.retry_ms,
--- a/landingdrift/src/node/cell/mod.rs
+++ b/landingdrift/src/node/cell/mod.rs
@@ -10,7 +10,9 @@
 use crate::record::{
     cell_duty, Command, EndReport, Outcome, Room, RunName, SendState, TaskState, WorkerFacts,
 };
-use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
+use crate::wire::{
+    Body, Offer, OfferDone, OfferVerdict, RequestToken, Reservation, Reserve, Sizes,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -95,7 +97,8 @@
 
 /// Room promised to an accepted offer.
 struct Promise {
-    offer: u64,
+    offer: RequestToken,
+    scheduler: String,
     job: String,
     room: Room,
     until: u64,
@@ -107,6 +110,9 @@
     since: u64,
     refusals: u32,
     asked: BTreeSet<String>,
+    /// The offer that is under way, and to whom.
+    offer: RequestToken,
+    scheduler: String,
     unsatisfied: Option<Sizes>,
     forced: bool,
     job: String,
@@ -730,6 +736,8 @@
             since: now.mono,
             refusals: 0,
             asked: BTreeSet::new(),
+            offer: RequestToken::default(),
+            scheduler: String::new(),
             unsatisfied: None,
             forced: false,
             job: String::new(),
@@ -803,7 +811,13 @@
         e.forced = !refusable;
         e.job = job.clone();
         e.asked.insert(scheduler.clone());
-        let token = e.token;
+        let token = RequestToken {
+            incarnation: self.incarnation,
+            number: e.token,
+            attempt: e.refusals,
+        };
+        e.offer = token;
+        e.scheduler = scheduler.clone();
         self.count("offers", 1);
         self.count("offers_not_refusable", u64::from(!refusable));
         let offer = Offer {
@@ -821,30 +835,30 @@
         self.send(&scheduler, Body::Offer(Box::new(offer)));
     }
 
-    pub(super) fn on_offer_verdict(&mut self, now: Now, m: OfferVerdict) {
+    pub(super) fn on_offer_verdict(&mut self, now: Now, from: &str, m: OfferVerdict) {
         let until = now.mono + self.cfg.bounds.offer() * 2;
-        // Sizes travel on messages that are sent anyway.
-        for s in &m.sizes {
-            self.cells
-                .values_mut()
-                .flat_map(|c| c.workers.values_mut())
-                .flat_map(|w| w.queue.iter_mut())
-                .filter(|q| q.job == s.job)
-                .for_each(|q| {
-                    q.size = s.size;
-                    q.remaining = s.remaining;
-                    q.starved = s.starved;
-                    q.scheduler = s.scheduler.clone();
-                });
-        }
-        let Some((zone, w)) = self
+        let offered = |w: &Held| {
+            let episode = w.episode.as_ref();
+            episode.is_some_and(|e| e.offer == m.token && e.scheduler == from)
+        };
+        let worker = |c: &Cell| c.workers.get(&m.worker).is_some_and(offered);
+        let Some(zone) = self
             .cells
-            .iter_mut()
-            .find_map(|(z, c)| c.workers.get_mut(&m.worker).map(|w| (z.clone(), w)))
+            .iter()
+            .find(|(_, c)| worker(c))
+            .map(|(z, _)| z.clone())
+        else {
+            return self.count("answers_unasked", 1);
+        };
+        self.take_sizes(&m.sizes);
+        let Some(w) = self
+            .cells
+            .get_mut(&zone)
+            .and_then(|c| c.workers.get_mut(&m.worker))
         else {
             return;
         };
-        let Some(e) = w.episode.as_mut().filter(|e| e.token == m.token) else {
+        let Some(e) = w.episode.as_mut() else {
             return;
         };
         let job = e.job.clone();
@@ -852,6 +866,7 @@
             w.episode = None;
             w.pending.push(Promise {
                 offer: m.token,
+                scheduler: from.into(),
                 job: job.clone(),
                 room: Room {
                     cpu: m.room,
@@ -889,16 +904,35 @@
         self.offer_next(now, &zone, &m.worker);
     }
 
+    /// Sizes travel on messages that are sent anyway.
+    fn take_sizes(&mut self, sizes: &[Sizes]) {
+        for s in sizes {
+            self.cells
+                .values_mut()
+                .flat_map(|c| c.workers.values_mut())
+                .flat_map(|w| w.queue.iter_mut())
+                .filter(|q| q.job == s.job)
+                .for_each(|q| {
+                    q.size = s.size;
+                    q.remaining = s.remaining;
+                    q.starved = s.starved;
+                    q.scheduler = s.scheduler.clone();
+                });
+        }
+    }
+
     /// What was accepted came to nothing: the slot is free again.
-    pub(super) fn on_offer_done(&mut self, now: Now, m: OfferDone) {
+    pub(super) fn on_offer_done(&mut self, now: Now, from: &str, m: OfferDone) {
+        let promised = |p: &Promise| p.offer == m.token && p.scheduler == from;
         if !m.placed {
             // The record knew better: its news comes before the next offer.
             let until = now.mono + self.cfg.bounds.heartbeat();
             self.cells
                 .values_mut()
                 .filter_map(|c| c.workers.get_mut(&m.worker))
+                .filter(|w| w.pending.iter().any(promised))
                 .for_each(|w| {
-                    w.pending.retain(|p| p.offer != m.token);
+                    w.pending.retain(|p| !promised(p));
                     w.idle_until = until;
                 });
         }
@@ -916,9 +950,14 @@
         let mut n = Node::new(Settings::default(), now, 1);
         let cell = n.cells.entry("z".into()).or_default();
         let held = cell.workers.entry("w".into()).or_default();
+        let token = |number| RequestToken {
+            number,
+            ..RequestToken::default()
+        };
         held.pending = [(1, 3), (2, 5)]
             .map(|(offer, room)| Promise {
-                offer,
+                offer: token(offer),
+                scheduler: "10.0.0.3:1".into(),
                 job: "j".into(),
                 room: Room {
                     cpu: room,
@@ -927,14 +966,14 @@
                 until: 1000,
             })
             .into();
-        n.on_offer_done(
-            now,
-            OfferDone {
-                token: 1,
-                worker: "w".into(),
-                placed: false,
-            },
-        );
+        let done = OfferDone {
+            token: token(1),
+            worker: "w".into(),
+            placed: false,
+        };
+        n.on_offer_done(now, "10.0.0.4:1", done.clone());
+        assert_eq!(n.cells["z"].workers["w"].pending.len(), 2, "not asked");
+        n.on_offer_done(now, "10.0.0.3:1", done);
         let left: Vec<u32> = n.cells["z"].workers["w"]
             .pending
             .iter()
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -14,7 +14,7 @@
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::views::Views;
-use crate::wire::Body;
+use crate::wire::{Body, RequestToken};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A node.
@@ -83,6 +83,22 @@
         self.next_token
     }
 
+    /// What goes out with one send of a request.
+    pub(crate) fn request_token(&self, number: u64, attempt: usize) -> RequestToken {
+        RequestToken {
+            incarnation: self.incarnation,
+            number,
+            attempt: attempt as u32,
+        }
+    }
+
+    /// Whether an answer is to a request of this life of the process; others are counted and dropped.
+    fn is_own(&mut self, token: &RequestToken) -> bool {
+        let own = token.incarnation == self.incarnation;
+        self.count("answers_to_another_life", u64::from(!own));
+        own
+    }
+
     /// Sends to another process, or to a part of this one without the way round.
     pub(crate) fn send(&mut self, to: &str, body: Body) {
         if to == self.name {
@@ -145,16 +161,21 @@
         match body {
             Body::FeedBatch(m) => self.on_batch(now, from, *m),
             Body::FeedPull(m) => self.on_stray_pull(from, m.sent),
-            Body::Proposed(m) => self.on_proposed(now, from, *m),
-            Body::ReadPlace(m) => self.on_read_place(now, *m),
+            Body::Proposed(m) if self.is_own(&m.token) => self.on_proposed(now, from, *m),
+            Body::ReadPlace(m) if self.is_own(&m.token) => self.on_read_place(now, from, *m),
             Body::Shuffle(m) => self.on_shuffle(from, *m),
             Body::Reserve(m) => self.on_reserve(now, *m),
             Body::Offer(m) => self.on_offer(now, from, *m),
-            Body::OfferVerdict(m) => self.on_offer_verdict(now, *m),
-            Body::OfferDone(m) => self.on_offer_done(now, *m),
+            Body::OfferVerdict(m) if self.is_own(&m.token) => self.on_offer_verdict(now, from, *m),
+            Body::OfferDone(m) if self.is_own(&m.token) => self.on_offer_done(now, from, *m),
             Body::Forward(m) => self.on_forward(now, from, *m),
-            Body::Forwarded(m) => self.on_forwarded(*m),
+            Body::Forwarded(m) if self.is_own(&m.token) => self.on_forwarded(from, *m),
             Body::Hello(_) | Body::Join(_) => {}
+            Body::Proposed(_)
+            | Body::ReadPlace(_)
+            | Body::OfferVerdict(_)
+            | Body::OfferDone(_)
+            | Body::Forwarded(_) => {}
             _ => self.count("messages_out_of_place", 1),
         }
     }
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -4,7 +4,14 @@
 use super::Node;
 use crate::kernel::Now;
 use crate::record::{unpack_ruling, Command, Order, ProposalId};
-use crate::wire::{Body, Propose, Proposed};
+use crate::wire::{Body, Propose, Proposed, RequestToken};
+
+/// One send of a proposal to a core.
+struct Attempt {
+    to: String,
+    at: u64,
+    came: Came,
+}
 
 /// What came of one send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,7 +26,7 @@
 pub enum Purpose {
     Call(u64, Then),
     Start {
-        offer: u64,
+        offer: RequestToken,
         cell: String,
         worker: String,
     },
@@ -45,7 +52,7 @@
     /// Entering it twice does no harm, so that a lost answer may be asked for again.
     idempotent: bool,
     until: u64,
-    sends: Vec<(String, u64, Came)>,
+    sends: Vec<Attempt>,
 }
 
 /// A command on its way to the log.
@@ -67,8 +74,14 @@
         match self.sends.last() {
             _ if now.mono >= self.until => Move::GiveUp,
             None => Move::SendOn,
-            Some((_, at, Came::NotTaken)) if now.mono >= at + beat / 4 => Move::SendOn,
-            Some((_, at, Came::Nothing)) if self.idempotent && now.mono >= at + 5 * beat => {
+            Some(last) if last.came == Came::NotTaken && now.mono >= last.at + beat / 4 => {
+                Move::SendOn
+            }
+            Some(last)
+                if last.came == Came::Nothing
+                    && self.idempotent
+                    && now.mono >= last.at + 5 * beat =>
+            {
                 Move::SendOn
             }
             _ => Move::Wait,
@@ -77,7 +90,7 @@
 
     /// Whether some core may have taken it.
     pub fn maybe_taken(&self) -> bool {
-        self.sends.iter().any(|(_, _, c)| *c == Came::Nothing)
+        self.sends.iter().any(|send| send.came == Came::Nothing)
     }
 }
 
@@ -134,7 +147,7 @@
         let last = p
             .sends
             .last()
-            .map(|(to, _, _)| to.clone())
+            .map(|send| send.to.clone())
             .unwrap_or_default();
         let others: Vec<String> = self.cores().into_iter().filter(|c| *c != last).collect();
         let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty() && *l != last);
@@ -146,7 +159,13 @@
         let Some(p) = self.proposals.get_mut(&token) else {
             return;
         };
-        p.sends.push((to.clone(), now.mono, Came::Nothing));
+        let attempt = p.sends.len();
+        p.sends.push(Attempt {
+            to: to.clone(),
+            at: now.mono,
+            came: Came::Nothing,
+        });
+        let token = self.request_token(token, attempt);
         self.send(&to, Body::Propose(Box::new(Propose { token, command })));
     }
 
@@ -179,24 +198,21 @@
     }
 
     pub(super) fn on_proposed(&mut self, now: Now, from: &str, m: Proposed) {
-        let Some(p) = self.proposals.get_mut(&m.token) else {
-            return;
+        let number = m.token.number;
+        let attempt = m.token.attempt as usize;
+        let asked = self
+            .proposals
+            .get_mut(&number)
+            .and_then(|p| p.sends.get_mut(attempt));
+        let Some(send) = asked.filter(|send| send.to == from) else {
+            return self.count("answers_unasked", 1);
         };
         if m.outcome == 1 {
-            p.sends
-                .iter_mut()
-                .rev()
-                .find(|(to, _, _)| to == from)
-                .iter_mut()
-                .for_each(|s| s.2 = Came::NotTaken);
+            send.came = Came::NotTaken;
             let hint = Some(m.leader).filter(|l| !l.is_empty() && l != from);
-            if hint.is_some() && p.sends.len() < 8 {
-                p.sends.last_mut().iter_mut().for_each(|s| s.1 = 0);
-                self.drive(now, m.token, hint);
-            }
-            return;
+            return self.not_taken(now, number, attempt, hint);
         }
-        let Some(p) = self.proposals.remove(&m.token) else {
+        let Some(p) = self.proposals.remove(&number) else {
             return;
         };
         let Some(ruled) = unpack_ruling(&m.verdict) else {
@@ -208,7 +224,7 @@
                 offer,
                 cell,
                 worker,
-            } => self.start_ruled(m.token, offer, &cell, &worker, m.place, ruled.is_ok()),
+            } => self.start_ruled(number, offer, &cell, &worker, m.place, ruled.is_ok()),
             Purpose::Facts { worker } => self.proposal_over(&worker, true),
             Purpose::Report { worker } => self.proposal_over(&worker, false),
             Purpose::Lapse { worker } => self.lapse_over(&worker, true),
@@ -216,6 +232,18 @@
         }
     }
 
+    /// A core has taken nothing: if it was the last one asked and names the leader, that one is asked at once.
+    fn not_taken(&mut self, now: Now, number: u64, attempt: usize, hint: Option<String>) {
+        let Some(p) = self.proposals.get_mut(&number) else {
+            return;
+        };
+        let newest = attempt + 1 == p.sends.len();
+        if newest && hint.is_some() && attempt < 7 {
+            p.sends[attempt].at = 0;
+            self.drive(now, number, hint);
+        }
+    }
+
     fn give_up(&mut self, token: u64) {
         let Some(p) = self.proposals.remove(&token) else {
             return;
--- a/landingdrift/src/node/scheduler.rs
+++ b/landingdrift/src/node/scheduler.rs
@@ -8,7 +8,9 @@
 use crate::record::{
     cell_duty, queue_duty, Command, Job, Placement, Room, SendState, TaskSpec, TaskState,
 };
-use crate::wire::{Body, Offer, OfferDone, OfferVerdict, Reservation, Reserve, Sizes};
+use crate::wire::{
+    Body, Offer, OfferDone, OfferVerdict, RequestToken, Reservation, Reserve, Sizes,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What the scheduler keeps beside the record.
@@ -475,7 +477,7 @@
     pub(super) fn start_ruled(
         &mut self,
         token: u64,
-        offer: u64,
+        offer: RequestToken,
         cell: &str,
         worker: &str,
         place: u64,
--- a/landingdrift/src/relay/mod.rs
+++ b/landingdrift/src/relay/mod.rs
@@ -1,10 +1,14 @@
 //! A relay: stands beside a worker, keeps no state, and carries the worker's calls to the node that holds its cell.
 
+mod repeat;
+
+pub use repeat::may_repeat;
+
 use crate::kernel::{Draw, Effect, Msg, Now, Part, Request, Verdict};
 use crate::settings::Settings;
 use crate::views::Views;
-use crate::wire::{Body, Forward};
-use serde_json::json;
+use crate::wire::{Body, Forward, Forwarded, RequestToken};
+use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
 /// The query of a beat whose worker says that it leaves.
@@ -13,10 +17,37 @@
 struct Open {
     call: u64,
     req: Request,
-    /// When it is given up, and when it is sent again to another node.
+    /// When it is given up.
     until: u64,
-    again: u64,
-    asked: Vec<String>,
+    /// When it is sent to another node; a call that may not be repeated waits while a node may have taken it.
+    again: Option<u64>,
+    asked: Vec<Asked>,
+}
+
+/// One send of a call to a node.
+struct Asked {
+    node: String,
+    /// The node has said that it took nothing.
+    refused: bool,
+}
+
+impl Open {
+    fn repeatable(&self) -> bool {
+        may_repeat(&self.req.method, &self.req.path, &self.req.query)
+    }
+
+    fn is_beat(&self) -> bool {
+        self.req.path == "/v1/beats"
+    }
+
+    fn was_asked(&self, node: &str) -> bool {
+        self.asked.iter().any(|a| a.node == node)
+    }
+
+    /// Whether some node may have done what the call asks for.
+    fn maybe_taken(&self) -> bool {
+        self.req.method != "GET" && self.asked.iter().any(|a| !a.refused)
+    }
 }
 
 /// A relay.
@@ -27,6 +58,8 @@
     /// The node that answered last for the cell.
     holder: String,
     open: BTreeMap<u64, Open>,
+    /// This life of the process: an answer to a former one is nobody's.
+    incarnation: u64,
     next: u64,
     stopping: bool,
     counters: BTreeMap<&'static str, u64>,
@@ -40,6 +73,7 @@
         Self {
             views: Views::new(&cfg.listen, "relay", &cfg.zone, &cfg.seeds),
             next: draw.number() >> 16,
+            incarnation: draw.number(),
             draw,
             holder: String::new(),
             open: BTreeMap::new(),
@@ -55,8 +89,8 @@
     }
 
     /// Whom to ask: the holder first, then any node that was not asked for this call.
-    fn pick(&mut self, asked: &[String]) -> String {
-        let fresh = |a: &&String| !a.is_empty() && !asked.contains(a);
+    fn pick(&mut self, asked: &[Asked]) -> String {
+        let fresh = |a: &&String| !a.is_empty() && !asked.iter().any(|b| b.node == **a);
         if let Some(h) = Some(&self.holder).filter(fresh) {
             return h.clone();
         }
@@ -74,10 +108,20 @@
             return;
         };
         let to = self.pick(&o.asked);
-        o.asked.push(to.clone());
-        o.again = now.mono + self.cfg.bounds.obey() / 5;
+        let attempt = o.asked.len() as u32;
+        o.asked.push(Asked {
+            node: to.clone(),
+            refused: false,
+        });
+        o.again = o
+            .repeatable()
+            .then(|| now.mono + self.cfg.bounds.obey() / 5);
         let m = Forward {
-            token,
+            token: RequestToken {
+                incarnation: self.incarnation,
+                number: token,
+                attempt,
+            },
             method: o.req.method.clone(),
             path: o.req.path.clone(),
             query: o.req.query.clone(),
@@ -106,7 +150,7 @@
         let again: Vec<u64> = self
             .open
             .iter()
-            .filter(|(_, o)| now.mono >= o.again)
+            .filter(|(_, o)| o.again.is_some_and(|at| now.mono >= at))
             .map(|(k, _)| *k)
             .collect();
         for token in again {
@@ -120,18 +164,20 @@
 
     /// Nobody speaks for the cell now. A worker that is told so by a refusal comes back after a growing pause, and what it
     /// runs is not held meanwhile; so it is told that there are no orders and when to beat again. That acknowledges
-    /// nothing: one that says it leaves is refused.
+    /// nothing: one that says it leaves is refused. Any other call that a node may have taken is unsure.
     fn give_up(&mut self, token: u64) {
         let Some(o) = self.open.remove(&token) else {
             return;
         };
         self.count("given_up");
         let beat = self.cfg.bounds.beat();
-        let v = if o.req.path == "/v1/beats" && o.req.query != LEAVING {
+        let v = if o.is_beat() && o.req.query != LEAVING {
             Verdict::new(
                 200,
                 json!({"starts": [], "stops": [], "settled": [], "beatMs": beat}),
             )
+        } else if !o.is_beat() && o.maybe_taken() {
+            unsure(beat)
         } else {
             let why = "no node answered for the cell: call again";
             Verdict::error(503, "noCell", why).retry(beat)
@@ -158,7 +204,7 @@
                     call,
                     req,
                     until,
-                    again: 0,
+                    again: None,
                     asked: Vec::new(),
                 };
                 self.open.insert(token, o);
@@ -168,6 +214,63 @@
     }
 }
 
+impl Relay {
+    /// Takes an answer from the node that was asked, for the call that it was asked for.
+    fn on_forwarded(&mut self, now: Now, from: &str, m: Forwarded) {
+        let token = m.token.number;
+        let send = self
+            .open
+            .get_mut(&token)
+            .filter(|_| m.token.incarnation == self.incarnation)
+            .and_then(|o| o.asked.get_mut(m.token.attempt as usize))
+            .filter(|send| send.node == from);
+        let Some(send) = send else {
+            return self.count("answers_unasked");
+        };
+        let body: Value = serde_json::from_slice(&m.body).unwrap_or_default();
+        let refused = m.status == 503 && body["error"] != json!("unsure");
+        send.refused = refused;
+        let again = self.open.get(&token).is_some_and(Open::repeatable);
+        if refused || (m.status == 503 && again) {
+            return self.try_another(now, token, from, m.by);
+        }
+        let Some(o) = self.open.remove(&token) else {
+            return;
+        };
+        if m.status == 200 {
+            self.holder = if m.by.is_empty() { from.into() } else { m.by };
+        }
+        let v = Verdict {
+            status: m.status,
+            retry_ms: m.retry_ms,
+            body,
+            ..Verdict::default()
+        };
+        self.out.push(Effect::Answer(o.call, v));
+    }
+
+    /// A node is not the holder, which it may name, or can't speak for the cell now: another may be able to.
+    fn try_another(&mut self, now: Now, token: u64, from: &str, by: String) {
+        let named = !by.is_empty() && by != from;
+        self.holder = if named { by } else { String::new() };
+        let Some(o) = self.open.get_mut(&token) else {
+            return;
+        };
+        if named && !o.was_asked(&self.holder) {
+            return self.pass(now, token);
+        }
+        let soon = now.mono + self.cfg.bounds.tick();
+        let at = o.again.map_or(soon, |again| again.min(soon));
+        o.again = Some(at.max(now.mono + 1));
+    }
+}
+
+/// A node may have taken a call and gave no answer.
+fn unsure(retry_ms: u64) -> Verdict {
+    let why = "it is not known whether this was taken: look, then call again";
+    Verdict::error(503, "unsure", why).retry(retry_ms)
+}
+
 impl Part for Relay {
     fn step(&mut self, now: Now, msg: Msg) -> Vec<Effect> {
         match msg {
@@ -176,37 +279,7 @@
             Msg::Wire(_, Body::Shuffle(m)) => {
                 let _ = self.views.take(*m, &mut self.draw);
             }
-            Msg::Wire(from, Body::Forwarded(m)) => {
-                if m.status == 503 && self.open.contains_key(&m.token) {
-                    // Not the holder, which it may name, or not able to speak for the cell now: another may be.
-                    let named = !m.by.is_empty() && m.by != from;
-                    self.holder = if named { m.by } else { String::new() };
-                    let asked = self
-                        .open
-                        .get(&m.token)
-                        .map(|o| o.asked.contains(&self.holder));
-                    if named && asked == Some(false) {
-                        self.pass(now, m.token);
-                        return std::mem::take(&mut self.out);
-                    }
-                    let soon = now.mono + self.cfg.bounds.tick();
-                    self.open
-                        .get_mut(&m.token)
-                        .into_iter()
-                        .for_each(|o| o.again = o.again.min(soon).max(now.mono + 1));
-                } else if let Some(o) = self.open.remove(&m.token) {
-                    if m.status == 200 {
-                        self.holder = if m.by.is_empty() { from } else { m.by };
-                    }
-                    let v = Verdict {
-                        status: m.status,
-                        retry_ms: m.retry_ms,
-                        body: serde_json::from_slice(&m.body).unwrap_or_default(),
-                        ..Verdict::default()
-                    };
-                    self.out.push(Effect::Answer(o.call, v));
-                }
-            }
+            Msg::Wire(from, Body::Forwarded(m)) => self.on_forwarded(now, &from, *m),
             Msg::Changed(new) => self.cfg = *new,
             Msg::Stop => self.stopping = true,
             Msg::Wire(..) | Msg::Saved(_) | Msg::DiskDefect(_) => {}
--- a/landingdrift/src/wire/mod.rs
+++ b/landingdrift/src/wire/mod.rs
@@ -10,7 +10,7 @@
 use std::fmt;
 
 /// The version of the wire format that this build speaks.
-pub const WIRE_VERSION: u16 = 3;
+pub const WIRE_VERSION: u16 = 4;
 
 /// Why a frame was refused.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/landingdrift/tests/answers.rs
@@ -0,0 +1,219 @@
+//! An answer is taken from the peer that was asked, for the call that was asked, and once.
+
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request};
+use landingdrift::node::Node;
+use landingdrift::record::{pack_ruling, Command, Record};
+use landingdrift::settings::Settings;
+use landingdrift::wire::{Body, FeedBatch, Forwarded, Proposed, ReadPlace, RequestToken};
+use serde_json::json;
+
+const NODE: &str = "10.0.0.1:1";
+const CORE: &str = "10.0.0.2:1";
+const HOLDER: &str = "10.0.0.3:1";
+const STRANGER: &str = "10.0.0.9:1";
+
+/// A node that follows a record in which another one holds the cell of zone `z`.
+struct Desk {
+    node: Node,
+    elapsed: u64,
+}
+
+impl Desk {
+    fn new() -> Self {
+        let cfg = Settings {
+            listen: NODE.into(),
+            seeds: vec![CORE.into()],
+            ..Settings::default()
+        };
+        let mut record = Record::new(&cfg.cluster);
+        let commands = [
+            Command::Node {
+                node: HOLDER.into(),
+                zone: "z".into(),
+                http: HOLDER.into(),
+            },
+            Command::Grant {
+                duty: "cell/z".into(),
+                holder: HOLDER.into(),
+                from_epoch: 0,
+            },
+        ];
+        for (i, c) in commands.iter().enumerate() {
+            record.apply(i as u64 + 1, 1000, c).expect("entered");
+        }
+        let node = Node::new(cfg, Now { mono: 1, wall: 1 }, 1);
+        let mut desk = Self { node, elapsed: 1 };
+        let batch = FeedBatch {
+            core: CORE.into(),
+            leader: CORE.into(),
+            ok: true,
+            sent: 1,
+            quorum_age: 0,
+            clock: 1000,
+            commit: record.place,
+            capture: record.pack(),
+            capture_index: record.place,
+            entries: Vec::new(),
+            cores: vec![CORE.into()],
+            light: false,
+            reached: record.place,
+        };
+        desk.hear(CORE, Body::FeedBatch(Box::new(batch)));
+        desk
+    }
+
+    fn step(&mut self, msg: Msg) -> Vec<Effect> {
+        let mono = self.elapsed;
+        self.node.step(Now { mono, wall: mono }, msg)
+    }
+
+    fn hear(&mut self, from: &str, body: Body) -> Vec<Effect> {
+        self.step(Msg::Wire(from.into(), body))
+    }
+
+    fn call(&mut self, method: &str, path: &str, body: &str) -> Vec<Effect> {
+        let request = Request {
+            method: method.into(),
+            path: path.into(),
+            body: body.into(),
+            ..Request::default()
+        };
+        self.step(Msg::Call(7, request))
+    }
+
+    /// A beat for the cell of the other node; the token under which it was passed on.
+    fn beat(&mut self) -> RequestToken {
+        let facts = json!({"worker": "w", "incarnation": 1, "service": "s", "labels": [], "zone": "z", "room": 1, "leaving": false});
+        let body = json!({"facts": facts, "running": [], "ended": []}).to_string();
+        let effects = self.call("POST", "/v1/beats", &body);
+        let passed = forwards(&effects);
+        assert_eq!(passed.len(), 1, "{effects:?}");
+        assert_eq!(passed[0].0, HOLDER);
+        passed[0].1
+    }
+
+    /// What happens while time passes.
+    fn silence(&mut self, ms: u64) -> Vec<Effect> {
+        let mut all = Vec::new();
+        for _ in 0..ms / 20 {
+            self.elapsed += 20;
+            all.extend(self.step(Msg::Tick));
+        }
+        all
+    }
+}
+
+fn forwards(effects: &[Effect]) -> Vec<(String, RequestToken)> {
+    let passed = effects.iter().filter_map(|e| match e {
+        Effect::Send(to, Body::Forward(f)) => Some((to.clone(), f.token)),
+        _ => None,
+    });
+    passed.collect()
+}
+
+/// The answers that the caller got: status and body.
+fn told(effects: &[Effect]) -> Vec<(u16, serde_json::Value)> {
+    let answers = effects.iter().filter_map(|e| match e {
+        Effect::Answer(7, v) => Some((v.status, v.body.clone())),
+        _ => None,
+    });
+    answers.collect()
+}
+
+fn forwarded(token: RequestToken) -> Body {
+    Body::Forwarded(Box::new(Forwarded {
+        token,
+        status: 200,
+        retry_ms: 0,
+        body: b"{\"starts\": []}".to_vec(),
+        by: String::new(),
+    }))
+}
+
+fn read_place(token: RequestToken) -> Body {
+    Body::ReadPlace(Box::new(ReadPlace {
+        token,
+        ok: true,
+        place: 2,
+        leader: CORE.into(),
+        nodes: Vec::new(),
+    }))
+}
+
+fn proposed(token: RequestToken) -> Body {
+    Body::Proposed(Box::new(Proposed {
+        token,
+        outcome: 0,
+        place: 3,
+        leader: CORE.into(),
+        verdict: pack_ruling(&Ok(json!({"zone": "z", "emptied": true}))),
+    }))
+}
+
+fn read_token(effects: &[Effect]) -> RequestToken {
+    let asked = effects.iter().find_map(|e| match e {
+        Effect::Send(to, Body::ReadAsk(r)) if to == CORE => Some(r.token),
+        _ => None,
+    });
+    asked.expect("a core is asked")
+}
+
+fn proposal_token(effects: &[Effect]) -> RequestToken {
+    let asked = effects.iter().find_map(|e| match e {
+        Effect::Send(to, Body::Propose(p)) if to == CORE => Some(p.token),
+        _ => None,
+    });
+    asked.expect("it is proposed")
+}
+
+/// The same question as another life of the process would have asked it.
+fn of_another_life(token: RequestToken) -> RequestToken {
+    RequestToken {
+        incarnation: token.incarnation ^ 1,
+        ..token
+    }
+}
+
+#[test]
+fn a_call_passed_on_is_answered_by_the_node_that_was_asked_and_once() {
+    let mut d = Desk::new();
+    let token = d.beat();
+    assert_eq!(told(&d.hear(STRANGER, forwarded(token))), []);
+    assert_eq!(told(&d.hear(HOLDER, forwarded(of_another_life(token)))), []);
+    assert_eq!(told(&d.hear(HOLDER, forwarded(token))).len(), 1);
+    assert_eq!(told(&d.hear(HOLDER, forwarded(token))), []);
+}
+
+#[test]
+fn a_read_is_answered_by_the_core_that_was_asked_and_once() {
+    let mut d = Desk::new();
+    let token = read_token(&d.call("GET", "/v1/desired", ""));
+    assert_eq!(told(&d.hear(STRANGER, read_place(token))), []);
+    assert_eq!(told(&d.hear(CORE, read_place(of_another_life(token)))), []);
+    assert_eq!(told(&d.hear(CORE, forwarded(token))), [], "another kind");
+    assert_eq!(told(&d.hear(CORE, read_place(token))).len(), 1);
+    assert_eq!(told(&d.hear(CORE, read_place(token))), []);
+}
+
+#[test]
+fn a_proposal_is_answered_by_a_core_that_was_asked_and_once() {
+    let mut d = Desk::new();
+    let token = proposal_token(&d.call("PUT", "/v1/zones/z/empty", ""));
+    assert_eq!(told(&d.hear(STRANGER, proposed(token))), []);
+    assert_eq!(told(&d.hear(CORE, proposed(of_another_life(token)))), []);
+    assert_eq!(told(&d.hear(CORE, proposed(token))).len(), 1);
+    assert_eq!(told(&d.hear(CORE, proposed(token))), []);
+}
+
+#[test]
+fn silence_after_a_call_was_passed_on_sends_it_no_second_time_and_is_unsure() {
+    let mut d = Desk::new();
+    let token = d.beat();
+    let effects = d.silence(6000);
+    assert_eq!(forwards(&effects), [], "it is sent once");
+    let told_then = told(&effects);
+    assert_eq!(told_then.len(), 1);
+    assert_eq!(told_then[0].0, 503);
+    assert_eq!(told_then[0].1["error"], json!("unsure"));
+    assert_eq!(told(&d.hear(HOLDER, forwarded(token))), [], "too late");
+}
