The operator's client sends what may not be repeated once, wherever the connection breaks

The client asked the next node after any failure and any 503, whatever the call: a cancel or the resolving of an unsure run went out again after a reset or a silence, and after a node had said "unsure". An answer that broke off in its body was told as done.

The others go to another node only after a failure to connect or a refusal that says nothing was taken; anything else ends with the new exit code 6, "not known whether it was taken". A repeatable call whose answer broke off is sent again.

--- a/landingdrift/src/operator/commands.rs
+++ b/landingdrift/src/operator/commands.rs
@@ -33,7 +33,7 @@
         .map(|(c, what)| format!("  {c:<9} {what}\n"))
         .collect();
     format!(
-        "landingdrift operator [--at IP:PORT,...] [--json] [--within SECONDS] COMMAND ...\n\n{list}\n  --at      nodes to ask, one after the other (default 127.0.0.1:8000)\n  --json    print JSON instead of text\n  --within  how long to try (default 10)\n\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no node answered, 4 a rival change came first, 5 a roll-out was halted."
+        "landingdrift operator [--at IP:PORT,...] [--json] [--within SECONDS] COMMAND ...\n\n{list}\n  --at      nodes to ask, one after the other (default 127.0.0.1:8000)\n  --json    print JSON instead of text\n  --within  how long to try (default 10)\n\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no node answered, 4 a rival change came first, 5 a roll-out was halted, 6 not known whether it was taken."
     )
 }
 
--- a/landingdrift/src/operator/mod.rs
+++ b/landingdrift/src/operator/mod.rs
@@ -5,3 +5,5 @@
 mod rollout;
 mod show;
 mod verify;
+
+pub use ask::{AskDefect, Asker};
--- /dev/null
+++ b/landingdrift/tests/asker.rs
@@ -0,0 +1,127 @@
+//! What the operator's client sends when connections break: a stand-in for a node breaks them at every byte.
+
+use landingdrift::operator::{AskDefect, Asker};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const ANSWER: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 11\r\n\r\n{\"done\": 1}";
+
+/// Where the stand-in breaks the connection of the second request; all others are answered.
+#[derive(Clone, Copy)]
+enum Break {
+    /// After so many bytes of the request were read.
+    Request(usize),
+    /// After so many bytes of the answer were written.
+    Answer(usize),
+}
+
+/// A node whose requests are counted as they begin.
+struct StandIn {
+    at: String,
+    requests: Arc<AtomicUsize>,
+}
+
+fn reset(c: &TcpStream) {
+    let linger = Some(Duration::ZERO);
+    socket2::SockRef::from(c).set_linger(linger).expect("set");
+}
+
+/// Reads up to so many bytes, or to the end of the request's head; empty at the end of the connection.
+fn read_head(c: &mut TcpStream, most: usize) -> Vec<u8> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while head.len() < most && !head.ends_with(b"\r\n\r\n") {
+        match c.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => break,
+        }
+    }
+    head
+}
+
+/// Serves a connection until it ends; a new one begins a request, and so does whatever comes on one that was kept.
+fn serve(mut c: TcpStream, broken: Break, requests: &AtomicUsize) {
+    let mut head = Vec::new();
+    loop {
+        let second = requests.fetch_add(1, Ordering::SeqCst) == 1;
+        let most = match broken {
+            Break::Request(most) if second => most,
+            _ => usize::MAX,
+        };
+        head.extend(read_head(&mut c, most.saturating_sub(head.len())));
+        match broken {
+            Break::Request(_) if second => return reset(&c),
+            Break::Answer(most) if second => {
+                let _ = c.write_all(&ANSWER.as_bytes()[..most]);
+                return reset(&c);
+            }
+            _ => c.write_all(ANSWER.as_bytes()).expect("written"),
+        }
+        head = read_head(&mut c, 1);
+        if head.is_empty() {
+            return;
+        }
+    }
+}
+
+fn stand_in(broken: Break) -> StandIn {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let at = listener.local_addr().expect("bound").to_string();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counted = requests.clone();
+    std::thread::spawn(move || {
+        for c in listener.incoming().flatten() {
+            let counted = counted.clone();
+            std::thread::spawn(move || serve(c, broken, &counted));
+        }
+    });
+    StandIn { at, requests }
+}
+
+/// A GET, so that a connection could be kept, then the call; what came of it, and how often it arrived.
+fn call(broken: Break, method: &str, path: &str) -> (Result<Value, AskDefect>, usize) {
+    let s = stand_in(broken);
+    let asker = Asker::new(vec![s.at.clone()], Duration::from_secs(5)).expect("made");
+    asker.ask("GET", "/v1/status", None).expect("answered");
+    let done = asker.ask(method, path, None);
+    (done, s.requests.load(Ordering::SeqCst) - 1)
+}
+
+/// Every place at which a connection may break, before the request is whole and after.
+fn breaks() -> Vec<Break> {
+    let of_request = (0..80).map(Break::Request);
+    of_request
+        .chain((0..ANSWER.len()).map(Break::Answer))
+        .collect()
+}
+
+#[test]
+fn a_call_that_may_not_be_repeated_arrives_once_wherever_its_connection_breaks() {
+    for (i, broken) in breaks().into_iter().enumerate() {
+        let (done, arrived) = call(broken, "DELETE", "/v1/jobs/j");
+        assert_eq!(arrived, 1, "break {i}: it was sent again");
+        assert!(
+            matches!(done, Err(AskDefect::Unsure { .. })),
+            "break {i}: {done:?}"
+        );
+    }
+}
+
+#[test]
+fn a_change_with_an_identity_is_sent_again_until_it_is_answered() {
+    let path = "/v1/desired?base=1&change=c";
+    for broken in [
+        Break::Request(20),
+        Break::Answer(5),
+        Break::Answer(ANSWER.len() - 1),
+    ] {
+        let (done, arrived) = call(broken, "PUT", path);
+        assert_eq!(done.expect("answered"), json!({"done": 1}));
+        assert_eq!(arrived, 2);
+    }
+}
