--- a/landingdrift/src/relay/mod.rs
+++ b/landingdrift/src/relay/mod.rs
@@ -36,6 +36,11 @@
         may_repeat(&self.req.method, &self.req.path, &self.req.query)
     }
 
+    /// Whether a worker calls, and drops what comes late; others wait for as long as a node works on a call.
+    fn is_of_worker(&self) -> bool {
+        self.is_beat() || self.req.path.starts_with("/v1/workers/")
+    }
+
     fn is_beat(&self) -> bool {
         self.req.path == "/v1/beats"
     }
@@ -113,9 +118,12 @@
             node: to.clone(),
             refused: false,
         });
-        o.again = o
-            .repeatable()
-            .then(|| now.mono + self.cfg.bounds.obey() / 5);
+        let pause = if o.is_of_worker() {
+            self.cfg.bounds.obey() / 5
+        } else {
+            self.cfg.bounds.call() / 3
+        };
+        o.again = o.repeatable().then(|| now.mono + pause);
         let m = Forward {
             token: RequestToken {
                 incarnation: self.incarnation,
@@ -198,15 +206,17 @@
             _ => {
                 self.next += 1;
                 let token = self.next;
-                // An answer that takes longer is not obeyed.
-                let until = now.mono + self.cfg.bounds.obey() * 4 / 5;
-                let o = Open {
+                let mut o = Open {
                     call,
                     req,
-                    until,
+                    until: now.mono + self.cfg.bounds.call(),
                     again: None,
                     asked: Vec::new(),
                 };
+                if o.is_of_worker() {
+                    // An answer that takes longer is not obeyed.
+                    o.until = now.mono + self.cfg.bounds.obey() * 4 / 5;
+                }
                 self.open.insert(token, o);
                 self.pass(now, token);
             }
--- a/landingdrift/tests/relay.rs
+++ b/landingdrift/tests/relay.rs
@@ -169,7 +169,7 @@
 fn a_call_that_may_not_be_repeated_is_sent_once_and_silence_is_unsure() {
     let mut r = relay();
     let mut effects = step(&mut r, 1, zone_order());
-    for t in (20..1500).step_by(20) {
+    for t in (20..3000).step_by(20) {
         effects.extend(step(&mut r, t, Msg::Tick));
     }
     assert_eq!(passed(&effects).len(), 1);
--- a/landingdrift/tests/traffic.rs
+++ b/landingdrift/tests/traffic.rs
@@ -5,7 +5,7 @@
 };
 use landingdrift::kernel::{Msg, Request, Verdict};
 use landingdrift::settings::Limits;
-use landingdrift::wire::{pack, Body, Forwarded, ReadAsk, RequestToken};
+use landingdrift::wire::{pack, unpack, Body, Forwarded, ReadAsk, RequestToken};
 use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -179,6 +179,43 @@
     assert!(found);
 }
 
+/// Takes so many bytes of a connection, then resets it.
+fn take_and_reset(listener: &TcpListener, bytes: usize) {
+    let (mut c, _) = listener.accept().expect("a connection");
+    c.read_exact(&mut vec![0; bytes]).expect("read");
+    let linger = Some(Duration::ZERO);
+    socket2::SockRef::from(&c).set_linger(linger).expect("set");
+}
+
+#[test]
+fn a_frame_goes_over_one_connection_only_wherever_that_is_reset() {
+    let traffic = Traffic::start().expect("starts");
+    let whole = framed(&pack("tests", "127.0.0.1:65535", &ask(1))).len();
+    for bytes in 0..whole {
+        let (mut a, _at_a) = listen(&traffic);
+        let peer = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let peer_at = peer.local_addr().expect("an address").to_string();
+        a.send(&peer_at, &ask(1));
+        take_and_reset(&peer, bytes);
+        // The next frame may be lost with the connection, or comes on a new one; the first comes nowhere again.
+        peer.set_nonblocking(true).expect("set");
+        let late = (0..200).find_map(|_| {
+            a.send(&peer_at, &ask(2));
+            std::thread::sleep(Duration::from_millis(2));
+            peer.accept().ok()
+        });
+        let (mut c, _) = late.expect("a new connection");
+        c.set_nonblocking(false).expect("set");
+        c.set_read_timeout(Some(LONG)).expect("set");
+        let mut len = [0; 4];
+        c.read_exact(&mut len).expect("read");
+        let mut body = vec![0; u32::from_le_bytes(len) as usize];
+        c.read_exact(&mut body).expect("read");
+        let body = unpack("tests", &body).expect("a frame").body;
+        assert_eq!(body, ask(2), "after {bytes} bytes");
+    }
+}
+
 #[test]
 fn an_address_that_is_taken_is_told_with_its_remedy() {
     let traffic = Traffic::start().expect("starts");
