Test: a start is sent again only after a refusal of its last send

A refusal was matched to the newest send to the same core, so that one that came twice freed a start that may have been taken.

--- a/landingdrift/tests/cell.rs
+++ b/landingdrift/tests/cell.rs
@@ -8,7 +8,8 @@
 };
 use landingdrift::settings::{Bounds, Settings};
 use landingdrift::wire::{
-    Body, Entry, FeedBatch, Forward, Offer, OfferVerdict, RequestToken, Reservation, Reserve,
+    Body, Entry, FeedBatch, Forward, Offer, OfferVerdict, Proposed, RequestToken, Reservation,
+    Reserve,
 };
 use serde_json::json;
 
@@ -470,3 +471,60 @@
     assert_eq!(count("answers_unasked"), Some(2));
     assert_eq!(count("answers_to_another_life"), Some(1));
 }
+
+/// The sends of starts, each to its core with its token.
+fn start_proposals(effects: Vec<Effect>) -> Vec<(String, RequestToken)> {
+    let sent = effects.into_iter().filter_map(|e| match e {
+        Effect::Send(to, Body::Propose(p)) => Some((to, *p)),
+        _ => None,
+    });
+    sent.filter(|(_, p)| matches!(Command::unpack(&p.command), Ok(Command::Start { .. })))
+        .map(|(to, p)| (to, p.token))
+        .collect()
+}
+
+impl Desk {
+    /// Time passes while the node hears the feed; the starts that it proposes.
+    fn starts_during(&mut self, ms: u64) -> Vec<(String, RequestToken)> {
+        let mut all = Vec::new();
+        for _ in 0..ms / 20 {
+            self.t += 20;
+            all.extend(start_proposals(self.follow()));
+            let now = self.now();
+            all.extend(start_proposals(self.n.step(now, Msg::Tick)));
+        }
+        all
+    }
+
+    /// A core answers a proposal that it doesn't lead; the starts that are proposed thereupon.
+    fn not_taken(&mut self, from: &str, token: RequestToken) -> Vec<(String, RequestToken)> {
+        let answer = Proposed {
+            token,
+            outcome: 1,
+            place: 0,
+            leader: String::new(),
+            verdict: Vec::new(),
+        };
+        let now = self.now();
+        let body = Body::Proposed(Box::new(answer));
+        start_proposals(self.n.step(now, Msg::Wire(from.into(), body)))
+    }
+}
+
+#[test]
+fn a_start_goes_to_another_core_only_when_the_last_one_has_taken_nothing() {
+    let mut d = Desk::new();
+    d.follow();
+    d.beat(1, false);
+    d.accept("k", 1);
+    let first = d.starts_during(100);
+    assert_eq!(first.len(), 1, "{first:?}");
+    let (core, token) = first[0].clone();
+    d.not_taken(&core, token);
+    let second = d.starts_during(100);
+    assert_eq!(second.len(), 1, "nothing was taken: it is sent again");
+    assert_eq!(second[0].1.number, token.number);
+    // The first refusal comes again, and says nothing of the second send.
+    d.not_taken(&core, token);
+    assert_eq!(d.starts_during(800), [], "the second send may be taken");
+}
