A relay tells no final refusal while another node may still take the call

After silence a relay hands a change to a second node. If that one refused it, the caller was told so, while the first copy could still be taken: the record gives copies of one proposal one answer, but these are two proposals.

Remembering refused changes by their identity in the record: an operator who mends the cause and sends the change again would be refused for as long.

A refusal is told as unsure while an earlier node has neither answered nor refused.

The new test in tests/relay.rs failed before (400) and passes now.

--- a/landingdrift/src/relay/mod.rs
+++ b/landingdrift/src/relay/mod.rs
@@ -53,6 +53,14 @@
     fn maybe_taken(&self) -> bool {
         self.req.method != "GET" && self.asked.iter().any(|a| !a.refused)
     }
+
+    /// Whether a node other than the one of this send may yet do what the call asks for, whatever that one says.
+    fn maybe_taken_elsewhere(&self, attempt: u32) -> bool {
+        let mut others = self.asked.iter().enumerate();
+        self.req.method != "GET"
+            && !self.is_of_worker()
+            && others.any(|(i, a)| i != attempt as usize && !a.refused)
+    }
 }
 
 /// A relay.
@@ -250,11 +258,15 @@
         if m.status == 200 {
             self.holder = if m.by.is_empty() { from.into() } else { m.by };
         }
-        let v = Verdict {
-            status: m.status,
-            retry_ms: m.retry_ms,
-            body,
-            ..Verdict::default()
+        let v = if (400..500).contains(&m.status) && o.maybe_taken_elsewhere(m.token.attempt) {
+            unsure(self.cfg.bounds.beat())
+        } else {
+            Verdict {
+                status: m.status,
+                retry_ms: m.retry_ms,
+                body,
+                ..Verdict::default()
+            }
         };
         self.out.push(Effect::Answer(o.call, v));
     }
--- a/landingdrift/tests/relay.rs
+++ b/landingdrift/tests/relay.rs
@@ -186,3 +186,22 @@
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].0, first);
 }
+
+#[test]
+fn a_refusal_is_not_passed_on_as_final_while_another_node_may_still_take_the_call() {
+    let mut r = relay();
+    let req = Request {
+        method: "PUT".into(),
+        path: "/v1/desired".into(),
+        query: "base=1&change=c".into(),
+        body: b"{}".to_vec(),
+    };
+    let mut sent = passed(&step(&mut r, 1, Msg::Call(7, req)));
+    for t in (20..1000).step_by(20) {
+        sent.extend(passed(&step(&mut r, t, Msg::Tick)));
+    }
+    assert_eq!(sent.len(), 2, "silence: another node is asked");
+    let (to, token) = sent[1].clone();
+    let v = answer(&step(&mut r, 1000, back(&to, token, 400, &to))).expect("answered");
+    assert_eq!((v.status, v.body["error"].clone()), (503, json!("unsure")));
+}
