Calls of a node in modules of one job each: reads, calls passed on, workers' beats; nothing else changed

node/calls/mod.rs had grown to 548 lines; it is 254 now. Functions were moved as they were, with wider visibility where another module calls them.

--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -1,16 +1,19 @@
 //! Calls over HTTP, each with its origin; any node takes any call.
 
 mod at;
+mod beats;
 mod desired;
 mod jobs;
+mod pass;
+mod read;
 mod status;
 
-use super::cell::Beat;
 use super::Node;
 use crate::kernel::{Effect, Now, Part, Request, Verdict};
-use crate::record::{cell_duty, Refusal, Ruling};
-use crate::wire::{Body, Forward, Forwarded, NodePlace, ReadAsk, ReadPlace, RequestToken};
-use serde_json::{json, Value};
+use crate::record::{Refusal, Ruling};
+use crate::wire::{Body, Forwarded, NodePlace, RequestToken};
+use read::ReadThen;
+use serde_json::json;
 use std::collections::BTreeMap;
 
 /// Where a call came from, and where its verdict goes.
@@ -31,17 +34,6 @@
     Emptied,
 }
 
-/// What is done once this node has followed to a place that the core named.
-#[derive(Clone, Debug, PartialEq)]
-enum ReadThen {
-    Job { id: String },
-    Jobs { query: String },
-    Desired,
-    Change { id: String },
-    Status,
-    Workers,
-}
-
 enum State {
     /// Waits for a ruling of the record.
     Proposed,
@@ -105,26 +97,6 @@
 }
 
 impl Node {
-    /// Passes a call on to a node that holds a duty, and so follows jobs and workers.
-    pub(super) fn pass_to_duty(&mut self, now: Now, origin: Origin, req: &Request) {
-        let holders: Vec<String> = self
-            .record
-            .grants
-            .values()
-            .map(|g| g.holder.clone())
-            .filter(|h| !h.is_empty() && *h != self.name)
-            .collect();
-        let to = self.draw.pick(&holders).cloned();
-        match to.filter(|_| matches!(origin, Origin::Local(_))) {
-            Some(to) => self.pass_on(now, origin, &to, req),
-            None => {
-                let why = "this node keeps no jobs and knows of none that does: come back later, or go to another node";
-                let v = Verdict::error(503, "noDuty", why).retry(self.cfg.bounds.back());
-                self.reply(&origin, v);
-            }
-        }
-    }
-
     pub(super) fn on_call(&mut self, now: Now, origin: Origin, req: Request) {
         self.count("calls", 1);
         let path = req.path.trim_end_matches('/').to_string();
@@ -224,138 +196,6 @@
         }
     }
 
-    /// Reads what is surely not old: the core names the place to follow to.
-    fn read(&mut self, now: Now, origin: Origin, then: ReadThen) {
-        let call = self.open(
-            now,
-            origin,
-            State::Asked {
-                then,
-                next: now.mono,
-                asked: Vec::new(),
-            },
-        );
-        self.ask_place(now, call, None);
-    }
-
-    fn ask_place(&mut self, now: Now, call: u64, hint: Option<String>) {
-        let cores = self.cores();
-        let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty());
-        let to = hint
-            .filter(|h| !h.is_empty())
-            .or(leader)
-            .or_else(|| self.draw.pick(&cores).cloned())
-            .unwrap_or_default();
-        let again = 5 * self.cfg.bounds.heartbeat();
-        if let Some(Open {
-            state: State::Asked { next, asked, .. },
-            ..
-        }) = self.calls.open.get_mut(&call)
-        {
-            *next = now.mono + again;
-            let attempt = asked.len();
-            asked.push(to.clone());
-            let token = self.request_token(call, attempt);
-            self.send(&to, Body::ReadAsk(Box::new(ReadAsk { token })));
-        }
-    }
-
-    pub(super) fn on_read_place(&mut self, now: Now, from: &str, m: ReadPlace) {
-        let call = m.token.number;
-        let Some(o) = self.calls.open.get_mut(&call) else {
-            return;
-        };
-        let State::Asked { then, next, asked } = &mut o.state else {
-            return;
-        };
-        let attempt = m.token.attempt as usize;
-        if asked.get(attempt).is_none_or(|to| to != from) {
-            return self.count("answers_unasked", 1);
-        }
-        if m.ok {
-            let then = then.clone();
-            o.state = State::Following {
-                then,
-                place: m.place,
-                nodes: m.nodes,
-            };
-            self.calls_on_place();
-        } else {
-            *next = now.mono + self.cfg.bounds.heartbeat() / 2;
-            if !m.leader.is_empty() && m.leader != self.feed.leader {
-                self.ask_place(now, call, Some(m.leader));
-            } else {
-                let cores = self.cores();
-                self.feed.leader = self.draw.pick(&cores).cloned().unwrap_or_default();
-            }
-        }
-    }
-
-    pub(super) fn calls_on_place(&mut self) {
-        let place = self.record.place;
-        let ready: Vec<(u64, ReadThen, Vec<NodePlace>)> = self
-            .calls
-            .open
-            .iter()
-            .filter_map(|(k, o)| match &o.state {
-                State::Following {
-                    then,
-                    place: p,
-                    nodes,
-                } if *p <= place => Some((*k, then.clone(), nodes.clone())),
-                _ => None,
-            })
-            .collect();
-        for (call, then, nodes) in ready {
-            let v = self.answer_read(&then, &nodes);
-            self.finish(call, v);
-        }
-    }
-
-    fn answer_read(&self, then: &ReadThen, nodes: &[NodePlace]) -> Verdict {
-        match then {
-            ReadThen::Job { id } => self.job_verdict(id, false).unwrap_or_else(|| {
-                Verdict::error(
-                    404,
-                    "unknownJob",
-                    format!("no job '{id}' was accepted: hand it in, or check the id"),
-                )
-            }),
-            ReadThen::Jobs { query } => self.jobs_verdict(query),
-            ReadThen::Desired => Verdict::new(
-                200,
-                json!({"version": self.record.version, "desired": self.record.desired}),
-            ),
-            ReadThen::Change { id } => self.change_verdict(id, nodes),
-            ReadThen::Status => self.status_verdict(nodes),
-            ReadThen::Workers => self.workers_verdict(),
-        }
-    }
-
-    /// Answers questions after jobs that the feed is now fresh enough for, or that have waited long enough.
-    pub(super) fn answer_fresh(&mut self, now: Now) {
-        let fresh_at = self.feed.fresh_at;
-        let due: Vec<(u64, String, bool)> = self
-            .calls
-            .open
-            .iter()
-            .filter_map(|(k, o)| match &o.state {
-                State::Fresh {
-                    id,
-                    asked,
-                    patience,
-                } if fresh_at >= *asked || now.mono >= *patience => {
-                    Some((*k, id.clone(), fresh_at < *asked))
-                }
-                _ => None,
-            })
-            .collect();
-        for (call, id, stale) in due {
-            let verdict = self.job_verdict(&id, stale);
-            verdict.into_iter().for_each(|v| self.finish(call, v));
-        }
-    }
-
     pub(super) fn calls_tick(&mut self, now: Now) {
         self.answer_fresh(now);
         let over: Vec<u64> = self
@@ -411,138 +251,4 @@
         };
         self.finish(call, v);
     }
-
-    fn on_beat(&mut self, now: Now, origin: Origin, req: Request) {
-        let de = &mut serde_json::Deserializer::from_slice(&req.body);
-        let beat: Beat = match serde_path_to_error::deserialize(de) {
-            Ok(b) => b,
-            Err(e) => {
-                return self.reply(
-                    &origin,
-                    Verdict::error(
-                        400,
-                        "wrongBeat",
-                        format!(
-                            "{}: {}; docs/operators/workers.md shows a beat",
-                            e.path(),
-                            e.inner()
-                        ),
-                    ),
-                )
-            }
-        };
-        if beat.facts.worker.is_empty()
-            || beat.facts.zone.is_empty()
-            || beat.facts.service.is_empty()
-        {
-            return self.reply(
-                &origin,
-                Verdict::error(
-                    400,
-                    "wrongBeat",
-                    "facts.worker, facts.zone and facts.service need a value: name them",
-                ),
-            );
-        }
-        let holder = self
-            .record
-            .holder(&cell_duty(&beat.facts.zone))
-            .map(|g| g.holder.clone());
-        let remote = matches!(origin, Origin::Remote(..));
-        match holder {
-            Some(h) if h != self.name && !h.is_empty() && !remote => {
-                self.pass_on(now, origin, &h, &req)
-            }
-            Some(h) if h != self.name && !h.is_empty() => {
-                // A beat is passed on once; who is asked by another names the holder it knows.
-                let v = Verdict {
-                    by: h,
-                    ..Verdict::error(
-                        503,
-                        "notHolder",
-                        "another node holds the cell: ask that one",
-                    )
-                };
-                self.reply(&origin, v);
-            }
-            None => {
-                let v = self.found_zone(&beat);
-                self.reply(&origin, v);
-            }
-            _ => {
-                let v = self.beat(now, beat);
-                self.reply(&origin, v);
-            }
-        }
-    }
-
-    /// A worker has left: the holder of its cell takes note.
-    fn on_left(&mut self, now: Now, origin: Origin, worker: &str, req: &Request) {
-        let known = self.record.workers.get(worker);
-        let zone = known.map(|w| w.facts.zone.clone()).unwrap_or_default();
-        let holder = self.record.holder(&cell_duty(&zone));
-        let holder = holder.map(|g| g.holder.clone()).unwrap_or_default();
-        if !holder.is_empty() && holder != self.name && matches!(origin, Origin::Local(_)) {
-            return self.pass_on(now, origin, &holder, req);
-        }
-        self.left(now, worker);
-        self.reply(&origin, Verdict::new(200, json!({"worker": worker})));
-    }
-
-    /// A zone that nobody declared and no node stands in has no cell.
-    fn found_zone(&mut self, beat: &Beat) -> Verdict {
-        Verdict::error(
-            503,
-            "noCell",
-            format!(
-                "zone '{}' has no cell yet: declare the zone in the desired state, then beat again",
-                beat.facts.zone
-            ),
-        )
-        .retry(self.cfg.bounds.beat())
-    }
-
-    fn pass_on(&mut self, now: Now, origin: Origin, to: &str, req: &Request) {
-        let call = self.open(now, origin, State::Passed { to: to.into() });
-        let m = Forward {
-            token: self.request_token(call, 0),
-            method: req.method.clone(),
-            path: req.path.clone(),
-            query: req.query.clone(),
-            body: req.body.clone(),
-        };
-        self.count("calls_passed_on", 1);
-        self.send(to, Body::Forward(Box::new(m)));
-    }
-
-    pub(super) fn on_forward(&mut self, now: Now, from: &str, m: Forward) {
-        self.on_call(
-            now,
-            Origin::Remote(from.into(), m.token),
-            Request {
-                method: m.method,
-                path: m.path,
-                query: m.query,
-                body: m.body,
-            },
-        );
-    }
-
-    pub(super) fn on_forwarded(&mut self, from: &str, m: Forwarded) {
-        let call = m.token.number;
-        let passed = self.calls.open.get(&call).map(|o| &o.state);
-        if !matches!(passed, Some(State::Passed { to }) if to == from) {
-            return self.count("answers_unasked", 1);
-        }
-        let body = serde_json::from_slice(&m.body).unwrap_or(Value::Null);
-        self.finish(
-            call,
-            Verdict {
-                status: m.status,
-                retry_ms: m.retry_ms,
-                body,
-                by: m.by,
-            },
-        );
-    }
 }
--- /dev/null
+++ b/landingdrift/src/node/calls/read.rs
@@ -0,0 +1,152 @@
+//! Reads that are surely not old: a core names the place to follow to, or the feed is as new as the question.
+
+use super::{Open, Origin, State};
+use crate::kernel::{Now, Verdict};
+use crate::node::Node;
+use crate::wire::{Body, NodePlace, ReadAsk, ReadPlace};
+use serde_json::json;
+
+/// What is done once this node has followed to a place that the core named.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum ReadThen {
+    Job { id: String },
+    Jobs { query: String },
+    Desired,
+    Change { id: String },
+    Status,
+    Workers,
+}
+
+impl Node {
+    /// Reads what is surely not old: the core names the place to follow to.
+    pub(super) fn read(&mut self, now: Now, origin: Origin, then: ReadThen) {
+        let call = self.open(
+            now,
+            origin,
+            State::Asked {
+                then,
+                next: now.mono,
+                asked: Vec::new(),
+            },
+        );
+        self.ask_place(now, call, None);
+    }
+
+    pub(super) fn ask_place(&mut self, now: Now, call: u64, hint: Option<String>) {
+        let cores = self.cores();
+        let leader = Some(self.feed.leader.clone()).filter(|l| !l.is_empty());
+        let to = hint
+            .filter(|h| !h.is_empty())
+            .or(leader)
+            .or_else(|| self.draw.pick(&cores).cloned())
+            .unwrap_or_default();
+        let again = 5 * self.cfg.bounds.heartbeat();
+        if let Some(Open {
+            state: State::Asked { next, asked, .. },
+            ..
+        }) = self.calls.open.get_mut(&call)
+        {
+            *next = now.mono + again;
+            let attempt = asked.len();
+            asked.push(to.clone());
+            let token = self.request_token(call, attempt);
+            self.send(&to, Body::ReadAsk(Box::new(ReadAsk { token })));
+        }
+    }
+
+    pub(in crate::node) fn on_read_place(&mut self, now: Now, from: &str, m: ReadPlace) {
+        let call = m.token.number;
+        let Some(o) = self.calls.open.get_mut(&call) else {
+            return;
+        };
+        let State::Asked { then, next, asked } = &mut o.state else {
+            return;
+        };
+        let attempt = m.token.attempt as usize;
+        if asked.get(attempt).is_none_or(|to| to != from) {
+            return self.count("answers_unasked", 1);
+        }
+        if m.ok {
+            let then = then.clone();
+            o.state = State::Following {
+                then,
+                place: m.place,
+                nodes: m.nodes,
+            };
+            self.calls_on_place();
+        } else {
+            *next = now.mono + self.cfg.bounds.heartbeat() / 2;
+            if !m.leader.is_empty() && m.leader != self.feed.leader {
+                self.ask_place(now, call, Some(m.leader));
+            } else {
+                let cores = self.cores();
+                self.feed.leader = self.draw.pick(&cores).cloned().unwrap_or_default();
+            }
+        }
+    }
+
+    pub(in crate::node) fn calls_on_place(&mut self) {
+        let place = self.record.place;
+        let ready: Vec<(u64, ReadThen, Vec<NodePlace>)> = self
+            .calls
+            .open
+            .iter()
+            .filter_map(|(k, o)| match &o.state {
+                State::Following {
+                    then,
+                    place: p,
+                    nodes,
+                } if *p <= place => Some((*k, then.clone(), nodes.clone())),
+                _ => None,
+            })
+            .collect();
+        for (call, then, nodes) in ready {
+            let v = self.answer_read(&then, &nodes);
+            self.finish(call, v);
+        }
+    }
+
+    fn answer_read(&self, then: &ReadThen, nodes: &[NodePlace]) -> Verdict {
+        match then {
+            ReadThen::Job { id } => self.job_verdict(id, false).unwrap_or_else(|| {
+                Verdict::error(
+                    404,
+                    "unknownJob",
+                    format!("no job '{id}' was accepted: hand it in, or check the id"),
+                )
+            }),
+            ReadThen::Jobs { query } => self.jobs_verdict(query),
+            ReadThen::Desired => Verdict::new(
+                200,
+                json!({"version": self.record.version, "desired": self.record.desired}),
+            ),
+            ReadThen::Change { id } => self.change_verdict(id, nodes),
+            ReadThen::Status => self.status_verdict(nodes),
+            ReadThen::Workers => self.workers_verdict(),
+        }
+    }
+
+    /// Answers questions after jobs that the feed is now fresh enough for, or that have waited long enough.
+    pub(in crate::node) fn answer_fresh(&mut self, now: Now) {
+        let fresh_at = self.feed.fresh_at;
+        let due: Vec<(u64, String, bool)> = self
+            .calls
+            .open
+            .iter()
+            .filter_map(|(k, o)| match &o.state {
+                State::Fresh {
+                    id,
+                    asked,
+                    patience,
+                } if fresh_at >= *asked || now.mono >= *patience => {
+                    Some((*k, id.clone(), fresh_at < *asked))
+                }
+                _ => None,
+            })
+            .collect();
+        for (call, id, stale) in due {
+            let verdict = self.job_verdict(&id, stale);
+            verdict.into_iter().for_each(|v| self.finish(call, v));
+        }
+    }
+}
