A proposal whose answer can't be read ends as unsure

The proposal was dropped before its answer was read: an answer that was no JSON left the call open for ever, a place of limits.calls with it.

It is read first; if it can't be, the send counts as unanswered (answers_unreadable).

The new test in tests/answers.rs failed before: the call was never answered.

--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -212,10 +212,11 @@
             let hint = Some(m.leader).filter(|l| !l.is_empty() && l != from);
             return self.not_taken(now, number, attempt, hint);
         }
-        let Some(p) = self.proposals.remove(&number) else {
-            return;
-        };
         let Some(ruled) = unpack_ruling(&m.verdict) else {
+            // The send stays unanswered, and the call is told as unsure in the end.
+            return self.count("answers_unreadable", 1);
+        };
+        let Some(p) = self.proposals.remove(&number) else {
             return;
         };
         match p.purpose {
--- a/landingdrift/tests/answers.rs
+++ b/landingdrift/tests/answers.rs
@@ -205,6 +205,20 @@
     assert_eq!(told(&d.hear(CORE, proposed(token))), []);
 }
 
+#[test]
+fn a_proposal_whose_answer_cannot_be_read_is_unsure_in_the_end() {
+    let mut d = Desk::new();
+    let token = proposal_token(&d.call("PUT", "/v1/zones/z/empty", ""));
+    let Body::Proposed(mut answer) = proposed(token) else {
+        panic!("it is an answer to a proposal");
+    };
+    answer.verdict = b"{".to_vec();
+    assert_eq!(told(&d.hear(CORE, Body::Proposed(answer))), []);
+    let told_then = told(&d.silence(6000));
+    assert_eq!(told_then.len(), 1);
+    assert_eq!(told_then[0].1["error"], json!("unsure"));
+}
+
 #[test]
 fn silence_after_a_call_was_passed_on_sends_it_no_second_time_and_is_unsure() {
     let mut d = Desk::new();
