Test of the operator's client: the stand-in breaks a request that has begun, not a connection that is being made

The stand-in waits for the first byte before it resets. All places of breaking stay, and so does the count.

--- a/landingdrift/tests/asker.rs
+++ b/landingdrift/tests/asker.rs
@@ -53,6 +53,8 @@
             Break::Request(most) if second => most,
             _ => usize::MAX,
         };
+        // A reset before anything was sent would be a failure to connect, after which any call may go elsewhere.
+        c.peek(&mut [0]).expect("a request begins");
         head.extend(read_head(&mut c, most.saturating_sub(head.len())));
         match broken {
             Break::Request(_) if second => return reset(&c),
