--- a/rehearsal/src/explorer/cluster.rs
+++ b/rehearsal/src/explorer/cluster.rs
@@ -30,6 +30,14 @@
     AnswersOldReads,
     /// It tells every proposer that its change has won.
     AcknowledgesRivals,
+    /// Its disk forgets everything when it ends, keeps its number, and nobody remembers what it confirmed.
+    ForgetsSilently,
+    /// It passes entries on with another time than it has itself.
+    AltersTimes,
+    /// It gives its vote to nobody.
+    VotesForNobody,
+    /// Requests to be admitted say that the newcomer may not vote.
+    IgnoresNewcomers,
 }
 
 /// One machine with a disk.
@@ -192,6 +200,9 @@
         replica.core = None;
         replica.inbox.clear();
         replica.disk.crash(arrived);
+        if self.defect == Some(Defect::ForgetsSilently) {
+            replica.disk = SimDisk::new(replica.disk_number);
+        }
         let address = replica.address.clone();
         self.network
             .retain(|m| m.from != address && m.to != address);
@@ -510,6 +521,27 @@
             answer.verdict = serde_json::to_vec(&won).unwrap_or_default();
             Body::Proposed(answer)
         }
+        (Defect::VotesForNobody, Body::VoteVerdict(mut verdict)) => {
+            verdict.granted = false;
+            Body::VoteVerdict(verdict)
+        }
+        (Defect::ForgetsSilently, Body::Hello(mut hello)) => {
+            hello.noted.index = 0;
+            hello.notes.clear();
+            Body::Hello(hello)
+        }
+        (Defect::ForgetsSilently, Body::Append(mut append)) => {
+            append.notes.clear();
+            Body::Append(append)
+        }
+        (Defect::IgnoresNewcomers, Body::Join(mut join)) => {
+            join.standby_only = true;
+            Body::Join(join)
+        }
+        (Defect::AltersTimes, Body::Append(mut append)) => {
+            append.entries.iter_mut().for_each(|e| e.at += 1);
+            Body::Append(append)
+        }
         (_, body) => body,
     }
 }
--- a/rehearsal/tests/explorer.rs
+++ b/rehearsal/tests/explorer.rs
@@ -185,3 +185,23 @@
         Invariant::OneWinnerPerVersion
     ));
 }
+
+#[test]
+fn disks_that_forget_silently_are_caught_as_committed_entries_replaced() {
+    assert!(caught(Defect::ForgetsSilently, Invariant::CommittedStays));
+}
+
+#[test]
+fn entries_passed_on_with_other_times_are_caught_as_different_states() {
+    assert!(caught(Defect::AltersTimes, Invariant::SameState));
+}
+
+#[test]
+fn votes_for_nobody_are_caught_as_no_progress() {
+    assert!(caught(Defect::VotesForNobody, Invariant::Progress));
+}
+
+#[test]
+fn newcomers_that_never_vote_are_caught_as_not_repaired() {
+    assert!(caught(Defect::IgnoresNewcomers, Invariant::Repaired));
+}
