A process that ends answers every call it has read, within its grace

Ruled out: keeping the node from its Exit (its duties are handed on as before; only its thread is kept), and ending HTTP by dropping the runtime (cuts what is being written).

Change: bounds.grace_ms; Msg::Stop goes to all parts at once; Control keeps stepping a part until serve_on has passed and nobody waits (Ending); a Gate shared by all HTTP addresses first lets every answer end its connection, then refuses calls at once and stops listening; the process waits until what was read is written out, at most 4/5 of the grace. A leader that stops names its successor with every tick. The core and node subcommands run through Process as well, and the second reread of settings is gone.

--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -454,6 +454,10 @@
             _ if now.mono >= self.election_at => self.stand(now),
             _ => {}
         }
+        if self.stopping.is_some() && self.role == Role::Leader {
+            // The first hand-over may be lost, and until somebody else leads nothing is taken.
+            self.hand_over();
+        }
         if self
             .stopping
             .is_some_and(|until| now.mono >= until || self.role != Role::Leader)
--- a/landingdrift/src/daemon/calls.rs
+++ b/landingdrift/src/daemon/calls.rs
@@ -1,7 +1,7 @@
 use crate::kernel::Verdict;
 use dashmap::DashMap;
 use rocket::tokio::sync::oneshot::{channel, Receiver, Sender};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
 /// Calls whose callers wait for a verdict; one control thread answers them, any number of addresses may open them.
@@ -9,6 +9,8 @@
 pub struct Calls {
     open: Arc<DashMap<u64, Sender<Verdict>>>,
     next: Arc<AtomicU64>,
+    /// Nobody answers any more.
+    closed: Arc<AtomicBool>,
 }
 
 impl Default for Calls {
@@ -16,6 +18,7 @@
         Self {
             open: Arc::new(DashMap::with_shard_amount(2)),
             next: Arc::new(AtomicU64::new(1)),
+            closed: Arc::new(AtomicBool::new(false)),
         }
     }
 }
@@ -28,10 +31,29 @@
         }
     }
 
+    /// Whether no caller waits.
+    pub fn idle(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Nobody answers any more: all who wait, and all who come, are told so at once.
+    pub(super) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        self.open.clear();
+    }
+
+    /// Whether nobody answers any more.
+    pub(super) fn closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     pub(super) fn open(&self) -> Waiting {
         let call = self.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = channel();
         self.open.insert(call, tx);
+        if self.closed() {
+            self.open.remove(&call);
+        }
         Waiting {
             call,
             verdict: rx,
--- a/landingdrift/src/daemon/control.rs
+++ b/landingdrift/src/daemon/control.rs
@@ -1,5 +1,6 @@
 use super::calls::Calls;
 use super::disks::Disk;
+use super::ending::{Ending, StopSpans};
 use super::traffic::Transport;
 use crate::kernel::{Effect, Msg, Now, Part, Request};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -51,6 +52,7 @@
     pub disk: Option<Disk>,
     pub calls: Calls,
     pub tick: Duration,
+    pub ending: Ending,
 }
 
 impl Control {
@@ -70,24 +72,34 @@
                 next = now + self.tick;
             }
             let msgs = first.into_iter().chain(inputs.try_iter()).map(Msg::from);
-            let exit = tick
+            let over = tick
                 .into_iter()
                 .chain(msgs.take(ROUND))
                 .any(|m| self.step(m, &mut effects));
             effects.drain(..).for_each(|e| self.carry_out(e));
-            if exit {
+            if over {
+                self.calls.close();
                 return self.tell_end();
             }
         }
     }
 
+    /// Takes one step; says whether it was the last one.
     fn step(&mut self, msg: Msg, effects: &mut Vec<Effect>) -> bool {
-        if let Msg::Changed(s) = &msg {
-            self.tick = Duration::from_millis(s.bounds.tick());
+        match &msg {
+            Msg::Changed(s) => {
+                self.tick = Duration::from_millis(s.bounds.tick());
+                self.ending.spans = StopSpans::of(&s.bounds);
+            }
+            Msg::Stop => self.ending.ask(Instant::now()),
+            _ => {}
         }
         let before = effects.len();
         effects.extend(self.part.step(self.clock.now(), msg));
-        effects[before..].iter().any(|e| matches!(e, Effect::Exit))
+        if effects[before..].iter().any(|e| matches!(e, Effect::Exit)) {
+            self.ending.part_is_done();
+        }
+        self.ending.over(Instant::now(), self.calls.idle())
     }
 
     fn carry_out(&mut self, effect: Effect) {
--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod control;
 mod disks;
+mod ending;
 mod logs;
 mod process;
 mod roles;
@@ -13,5 +14,6 @@
 pub use calls::Calls;
 pub use control::{Clock, Control, Input};
 pub use disks::Disk;
+pub use ending::{Ending, StopSpans};
 pub use process::{Handle, Process};
 pub use traffic::{Asked, Bounded, Frames, Handling, Manner, Reply, Traffic, Transport};
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -1,18 +1,10 @@
-use super::calls::Calls;
-use super::control::{Clock, Control, Input};
-use super::disks::Disk;
-use super::signals::{self, Ended, Watch};
-use super::traffic::{Bounded, Frames, Manner, Traffic};
-use super::{logs, threads};
+use super::process::Process;
+use super::traffic::{Bounded, Manner};
 use crate::agreement::Core;
-use crate::disk::Folder;
 use crate::kernel::roles::Role;
-use crate::kernel::{digest, Now, Part};
 use crate::node::Node;
 use crate::settings::{from_words, Settings, FLAGS};
 use std::ffi::OsString;
-use std::path::Path;
-use std::sync::mpsc::channel;
 use std::time::Duration;
 
 inventory::submit! { Role { name: "core", summary: "keeps the record on disk, with two others", run: run_core } }
@@ -58,81 +50,29 @@
     })
 }
 
-fn seed(name: &str, now: Now) -> u64 {
-    digest(name.as_bytes()) ^ now.wall ^ (u64::from(std::process::id()) << 40)
-}
-
 fn start(role: &'static str, s: Settings, words: Vec<OsString>) -> Result<i32, String> {
-    let clock = Clock::start();
-    let now = clock.now();
-    let logger = logs::start(&s.log);
-    let (tx, rx) = channel::<Input>();
-    let seed = seed(&s.listen, now);
-    let (part, disk): (Box<dyn Part>, Option<Disk>) = if role == "core" {
-        let (folder, loaded) = Folder::open(
-            Path::new(&s.data),
-            &s.cluster,
-            s.limits.segment_bytes,
-            seed | 1,
-        )
-        .map_err(|e| e.to_string())?;
+    let core = role == "core";
+    let mut process = Process::start(&s.log)?;
+    let (seed, now) = (process.seed(&s.listen), process.now());
+    let part = if core {
+        let (folder, loaded) = process.folder(&s, seed)?;
         let part = Core::new(s.clone(), loaded, now, seed)?;
-        (Box::new(part), Some(Disk::start(folder, tx.clone())?))
+        process.part_on_disk(Box::new(part), &s, folder)?
     } else {
-        (Box::new(Node::new(s.clone(), now, seed)), None)
+        process.part(Box::new(Node::new(s.clone(), now, seed)), &s)?
     };
-    let traffic = Traffic::start()?;
-    let transport = traffic.listen(frames(&s), tx.clone())?;
-    let calls = Calls::default();
     let addr = s
         .http
         .parse()
         .map_err(|_| format!("'{}' is no address: correct --http", s.http))?;
-    traffic.http(
-        addr,
-        bounded(&s),
-        Manner::default(),
-        calls.clone(),
-        tx.clone(),
-    )?;
-    let mut signals = signals::take()?;
-    log::info!("{role} {} in zone {}, HTTP at {}", s.listen, s.zone, s.http);
-    let control = Control {
-        part,
-        clock,
-        transport,
-        disk,
-        calls,
-        tick: Duration::from_millis(s.bounds.tick()),
-    };
-    let ended = Ended(signals.handle());
-    let control = threads::spawn("control", threads::CONTROL, move || {
-        let _ended = ended;
-        control.run(&rx);
-    })?;
-    let watch = Watch {
-        core: role == "core",
-        current: s,
-        words,
-        inputs: tx,
-        logger,
+    process.http(addr, bounded(&s), Manner::default(), &part)?;
+    log::info!("{role} {} serves HTTP at {}", s.listen, s.http);
+    let reread = || {
+        from_words(words.clone(), core)
+            .map(|asked| vec![asked.settings])
+            .map_err(|e| e.to_string())
     };
-    watch.run(&mut signals);
-    control
-        .join()
-        .map_err(|_| "the control thread panicked: start the process again".to_string())?;
-    // The last frames and verdicts get a moment to leave.
-    std::thread::sleep(Duration::from_millis(100));
-    Ok(0)
-}
-
-fn frames(s: &Settings) -> Frames {
-    Frames {
-        cluster: s.cluster.clone(),
-        me: s.listen.clone(),
-        patience: Duration::from_millis(s.bounds.election()),
-        longest: Frames::longest(&s.limits),
-    }
+    process.run(&reread).map(|()| 0)
 }
 
 /// A part turns away calls beyond its limit itself; as many places again are for the beats and probes it always takes.
--- a/landingdrift/src/daemon/traffic/http/door.rs
+++ b/landingdrift/src/daemon/traffic/http/door.rs
@@ -1,3 +1,4 @@
+use super::gate::{Body, Gate, InHand};
 use super::manner::write;
 use super::{Asked, Bounded, Handling, Manner, Reply};
 use crate::daemon::calls::Calls;
@@ -11,10 +12,12 @@
 use rocket::tokio::sync::Semaphore;
 use rocket::tokio::time::timeout;
 use rocket::Request;
-use std::io::Cursor;
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
 
+/// When a caller that found no verdict should come back.
+const RETRY_MS: u64 = 1000;
+
 /// Where calls at one address come in.
 #[derive(Clone)]
 pub struct Door {
@@ -22,6 +25,7 @@
     pub manner: Manner,
     pub calls: Calls,
     pub inputs: Sender<Input>,
+    pub gate: Gate,
     pub places: Arc<Semaphore>,
 }
 
@@ -40,7 +44,7 @@
                 "busy",
                 "this process works on as many calls as it may and took nothing of this one: come back later, or go to another node",
             )
-            .retry(1000)),
+            .retry(RETRY_MS)),
         }
     }
 
@@ -62,34 +66,46 @@
     }
 
     async fn ask(&self, req: crate::kernel::Request) -> Verdict {
+        if self.gate.refuses() || self.calls.closed() {
+            return leaving();
+        }
         let mut waiting = self.calls.open();
-        let sent = self.inputs.send(Input::Call(req, waiting.call));
+        if self.inputs.send(Input::Call(req, waiting.call)).is_err() {
+            return unsure();
+        }
         timeout(self.bounded.patience, &mut waiting.verdict)
             .await
             .ok()
-            .filter(|_| sent.is_ok())
             .and_then(Result::ok)
-            .unwrap_or_else(|| {
-                Verdict::error(
-                    503,
-                    "unsure",
-                    "this process gave no verdict: ask again, here or at another node",
-                )
-                .retry(1000)
-            })
+            .unwrap_or_else(unsure)
     }
 
-    fn respond<'r>(reply: Reply) -> Response<'r> {
+    fn respond<'r>(&self, reply: Reply, in_hand: InHand) -> Response<'r> {
         let mut b = Response::build();
         b.status(Status::new(reply.status));
         reply.headers.into_iter().for_each(|(k, v)| {
             b.header_adjoin(Header::new(k, v));
         });
-        b.sized_body(reply.body.len(), Cursor::new(reply.body))
+        if self.gate.leaves() {
+            b.header(Header::new("Connection", "close"));
+        }
+        b.sized_body(reply.body.len(), Body::new(reply.body, in_hand))
             .finalize()
     }
 }
 
+/// The answer to a call that was not handed to anybody, since the process ends.
+fn leaving() -> Verdict {
+    let message = "this process ends and took nothing of this call: go to another one";
+    Verdict::error(503, "leaving", message).retry(RETRY_MS)
+}
+
+/// The answer to a call that was handed on and found no verdict.
+fn unsure() -> Verdict {
+    let message = "this process gave no verdict: ask again, here or at another node";
+    Verdict::error(503, "unsure", message).retry(RETRY_MS)
+}
+
 fn asked(req: &Request<'_>, body: Vec<u8>) -> Asked {
     let uri = req.uri();
     let path = uri.path();
@@ -111,7 +127,9 @@
 #[rocket::async_trait]
 impl Handler for Door {
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        Outcome::Success(Self::respond(self.reply(req, data).await))
+        let in_hand = self.gate.enter();
+        let reply = self.reply(req, data).await;
+        Outcome::Success(self.respond(reply, in_hand))
     }
 }
 
@@ -120,10 +138,7 @@
 impl catcher::Handler for Door {
     async fn handle<'r>(&self, status: Status, _: &'r Request<'_>) -> catcher::Result<'r> {
         let message = format!("the request is no HTTP that is served here ({}): docs/operators/api.md lists methods and routes", status.reason_lossy());
-        Ok(Self::respond(write(Verdict::error(
-            status.code,
-            "wrongRequest",
-            message,
-        ))))
+        let verdict = Verdict::error(status.code, "wrongRequest", message);
+        Ok(self.respond(write(verdict), self.gate.enter()))
     }
 }
--- /dev/null
+++ b/landingdrift/src/daemon/traffic/http/gate.rs
@@ -0,0 +1,142 @@
+use rocket::tokio::io::{AsyncRead, AsyncSeek, ReadBuf};
+use rocket::Shutdown;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+/// How far the end of a process has come, as its callers see it; phases only go forward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+enum Phase {
+    Serving,
+    /// Calls are worked on; each answer ends its connection.
+    Leaving,
+    /// New calls are refused at once, and no connection is taken any more.
+    Refusing,
+}
+
+/// The gate that all HTTP addresses of a process share.
+#[derive(Clone)]
+pub struct Gate(Arc<State>);
+
+struct State {
+    phase: AtomicU8,
+    in_hand: AtomicU64,
+    servers: Mutex<Vec<Shutdown>>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self(Arc::new(State {
+            phase: AtomicU8::new(Phase::Serving as u8),
+            in_hand: AtomicU64::new(0),
+            servers: Mutex::default(),
+        }))
+    }
+}
+
+impl Gate {
+    /// From now on every answer ends its connection, so that none is left idle when the process ends.
+    pub fn leave(&self) {
+        self.advance(Phase::Leaving);
+    }
+
+    /// From now on calls are refused at once, and no connection is taken.
+    pub fn refuse(&self) {
+        self.advance(Phase::Refusing);
+        let mut servers = self.servers();
+        servers.drain(..).for_each(Shutdown::notify);
+    }
+
+    /// Calls that were read and whose answer has not been written out.
+    pub fn in_hand(&self) -> u64 {
+        self.0.in_hand.load(Ordering::SeqCst)
+    }
+
+    /// Whether answers end their connections.
+    pub fn leaves(&self) -> bool {
+        self.reached(Phase::Leaving)
+    }
+
+    /// Whether new calls are refused.
+    pub fn refuses(&self) -> bool {
+        self.reached(Phase::Refusing)
+    }
+
+    /// A server that is to stop listening when calls are refused.
+    pub(super) fn add(&self, server: Shutdown) {
+        if self.refuses() {
+            server.notify();
+        } else {
+            self.servers().push(server);
+        }
+    }
+
+    /// Counts a call until what is given is dropped.
+    pub(super) fn enter(&self) -> InHand {
+        self.0.in_hand.fetch_add(1, Ordering::SeqCst);
+        InHand(self.clone())
+    }
+
+    fn servers(&self) -> std::sync::MutexGuard<'_, Vec<Shutdown>> {
+        self.0
+            .servers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn advance(&self, to: Phase) {
+        self.0.phase.fetch_max(to as u8, Ordering::SeqCst);
+    }
+
+    fn reached(&self, phase: Phase) -> bool {
+        self.0.phase.load(Ordering::SeqCst) >= phase as u8
+    }
+}
+
+/// A call in hand; dropped once its answer was written out, or its caller is gone.
+pub struct InHand(Gate);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0 .0.in_hand.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// The body of an answer; the call counts as in hand until it was read to its end.
+pub struct Body {
+    bytes: io::Cursor<Vec<u8>>,
+    _in_hand: InHand,
+}
+
+impl Body {
+    /// The body of the answer to a call.
+    pub fn new(bytes: Vec<u8>, in_hand: InHand) -> Self {
+        Self {
+            bytes: io::Cursor::new(bytes),
+            _in_hand: in_hand,
+        }
+    }
+}
+
+impl AsyncRead for Body {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.bytes).poll_read(cx, buf)
+    }
+}
+
+impl AsyncSeek for Body {
+    fn start_seek(mut self: Pin<&mut Self>, to: io::SeekFrom) -> io::Result<()> {
+        Pin::new(&mut self.bytes).start_seek(to)
+    }
+
+    fn poll_complete(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<u64>> {
+        Pin::new(&mut self.bytes).poll_complete(cx)
+    }
+}
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -1,8 +1,10 @@
 //! HTTP towards callers, workers and operators, by `rocket`: it reads the call, control gives the verdict.
 
 mod door;
+mod gate;
 mod manner;
 
+pub use gate::Gate;
 pub use manner::{Asked, Handling, Manner, Reply};
 
 use crate::daemon::calls::Calls;
@@ -30,6 +32,9 @@
     pub calls: u64,
 }
 
+/// Longer than any process takes to end.
+const SHUTDOWN_SECONDS: u32 = 600;
+
 const METHODS: [Method; 7] = [
     Method::Get,
     Method::Put,
@@ -43,6 +48,7 @@
 /// Serves an address; says which it became.
 pub fn serve(
     handle: &Handle,
+    gate: &Gate,
     addr: SocketAddr,
     bounded: Bounded,
     manner: Manner,
@@ -55,6 +61,7 @@
         manner,
         calls,
         inputs,
+        gate: gate.clone(),
         places: Arc::new(Semaphore::new(places)),
     };
     let (tx, rx) = sync_channel(2);
@@ -71,7 +78,10 @@
 
 async fn launch(addr: SocketAddr, door: Door, up: SyncSender<Up>) {
     let lifted = up.clone();
+    let gate = door.gate.clone();
+    let listening = gate.clone();
     let tell = AdHoc::on_liftoff("up", move |r| {
+        listening.add(r.shutdown());
         let at = SocketAddr::new(r.config().address, r.config().port);
         let _ = lifted.try_send(Ok(at));
         Box::pin(async {})
@@ -86,7 +96,7 @@
         .launch()
         .await;
     let why = ended.map_or_else(|e| e.to_string(), |_| "it was shut down".into());
-    if up.try_send(Err(why.clone())).is_err() {
+    if up.try_send(Err(why.clone())).is_err() && !gate.refuses() {
         log::error!("HTTP at {addr} ended ({why}): the process ends, start it again");
         std::process::exit(1);
     }
@@ -102,6 +112,8 @@
         shutdown: Shutdown {
             ctrlc: false,
             signals: Default::default(),
+            // The process bounds its own end: no connection is cut before that.
+            grace: SHUTDOWN_SECONDS,
             ..Default::default()
         },
         ..Config::release_default()
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -4,7 +4,7 @@
 mod http;
 
 pub use frames::{Frames, Transport};
-pub use http::{Asked, Bounded, Handling, Manner, Reply};
+pub use http::{Asked, Bounded, Gate, Handling, Manner, Reply};
 
 use super::calls::Calls;
 use super::control::Input;
@@ -18,6 +18,7 @@
 /// The traffic thread; it ends, and every socket with it, when this is dropped.
 pub struct Traffic {
     handle: Handle,
+    gate: Gate,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -39,6 +40,7 @@
         })?;
         Ok(Self {
             handle,
+            gate: Gate::default(),
             stop: Some(stop),
             thread: Some(thread),
         })
@@ -49,6 +51,11 @@
         frames::listen(&self.handle, frames, inputs)
     }
 
+    /// The gate of all HTTP addresses.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
     /// Serves HTTP at an address, in a manner, until the thread ends; says which address it became.
     pub fn http(
         &self,
@@ -58,7 +65,15 @@
         calls: Calls,
         inputs: Sender<Input>,
     ) -> Result<SocketAddr, String> {
-        http::serve(&self.handle, addr, bounded, manner, calls, inputs)
+        http::serve(
+            &self.handle,
+            &self.gate,
+            addr,
+            bounded,
+            manner,
+            calls,
+            inputs,
+        )
     }
 }
 
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -28,6 +28,8 @@
     pub hold_ms: u64,
     /// How often workers beat; 0 for an eighth of `leave_ms`.
     pub beat_ms: u64,
+    /// How long a process that is told to end may take before it is killed.
+    pub grace_ms: u64,
 }
 
 impl Default for Bounds {
@@ -42,6 +44,7 @@
             replace_ms: 10_000,
             hold_ms: 0,
             beat_ms: 0,
+            grace_ms: 6000,
         }
     }
 }
@@ -115,6 +118,22 @@
     pub fn reserve(&self) -> u64 {
         self.desired_ms / 2
     }
+    /// How long a process that is told to end goes on serving, so that callers find out that it is not ready.
+    pub fn serve_on(&self) -> u64 {
+        self.grace_ms * 5 / 12
+    }
+    /// When the parts of a process that was told to end are ended, whatever they still have to do.
+    pub fn end_parts(&self) -> u64 {
+        self.grace_ms * 2 / 3
+    }
+    /// When a process that was told to end has surely ended; the rest of the grace is for a slow machine.
+    pub fn end_process(&self) -> u64 {
+        self.grace_ms * 4 / 5
+    }
+    /// How long the last answers may take to leave.
+    pub fn flush_answers(&self) -> u64 {
+        self.grace_ms / 60
+    }
     /// When a caller told to come back should do so.
     pub fn back(&self) -> u64 {
         self.state_ms / 3
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -223,6 +223,7 @@
         "bounds.beat_ms",
         "give 0, or 20 to a third of bounds.cancel_ms",
     )?;
+    ensure(b.grace_ms >= 400, "bounds.grace_ms", "give at least 400")?;
     let l = &s.limits;
     ensure(
         (1024..=(32 << 20)).contains(&l.job_bytes),
