A core whose disk refuses or hangs steps back, and comes back by itself

Cause: any write error ended the part, and so the process, which was started again in a tight loop; a folder that could not be opened did the same; a disk that hangs was noticed by nobody.

Ruled out: opening the folder anew and trusting what is read back. After a failed sync the page cache may show what the disk does not hold. What was not confirmed is cut off, a new segment begun, and all that was handed over is written again in order; the confirmed part was synced before and stays.

Change: agreement/storage.rs owns the condition of the disk. While it takes nothing the core resigns, neither votes nor stands, takes no entries (its verdicts say so, and the leader sends it beats only) and answers the rest. The writing thread tries again with pauses that double up to desired_ms / 2. Folder::save changes what it knows only once a batch is synced; each segment starts with term, vote, notes and the log's end. The data folder's own creation is synced. Process::core retries a folder that can't be opened while the node serves.

--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -47,6 +47,7 @@
             || !self.is_voter()
             || self.answerable(now) > own
             || self.stopping.is_some()
+            || !self.storage.takes_writes()
         {
             return;
         }
@@ -91,7 +92,7 @@
         let led = self.role == Role::Leader
             || (!self.leader.is_empty()
                 && now.mono.saturating_sub(self.heard_leader) < self.cfg.bounds.election());
-        if self.waking.is_some() || (led && !m.handed) {
+        if self.waking.is_some() || (led && !m.handed) || !self.storage.takes_writes() {
             return;
         }
         let known = self.members().contains_key(from);
@@ -212,7 +213,7 @@
         let to = self
             .peers
             .iter()
-            .filter(|(k, _)| voters.contains(k))
+            .filter(|(k, p)| voters.contains(k) && !p.refuses)
             .max_by_key(|(_, p)| (p.matched, p.heard))
             .map(|(k, _)| k.clone());
         to.iter()
@@ -227,6 +228,7 @@
         if term == self.hard.term
             && self.role == Role::Follower
             && self.waking.is_none()
+            && self.storage.takes_writes()
             && self.is_voter()
             && self.floor <= own
         {
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -5,6 +5,7 @@
 mod elect;
 mod feed;
 mod replicate;
+mod storage;
 mod wake;
 
 pub use clock::AgreedClock;
@@ -54,6 +55,8 @@
     /// The round of the batch under way; 0 for none.
     pending: u64,
     installing: u64,
+    /// Its disk takes nothing: it hears beats, and gets no entries.
+    refuses: bool,
 }
 
 /// What a leader knows of a node that follows the feed.
@@ -139,7 +142,7 @@
     last_tick: u64,
     members_cache: Option<BTreeMap<String, bool>>,
     stopping: Option<u64>,
-    disk_dead: bool,
+    storage: storage::Storage,
     counters: BTreeMap<&'static str, u64>,
     out: Vec<Effect>,
 }
@@ -226,7 +229,7 @@
             last_tick: now.mono,
             members_cache: None,
             stopping: None,
-            disk_dead: false,
+            storage: storage::Storage::default(),
             counters: BTreeMap::new(),
             out: Vec::new(),
             cfg,
@@ -346,6 +349,7 @@
         }
         let last = self.last().0;
         self.saving.push_back((self.ticket, last));
+        self.storage.handed_over(self.last_tick, self.ticket);
         self.count("disk_saves", 1);
         self.out.push(Effect::Save(save));
         self.ticket
@@ -363,6 +367,7 @@
 
     fn on_saved(&mut self, now: Now, ticket: u64) {
         self.saved = self.saved.max(ticket);
+        self.storage_confirmed(now, ticket);
         while let Some((_, last)) = self.saving.pop_front_if(|(t, _)| *t <= ticket) {
             self.durable = self.durable.max(last);
         }
@@ -407,7 +412,8 @@
     fn capture_when_due(&mut self) {
         let every = self.cfg.limits.capture_every;
         let place = self.record.place;
-        if place < self.captured + every || self.unsaved.capture.is_some() {
+        let takes_writes = self.storage.takes_writes();
+        if place < self.captured + every || self.unsaved.capture.is_some() || !takes_writes {
             return;
         }
         let Some(term) = self.term_at(place) else {
@@ -442,7 +448,9 @@
             self.arm_election(now);
             self.peers.values_mut().for_each(|p| p.heard = now.mono);
             self.followers.values_mut().for_each(|f| f.heard = now.mono);
+            self.storage.restart_wait(now.mono);
         }
+        self.storage_tick(now);
         self.wake_tick(now);
         let every = self.cfg.bounds.shuffle();
         self.views
@@ -475,7 +483,7 @@
 
     /// What the core says of itself over HTTP.
     fn on_call(&mut self, now: Now, call: u64, req: &crate::kernel::Request) {
-        let ready = !self.disk_dead
+        let ready = self.storage.takes_writes()
             && self.waking.is_none()
             && (self.role == Role::Leader
                 || now.mono.saturating_sub(self.heard_leader) < 2 * self.cfg.bounds.election());
@@ -495,7 +503,7 @@
                 Verdict::new(
                     200,
                     json!({"core": self.name, "role": format!("{:?}", self.role), "leader": self.leader, "term": self.hard.term, "commit": self.commit,
-                           "last": self.last().0, "members": members, "version": self.record.version}),
+                           "last": self.last().0, "members": members, "version": self.record.version, "disk": self.storage.report(now.mono)}),
                 )
             }
             _ => Verdict::error(
@@ -528,11 +536,7 @@
         match msg {
             Msg::Tick => self.on_tick(now),
             Msg::Saved(ticket) => self.on_saved(now, ticket),
-            Msg::DiskDefect(why) => {
-                self.disk_dead = true;
-                self.line(format!("the disk refused ({why}): this core stops; free the disk or replace the machine, then start it again"));
-                self.out.push(Effect::Exit);
-            }
+            Msg::DiskDefect(why) => self.on_disk_defect(now, &why),
             Msg::Call(call, req) => self.on_call(now, call, &req),
             Msg::Changed(new) => self.cfg = *new,
             Msg::Stop => self.on_stop(now),
@@ -574,6 +578,8 @@
             .map(|(k, v)| (k.to_string(), *v))
             .collect();
         all.push(("term".into(), self.hard.term));
+        let takes_writes = self.storage.takes_writes();
+        all.push(("disk_takes_writes".into(), u64::from(takes_writes)));
         all.push(("commit".into(), self.commit));
         all.push(("leads".into(), u64::from(self.role == Role::Leader)));
         all.push(("jobs_open".into(), self.record.open.len() as u64));
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -69,7 +69,7 @@
         }
         let p = p.clone();
         let (term, commit) = (self.hard.term, self.commit);
-        let sure = p.pending > 0;
+        let sure = p.pending > 0 || p.refuses;
         if !beat && (sure || p.next > self.last().0) {
             return;
         }
@@ -159,6 +159,7 @@
                     clock: told.at,
                     carried: told.carried,
                     disk,
+                    refuses: false,
                 })),
             );
             return;
@@ -175,8 +176,9 @@
         let fits = m.prev_index < self.base.0 || self.term_at(m.prev_index) == Some(m.prev_term);
         // A refusal names the place that did not fit.
         let mut matched = m.prev_index;
+        let refuses = !self.storage.takes_writes();
         if fits {
-            for e in m.entries {
+            for e in m.entries.into_iter().filter(|_| !refuses) {
                 matched = e.index;
                 if e.index <= self.base.0 || self.term_at(e.index) == Some(e.term) {
                     continue;
@@ -215,6 +217,7 @@
                 clock: told.at,
                 carried: told.carried,
                 disk,
+                refuses,
             },
         );
     }
@@ -270,6 +273,7 @@
             self.disk,
             self.durable.min(self.verified),
         );
+        let refuses = !self.storage.takes_writes();
         let told = self.confirmed.clone();
         if let Some((to, round)) = told.filter(|(to, _)| *to == self.leader && !to.is_empty()) {
             self.send_durable_hard(
@@ -283,6 +287,7 @@
                     clock: 0,
                     carried: false,
                     disk,
+                    refuses,
                 },
             );
         }
@@ -316,6 +321,12 @@
         p.round_sent = p.round_sent.max(sent);
         p.disk = m.disk;
         p.installing = 0;
+        let was_refusing = std::mem::replace(&mut p.refuses, m.refuses);
+        if m.refuses || was_refusing {
+            // From the last sure place again, once its disk takes writes.
+            p.pending = 0;
+            p.next = p.matched + 1;
+        }
         // A verdict on an older round says nothing about the batch under way.
         let fresh = m.round >= p.pending;
         if fresh {
--- a/landingdrift/src/daemon/control.rs
+++ b/landingdrift/src/daemon/control.rs
@@ -3,6 +3,7 @@
 use super::ending::{Ending, StopSpans};
 use super::traffic::Transport;
 use crate::kernel::{Effect, Msg, Now, Part, Request};
+use crate::settings::Settings;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -56,6 +57,26 @@
 }
 
 impl Control {
+    /// The thread of a part that nothing has reached yet.
+    pub fn new(
+        part: Box<dyn Part>,
+        clock: Clock,
+        transport: Transport,
+        disk: Option<Disk>,
+        calls: Calls,
+        s: &Settings,
+    ) -> Self {
+        Self {
+            part,
+            clock,
+            transport,
+            disk,
+            calls,
+            tick: Duration::from_millis(s.bounds.tick()),
+            ending: Ending::new(StopSpans::of(&s.bounds)),
+        }
+    }
+
     /// Runs until the part is done or nobody is left who could reach it.
     pub fn run(mut self, inputs: &Receiver<Input>) {
         let mut next = Instant::now();
--- a/landingdrift/src/daemon/disks.rs
+++ b/landingdrift/src/daemon/disks.rs
@@ -1,29 +1,68 @@
 use super::control::Input;
 use super::threads;
-use crate::disk::Folder;
+use crate::disk::{DiskDefect, Folder};
 use crate::kernel::{Msg, Save};
-use std::sync::mpsc::{channel, Sender};
+use crate::settings::Bounds;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// What the thread that writes needs of a data folder.
+pub trait Store: Send {
+    /// Writes a batch and syncs once; nothing of it counts unless this succeeds.
+    fn save(&mut self, batch: &[Save]) -> Result<(), DiskDefect>;
+    /// Makes the store usable after a refusal: it holds what was confirmed, and no part of the batch that failed.
+    fn recover(&mut self) -> Result<(), DiskDefect>;
+}
+
+impl Store for Folder {
+    fn save(&mut self, batch: &[Save]) -> Result<(), DiskDefect> {
+        Folder::save(self, batch)
+    }
+    fn recover(&mut self) -> Result<(), DiskDefect> {
+        Folder::recover(self)
+    }
+}
+
+/// How long to wait before a disk that refused is tried again; each pause is twice the one before.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses {
+    pub next: Duration,
+    pub longest: Duration,
+}
+
+impl Pauses {
+    /// The pauses that the bounds allow for.
+    pub fn of(bounds: &Bounds) -> Self {
+        Self {
+            next: Duration::from_millis(bounds.heartbeat()),
+            longest: Duration::from_millis(bounds.disk_pause()),
+        }
+    }
+}
+
+impl Iterator for Pauses {
+    type Item = Duration;
+    fn next(&mut self) -> Option<Duration> {
+        let pause = self.next;
+        self.next = (pause * 2).min(self.longest);
+        Some(pause)
+    }
+}
 
 /// The thread that writes; all that waits is written together and synced once.
 pub struct Disk(Sender<Save>);
 
 impl Disk {
     /// Starts the thread.
-    pub fn start(mut folder: Folder, inputs: Sender<Input>) -> Result<Self, String> {
+    pub fn start(
+        store: impl Store + 'static,
+        inputs: Sender<Input>,
+        pauses: Pauses,
+    ) -> Result<Self, String> {
         let (tx, rx) = channel::<Save>();
         threads::spawn("disk", threads::SMALL, move || {
-            while let Ok(first) = rx.recv() {
-                let mut batch = vec![first];
-                batch.extend(rx.try_iter());
-                let ticket = batch.last().map_or(0, |s| s.ticket);
-                let msg = folder
-                    .save(&batch)
-                    .map_or_else(|e| Msg::DiskDefect(e.to_string()), |()| Msg::Saved(ticket));
-                let dead = matches!(msg, Msg::DiskDefect(_));
-                if inputs.send(Input::Msg(msg)).is_err() || dead {
-                    return;
-                }
-            }
+            write(store, &rx, &inputs, pauses);
         })?;
         Ok(Self(tx))
     }
@@ -33,3 +72,34 @@
         let _ = self.0.send(s);
     }
 }
+
+/// Writes until nobody hands anything over, or nobody listens.
+fn write(mut store: impl Store, saves: &Receiver<Save>, inputs: &Sender<Input>, pauses: Pauses) {
+    while let Ok(first) = saves.recv() {
+        let mut batch = vec![first];
+        batch.extend(saves.try_iter());
+        let ticket = batch.last().map_or(0, |s| s.ticket);
+        let written = save_at_last(&mut store, &batch, inputs, pauses);
+        if written.is_none() || inputs.send(Input::Msg(Msg::Saved(ticket))).is_err() {
+            return;
+        }
+    }
+}
+
+/// Tries until the batch is durable; `None` where nobody listens any more.
+fn save_at_last(
+    store: &mut impl Store,
+    batch: &[Save],
+    inputs: &Sender<Input>,
+    mut pauses: Pauses,
+) -> Option<()> {
+    let mut written = store.save(batch);
+    while let Err(why) = written {
+        let told = Msg::DiskDefect(why.to_string());
+        inputs.send(Input::Msg(told)).ok()?;
+        sleep(pauses.next().unwrap_or_default());
+        // Whatever of the batch was written is cut off first, then all of it is written again in order.
+        written = store.recover().and_then(|()| store.save(batch));
+    }
+    Some(())
+}
--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod disks;
 mod ending;
 mod logs;
+mod opening;
 mod process;
 mod roles;
 mod signals;
@@ -13,7 +14,7 @@
 
 pub use calls::Calls;
 pub use control::{Clock, Control, Input};
-pub use disks::Disk;
+pub use disks::{Disk, Pauses, Store};
 pub use ending::{Ending, StopSpans};
 pub use process::{Handle, Process};
 pub use traffic::{Asked, Bounded, Frames, Handling, Manner, Reply, Traffic, Transport};
--- /dev/null
+++ b/landingdrift/src/daemon/opening.rs
@@ -0,0 +1,78 @@
+use super::calls::Calls;
+use super::control::Input;
+use super::disks::Pauses;
+use crate::agreement::Loaded;
+use crate::disk::{DiskDefect, Folder};
+use crate::kernel::{Msg, Request, Verdict};
+use crate::settings::Settings;
+use serde_json::json;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+/// Opens the data folder that the settings name.
+pub fn open(s: &Settings, seed: u64) -> Result<(Folder, Loaded), DiskDefect> {
+    let path = Path::new(&s.data);
+    Folder::open(path, &s.cluster, s.limits.segment_bytes, seed | 1)
+}
+
+/// Tries to open a data folder whose disk refuses, with growing pauses; `None` where the part is told to stop before.
+pub fn open_at_last(
+    s: &Settings,
+    seed: u64,
+    mut why: DiskDefect,
+    calls: &Calls,
+    inputs: &Receiver<Input>,
+) -> Result<Option<(Folder, Loaded)>, DiskDefect> {
+    for (tries, pause) in Pauses::of(&s.bounds).enumerate() {
+        log::warn!("the data folder can't be opened ({why}): tried again in {pause:?}");
+        if !wait(pause, calls, inputs, &why, tries as u64) {
+            return Ok(None);
+        }
+        match open(s, seed) {
+            Ok(opened) => {
+                log::info!("the data folder was opened after {} tries", tries + 1);
+                return Ok(Some(opened));
+            }
+            Err(e) if e.may_pass() => why = e,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(None)
+}
+
+/// Answers calls for a while; false where the part is told to stop.
+fn wait(
+    pause: Duration,
+    calls: &Calls,
+    inputs: &Receiver<Input>,
+    why: &DiskDefect,
+    tries: u64,
+) -> bool {
+    let until = Instant::now() + pause;
+    loop {
+        match inputs.recv_timeout(until.saturating_duration_since(Instant::now())) {
+            Ok(Input::Call(req, call)) => calls.answer(call, verdict(&req, why, tries)),
+            Ok(Input::Msg(Msg::Stop)) | Err(RecvTimeoutError::Disconnected) => return false,
+            // What others say is said again once there is a core to hear it.
+            Ok(Input::Msg(_)) => {}
+            Err(RecvTimeoutError::Timeout) => return true,
+        }
+    }
+}
+
+fn verdict(req: &Request, why: &DiskDefect, tries: u64) -> Verdict {
+    match req.path.as_str() {
+        "/live" => Verdict::new(200, json!({"live": true})),
+        "/ready" => Verdict::new(503, json!({"ready": false})),
+        "/metrics" => Verdict::new(
+            200,
+            format!("landingdrift_disk_refused 1\nlandingdrift_disk_retries {tries}\n").into(),
+        ),
+        "/v1/status" => Verdict::new(
+            200,
+            json!({"role": "Opening", "disk": {"state": "refusing", "why": why.to_string()}}),
+        ),
+        _ => Verdict::error(503, "noDisk", why.to_string()).retry(1000),
+    }
+}
--- a/landingdrift/src/daemon/process.rs
+++ b/landingdrift/src/daemon/process.rs
@@ -1,18 +1,17 @@
 use super::calls::Calls;
 use super::control::{Clock, Control, Input};
-use super::disks::Disk;
-use super::ending::{Ending, StopSpans};
+use super::disks::{Disk, Pauses};
 use super::signals::Ended;
-use super::traffic::{Bounded, Frames, Manner, Traffic};
-use super::{logs, signals, threads};
-use crate::disk::Folder;
+use super::traffic::{Bounded, Frames, Manner, Traffic, Transport};
+use super::{logs, opening, signals, threads};
+use crate::agreement::{Core, Loaded};
+use crate::disk::{DiskDefect, Folder};
 use crate::kernel::{digest, Msg, Now, Part};
 use crate::settings::{Bounds, Settings};
 use signal_hook::consts::SIGHUP;
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
-use std::path::Path;
-use std::sync::mpsc::{channel, Sender};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread::{sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -64,39 +63,46 @@
         digest(name.as_bytes()) ^ self.now().wall ^ (u64::from(std::process::id()) << 40)
     }
 
-    /// Opens the data folder of a core.
-    pub fn folder(
-        &self,
-        s: &Settings,
-        seed: u64,
-    ) -> Result<(Folder, crate::agreement::Loaded), String> {
-        let path = Path::new(&s.data);
-        Folder::open(path, &s.cluster, s.limits.segment_bytes, seed | 1).map_err(|e| e.to_string())
-    }
-
     /// Starts a part.
     pub fn part(&mut self, part: Box<dyn Part>, s: &Settings) -> Result<Handle, String> {
-        self.begin(part, s, None)
+        let (transport, inputs, received) = self.listen(s)?;
+        let control = Control::new(part, self.clock, transport, None, Calls::default(), s);
+        self.begin(s, inputs, control.calls.clone(), move || {
+            control.run(&received)
+        })
     }
 
-    /// Starts a part that writes to a data folder.
-    pub fn part_on_disk(
-        &mut self,
-        part: Box<dyn Part>,
-        s: &Settings,
-        folder: Folder,
-    ) -> Result<Handle, String> {
-        self.begin(part, s, Some(folder))
+    /// Starts a core on its data folder. Where the disk refuses, the folder is tried again while the other parts serve.
+    pub fn core(&mut self, s: &Settings) -> Result<Handle, String> {
+        let seed = self.seed(&s.listen);
+        let opened = opening::open(s, seed);
+        if let Err(why) = opened
+            .as_ref()
+            .map_err(|why| (why.may_pass(), why.to_string()))
+        {
+            why.0.then_some(()).ok_or(why.1)?;
+        }
+        let (transport, inputs, received) = self.listen(s)?;
+        let calls = Calls::default();
+        let start = CoreStart {
+            settings: s.clone(),
+            seed,
+            clock: self.clock,
+            transport,
+            inputs: inputs.clone(),
+            calls: calls.clone(),
+        };
+        match opened {
+            Ok(opened) => {
+                let control = start.control(opened)?;
+                self.begin(s, inputs, calls, move || control.run(&received))
+            }
+            Err(why) => self.begin(s, inputs, calls, move || start.run(why, &received)),
+        }
     }
 
-    fn begin(
-        &mut self,
-        part: Box<dyn Part>,
-        s: &Settings,
-        folder: Option<Folder>,
-    ) -> Result<Handle, String> {
+    fn listen(&self, s: &Settings) -> Result<(Transport, Sender<Input>, Receiver<Input>), String> {
         let (tx, rx) = channel::<Input>();
-        let disk = folder.map(|f| Disk::start(f, tx.clone())).transpose()?;
         let frames = Frames {
             cluster: s.cluster.clone(),
             me: s.listen.clone(),
@@ -104,23 +110,23 @@
             longest: Frames::longest(&s.limits),
         };
         let transport = self.traffic.listen(frames, tx.clone())?;
-        let calls = Calls::default();
-        let control = Control {
-            part,
-            clock: self.clock,
-            transport,
-            disk,
-            calls: calls.clone(),
-            tick: Duration::from_millis(s.bounds.tick()),
-            ending: Ending::new(StopSpans::of(&s.bounds)),
-        };
+        Ok((transport, tx, rx))
+    }
+
+    fn begin(
+        &mut self,
+        s: &Settings,
+        inputs: Sender<Input>,
+        calls: Calls,
+        run: impl FnOnce() + Send + 'static,
+    ) -> Result<Handle, String> {
         let ended = Ended(self.signals.handle());
         let thread = threads::spawn("control", threads::CONTROL, move || {
             let _ended = ended;
-            control.run(&rx);
+            run();
         })?;
         log::info!("{} in zone {}", s.listen, s.zone);
-        let handle = Handle { calls, inputs: tx };
+        let handle = Handle { calls, inputs };
         self.parts.push(RunningPart {
             handle: handle.clone(),
             thread,
@@ -209,6 +215,48 @@
     }
 }
 
+/// All that a core needs to start, but its data folder.
+struct CoreStart {
+    settings: Settings,
+    seed: u64,
+    clock: Clock,
+    transport: Transport,
+    inputs: Sender<Input>,
+    calls: Calls,
+}
+
+impl CoreStart {
+    /// Opens the folder at last, and runs the core.
+    fn run(self, why: DiskDefect, received: &Receiver<Input>) {
+        let (calls, seed) = (self.calls.clone(), self.seed);
+        let opened = opening::open_at_last(&self.settings, seed, why, &calls, received);
+        let control = opened
+            .map_err(|why| why.to_string())
+            .and_then(|opened| opened.map(|o| self.control(o)).transpose());
+        match control {
+            Ok(Some(control)) => control.run(received),
+            Ok(None) => {}
+            Err(why) => log::error!("the core ends: {why}"),
+        }
+        calls.close();
+    }
+
+    fn control(self, (folder, loaded): (Folder, Loaded)) -> Result<Control, String> {
+        let s = &self.settings;
+        let core = Core::new(s.clone(), loaded, self.clock.now(), self.seed)?;
+        let disk = Disk::start(folder, self.inputs, Pauses::of(&s.bounds))?;
+        let (part, disk) = (Box::new(core), Some(disk));
+        Ok(Control::new(
+            part,
+            self.clock,
+            self.transport,
+            disk,
+            self.calls,
+            s,
+        ))
+    }
+}
+
 impl RunningPart {
     fn tell(&self, msg: Msg) {
         let _ = self.handle.inputs.send(Input::Msg(msg));
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -1,6 +1,5 @@
 use super::process::Process;
 use super::traffic::{Bounded, Manner};
-use crate::agreement::Core;
 use crate::kernel::roles::Role;
 use crate::node::Node;
 use crate::settings::{from_words, Settings, FLAGS};
@@ -53,12 +52,10 @@
 fn start(role: &'static str, s: Settings, words: Vec<OsString>) -> Result<i32, String> {
     let core = role == "core";
     let mut process = Process::start(&s.log)?;
-    let (seed, now) = (process.seed(&s.listen), process.now());
     let part = if core {
-        let (folder, loaded) = process.folder(&s, seed)?;
-        let part = Core::new(s.clone(), loaded, now, seed)?;
-        process.part_on_disk(Box::new(part), &s, folder)?
+        process.core(&s)?
     } else {
+        let (seed, now) = (process.seed(&s.listen), process.now());
         process.part(Box::new(Node::new(s.clone(), now, seed)), &s)?
     };
     let addr = s
--- a/landingdrift/src/disk/mod.rs
+++ b/landingdrift/src/disk/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::agreement::Loaded;
 use crate::kernel::{Capture, Hard, Save};
+use crate::wire::Note;
 use frames::Frame;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -32,6 +33,13 @@
     Busy(PathBuf),
 }
 
+impl DiskDefect {
+    /// Whether the folder may become usable without anybody changing the settings.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, Self::Io { .. })
+    }
+}
+
 impl fmt::Display for DiskDefect {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
@@ -53,6 +61,37 @@
     disk: u64,
 }
 
+/// What each segment starts with, so that older ones can go: as of the last write that was synced.
+#[derive(Clone, Debug)]
+struct Head {
+    hard: Hard,
+    notes: Vec<Note>,
+    /// The last index of the log; entries after it are void, in whichever older segment they are found.
+    last: u64,
+}
+
+impl Head {
+    /// Follows a save, and writes its frames.
+    fn write(&mut self, s: &Save, bytes: &mut Vec<u8>) {
+        s.hard.iter().for_each(|h| {
+            self.hard = h.clone();
+            Frame::Hard(h.clone()).write(bytes);
+        });
+        s.cut.iter().for_each(|c| {
+            self.last = self.last.min(c.saturating_sub(1));
+            Frame::Cut(*c).write(bytes);
+        });
+        s.entries.iter().for_each(|e| {
+            self.last = e.index;
+            Frame::Entry(e.clone()).write(bytes);
+        });
+        if !s.notes.is_empty() {
+            self.notes = s.notes.clone();
+            Frame::Notes(s.notes.clone()).write(bytes);
+        }
+    }
+}
+
 /// An open data folder.
 pub struct Folder {
     path: PathBuf,
@@ -60,10 +99,9 @@
     number: u64,
     size: u64,
     segment_bytes: u64,
-    hard: Hard,
+    head: Head,
     /// Last index in every closed segment, by its number.
     closed: Vec<(u64, u64)>,
-    last: u64,
     _lock: File,
 }
 
@@ -74,12 +112,23 @@
     }
 }
 
+fn segment_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("log-{number:016}.segment"))
+}
+
 fn sync_dir(path: &Path) -> Result<(), DiskDefect> {
     File::open(path)
         .and_then(|d| d.sync_all())
         .map_err(io(path))
 }
 
+/// Makes a folder, and makes sure that it is still there after a loss of power.
+fn make_durable(path: &Path) -> Result<(), DiskDefect> {
+    fs::create_dir_all(path).map_err(io(path))?;
+    let parent = path.parent().filter(|p| !p.as_os_str().is_empty());
+    sync_dir(parent.unwrap_or(Path::new(".")))
+}
+
 fn write_synced(path: &Path, bytes: &[u8]) -> Result<(), DiskDefect> {
     let tmp = path.with_extension("new");
     let mut f = File::create(&tmp).map_err(io(&tmp))?;
@@ -111,7 +160,7 @@
         segment_bytes: u64,
         fresh: u64,
     ) -> Result<(Self, Loaded), DiskDefect> {
-        fs::create_dir_all(path).map_err(io(path))?;
+        make_durable(path)?;
         let mark_path = path.join(MARK);
         let names: Vec<String> = fs::read_dir(path)
             .map_err(io(path))?
@@ -166,15 +215,19 @@
             number,
             size: 0,
             segment_bytes,
-            hard: found.hard,
+            head: Head {
+                hard: found.hard,
+                notes: loaded.notes.clone(),
+                last,
+            },
             closed: found.segments,
-            last,
             _lock: lock,
         };
         // A new segment starts with all that the older ones may be dropped for.
         let mut first = Save {
-            hard: Some(folder.hard.clone()),
+            hard: Some(folder.head.hard.clone()),
             notes: loaded.notes.clone(),
+            cut: Some(last + 1),
             ..Save::default()
         };
         if loaded.damaged {
@@ -186,7 +239,7 @@
     }
 
     fn create(path: &Path, number: u64) -> Result<File, DiskDefect> {
-        let p = path.join(format!("log-{number:016}.segment"));
+        let p = segment_path(path, number);
         let f = OpenOptions::new()
             .create(true)
             .append(true)
@@ -196,26 +249,12 @@
         Ok(f)
     }
 
-    /// Writes a batch of saves and syncs once for all of them.
+    /// Writes a batch of saves and syncs once for all of them. Where this fails, nothing of the batch counts: it is to
+    /// be written again after [`Folder::recover`].
     pub fn save(&mut self, batch: &[Save]) -> Result<(), DiskDefect> {
+        let mut head = self.head.clone();
         let mut bytes = Vec::new();
-        for s in batch {
-            s.hard.iter().for_each(|h| {
-                self.hard = h.clone();
-                Frame::Hard(h.clone()).write(&mut bytes);
-            });
-            s.cut.iter().for_each(|c| {
-                self.last = self.last.min(c.saturating_sub(1));
-                Frame::Cut(*c).write(&mut bytes);
-            });
-            s.entries.iter().for_each(|e| {
-                self.last = e.index;
-                Frame::Entry(e.clone()).write(&mut bytes);
-            });
-            if !s.notes.is_empty() {
-                Frame::Notes(s.notes.clone()).write(&mut bytes);
-            }
-        }
+        batch.iter().for_each(|s| head.write(s, &mut bytes));
         // A capture goes first: a cut that relies on it must not be seen without it.
         for c in batch.iter().filter_map(|s| s.capture.as_ref()) {
             self.write_capture(c)?;
@@ -225,6 +264,7 @@
             .write_all(&bytes)
             .and_then(|()| self.segment.sync_data())
             .map_err(io(&path))?;
+        self.head = head;
         self.size += bytes.len() as u64;
         if let Some(c) = batch.iter().rev().find_map(|s| s.capture.as_ref()) {
             self.drop_old(c.index)?;
@@ -236,15 +276,31 @@
     }
 
     fn roll(&mut self) -> Result<(), DiskDefect> {
-        self.closed.push((self.number, self.last));
-        self.number += 1;
-        self.segment = Self::create(&self.path, self.number)?;
+        let number = self.number + 1;
+        self.segment = Self::create(&self.path, number)?;
+        self.closed.push((self.number, self.head.last));
+        self.number = number;
         self.size = 0;
-        let hard = self.hard.clone();
-        self.save(&[Save {
-            hard: Some(hard),
+        let first = Save {
+            hard: Some(self.head.hard.clone()),
+            notes: self.head.notes.clone(),
+            cut: Some(self.head.last + 1),
             ..Save::default()
-        }])
+        };
+        self.save(&[first])
+    }
+
+    /// Makes the folder usable after a write that failed: what was not confirmed is cut off, and a new segment begun.
+    /// A sync that failed may have lost what it was to write, so nothing of that batch is believed; the caller writes
+    /// the whole batch again.
+    pub fn recover(&mut self) -> Result<(), DiskDefect> {
+        let path = segment_path(&self.path, self.number);
+        OpenOptions::new()
+            .write(true)
+            .open(&path)
+            .and_then(|f| f.set_len(self.size).and_then(|()| f.sync_all()))
+            .map_err(io(&path))?;
+        self.roll()
     }
 
     fn write_capture(&mut self, c: &Capture) -> Result<(), DiskDefect> {
@@ -264,7 +320,7 @@
             .partition(|(_, last)| *last <= index);
         self.closed = kept;
         old.iter().for_each(|(n, _)| {
-            let _ = fs::remove_file(self.path.join(format!("log-{n:016}.segment")));
+            let _ = fs::remove_file(segment_path(&self.path, *n));
         });
         let captures = load::numbered(&self.path, "capture-", ".capture")?;
         captures.iter().rev().skip(2).for_each(|(_, p)| {
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -134,6 +134,10 @@
     pub fn flush_answers(&self) -> u64 {
         self.grace_ms / 60
     }
+    /// The longest pause before a disk that refused is tried again.
+    pub fn disk_pause(&self) -> u64 {
+        self.desired_ms / 2
+    }
     /// When a caller told to come back should do so.
     pub fn back(&self) -> u64 {
         self.state_ms / 3
--- /dev/null
+++ b/landingdrift/tests/cores/mod.rs
@@ -0,0 +1,384 @@
+//! Three cores in one thread, with time, wires and disks that the tests rule over.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use landingdrift::agreement::{Core, Loaded};
+use landingdrift::kernel::{Effect, Msg, Now, Part, Request, Save, Verdict};
+use landingdrift::record::Command;
+use landingdrift::settings::{Limits, Settings};
+use landingdrift::wire::{Body, FeedBatch, FeedPull, Propose, Proposed};
+use serde_json::json;
+use std::collections::{BTreeMap, VecDeque};
+
+const TICK_MS: u64 = 20;
+const LINK_MS: u64 = 1;
+/// How often a disk that refuses is tried again.
+const RETRY_MS: u64 = 100;
+const CLIENT: &str = "10.9.9.9:1";
+pub const NODE: &str = "10.8.8.8:1";
+
+/// How a disk behaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Behaviour {
+    Sound,
+    Refuses,
+    Hangs,
+}
+
+/// A core's disk: what is durable, and what was handed over and is not.
+pub struct TestDisk {
+    pub durable: Loaded,
+    pub pending: VecDeque<Save>,
+    pub behaviour: Behaviour,
+    next_retry: u64,
+}
+
+impl TestDisk {
+    fn new(disk: u64) -> Self {
+        let durable = Loaded {
+            disk,
+            ..Loaded::default()
+        };
+        Self {
+            durable,
+            pending: VecDeque::new(),
+            behaviour: Behaviour::Sound,
+            next_retry: 0,
+        }
+    }
+
+    fn write_all(&mut self) -> Option<u64> {
+        let last = self.pending.back().map(|s| s.ticket);
+        for s in std::mem::take(&mut self.pending) {
+            write(&mut self.durable, s);
+        }
+        last
+    }
+
+    /// The last index that a restart would find.
+    pub fn last(&self) -> u64 {
+        let capture = self.durable.capture.as_ref().map_or(0, |c| c.index);
+        self.durable.entries.last().map_or(capture, |e| e.index)
+    }
+}
+
+fn write(to: &mut Loaded, s: Save) {
+    s.hard.into_iter().for_each(|h| to.hard = h);
+    if let Some(cut) = s.cut {
+        to.entries.retain(|e| e.index < cut);
+    }
+    if let Some(capture) = s.capture {
+        to.entries.retain(|e| e.index > capture.index);
+        to.capture = Some(capture);
+    }
+    for e in s.entries {
+        to.entries.retain(|x| x.index < e.index);
+        to.entries.push(e);
+    }
+    if !s.notes.is_empty() {
+        to.notes = s.notes;
+    }
+}
+
+/// A message on its way, or arrived at somebody who is no core.
+#[derive(Clone, Debug)]
+pub struct Carried {
+    pub from: String,
+    pub to: String,
+    pub body: Body,
+}
+
+pub struct Cores {
+    pub t: u64,
+    pub cores: Vec<Option<Core>>,
+    pub disks: Vec<TestDisk>,
+    pub settings: Vec<Settings>,
+    /// Messages by when they arrive, in the order in which they were sent.
+    wires: VecDeque<(u64, Carried)>,
+    /// Says which messages are lost.
+    pub loses: Box<dyn Fn(&Carried) -> bool>,
+    /// All that was sent to nobody here.
+    pub outside: Vec<Carried>,
+    /// All that was sent between cores, oldest first.
+    pub sent: Vec<(u64, Carried)>,
+    pub lines: Vec<String>,
+    pub exits: usize,
+    answers: BTreeMap<u64, Verdict>,
+    next: u64,
+}
+
+pub fn name(i: usize) -> String {
+    format!("10.0.0.{i}:7000")
+}
+
+impl Cores {
+    pub fn start(limits: Limits) -> Self {
+        let names: Vec<String> = (0..3).map(name).collect();
+        let settings: Vec<Settings> = (0..3)
+            .map(|i| Settings {
+                listen: name(i),
+                zone: format!("z{i}"),
+                seeds: names.clone(),
+                limits: limits.clone(),
+                ..Settings::default()
+            })
+            .collect();
+        let mut all = Self {
+            t: 0,
+            cores: (0..3).map(|_| None).collect(),
+            disks: (0..3).map(|i| TestDisk::new(i + 1)).collect(),
+            settings,
+            wires: VecDeque::new(),
+            loses: Box::new(|_| false),
+            outside: Vec::new(),
+            sent: Vec::new(),
+            lines: Vec::new(),
+            exits: 0,
+            answers: BTreeMap::new(),
+            next: 0,
+        };
+        (0..3).for_each(|i| all.boot(i));
+        assert!(all.until(20_000, |c| c.leader().is_some()), "nobody leads");
+        all.run(1000);
+        all
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            mono: self.t + 1,
+            wall: 1_700_000_000_000 + self.t,
+        }
+    }
+
+    /// Starts a core from what its disk holds.
+    pub fn boot(&mut self, i: usize) {
+        let (cfg, now) = (self.settings[i].clone(), self.now());
+        let loaded = self.disks[i].durable.clone();
+        let core = Core::new(cfg, loaded, now, 77 + i as u64 + self.t);
+        self.cores[i] = Some(core.expect("a sound disk loads"));
+    }
+
+    /// The power of a core goes: what was not durable is lost.
+    pub fn kill(&mut self, i: usize) {
+        self.cores[i] = None;
+        self.disks[i].pending.clear();
+        let gone = name(i);
+        self.wires.retain(|(_, c)| c.to != gone);
+    }
+
+    pub fn core(&self, i: usize) -> &Core {
+        self.cores[i].as_ref().expect("it runs")
+    }
+
+    pub fn counter(&self, i: usize, of: &str) -> u64 {
+        let all = self.core(i).counters();
+        all.into_iter().find(|(k, _)| k == of).map_or(0, |(_, v)| v)
+    }
+
+    /// The leader of the newest term.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.cores.len())
+            .filter(|i| self.cores[*i].as_ref().is_some_and(Core::leads))
+            .max_by_key(|i| self.core(*i).term())
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.t + ms;
+        while self.t < end {
+            self.pass();
+        }
+    }
+
+    /// Runs until something holds; false where it does not within so many milliseconds.
+    pub fn until(&mut self, ms: u64, holds: impl Fn(&Self) -> bool) -> bool {
+        let end = self.t + ms;
+        while self.t < end && !holds(self) {
+            self.pass();
+        }
+        holds(self)
+    }
+
+    /// One millisecond passes.
+    fn pass(&mut self) {
+        self.t += 1;
+        while let Some((_, c)) = self.wires.pop_front_if(|(at, _)| *at <= self.t) {
+            match (0..3).find(|i| name(*i) == c.to) {
+                Some(i) => self.step(i, Msg::Wire(c.from, c.body)),
+                None => self.outside.push(c),
+            }
+        }
+        for i in 0..3 {
+            self.disk(i);
+            if (self.t + i as u64 * 7).is_multiple_of(TICK_MS) {
+                self.step(i, Msg::Tick);
+            }
+        }
+    }
+
+    fn disk(&mut self, i: usize) {
+        let (t, disk) = (self.t, &mut self.disks[i]);
+        let msg = match disk.behaviour {
+            Behaviour::Sound => disk.write_all().map(Msg::Saved),
+            Behaviour::Refuses if !disk.pending.is_empty() && t >= disk.next_retry => {
+                disk.next_retry = t + RETRY_MS;
+                Some(Msg::DiskDefect("the disk is full".into()))
+            }
+            _ => None,
+        };
+        msg.into_iter().for_each(|m| self.step(i, m));
+    }
+
+    pub fn step(&mut self, i: usize, msg: Msg) {
+        let now = self.now();
+        let Some(core) = self.cores[i].as_mut() else {
+            return;
+        };
+        for effect in core.step(now, msg) {
+            match effect {
+                Effect::Send(to, body) => {
+                    let from = name(i);
+                    self.carry(i, Carried { from, to, body });
+                }
+                Effect::Save(save) => self.disks[i].pending.push_back(save),
+                Effect::Answer(call, v) => {
+                    self.answers.insert(call, v);
+                }
+                Effect::Line(text) => self.lines.push(format!("{} {}: {text}", self.t, name(i))),
+                Effect::Exit => self.exits += 1,
+            }
+        }
+    }
+
+    fn carry(&mut self, i: usize, c: Carried) {
+        self.check_promise(i, &c);
+        self.sent.push((self.t, c.clone()));
+        if !(self.loses)(&c) {
+            self.wires.push_back((self.t + LINK_MS, c));
+        }
+    }
+
+    /// Nothing is confirmed, and no vote given, that is not durable.
+    fn check_promise(&self, i: usize, c: &Carried) {
+        let disk = &self.disks[i];
+        match &c.body {
+            Body::AppendVerdict(v) if v.ok => {
+                let last = disk.last();
+                assert!(v.matched <= last, "confirms {} of {last}", v.matched);
+                assert!(v.term <= disk.durable.hard.term, "a term not durable");
+            }
+            Body::VoteVerdict(v) if v.granted && !v.pre => {
+                assert_eq!(disk.durable.hard.vote, c.to, "a vote not durable");
+                assert_eq!(disk.durable.hard.term, v.term);
+            }
+            _ => {}
+        }
+    }
+
+    /// A message from somebody who is no core.
+    pub fn tell(&mut self, i: usize, from: &str, body: Body) {
+        self.step(i, Msg::Wire(from.into(), body));
+    }
+
+    /// Proposes a change that adds a note of so many bytes; its token.
+    pub fn propose(&mut self, i: usize, bytes: usize) -> u64 {
+        self.next += 1;
+        let token = self.next;
+        let command = Command::Configure {
+            change: format!("c{token}"),
+            base: self.version(i),
+            patch: true,
+            number: 0,
+            value: json!({"notes": {(format!("n{token}")): noise(token, bytes)}}),
+        };
+        let propose = Propose {
+            token,
+            command: command.pack(),
+        };
+        self.tell(i, CLIENT, Body::Propose(Box::new(propose)));
+        token
+    }
+
+    pub fn proposed(&self, token: u64) -> Option<Proposed> {
+        self.outside.iter().find_map(|c| match &c.body {
+            Body::Proposed(p) if p.token == token => Some((**p).clone()),
+            _ => None,
+        })
+    }
+
+    pub fn confirmed(&self, token: u64) -> bool {
+        self.proposed(token).is_some_and(|p| p.outcome == 0)
+    }
+
+    /// Proposes to the leader until it takes it, and waits until it is confirmed.
+    pub fn change(&mut self, bytes: usize) {
+        let end = self.t + 5000;
+        while self.t < end {
+            let leader = self.leader().expect("somebody leads");
+            let token = self.propose(leader, bytes);
+            self.until(1000, |c| c.proposed(token).is_some());
+            if self.confirmed(token) {
+                return;
+            }
+            self.run(50);
+        }
+        panic!("not confirmed: {:#?}", self.lines);
+    }
+
+    pub fn ask(&mut self, i: usize, path: &str) -> Verdict {
+        self.next += 1;
+        let call = self.next;
+        let req = Request {
+            method: "GET".into(),
+            path: path.into(),
+            ..Request::default()
+        };
+        self.step(i, Msg::Call(call, req));
+        self.answers.remove(&call).expect("an answer at once")
+    }
+
+    /// A node asks the leader for what follows a place.
+    pub fn pull(&mut self, node: &str, place: u64) {
+        let leader = self.leader().expect("somebody leads");
+        let pull = FeedPull {
+            node: node.into(),
+            zone: "z".into(),
+            http: node.into(),
+            place,
+            sent: self.t,
+            leaving: false,
+            successor: String::new(),
+            clock: 0,
+            carried: false,
+            share: 1000,
+            beside_core: false,
+            light: false,
+        };
+        self.tell(leader, node, Body::FeedPull(Box::new(pull)));
+    }
+
+    pub fn batches(&self, node: &str) -> Vec<FeedBatch> {
+        let of = self.outside.iter().filter(|c| c.to == node);
+        of.filter_map(|c| match &c.body {
+            Body::FeedBatch(b) => Some((**b).clone()),
+            _ => None,
+        })
+        .collect()
+    }
+
+    pub fn version(&self, i: usize) -> u64 {
+        self.core(i).record().version
+    }
+
+    pub fn all_alike(&self) -> bool {
+        let place = |i: usize| self.cores[i].as_ref().map(|c| c.record().place);
+        place(0).is_some() && place(0) == place(1) && place(1) == place(2)
+    }
+}
+
+/// Text that no build makes smaller.
+fn noise(seed: u64, bytes: usize) -> String {
+    let mut draw = landingdrift::kernel::Draw::new(seed);
+    (0..bytes)
+        .map(|_| char::from(b'a' + draw.below(26) as u8))
+        .collect()
+}
--- /dev/null
+++ b/landingdrift/tests/disk_refuses.rs
@@ -0,0 +1,177 @@
+//! A disk that refuses writes for a while: nothing is confirmed meanwhile, nothing is lost, and it comes back by itself.
+
+use landingdrift::daemon::{Disk, Input, Pauses, Store};
+use landingdrift::disk::{DiskDefect, Folder};
+use landingdrift::kernel::{Hard, Msg, Save};
+use landingdrift::wire::{Entry, Note};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const SEGMENT_BYTES: u64 = 600;
+const LONG: Duration = Duration::from_secs(20);
+
+fn folder(name: &str) -> PathBuf {
+    let p = std::env::temp_dir().join(format!(
+        "landingdrift-refuses-{}-{name}",
+        std::process::id()
+    ));
+    let _ = fs::remove_dir_all(&p);
+    p
+}
+
+fn save(ticket: u64, from: u64, to: u64) -> Save {
+    let entry = |index| Entry {
+        index,
+        term: 1,
+        at: index * 10,
+        command: format!("\"e{index}\"").into_bytes(),
+    };
+    Save {
+        ticket,
+        entries: (from..=to).map(entry).collect(),
+        notes: vec![Note {
+            core: "b".into(),
+            disk: 9,
+            index: to,
+            term: 1,
+        }],
+        ..Save::default()
+    }
+}
+
+fn indexes(p: &Path) -> Vec<u64> {
+    let (_, loaded) = Folder::open(p, "c", SEGMENT_BYTES, 7).expect("opened");
+    assert!(!loaded.damaged);
+    loaded.entries.iter().map(|e| e.index).collect()
+}
+
+/// Refuses the first tries, and notes what is written.
+struct Refusing {
+    left: Arc<AtomicUsize>,
+    written: Arc<Mutex<Vec<u64>>>,
+    recovered: Arc<AtomicUsize>,
+}
+
+impl Store for Refusing {
+    fn save(&mut self, batch: &[Save]) -> Result<(), DiskDefect> {
+        if self.left.load(Ordering::SeqCst) > 0 {
+            self.left.fetch_sub(1, Ordering::SeqCst);
+            return Err(DiskDefect::Io {
+                path: "log".into(),
+                why: std::io::ErrorKind::StorageFull.into(),
+            });
+        }
+        let mut written = self.written.lock().expect("free");
+        written.extend(batch.iter().map(|s| s.ticket));
+        Ok(())
+    }
+    fn recover(&mut self) -> Result<(), DiskDefect> {
+        self.recovered.fetch_add(1, Ordering::SeqCst);
+        Ok(())
+    }
+}
+
+fn pauses() -> Pauses {
+    Pauses {
+        next: Duration::from_millis(10),
+        longest: Duration::from_millis(80),
+    }
+}
+
+/// How often the disk refused before it confirmed the ticket.
+fn refusals_until(rx: &Receiver<Input>, ticket: u64) -> usize {
+    let mut refusals = 0;
+    loop {
+        match rx.recv_timeout(LONG) {
+            Ok(Input::Msg(Msg::DiskDefect(why))) => {
+                assert!(!why.is_empty());
+                refusals += 1;
+            }
+            Ok(Input::Msg(Msg::Saved(t))) if t == ticket => return refusals,
+            Ok(Input::Msg(Msg::Saved(_))) => {}
+            _ => panic!("the disk's thread has ended"),
+        }
+    }
+}
+
+#[test]
+fn pauses_grow_up_to_a_bound() {
+    let of: Vec<u128> = pauses().take(6).map(|p| p.as_millis()).collect();
+    assert_eq!(of, [10, 20, 40, 80, 80, 80]);
+}
+
+#[test]
+fn a_disk_that_refuses_is_tried_again_and_gets_all_in_order() {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let (left, recovered) = (Arc::new(AtomicUsize::new(5)), Arc::new(AtomicUsize::new(0)));
+    let store = Refusing {
+        left,
+        written: written.clone(),
+        recovered: recovered.clone(),
+    };
+    let (tx, rx) = channel();
+    let disk = Disk::start(store, tx, pauses()).expect("starts");
+    let since = Instant::now();
+    (1..=4).for_each(|ticket| disk.save(save(ticket, ticket, ticket)));
+    assert_eq!(refusals_until(&rx, 4), 5);
+    assert_eq!(*written.lock().expect("free"), [1, 2, 3, 4]);
+    assert_eq!(recovered.load(Ordering::SeqCst), 5);
+    let paused = Duration::from_millis(10 + 20 + 40 + 80 + 80);
+    assert!(since.elapsed() >= paused, "{:?}", since.elapsed());
+}
+
+#[test]
+fn a_folder_that_fails_in_the_middle_holds_all_that_is_handed_over_again() {
+    let (p, away) = (folder("middle"), folder("middle-away"));
+    let (mut f, _) = Folder::open(&p, "c", SEGMENT_BYTES, 7).expect("made");
+    (1..=3).for_each(|i| f.save(&[save(i, i, i)]).expect("saved"));
+    // No segment can be begun while the folder is away; what is written into the open one is there.
+    fs::rename(&p, &away).expect("moved");
+    let batch = [save(4, 4, 40), save(5, 41, 42)];
+    assert!(f.save(&batch).is_err());
+    assert!(f.recover().is_err());
+    fs::rename(&away, &p).expect("moved back");
+    f.recover().expect("usable again");
+    f.save(&batch).expect("saved again");
+    f.save(&[save(6, 43, 43)]).expect("saved");
+    drop(f);
+    assert_eq!(indexes(&p), (1..=43).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_refused_batch_that_is_not_written_again_leaves_what_was_confirmed() {
+    let (p, away) = (folder("refused"), folder("refused-away"));
+    let (mut f, _) = Folder::open(&p, "c", 1 << 20, 7).expect("made");
+    let voted = Save {
+        hard: Some(Hard {
+            term: 3,
+            vote: "a".into(),
+            silent_to: 0,
+        }),
+        ..save(1, 1, 5)
+    };
+    f.save(&[voted]).expect("saved");
+    fs::rename(&p, &away).expect("moved");
+    let whole = Save {
+        cut: Some(1),
+        capture: Some(landingdrift::kernel::Capture {
+            index: 9,
+            term: 4,
+            bytes: b"state".to_vec(),
+        }),
+        ..Save::default()
+    };
+    assert!(f.save(&[whole]).is_err());
+    fs::rename(&away, &p).expect("moved back");
+    // The cut must not be seen without the capture that it relies on.
+    f.recover().expect("usable again");
+    drop(f);
+    assert_eq!(indexes(&p), [1, 2, 3, 4, 5]);
+    let (_, l) = Folder::open(&p, "c", 1 << 20, 7).expect("opened");
+    assert_eq!((l.hard.term, l.hard.vote.as_str()), (3, "a"));
+    assert_eq!(l.notes.len(), 1);
+}
--- /dev/null
+++ b/landingdrift/tests/opening.rs
@@ -0,0 +1,86 @@
+//! A core whose data folder can't be opened yet: its process serves, and tries again.
+
+use landingdrift::daemon::{Bounded, Manner, Process};
+use landingdrift::settings::Settings;
+use serde_json::Value;
+use signal_hook::consts::SIGTERM;
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    listener.local_addr().expect("an address")
+}
+
+fn get(at: SocketAddr, path: &str) -> (u16, String) {
+    let got = reqwest::blocking::get(format!("http://{at}{path}")).expect("answered");
+    (got.status().as_u16(), got.text().expect("text"))
+}
+
+fn role(at: SocketAddr) -> Value {
+    let status: Value = serde_json::from_str(&get(at, "/v1/status").1).expect("JSON");
+    status["role"].clone()
+}
+
+#[test]
+fn a_folder_that_can_not_be_opened_is_tried_again_while_the_process_serves() {
+    let base = std::env::temp_dir().join(format!("landingdrift-opening-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&base);
+    fs::create_dir_all(&base).expect("made");
+    // A file stands where the disk is to be: nothing can be made below it.
+    let disk = base.join("disk");
+    fs::write(&disk, "").expect("written");
+    let listen = free_address().to_string();
+    let settings = Settings {
+        seeds: vec![listen.clone()],
+        listen,
+        zone: "a".into(),
+        data: disk.join("data").to_string_lossy().into_owned(),
+        ..Settings::default()
+    };
+    let mut process = Process::start("error").expect("starts");
+    let core = process.core(&settings).expect("starts without its folder");
+    let at = free_address();
+    let bounded = Bounded {
+        patience: LONG,
+        bytes: 1000,
+        calls: 10,
+    };
+    process
+        .http(at, bounded, Manner::default(), &core)
+        .expect("serves");
+    let running = spawn(move || process.run(&|| Ok(Vec::new())));
+    sleep(Duration::from_millis(500));
+    assert_eq!(role(at), "Opening");
+    assert_eq!((get(at, "/live").0, get(at, "/ready").0), (200, 503));
+    assert!(get(at, "/metrics").1.contains("landingdrift_disk_retries"));
+    assert!(!running.is_finished());
+    fs::remove_file(&disk).expect("removed");
+    let since = Instant::now();
+    while role(at) != "Leader" && since.elapsed() < LONG {
+        sleep(Duration::from_millis(50));
+    }
+    assert_eq!(role(at), "Leader");
+    signal_hook::low_level::raise(SIGTERM).expect("raised");
+    assert_eq!(running.join().expect("no panic"), Ok(()));
+}
+
+#[test]
+fn a_folder_of_something_else_is_refused_at_once() {
+    let base = std::env::temp_dir().join(format!("landingdrift-foreign-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&base);
+    fs::create_dir_all(&base).expect("made");
+    fs::write(base.join("photos.txt"), "mine").expect("written");
+    let settings = Settings {
+        listen: free_address().to_string(),
+        data: base.to_string_lossy().into_owned(),
+        ..Settings::default()
+    };
+    let mut process = Process::start("error").expect("starts");
+    let why = process.core(&settings).map(|_| ()).expect_err("refused");
+    assert!(why.contains("something else"), "{why}");
+}
