--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -9,6 +9,8 @@
 
 /// So many entries are taken in by a capture rather than one by one.
 const FAR: u64 = 1024;
+/// Entries in one batch to a node.
+const FEED_ENTRIES: u64 = 512;
 
 pub(crate) struct Read {
     to: String,
@@ -47,16 +49,22 @@
 
     pub(super) fn on_pull(&mut self, now: Now, from: &str, m: FeedPull) {
         if !self.settled() {
+            self.feed_snapshots.clear();
             self.send_batch(now, from, m.sent, false, None);
             return;
         }
+        let unused = 2 * self.cfg.bounds.node_lost();
+        self.feed_snapshots.expire(now, unused);
         let told = Told {
             at: m.clock,
             carried: m.carried,
         };
         self.clock.sample(now, &m.node, told);
         let light = self.wants_light(now, &m);
-        let captured = self.followers.get(&m.node).map_or(0, |f| f.captured);
+        let (chunk, fetched) = self
+            .followers
+            .get(&m.node)
+            .map_or_else(Default::default, |f| (f.chunk, f.fetched));
         // Another kind of copy than it has starts over.
         let place = if light == m.light { m.place } else { u64::MAX };
         let f = Follower {
@@ -64,16 +72,20 @@
             sent: m.place,
             heard: now.mono,
             echo: m.sent,
-            zone: m.zone,
-            http: m.http,
+            zone: m.zone.clone(),
+            http: m.http.clone(),
             leaving: m.leaving,
-            successor: m.successor,
+            successor: m.successor.clone(),
             share: m.share,
             beside_core: m.beside_core,
             light,
-            captured,
+            chunk,
+            fetched,
         };
         self.followers.insert(m.node.clone(), f);
+        if self.needs_snapshot(&m.node, place) {
+            self.send_feed_chunk(now, from, &m);
+        }
         let reached = self.send_batch(now, from, m.sent, true, Some(place));
         self.followers
             .get_mut(&m.node)
@@ -89,18 +101,6 @@
                 || self.followers.values().any(able))
     }
 
-    /// The record as bytes; not packed anew for each who asks within a short while.
-    fn packed(&mut self) -> (u64, Vec<u8>) {
-        let place = self.record.place;
-        let kept = self
-            .packed
-            .take()
-            .filter(|(at, _)| *at >= self.base.0 && place.saturating_sub(*at) <= FAR / 4);
-        let now = kept.unwrap_or_else(|| (place, self.record.pack()));
-        self.packed = Some(now.clone());
-        now
-    }
-
     /// New entries go out as soon as they are committed to those who hold duties; the others hear them when they pull.
     pub(super) fn push_feed(&mut self, now: Now) {
         let holders: BTreeSet<String> = self
@@ -118,7 +118,7 @@
                 holders.contains(*k)
                     && f.sent < commit
                     && now.mono.saturating_sub(f.heard) < span
-                    && f.sent >= self.base.0
+                    && !self.needs_snapshot(k, f.sent)
             })
             .map(|(k, f)| (k.clone(), f.echo, f.sent))
             .collect();
@@ -131,6 +131,19 @@
         }
     }
 
+    /// Whether a node at a place is to start over from a snapshot: a place behind the log, or ahead of it (of a cluster
+    /// that was), or one far behind, since the record is smaller than all that made it. One that has just fetched a
+    /// snapshot goes on with the log, however much was added meanwhile.
+    fn needs_snapshot(&self, node: &str, place: u64) -> bool {
+        let (light, fetched) = self
+            .followers
+            .get(node)
+            .map_or((false, 0), |f| (f.light, f.fetched));
+        let goes_on = fetched > 0 && place >= fetched;
+        let far = self.commit.saturating_sub(place) > FAR && !light && !goes_on;
+        place < self.base.0 || place > self.commit || far
+    }
+
     /// Sends what follows a place; says how far that reaches.
     fn send_batch(&mut self, now: Now, to: &str, sent: u64, ok: bool, place: Option<u64>) -> u64 {
         let age = if ok {
@@ -138,39 +151,15 @@
         } else {
             0
         };
-        let (mut capture, mut capture_index, mut entries) = (Vec::new(), 0, Vec::new());
-        let (light, captured) = self
-            .followers
-            .get(to)
-            .map_or((false, 0), |f| (f.light, f.captured));
-        let mut reached = place.unwrap_or(0);
-        if let Some(p) = place {
-            // A place behind the log, or ahead of it (of a cluster that was), starts over from a capture; so does one far
-            // behind, since the record is smaller than all that made it.
-            let far = self.commit.saturating_sub(p) > FAR && !light;
-            if p < self.base.0 || p > self.commit || far {
-                // Not more often than one can arrive over a narrow link.
-                if captured == 0 || now.mono >= captured + 20 * self.cfg.bounds.heartbeat() {
-                    (capture_index, capture) = if light {
-                        (self.record.place, self.record.light().pack())
-                    } else {
-                        self.packed()
-                    };
-                    self.count("feed_captures", 1);
-                    self.followers
-                        .get_mut(to)
-                        .into_iter()
-                        .for_each(|f| f.captured = now.mono);
-                }
-                reached = capture_index;
-            } else {
-                let most = (self.commit - p).min(512) as usize;
-                entries = self.entries(p + 1, most);
-                reached = entries.last().map_or(p, |e| e.index);
-                if light {
-                    entries.retain(|e| Command::concerns_all(&e.command));
-                }
-            }
+        let light = self.followers.get(to).is_some_and(|f| f.light);
+        let from = place.filter(|p| !self.needs_snapshot(to, *p));
+        let mut entries = from.map_or_else(Vec::new, |p| {
+            let most = (self.commit - p).min(FEED_ENTRIES) as usize;
+            self.entries(p + 1, most)
+        });
+        let reached = entries.last().map_or(from.unwrap_or(0), |e| e.index);
+        if light {
+            entries.retain(|e| Command::concerns_all(&e.command));
         }
         self.count("feed_entries", entries.len() as u64);
         let cores = self.members().into_keys().collect();
@@ -183,8 +172,9 @@
             quorum_age: age,
             clock,
             commit: self.commit,
-            capture,
-            capture_index,
+            // An older build's way: snapshots go in chunks.
+            capture: Vec::new(),
+            capture_index: 0,
             entries,
             cores,
             light,
--- /dev/null
+++ b/landingdrift/src/agreement/feed_snapshots.rs
@@ -0,0 +1,150 @@
+//! The snapshots that nodes fetch: a few, shared by all that fetch them, and dropped when nobody does.
+
+use super::snapshot::REPEAT_AFTER_BEATS;
+use super::Core;
+use crate::chunks::{Identity, Snapshot};
+use crate::kernel::Now;
+use crate::wire::{Body, FeedChunk, FeedPull};
+use std::sync::Arc;
+
+/// Snapshots of one kind that are kept at once: one that is fetched, and a newer one.
+const KEPT: usize = 2;
+/// A snapshot that is not older than so many entries is given to the next node as well.
+const SHARED_FOR: u64 = 256;
+
+struct Kept {
+    light: bool,
+    snapshot: Arc<Snapshot>,
+    /// When a chunk of it was last sent.
+    used: u64,
+}
+
+/// The snapshots of a leader that nodes fetch at present.
+#[derive(Default)]
+pub(crate) struct FeedSnapshots(Vec<Kept>);
+
+impl FeedSnapshots {
+    /// The places of those that are fetched.
+    pub(super) fn indexes(&self) -> impl Iterator<Item = u64> + '_ {
+        self.0.iter().map(|k| k.snapshot.identity().index)
+    }
+
+    /// Drops those that nobody has fetched for a while.
+    pub(super) fn expire(&mut self, now: Now, after: u64) {
+        self.0.retain(|k| now.mono <= k.used + after);
+    }
+
+    /// Drops all.
+    pub(super) fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    fn find(&mut self, fits: impl Fn(&Kept) -> bool) -> Option<&mut Kept> {
+        self.0.iter_mut().rev().find(|k| fits(k))
+    }
+
+    fn add(&mut self, light: bool, snapshot: Arc<Snapshot>, now: Now) {
+        while self.0.iter().filter(|k| k.light == light).count() >= KEPT {
+            let oldest = self.0.iter().position(|k| k.light == light);
+            oldest.into_iter().for_each(|at| {
+                self.0.remove(at);
+            });
+        }
+        self.0.push(Kept {
+            light,
+            snapshot,
+            used: now.mono,
+        });
+    }
+}
+
+/// The last chunk that was sent to a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct SentChunk {
+    index: u64,
+    checksum: u32,
+    offset: u64,
+    at: u64,
+}
+
+impl Core {
+    /// Sends the chunk that a node lacks, unless it may still be on its way.
+    pub(super) fn send_feed_chunk(&mut self, now: Now, to: &str, m: &FeedPull) {
+        let light = self.followers.get(to).is_some_and(|f| f.light);
+        let snapshot = self.feed_snapshot(now, light, m);
+        let of = snapshot.identity();
+        let resumes = (m.part_index, m.part_checksum) == (of.index, of.checksum);
+        let chunk = SentChunk {
+            index: of.index,
+            checksum: of.checksum,
+            offset: if resumes { m.part_received } else { 0 },
+            at: now.mono,
+        };
+        let patience = REPEAT_AFTER_BEATS * self.cfg.bounds.heartbeat();
+        let Some(follower) = self.followers.get_mut(to) else {
+            return;
+        };
+        let last = follower.chunk;
+        let same = SentChunk {
+            at: last.at,
+            ..chunk
+        } == last;
+        if same && now.mono < last.at + patience {
+            return;
+        }
+        follower.chunk = chunk;
+        follower.fetched = of.index;
+        let commit = self.commit;
+        self.count("feed_captures", u64::from(chunk.offset == 0 && !same));
+        self.count("feed_chunks", 1);
+        let body = FeedChunk {
+            commit,
+            light,
+            index: of.index,
+            term: of.term,
+            offset: chunk.offset,
+            total: of.total,
+            checksum: of.checksum,
+            bytes: snapshot.chunk(chunk.offset).to_vec(),
+        };
+        self.send(to, Body::FeedChunk(Box::new(body)));
+    }
+
+    /// The snapshot that a node has a part of, if the log still follows on it; else one that is new enough.
+    fn feed_snapshot(&mut self, now: Now, light: bool, m: &FeedPull) -> Arc<Snapshot> {
+        let (base, place) = (self.base.0, self.record.place);
+        let has = |of: Identity| (of.index, of.checksum) == (m.part_index, m.part_checksum);
+        let usable = |k: &Kept| k.light == light && k.snapshot.identity().index >= base;
+        let fresh = |k: &Kept| place.saturating_sub(k.snapshot.identity().index) <= SHARED_FOR;
+        let snapshots = &mut self.feed_snapshots;
+        let begun = snapshots
+            .find(|k| usable(k) && has(k.snapshot.identity()))
+            .is_some();
+        let kept = snapshots.find(|k| {
+            let of = k.snapshot.identity();
+            usable(k) && if begun { has(of) } else { fresh(k) }
+        });
+        if let Some(k) = kept {
+            k.used = now.mono;
+            return k.snapshot.clone();
+        }
+        let made = self.make_feed_snapshot(light);
+        self.feed_snapshots.add(light, made.clone(), now);
+        made
+    }
+
+    fn make_feed_snapshot(&self, light: bool) -> Arc<Snapshot> {
+        let place = self.record.place;
+        let own = self.capture.identity().index;
+        if !light && own > 0 && own >= self.base.0 && place - own <= SHARED_FOR {
+            return self.capture.clone();
+        }
+        let bytes = if light {
+            self.record.light().pack()
+        } else {
+            self.record.pack()
+        };
+        let term = self.term_at(place).unwrap_or(0);
+        Arc::new(Snapshot::new(place, term, bytes))
+    }
+}
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -4,12 +4,15 @@
 mod duties;
 mod elect;
 mod feed;
+mod feed_snapshots;
 mod replicate;
+mod snapshot;
 mod storage;
 mod wake;
 
 pub use clock::AgreedClock;
 
+use crate::chunks::{Assembly, Snapshot};
 use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save, Verdict};
 use crate::record::{Command, Record};
 use crate::settings::Settings;
@@ -17,6 +20,10 @@
 use crate::wire::{Body, Entry, Note};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// The bytes of entries in one message, unless a single entry is larger.
+const BATCH_BYTES: usize = 1 << 20;
 
 /// What a core finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
@@ -54,7 +61,7 @@
     sent: u64,
     /// The round of the batch under way; 0 for none.
     pending: u64,
-    installing: u64,
+    outgoing: Option<snapshot::Outgoing>,
     /// Its disk takes nothing: it hears beats, and gets no entries.
     refuses: bool,
 }
@@ -74,8 +81,9 @@
     beside_core: bool,
     /// It follows a light copy of the record.
     light: bool,
-    /// When it was last sent a capture.
-    captured: u64,
+    /// The last chunk of a snapshot that it was sent, and the place of that snapshot.
+    chunk: feed_snapshots::SentChunk,
+    fetched: u64,
 }
 
 /// A core.
@@ -90,8 +98,11 @@
     /// The entries after `base`.
     log: VecDeque<Entry>,
     base: (u64, u64),
-    capture: Capture,
+    capture: Arc<Snapshot>,
     captured: u64,
+    /// The bytes of the entries applied since.
+    uncaptured_bytes: u64,
+    incoming: Assembly,
     record: Record,
     commit: u64,
     durable: u64,
@@ -122,8 +133,7 @@
     /// When a duty was last moved to a better place.
     moved: u64,
     followers: BTreeMap<String, Follower>,
-    /// The record packed lately, with its place.
-    packed: Option<(u64, Vec<u8>)>,
+    feed_snapshots: feed_snapshots::FeedSnapshots,
     reads: Vec<feed::Read>,
     asked: BTreeMap<u64, (String, u64)>,
     /// Whom to tell what has become durable, and the round it asked in.
@@ -184,7 +194,13 @@
             log,
             base,
             captured: base.0,
-            capture: loaded.capture.unwrap_or_default(),
+            capture: Arc::new(
+                loaded
+                    .capture
+                    .map_or_else(Snapshot::default, Snapshot::from),
+            ),
+            uncaptured_bytes: 0,
+            incoming: Assembly::default(),
             record,
             commit: base.0,
             durable: last,
@@ -214,7 +230,7 @@
             duty_index: 0,
             moved: 0,
             followers: BTreeMap::new(),
-            packed: None,
+            feed_snapshots: feed_snapshots::FeedSnapshots::default(),
             reads: Vec::new(),
             asked: BTreeMap::new(),
             confirmed: None,
@@ -274,7 +290,7 @@
             .take(most)
             .take_while(|e| {
                 bytes += e.command.len();
-                bytes <= 8 << 20 || bytes == e.command.len()
+                bytes <= BATCH_BYTES || bytes == e.command.len()
             })
             .cloned()
             .collect()
@@ -389,6 +405,7 @@
                 break;
             };
             let ruling = self.record.apply_bytes(e.index, e.at, &e.command);
+            self.uncaptured_bytes += e.command.len() as u64;
             self.count("entries_applied", 1);
             self.count("entries_refused", u64::from(ruling.is_err()));
             if let Some((to, token)) = self.asked.remove(&next) {
@@ -409,35 +426,6 @@
         self.capture_when_due();
     }
 
-    fn capture_when_due(&mut self) {
-        let every = self.cfg.limits.capture_every;
-        let place = self.record.place;
-        let takes_writes = self.storage.takes_writes();
-        if place < self.captured + every || self.unsaved.capture.is_some() || !takes_writes {
-            return;
-        }
-        let Some(term) = self.term_at(place) else {
-            return;
-        };
-        self.capture = Capture {
-            index: place,
-            term,
-            bytes: self.record.pack(),
-        };
-        self.captured = place;
-        self.unsaved.capture = Some(self.capture.clone());
-        self.count("captures", 1);
-        // A tail stays in memory for those that are only a little behind.
-        let keep_from = place.saturating_sub(every / 2);
-        while self.log.front().is_some_and(|e| e.index <= keep_from) {
-            self.base = self
-                .log
-                .pop_front()
-                .map_or(self.base, |e| (e.index, e.term));
-        }
-        self.flush();
-    }
-
     fn on_tick(&mut self, now: Now) {
         let gap = now.mono.saturating_sub(self.last_tick);
         self.last_tick = now.mono;
@@ -547,6 +535,7 @@
                 Body::Append(m) => self.on_append(now, &from, *m),
                 Body::AppendVerdict(m) => self.on_append_verdict(now, &from, &m),
                 Body::Install(m) => self.on_install(now, &from, *m),
+                Body::InstallVerdict(m) => self.on_install_verdict(now, &from, &m),
                 Body::HandOver(m) => self.on_hand_over(now, m.term),
                 Body::Join(m) => self.on_join(now, &from, m.disk),
                 Body::FeedPull(m) => self.on_pull(now, &from, *m),
@@ -585,6 +574,10 @@
         all.push(("jobs_open".into(), self.record.open.len() as u64));
         all.push(("jobs_kept".into(), self.record.jobs.len() as u64));
         all.push(("log_entries_in_memory".into(), self.log.len() as u64));
+        let log_bytes = self.log.iter().map(|e| e.command.len() as u64).sum();
+        all.push(("log_bytes_in_memory".into(), log_bytes));
+        let outgoing = self.peers.values().filter(|p| p.outgoing.is_some()).count();
+        all.push(("snapshots_on_their_way".into(), outgoing as u64));
         all
     }
 }
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -1,8 +1,8 @@
 use super::clock::Told;
 use super::{Core, Role};
-use crate::kernel::{Capture, Now};
-use crate::record::{Command, Record};
-use crate::wire::{Append, AppendVerdict, Body, Entry, Install, Note};
+use crate::kernel::Now;
+use crate::record::Command;
+use crate::wire::{Append, AppendVerdict, Body, Entry, Note};
 
 impl Core {
     /// Enters a command into the log; returns its index.
@@ -57,7 +57,7 @@
     }
 
     /// One batch of entries is under way to a core at a time; beats go out beside it.
-    fn replicate(&mut self, now: Now, to: &str, beat: bool) {
+    pub(super) fn replicate(&mut self, now: Now, to: &str, beat: bool) {
         let patience = 4 * self.cfg.bounds.heartbeat();
         let Some(p) = self.peers.get_mut(to) else {
             return;
@@ -74,34 +74,16 @@
             return;
         }
         let from = if sure { p.matched } else { p.next - 1 };
-        let Some((prev, prev_term)) = self
-            .term_at(from)
-            .map(|t| (from, t))
-            .or(sure.then_some((0, 0)))
-        else {
-            // Too far behind for the log: the capture goes first, not more often than it can arrive.
-            if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
-                let c = self.capture.clone();
-                let round = self.round;
-                self.count("captures_sent", 1);
-                self.peers
-                    .get_mut(to)
-                    .iter_mut()
-                    .for_each(|p| p.installing = now.mono.max(1));
-                self.send(
-                    to,
-                    Body::Install(Box::new(Install {
-                        term,
-                        round,
-                        index: c.index,
-                        index_term: c.term,
-                        capture: c.bytes,
-                    })),
-                );
+        let place = self.term_at(from).map(|term| (from, term));
+        if place.is_none() && !sure {
+            // Too far behind for the log: a snapshot goes first, beside the heartbeats.
+            self.send_snapshot(now, to);
+            if !beat {
+                return;
             }
-            return;
-        };
-        let entries = if sure {
+        }
+        let (prev, prev_term) = place.unwrap_or((0, 0));
+        let entries = if sure || place.is_none() {
             Vec::new()
         } else {
             self.entries(p.next, 512)
@@ -257,7 +239,7 @@
     }
 
     /// Once caught up with what it had confirmed, a core counts again.
-    fn rise(&mut self) {
+    pub(super) fn rise(&mut self) {
         let (index, term) = self.last();
         if self.floor > (0, 0) && (term, index) >= self.floor {
             self.floor = (0, 0);
@@ -320,7 +302,6 @@
         p.heard = now.mono;
         p.round_sent = p.round_sent.max(sent);
         p.disk = m.disk;
-        p.installing = 0;
         let was_refusing = std::mem::replace(&mut p.refuses, m.refuses);
         if m.refuses || was_refusing {
             // From the last sure place again, once its disk takes writes.
@@ -385,43 +366,4 @@
             self.answer_reads(now);
         }
     }
-
-    pub(super) fn on_install(&mut self, now: Now, from: &str, m: Install) {
-        if m.term < self.hard.term {
-            return;
-        }
-        self.follow(now, m.term, from);
-        self.heard_leader = now.mono;
-        self.arm_election(now);
-        if m.index > self.commit {
-            match Record::unpack(&m.capture) {
-                Ok(r) => {
-                    self.record = r;
-                    self.log.clear();
-                    self.base = (m.index, m.index_term);
-                    self.captured = m.index;
-                    self.commit = m.index;
-                    self.capture = Capture {
-                        index: m.index,
-                        term: m.index_term,
-                        bytes: m.capture,
-                    };
-                    self.unsaved.entries.clear();
-                    self.unsaved.cut = Some(1);
-                    self.unsaved.capture = Some(self.capture.clone());
-                    self.members_cache = None;
-                    self.durable = 0;
-                    self.verified = m.index;
-                    self.count("captures_installed", 1);
-                    self.rise();
-                }
-                Err(why) => self.line(why),
-            }
-        }
-        self.confirmed = Some((from.to_string(), m.round));
-        let ticket = self.flush();
-        if ticket <= self.saved {
-            self.confirm();
-        }
-    }
 }
--- /dev/null
+++ b/landingdrift/src/agreement/snapshot.rs
@@ -0,0 +1,269 @@
+//! Snapshots between cores: the leader sends one to a core that is behind its log, a chunk at a time.
+//!
+//! The next chunk goes out when the last one is acknowledged; a chunk without an answer is repeated after a silence.
+//! The receiver answers with how much it has, so that either side may start anew and go on from there. It takes the
+//! snapshot over only once it is whole and its checksum is right.
+
+use super::{Core, Role};
+use crate::chunks::{Identity, Snapshot, Taken};
+use crate::kernel::Now;
+use crate::record::Record;
+use crate::wire::{Body, Install, InstallVerdict};
+use std::sync::Arc;
+
+/// A chunk without an answer is repeated after so many heartbeats.
+pub(super) const REPEAT_AFTER_BEATS: u64 = 5;
+/// The log is kept for receivers of a snapshot over at most so many times the entries between two snapshots.
+const KEPT_SNAPSHOTS: u64 = 4;
+
+/// A snapshot on its way to another core.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    snapshot: Arc<Snapshot>,
+    /// What the receiver has.
+    offset: u64,
+    /// When the chunk after that was sent.
+    sent: u64,
+}
+
+impl Core {
+    /// Starts to send a snapshot, or repeats a chunk that found no answer.
+    pub(super) fn send_snapshot(&mut self, now: Now, to: &str) {
+        let (newest, base) = (self.capture.clone(), self.base.0);
+        let patience = REPEAT_AFTER_BEATS * self.cfg.bounds.heartbeat();
+        let Some(peer) = self.peers.get_mut(to).filter(|p| !p.refuses) else {
+            return;
+        };
+        let silent = now.mono.saturating_sub(peer.heard) > patience;
+        let counter = match &mut peer.outgoing {
+            Some(o) if now.mono < o.sent + patience => return,
+            // The log still follows on it.
+            Some(o) if o.snapshot.identity().index >= base && !silent => "snapshot_chunks_repeated",
+            other => {
+                *other = Some(Outgoing {
+                    snapshot: newest,
+                    offset: 0,
+                    sent: 0,
+                });
+                "captures_sent"
+            }
+        };
+        self.count(counter, 1);
+        self.send_chunk(now, to);
+    }
+
+    fn send_chunk(&mut self, now: Now, to: &str) {
+        let (term, round) = (self.hard.term, self.round);
+        let outgoing = self.peers.get_mut(to).and_then(|p| p.outgoing.as_mut());
+        let Some(o) = outgoing else {
+            return;
+        };
+        o.sent = now.mono;
+        let of = o.snapshot.identity();
+        let install = Install {
+            term,
+            round,
+            index: of.index,
+            index_term: of.term,
+            capture: o.snapshot.chunk(o.offset).to_vec(),
+            offset: o.offset,
+            total: of.total,
+            checksum: of.checksum,
+        };
+        self.count("snapshot_chunks_sent", 1);
+        self.send(to, Body::Install(Box::new(install)));
+    }
+
+    pub(super) fn on_install_verdict(&mut self, now: Now, from: &str, m: &InstallVerdict) {
+        if m.term > self.hard.term {
+            self.follow(now, m.term, "");
+            return;
+        }
+        if self.role != Role::Leader || m.term < self.hard.term {
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        peer.heard = now.mono;
+        let Some(o) = peer.outgoing.as_mut() else {
+            return;
+        };
+        let of = o.snapshot.identity();
+        if (m.index, m.index_term, m.checksum) != (of.index, of.term, of.checksum) {
+            return;
+        }
+        if m.refused {
+            // It starts over after a silence, so that a fault that stays does not fill the link.
+            o.offset = 0;
+            return;
+        }
+        if m.received >= of.total {
+            peer.outgoing = None;
+            peer.next = of.index + 1;
+            peer.pending = 0;
+            self.replicate(now, from, false);
+        } else if m.received != o.offset {
+            o.offset = m.received;
+            self.send_chunk(now, from);
+        }
+    }
+
+    pub(super) fn on_install(&mut self, now: Now, from: &str, m: Install) {
+        let of = identity(&m);
+        if m.term < self.hard.term {
+            self.answer_install(from, of, 0, true);
+            return;
+        }
+        self.follow(now, m.term, from);
+        self.heard_leader = now.mono;
+        self.arm_election(now);
+        if !self.storage.takes_writes() {
+            return;
+        }
+        if !self.holds(of) {
+            match self.incoming.take(of, m.offset, &m.capture) {
+                Taken::Part => {
+                    let received = self.incoming.received();
+                    return self.answer_install(from, of, received, false);
+                }
+                Taken::Corrupt => return self.refuse_install(from, of, "its checksum is wrong"),
+                Taken::Whole(bytes) => {
+                    if let Err(why) = self.install(of, bytes) {
+                        return self.refuse_install(from, of, &why);
+                    }
+                }
+            }
+        }
+        self.answer_install(from, of, of.total, false);
+        self.confirmed = Some((from.to_string(), m.round));
+        if self.flush() <= self.saved {
+            self.confirm();
+        }
+    }
+
+    /// Whether the log needs nothing of a snapshot: then what was confirmed after it must not be thrown away.
+    fn holds(&mut self, of: Identity) -> bool {
+        if of.index <= self.commit {
+            return true;
+        }
+        let holds = self.term_at(of.index) == Some(of.term);
+        if holds {
+            self.verified = self.verified.max(of.index);
+            self.commit = of.index;
+            self.apply_committed();
+            self.rise();
+        }
+        holds
+    }
+
+    /// Takes a whole snapshot over in place of the log.
+    fn install(&mut self, of: Identity, bytes: Vec<u8>) -> Result<(), String> {
+        self.record = Record::unpack(&bytes)?;
+        self.log.clear();
+        self.base = (of.index, of.term);
+        self.captured = of.index;
+        self.commit = of.index;
+        self.capture = Arc::new(Snapshot::new(of.index, of.term, bytes));
+        self.unsaved.entries.clear();
+        self.unsaved.cut = Some(1);
+        self.unsaved.capture = Some(self.capture.to_capture());
+        self.members_cache = None;
+        self.durable = 0;
+        self.verified = of.index;
+        self.count("captures_installed", 1);
+        self.rise();
+        Ok(())
+    }
+
+    fn refuse_install(&mut self, from: &str, of: Identity, why: &str) {
+        self.count("captures_refused", 1);
+        self.line(format!("a snapshot of place {} refused: {why}", of.index));
+        self.answer_install(from, of, 0, true);
+    }
+
+    fn answer_install(&mut self, to: &str, of: Identity, received: u64, refused: bool) {
+        let verdict = InstallVerdict {
+            term: self.hard.term,
+            index: of.index,
+            index_term: of.term,
+            checksum: of.checksum,
+            received,
+            refused,
+        };
+        self.send(to, Body::InstallVerdict(Box::new(verdict)));
+    }
+
+    /// Takes a snapshot of the record once enough was applied since the last one.
+    pub(super) fn capture_when_due(&mut self) {
+        let limits = &self.cfg.limits;
+        let place = self.record.place;
+        let due = place >= self.captured + limits.capture_every
+            || self.uncaptured_bytes >= limits.log_bytes / 2;
+        if !due
+            || place == self.captured
+            || self.unsaved.capture.is_some()
+            || !self.storage.takes_writes()
+        {
+            return;
+        }
+        let Some(term) = self.term_at(place) else {
+            return;
+        };
+        self.capture = Arc::new(Snapshot::new(place, term, self.record.pack()));
+        self.captured = place;
+        self.uncaptured_bytes = 0;
+        self.unsaved.capture = Some(self.capture.to_capture());
+        self.count("captures", 1);
+        self.trim_log();
+        self.flush();
+    }
+
+    /// Keeps a tail of the log for those that are a little behind, and what follows on the snapshots that are on their
+    /// way; within the limit on its bytes.
+    fn trim_log(&mut self) {
+        let limits = &self.cfg.limits;
+        let (place, every) = (self.captured, limits.capture_every);
+        let peers = self.peers.values().filter_map(|p| p.outgoing.as_ref());
+        let on_their_way = peers
+            .map(|o| o.snapshot.identity().index)
+            .chain(self.feed_snapshots.indexes());
+        let wanted = on_their_way.fold(place.saturating_sub(every / 2), u64::min);
+        let oldest = place.saturating_sub(KEPT_SNAPSHOTS * every);
+        let mut bytes = 0;
+        let fits = self
+            .log
+            .iter()
+            .rev()
+            .take_while(|e| {
+                bytes += e.command.len() as u64;
+                bytes <= limits.log_bytes
+            })
+            .count() as u64;
+        let bounded = self.last().0 - fits;
+        let drop_to = wanted.max(oldest).max(bounded).min(place);
+        while self.log.front().is_some_and(|e| e.index <= drop_to) {
+            let dropped = self.log.pop_front();
+            self.base = dropped.map_or(self.base, |e| (e.index, e.term));
+        }
+    }
+}
+
+/// Which snapshot a chunk belongs to. An older build sends a snapshot whole, without its length and checksum.
+fn identity(m: &Install) -> Identity {
+    let whole = m.total == 0;
+    Identity {
+        index: m.index,
+        term: m.index_term,
+        total: if whole {
+            m.capture.len() as u64
+        } else {
+            m.total
+        },
+        checksum: if whole {
+            crc32fast::hash(&m.capture)
+        } else {
+            m.checksum
+        },
+    }
+}
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -79,7 +79,7 @@
             self.peers.get_mut(from).iter_mut().for_each(|p| {
                 p.next = m.last_index + 1;
                 p.matched = p.matched.min(m.last_index);
-                p.installing = 0;
+                p.outgoing = None;
                 p.pending = 0;
                 p.disk = m.disk;
             });
--- /dev/null
+++ b/landingdrift/src/chunks/mod.rs
@@ -0,0 +1,132 @@
+//! Snapshots of the record in chunks: sent one after another, put together and checked at the other end.
+
+use crate::kernel::Capture;
+
+/// The bytes of one chunk: small enough that a heartbeat behind it is not late on a narrow link.
+pub const CHUNK_BYTES: usize = 256 << 10;
+/// No snapshot is taken that says it is longer.
+pub const LONGEST_SNAPSHOT: u64 = 1 << 30;
+
+/// What tells one snapshot from another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Identity {
+    /// The place of the last entry in it, and that entry's term.
+    pub index: u64,
+    pub term: u64,
+    /// Its length in bytes.
+    pub total: u64,
+    /// CRC-32 of all its bytes.
+    pub checksum: u32,
+}
+
+/// A snapshot that is sent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    identity: Identity,
+    bytes: Vec<u8>,
+}
+
+impl Snapshot {
+    /// A snapshot of the record as it was after the entry at an index.
+    pub fn new(index: u64, term: u64, bytes: Vec<u8>) -> Self {
+        let identity = Identity {
+            index,
+            term,
+            total: bytes.len() as u64,
+            checksum: crc32fast::hash(&bytes),
+        };
+        Self { identity, bytes }
+    }
+
+    /// What tells it from others.
+    pub fn identity(&self) -> Identity {
+        self.identity
+    }
+
+    /// The chunk that starts at an offset; empty behind the end.
+    pub fn chunk(&self, offset: u64) -> &[u8] {
+        let from = (offset as usize).min(self.bytes.len());
+        let to = (from + CHUNK_BYTES).min(self.bytes.len());
+        &self.bytes[from..to]
+    }
+
+    /// The same as it goes to the disk.
+    pub fn to_capture(&self) -> Capture {
+        Capture {
+            index: self.identity.index,
+            term: self.identity.term,
+            bytes: self.bytes.clone(),
+        }
+    }
+}
+
+impl From<Capture> for Snapshot {
+    fn from(c: Capture) -> Self {
+        Self::new(c.index, c.term, c.bytes)
+    }
+}
+
+/// What has become of a snapshot with a chunk taken.
+#[derive(Debug, PartialEq)]
+pub enum Taken {
+    /// More is to come.
+    Part,
+    /// It is whole, and its checksum is right.
+    Whole(Vec<u8>),
+    /// It can't be what was sent: all of it is thrown away.
+    Corrupt,
+}
+
+/// A snapshot that is being received; at most one at a time.
+#[derive(Clone, Debug, Default)]
+pub struct Assembly {
+    identity: Identity,
+    bytes: Vec<u8>,
+}
+
+impl Assembly {
+    /// The snapshot that is being put together.
+    pub fn identity(&self) -> Identity {
+        self.identity
+    }
+
+    /// How many of its bytes are there.
+    pub fn received(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
+    /// Takes a chunk. One of another snapshot starts over; one that does not follow what is there changes nothing.
+    pub fn take(&mut self, of: Identity, offset: u64, chunk: &[u8]) -> Taken {
+        if of != self.identity {
+            self.identity = of;
+            self.bytes = Vec::new();
+        }
+        let most = of.total.min(LONGEST_SNAPSHOT);
+        if offset == self.received() && offset + chunk.len() as u64 <= most {
+            self.bytes.extend_from_slice(chunk);
+        }
+        if self.received() < of.total {
+            return if of.total > most {
+                self.spoilt()
+            } else {
+                Taken::Part
+            };
+        }
+        if crc32fast::hash(&self.bytes) != of.checksum {
+            return self.spoilt();
+        }
+        let whole = std::mem::take(&mut self.bytes);
+        self.identity = Identity::default();
+        Taken::Whole(whole)
+    }
+
+    /// Forgets what is there.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn spoilt(&mut self) -> Taken {
+        self.clear();
+        Taken::Corrupt
+    }
+}
--- a/landingdrift/src/lib.rs
+++ b/landingdrift/src/lib.rs
@@ -5,6 +5,7 @@
 //! Daemons and the rehearsal's simulator run the same parts.
 
 pub mod agreement;
+pub mod chunks;
 pub mod daemon;
 pub mod desired;
 pub mod disk;
--- a/landingdrift/src/node/feed.rs
+++ b/landingdrift/src/node/feed.rs
@@ -1,9 +1,10 @@
 //! How a node follows the record.
 
 use super::Node;
+use crate::chunks::{Assembly, Identity, Taken};
 use crate::kernel::Now;
 use crate::record::{Command, Record};
-use crate::wire::{Body, FeedBatch, FeedPull};
+use crate::wire::{Body, FeedBatch, FeedChunk, FeedPull};
 
 /// Where a node stands in the feed.
 pub struct Feed {
@@ -17,6 +18,8 @@
     pub answered: u64,
     /// The agreed clock, and when it was read.
     clock: (u64, u64),
+    /// The snapshot that is being fetched.
+    incoming: Assembly,
 }
 
 impl Feed {
@@ -29,6 +32,7 @@
             next_pull: 0,
             answered: now.mono,
             clock: (0, 0),
+            incoming: Assembly::default(),
         }
     }
 }
@@ -76,6 +80,7 @@
             String::new()
         };
         let carried = self.feed.clock.0 > 0;
+        let part = self.feed.incoming.identity();
         let pull = FeedPull {
             node: self.name.clone(),
             zone: self.cfg.zone.clone(),
@@ -89,6 +94,9 @@
             share: self.cfg.share,
             beside_core: self.cfg.beside_core,
             light: self.light,
+            part_index: part.index,
+            part_checksum: part.checksum,
+            part_received: self.feed.incoming.received(),
         };
         if !to.is_empty() {
             self.send(&to, Body::FeedPull(Box::new(pull)));
@@ -162,17 +170,7 @@
                 || m.commit < self.record.place
                 || m.light != self.light)
         {
-            match Record::unpack(&m.capture) {
-                Ok(r) => {
-                    self.record = r;
-                    self.light = m.light;
-                    self.count("feed_captures", 1);
-                    self.sched.all_dirty = true;
-                    self.sched.reserve_anew();
-                    changed = true;
-                }
-                Err(why) => self.line(why),
-            }
+            changed = self.start_over(&m.capture, m.light);
         }
         let own_kind = m.light == self.light;
         for e in m.entries.iter().filter(|_| own_kind) {
@@ -202,13 +200,70 @@
         }
         self.answer_fresh(now);
         if changed {
-            self.hold_cells(now);
-            self.calls_on_place();
-            self.schedule(now);
-            self.offer_all(now);
+            self.take_up(now);
         }
     }
 
+    /// Takes a chunk of the snapshot that this node fetches, and asks for the next.
+    pub(super) fn on_feed_chunk(&mut self, now: Now, from: &str, m: &FeedChunk) {
+        let wanted =
+            m.index > self.record.place || m.commit < self.record.place || m.light != self.light;
+        if from != self.feed.core || !wanted {
+            return;
+        }
+        let of = Identity {
+            index: m.index,
+            term: m.term,
+            total: m.total,
+            checksum: m.checksum,
+        };
+        match self.feed.incoming.take(of, m.offset, &m.bytes) {
+            Taken::Part => {}
+            Taken::Corrupt => {
+                self.count("feed_captures_refused", 1);
+                self.line(format!(
+                    "a snapshot of place {} refused: its checksum is wrong",
+                    m.index
+                ));
+                return;
+            }
+            Taken::Whole(bytes) => {
+                if self.start_over(&bytes, m.light) {
+                    self.take_up(now);
+                }
+            }
+        }
+        self.feed.answered = now.mono;
+        self.feed.next_pull = now.mono;
+        self.feed_tick(now);
+    }
+
+    /// Takes a whole snapshot over in place of its copy; says whether it could.
+    fn start_over(&mut self, bytes: &[u8], light: bool) -> bool {
+        match Record::unpack(bytes) {
+            Ok(record) => {
+                self.record = record;
+                self.light = light;
+                self.count("feed_captures", 1);
+                self.sched.all_dirty = true;
+                self.sched.reserve_anew();
+                true
+            }
+            Err(why) => {
+                self.line(why);
+                false
+            }
+        }
+    }
+
+    /// Does what a change of the record asks for.
+    fn take_up(&mut self, now: Now) {
+        self.hold_cells(now);
+        self.calls_on_place();
+        self.schedule(now);
+        self.offer_all(now);
+    }
+
     /// Applies one entry and lets the parts take note of what it touches.
     fn follow_entry(&mut self, index: u64, at: u64, bytes: &[u8]) {
         let command = Command::unpack(bytes).ok();
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -140,6 +140,7 @@
     fn on_wire(&mut self, now: Now, from: &str, body: Body) {
         match body {
             Body::FeedBatch(m) => self.on_batch(now, from, *m),
+            Body::FeedChunk(m) => self.on_feed_chunk(now, from, &m),
             Body::FeedPull(m) => self.on_stray_pull(from, m.sent),
             Body::Proposed(m) => self.on_proposed(now, from, *m),
             Body::ReadPlace(m) => self.on_read_place(now, *m),
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -162,6 +162,8 @@
     pub identity_ms: u64,
     /// Entries between two captures.
     pub capture_every: u64,
+    /// Bytes of entries that a core keeps in memory; a snapshot is taken after half of it.
+    pub log_bytes: u64,
     /// Size at which a log segment is closed.
     pub segment_bytes: u64,
 }
@@ -176,6 +178,7 @@
             retain_ms: 600_000,
             identity_ms: 86_400_000,
             capture_every: 5000,
+            log_bytes: 32 << 20,
             segment_bytes: 8 << 20,
         }
     }
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -252,6 +252,11 @@
         "limits.capture_every",
         "give at least 10",
     )?;
+    ensure(
+        l.log_bytes >= 65_536,
+        "limits.log_bytes",
+        "give at least 65536",
+    )?;
     ensure(
         l.segment_bytes >= 4096,
         "limits.segment_bytes",
--- a/landingdrift/tests/cores/mod.rs
+++ b/landingdrift/tests/cores/mod.rs
@@ -338,13 +338,23 @@
 
     /// A node asks the leader for what follows a place.
     pub fn pull(&mut self, node: &str, place: u64) {
+        self.pull_from(Self::pull_of(node, place));
+    }
+
+    pub fn pull_from(&mut self, pull: FeedPull) {
         let leader = self.leader().expect("somebody leads");
-        let pull = FeedPull {
+        let node = pull.node.clone();
+        self.tell(leader, &node, Body::FeedPull(Box::new(pull)));
+    }
+
+    /// What a node asks.
+    pub fn pull_of(node: &str, place: u64) -> FeedPull {
+        FeedPull {
             node: node.into(),
             zone: "z".into(),
             http: node.into(),
             place,
-            sent: self.t,
+            sent: 1,
             leaving: false,
             successor: String::new(),
             clock: 0,
@@ -352,8 +362,10 @@
             share: 1000,
             beside_core: false,
             light: false,
-        };
-        self.tell(leader, node, Body::FeedPull(Box::new(pull)));
+            part_index: 0,
+            part_checksum: 0,
+            part_received: 0,
+        }
     }
 
     pub fn batches(&self, node: &str) -> Vec<FeedBatch> {
--- /dev/null
+++ b/landingdrift/tests/snapshots.rs
@@ -0,0 +1,402 @@
+//! Snapshots between cores and to nodes: in chunks, whole or not at all, and never less than was confirmed.
+
+mod cores;
+
+use cores::{name, Carried, Cores, NODE};
+use landingdrift::chunks::{Assembly, Snapshot, Taken, CHUNK_BYTES};
+use landingdrift::settings::Limits;
+use landingdrift::wire::{Append, Body, FeedChunk, FeedPull, Install, InstallVerdict};
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+const EVERY: u64 = 40;
+/// So many changes of this size make a snapshot of several chunks.
+const CHANGES: usize = 60;
+const CHANGE_BYTES: usize = 40_000;
+
+fn limits() -> Limits {
+    Limits {
+        capture_every: EVERY,
+        ..Limits::default()
+    }
+}
+
+/// Three cores of which one missed so much that the log does not reach back to it; the one is down.
+fn one_behind() -> (Cores, usize, usize) {
+    let mut all = Cores::start(limits());
+    all.change(10);
+    let leader = all.leader().expect("somebody leads");
+    let behind = (leader + 1) % 3;
+    all.kill(behind);
+    (0..CHANGES).for_each(|_| all.change(CHANGE_BYTES));
+    all.sent.clear();
+    (all, leader, behind)
+}
+
+fn installs(all: &Cores, to: usize) -> Vec<(u64, Install)> {
+    let of = all.sent.iter().filter(|(_, c)| c.to == name(to));
+    of.filter_map(|(t, c)| match &c.body {
+        Body::Install(m) => Some((*t, (**m).clone())),
+        _ => None,
+    })
+    .collect()
+}
+
+fn beats(all: &Cores, to: usize) -> Vec<u64> {
+    let of = all.sent.iter().filter(|(_, c)| c.to == name(to));
+    of.filter_map(|(t, c)| matches!(&c.body, Body::Append(_)).then_some(*t))
+        .collect()
+}
+
+fn catches_up(all: &mut Cores, behind: usize) {
+    let caught_up = all.until(10_000, Cores::all_alike);
+    assert!(caught_up, "{:#?}", all.lines);
+    assert!(all.counter(behind, "captures_installed") >= 1);
+    all.run(200);
+    let last = all.disks[behind].last();
+    assert_eq!(last, all.core(behind).record().place, "all is on its disk");
+}
+
+#[test]
+fn a_core_that_is_far_behind_gets_each_chunk_once_beside_heartbeats() {
+    let (mut all, leader, behind) = one_behind();
+    all.boot(behind);
+    let since = all.t;
+    catches_up(&mut all, behind);
+    let sent = installs(&all, behind);
+    let offsets: Vec<u64> = sent.iter().map(|(_, m)| m.offset).collect();
+    let total = sent[0].1.total as usize;
+    assert!(total > 3 * CHUNK_BYTES, "{total} bytes");
+    let want: Vec<u64> = (0..total.div_ceil(CHUNK_BYTES))
+        .map(|n| (n * CHUNK_BYTES) as u64)
+        .collect();
+    assert_eq!(offsets, want);
+    assert!(sent.iter().all(|(_, m)| m.capture.len() <= CHUNK_BYTES));
+    assert_eq!(all.counter(leader, "captures_sent"), 1);
+    assert_eq!(all.counter(leader, "snapshot_chunks_repeated"), 0);
+    let first_beat = beats(&all, behind)[0];
+    assert!(first_beat <= since + 200, "its heartbeats go on");
+}
+
+#[test]
+fn a_snapshot_waits_for_its_acknowledgement_and_heartbeats_do_not() {
+    let (mut all, leader, behind) = one_behind();
+    let me = name(behind);
+    all.loses =
+        Box::new(move |c: &Carried| c.from == me && matches!(&c.body, Body::InstallVerdict(_)));
+    all.boot(behind);
+    all.run(4000);
+    let sent = installs(&all, behind);
+    let offsets: Vec<u64> = sent.iter().map(|(_, m)| m.offset).collect();
+    assert!(offsets.iter().all(|o| *o == 0), "{offsets:?}");
+    assert!((2..=12).contains(&offsets.len()), "{offsets:?}");
+    let beaten = beats(&all, behind);
+    let gaps = beaten.windows(2).map(|w| w[1] - w[0]);
+    assert!(gaps.max().is_some_and(|g| g <= 200), "{beaten:?}");
+    assert_eq!(all.leader(), Some(leader), "nobody stands for election");
+    all.loses = Box::new(|_| false);
+    catches_up(&mut all, behind);
+}
+
+#[test]
+fn lost_chunks_are_sent_again_and_nothing_else() {
+    let (mut all, _, behind) = one_behind();
+    let seen = Rc::new(Cell::new(0));
+    all.loses = Box::new(move |c: &Carried| {
+        let chunk = matches!(&c.body, Body::Install(_));
+        seen.set(seen.get() + u64::from(chunk));
+        chunk && seen.get().is_multiple_of(3)
+    });
+    all.boot(behind);
+    catches_up(&mut all, behind);
+    assert_eq!(all.counter(behind, "captures_installed"), 1);
+    assert_eq!(all.counter(behind, "captures_refused"), 0);
+}
+
+#[test]
+fn a_sender_that_dies_in_the_middle_is_followed_by_another() {
+    let (mut all, leader, behind) = one_behind();
+    all.boot(behind);
+    let begun = all.until(5000, |c| installs(c, behind).len() >= 2);
+    assert!(begun);
+    assert_eq!(all.counter(behind, "captures_installed"), 0);
+    all.kill(leader);
+    let led = all.until(10_000, |c| c.leader().is_some_and(|l| l != leader));
+    assert!(led, "{:#?}", all.lines);
+    assert_ne!(all.leader(), Some(behind), "it has less than was confirmed");
+    all.run(3000);
+    all.boot(leader);
+    catches_up(&mut all, behind);
+}
+
+#[test]
+fn the_next_leader_goes_on_where_the_same_snapshot_stopped() {
+    let snapshot = Snapshot::new(7, 2, vec![9; 3 * CHUNK_BYTES]);
+    let of = snapshot.identity();
+    let mut assembly = Assembly::default();
+    assert_eq!(assembly.take(of, 0, snapshot.chunk(0)), Taken::Part);
+    // The next one begins at the beginning, and is told how much is there.
+    assert_eq!(assembly.take(of, 0, snapshot.chunk(0)), Taken::Part);
+    assert_eq!(assembly.received(), CHUNK_BYTES as u64);
+    let rest = [1, 2].map(|n| n * CHUNK_BYTES as u64);
+    assert_eq!(
+        assembly.take(of, rest[0], snapshot.chunk(rest[0])),
+        Taken::Part
+    );
+    let whole = assembly.take(of, rest[1], snapshot.chunk(rest[1]));
+    assert_eq!(whole, Taken::Whole(vec![9; 3 * CHUNK_BYTES]));
+    assert_eq!(assembly.received(), 0);
+}
+
+/// An installation as the leader of a term would send it.
+fn install(term: u64, index: u64, bytes: &[u8]) -> Install {
+    let of = Snapshot::new(index, term, bytes.to_vec()).identity();
+    Install {
+        term,
+        round: 1,
+        index,
+        index_term: term,
+        capture: bytes.to_vec(),
+        offset: 0,
+        total: of.total,
+        checksum: of.checksum,
+    }
+}
+
+fn last_verdict(all: &Cores, from: usize) -> InstallVerdict {
+    let of = all.sent.iter().rev().filter(|(_, c)| c.from == name(from));
+    of.filter_map(|(_, c)| match &c.body {
+        Body::InstallVerdict(m) => Some((**m).clone()),
+        _ => None,
+    })
+    .next()
+    .expect("a verdict")
+}
+
+#[test]
+fn a_spoilt_a_cut_and_an_outdated_snapshot_change_nothing() {
+    let mut all = Cores::start(limits());
+    (0..5).for_each(|_| all.change(10));
+    all.run(300);
+    let leader = all.leader().expect("somebody leads");
+    let to = (leader + 1) % 3;
+    let term = all.core(leader).term();
+    let place = all.core(to).record().place;
+    let version = all.version(to);
+    let bytes = landingdrift::record::Record::new("landingdrift").pack();
+    let good = install(term, place + 10, &bytes);
+    let spoilt = Install {
+        checksum: good.checksum ^ 1,
+        ..good.clone()
+    };
+    let cut = Install {
+        total: good.total + 1,
+        ..good.clone()
+    };
+    let outdated = Install {
+        term: term - 1,
+        ..good.clone()
+    };
+    let no_record = install(term, place + 10, b"nothing");
+    for (m, refused) in [
+        (spoilt, true),
+        (cut, false),
+        (outdated, true),
+        (no_record, true),
+    ] {
+        all.tell(to, &name(leader), Body::Install(Box::new(m)));
+        assert_eq!(last_verdict(&all, to).refused, refused);
+        assert_eq!(all.core(to).record().place, place);
+    }
+    assert_eq!(all.version(to), version);
+    assert_eq!(all.counter(to, "captures_installed"), 0);
+    all.change(10);
+    all.run(300);
+    assert!(all.all_alike());
+}
+
+#[test]
+fn a_late_snapshot_takes_nothing_away_that_was_confirmed() {
+    let mut all = Cores::start(limits());
+    (0..5).for_each(|_| all.change(10));
+    all.run(300);
+    let leader = all.leader().expect("somebody leads");
+    let to = (leader + 1) % 3;
+    // Entries that this core has confirmed and does not know to be committed.
+    let last = all.disks[to].last();
+    let tail: Vec<_> = all.disks[to].durable.entries.clone();
+    let term = tail.last().expect("entries").term;
+    let mut more = tail.last().expect("entries").clone();
+    let entries = [1, 2].map(|n| {
+        more.index = last + n;
+        more.clone()
+    });
+    let append = Append {
+        term,
+        prev_index: last,
+        prev_term: term,
+        commit: last,
+        round: 1 << 40,
+        entries: entries.to_vec(),
+        notes: Vec::new(),
+        clock: 0,
+    };
+    all.tell(to, &name(leader), Body::Append(Box::new(append)));
+    all.run(3);
+    assert_eq!(all.disks[to].last(), last + 2);
+    let bytes = all.core(to).record().pack();
+    let late = install(term, last + 1, &bytes);
+    all.tell(to, &name(leader), Body::Install(Box::new(late)));
+    all.run(3);
+    assert_eq!(all.disks[to].last(), last + 2, "what it confirmed is gone");
+    assert_eq!(all.counter(to, "captures_installed"), 0);
+}
+
+#[test]
+fn a_core_killed_while_it_installs_never_leads_with_less_than_it_confirmed() {
+    for at in [1, 3, 8, 15, 25, 60] {
+        let (mut all, leader, behind) = one_behind();
+        let confirmed = all.version(leader);
+        all.boot(behind);
+        assert!(all.until(5000, |c| !installs(c, behind).is_empty()));
+        all.run(at);
+        let whole = all.disks[behind].last() >= all.core(leader).record().place;
+        all.kill(behind);
+        all.kill(leader);
+        all.boot(behind);
+        all.run(2000);
+        let lead = all.leader();
+        assert!(
+            whole || lead != Some(behind),
+            "killed after {at} ms: {:#?}",
+            all.lines
+        );
+        assert!(lead.is_none_or(|l| all.version(l) >= confirmed));
+        all.boot(leader);
+        assert!(all.until(10_000, Cores::all_alike), "{:#?}", all.lines);
+        assert_eq!(all.version(behind), confirmed);
+    }
+}
+
+#[test]
+fn the_log_is_kept_for_a_core_that_catches_up_while_changes_go_on() {
+    let (mut all, leader, behind) = one_behind();
+    // A narrow link: every chunk takes its time, and a change comes with each.
+    let seen = Rc::new(Cell::new(0));
+    all.loses = Box::new(move |c: &Carried| {
+        let chunk = matches!(&c.body, Body::Install(_));
+        seen.set(seen.get() + u64::from(chunk));
+        chunk && seen.get() % 2 == 1
+    });
+    all.boot(behind);
+    for _ in 0..100 {
+        all.change(200);
+        all.run(100);
+    }
+    all.loses = Box::new(|_| false);
+    all.run(1000);
+    assert!(all.all_alike(), "{:#?}", all.lines);
+    let sent = installs(&all, behind);
+    let places: BTreeSet<u64> = sent.iter().map(|(_, m)| m.index).collect();
+    assert_eq!(places.len(), 1, "it chased the tail: {places:?}");
+    assert!(all.core(leader).record().place > 2 * EVERY + places.iter().sum::<u64>());
+}
+
+#[test]
+fn the_log_in_memory_is_bounded_in_bytes() {
+    let mut all = Cores::start(Limits {
+        log_bytes: 200_000,
+        ..Limits::default()
+    });
+    let mut most = 0;
+    for _ in 0..100 {
+        all.change(10_000);
+        let held = (0..3).map(|i| all.counter(i, "log_bytes_in_memory"));
+        most = most.max(held.max().unwrap_or(0));
+    }
+    assert!(most <= 330_000, "{most} bytes");
+    assert!(all.counter(0, "captures") > 3);
+}
+
+fn chunks(all: &Cores) -> Vec<FeedChunk> {
+    let of = all.outside.iter().filter(|c| c.to == NODE);
+    of.filter_map(|c| match &c.body {
+        Body::FeedChunk(m) => Some((**m).clone()),
+        _ => None,
+    })
+    .collect()
+}
+
+#[test]
+fn a_node_fetches_a_snapshot_a_chunk_at_a_time() {
+    let (mut all, leader, _) = one_behind();
+    let mut assembly = Assembly::default();
+    let mut whole = None;
+    for _ in 0..200 {
+        let before = chunks(&all).len();
+        let part = assembly.identity();
+        let ask = |all: &mut Cores| {
+            all.pull_from(FeedPull {
+                part_index: part.index,
+                part_checksum: part.checksum,
+                part_received: assembly.received(),
+                ..Cores::pull_of(NODE, 0)
+            });
+        };
+        // Asked again and again, a chunk is sent once while it may be on its way.
+        (0..3).for_each(|_| ask(&mut all));
+        all.change(100);
+        all.run(20);
+        let got = chunks(&all);
+        assert_eq!(got.len(), before + 1, "one chunk for each");
+        let m = got.last().expect("a chunk");
+        assert!(m.bytes.len() <= CHUNK_BYTES);
+        let of = landingdrift::chunks::Identity {
+            index: m.index,
+            term: m.term,
+            total: m.total,
+            checksum: m.checksum,
+        };
+        match assembly.take(of, m.offset, &m.bytes) {
+            Taken::Part => {}
+            Taken::Whole(bytes) => {
+                whole = Some((m.index, bytes));
+                break;
+            }
+            Taken::Corrupt => panic!("a chunk was spoilt"),
+        }
+    }
+    let (index, bytes) = whole.expect("whole");
+    landingdrift::record::Record::unpack(&bytes).expect("a record");
+    assert_eq!(all.counter(leader, "feed_captures"), 1);
+    // It goes on with entries from there, and no further snapshot.
+    let before = chunks(&all).len();
+    all.pull(NODE, index);
+    all.run(5);
+    assert_eq!(chunks(&all).len(), before);
+    let batch = all.batches(NODE).pop().expect("a batch");
+    assert_eq!(batch.entries.first().map(|e| e.index), Some(index + 1));
+}
+
+#[test]
+fn nodes_that_fetch_at_once_share_one_snapshot() {
+    let (mut all, leader, _) = one_behind();
+    for n in 0..20 {
+        all.pull(&format!("10.8.8.{n}:1"), 0);
+    }
+    all.run(10);
+    let sent: Vec<(u64, u32, usize)> = all
+        .outside
+        .iter()
+        .filter_map(|c| match &c.body {
+            Body::FeedChunk(m) => Some((m.index, m.checksum, m.bytes.len())),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent.len(), 20);
+    assert!(sent.windows(2).all(|w| w[0] == w[1]), "{sent:?}");
+    let bytes: usize = sent.iter().map(|s| s.2).sum();
+    assert!(bytes <= 20 * CHUNK_BYTES);
+    assert_eq!(all.counter(leader, "feed_chunks"), 20);
+}
