--- /dev/null
+++ b/landingdrift/src/disk/defect.rs
@@ -0,0 +1,46 @@
+use super::FOLDER_VERSION;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+/// What is wrong with a data folder.
+#[derive(Debug)]
+pub enum DiskDefect {
+    /// The file system refused.
+    Io { path: PathBuf, why: std::io::Error },
+    /// The folder holds something else.
+    Foreign(PathBuf),
+    /// Another build's folder.
+    Version { found: u16 },
+    /// Another cluster's folder.
+    Cluster { found: String, wanted: String },
+    /// Another process uses it.
+    Busy(PathBuf),
+}
+
+impl DiskDefect {
+    /// Whether the folder may become usable without anybody changing the settings.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, Self::Io { .. })
+    }
+}
+
+impl fmt::Display for DiskDefect {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Io { path, why } if why.kind() == std::io::ErrorKind::StorageFull => write!(f, "{}: the disk is full: free some of it, then start again", path.display()),
+            Self::Io { path, why } => write!(f, "{}: {why}: check the folder's rights and its disk", path.display()),
+            Self::Foreign(p) => write!(f, "{} holds files of something else: name an empty folder or the one this core used before", p.display()),
+            Self::Version { found } => write!(f, "the data folder has format {found}, this build reads {FOLDER_VERSION}: run the build that wrote it"),
+            Self::Cluster { found, wanted } => write!(f, "the data folder belongs to cluster '{found}', not '{wanted}': correct 'cluster' or 'data'"),
+            Self::Busy(p) => write!(f, "{} is in use by another process: stop that one first", p.display()),
+        }
+    }
+}
+
+/// An error of the file system, with the file that it concerns.
+pub(super) fn io(path: &Path) -> impl Fn(std::io::Error) -> DiskDefect + '_ {
+    move |why| DiskDefect::Io {
+        path: path.to_path_buf(),
+        why,
+    }
+}
--- a/landingdrift/src/disk/load.rs
+++ b/landingdrift/src/disk/load.rs
@@ -1,5 +1,5 @@
+use super::defect::{io, DiskDefect};
 use super::frames::Frame;
-use super::{io, DiskDefect};
 use crate::kernel::{Capture, Hard};
 use crate::wire::{Entry, Note};
 use std::fs;
--- a/landingdrift/src/disk/mod.rs
+++ b/landingdrift/src/disk/mod.rs
@@ -1,14 +1,20 @@
 //! The data folder: a log in segments with captures beside it; only what is synced counts.
 
+mod defect;
+mod directory;
 mod frames;
 mod load;
 
+pub use defect::DiskDefect;
+pub use directory::{Directory, FileSystem};
+
 use crate::agreement::Loaded;
 use crate::kernel::{Capture, Hard, Save};
 use crate::wire::Note;
+use defect::io;
+use directory::{make_durable, write_whole};
 use frames::Frame;
 use serde::{Deserialize, Serialize};
-use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -18,41 +24,6 @@
 
 const MARK: &str = "landingdrift.json";
 
-/// What is wrong with a data folder.
-#[derive(Debug)]
-pub enum DiskDefect {
-    /// The file system refused.
-    Io { path: PathBuf, why: std::io::Error },
-    /// The folder holds something else.
-    Foreign(PathBuf),
-    /// Another build's folder.
-    Version { found: u16 },
-    /// Another cluster's folder.
-    Cluster { found: String, wanted: String },
-    /// Another process uses it.
-    Busy(PathBuf),
-}
-
-impl DiskDefect {
-    /// Whether the folder may become usable without anybody changing the settings.
-    pub fn may_pass(&self) -> bool {
-        matches!(self, Self::Io { .. })
-    }
-}
-
-impl fmt::Display for DiskDefect {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Self::Io { path, why } if why.kind() == std::io::ErrorKind::StorageFull => write!(f, "{}: the disk is full: free some of it, then start again", path.display()),
-            Self::Io { path, why } => write!(f, "{}: {why}: check the folder's rights and its disk", path.display()),
-            Self::Foreign(p) => write!(f, "{} holds files of something else: name an empty folder or the one this core used before", p.display()),
-            Self::Version { found } => write!(f, "the data folder has format {found}, this build reads {FOLDER_VERSION}: run the build that wrote it"),
-            Self::Cluster { found, wanted } => write!(f, "the data folder belongs to cluster '{found}', not '{wanted}': correct 'cluster' or 'data'"),
-            Self::Busy(p) => write!(f, "{} is in use by another process: stop that one first", p.display()),
-        }
-    }
-}
-
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Mark {
@@ -94,6 +65,7 @@
 
 /// An open data folder.
 pub struct Folder {
+    directory: Box<dyn Directory>,
     path: PathBuf,
     segment: File,
     number: u64,
@@ -105,40 +77,10 @@
     _lock: File,
 }
 
-fn io(path: &Path) -> impl Fn(std::io::Error) -> DiskDefect + '_ {
-    move |why| DiskDefect::Io {
-        path: path.to_path_buf(),
-        why,
-    }
-}
-
 fn segment_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("log-{number:016}.segment"))
 }
 
-fn sync_dir(path: &Path) -> Result<(), DiskDefect> {
-    File::open(path)
-        .and_then(|d| d.sync_all())
-        .map_err(io(path))
-}
-
-/// Makes a folder, and makes sure that it is still there after a loss of power.
-fn make_durable(path: &Path) -> Result<(), DiskDefect> {
-    fs::create_dir_all(path).map_err(io(path))?;
-    let parent = path.parent().filter(|p| !p.as_os_str().is_empty());
-    sync_dir(parent.unwrap_or(Path::new(".")))
-}
-
-fn write_synced(path: &Path, bytes: &[u8]) -> Result<(), DiskDefect> {
-    let tmp = path.with_extension("new");
-    let mut f = File::create(&tmp).map_err(io(&tmp))?;
-    f.write_all(bytes)
-        .and_then(|()| f.sync_all())
-        .map_err(io(&tmp))?;
-    fs::rename(&tmp, path).map_err(io(path))?;
-    path.parent().map_or(Ok(()), sync_dir)
-}
-
 /// What an offline look at a data folder finds.
 #[derive(Debug, Serialize)]
 pub struct Findings {
@@ -160,72 +102,70 @@
         segment_bytes: u64,
         fresh: u64,
     ) -> Result<(Self, Loaded), DiskDefect> {
-        make_durable(path)?;
-        let mark_path = path.join(MARK);
-        let names: Vec<String> = fs::read_dir(path)
-            .map_err(io(path))?
-            .filter_map(|e| e.ok().and_then(|e| e.file_name().into_string().ok()))
-            .collect();
-        if !mark_path.exists() {
-            let strange = names.iter().any(|n| !n.ends_with(".new") && n != "lock");
-            (!strange)
-                .then_some(())
-                .ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
-            let mark = Mark {
-                format: FOLDER_VERSION,
-                cluster: cluster.into(),
-                disk: fresh,
-            };
-            write_synced(&mark_path, &serde_json::to_vec(&mark).unwrap_or_default())?;
-        }
-        let lock_path = path.join("lock");
-        let lock = OpenOptions::new()
-            .create(true)
-            .truncate(false)
-            .write(true)
-            .open(&lock_path)
-            .map_err(io(&lock_path))?;
-        lock.try_lock()
-            .map_err(|_| DiskDefect::Busy(path.to_path_buf()))?;
-        let mark = read_mark(path)?;
-        (mark.cluster == cluster)
-            .then_some(())
-            .ok_or_else(|| DiskDefect::Cluster {
-                found: mark.cluster.clone(),
-                wanted: cluster.into(),
-            })?;
+        Self::open_in(Box::new(FileSystem), path, cluster, segment_bytes, fresh)
+    }
+
+    /// The same, with a file system of the caller's.
+    pub fn open_in(
+        directory: Box<dyn Directory>,
+        path: &Path,
+        cluster: &str,
+        segment_bytes: u64,
+        fresh: u64,
+    ) -> Result<(Self, Loaded), DiskDefect> {
+        make_durable(directory.as_ref(), path)?;
+        let mark = own_mark(directory.as_ref(), path, cluster, fresh)?;
+        let lock = lock(path)?;
         let found = load::load(path, true)?;
         let loaded = Loaded {
             disk: mark.disk,
-            hard: found.hard.clone(),
+            hard: found.hard,
             capture: found.capture,
             entries: found.entries,
             notes: found.notes,
             damaged: found.damaged,
         };
-        let last = loaded
-            .entries
-            .last()
-            .map_or(loaded.capture.as_ref().map_or(0, |c| c.index), |e| e.index);
-        let number = found.segments.last().map_or(0, |(n, _)| *n) + 1;
-        let segment = Self::create(path, number)?;
+        let folder = Self::begin(
+            directory,
+            path,
+            segment_bytes,
+            lock,
+            &loaded,
+            found.segments,
+        )?;
+        Ok((folder, loaded))
+    }
+
+    /// Begins a new segment, with all that the older ones may be dropped for.
+    fn begin(
+        directory: Box<dyn Directory>,
+        path: &Path,
+        segment_bytes: u64,
+        lock: File,
+        loaded: &Loaded,
+        closed: Vec<(u64, u64)>,
+    ) -> Result<Self, DiskDefect> {
+        let captured = loaded.capture.as_ref().map_or(0, |c| c.index);
+        let last = loaded.entries.last().map_or(captured, |e| e.index);
+        let number = closed.last().map_or(0, |(n, _)| *n) + 1;
+        let segment = create(directory.as_ref(), path, number)?;
         let mut folder = Self {
+            directory,
             path: path.into(),
             segment,
             number,
             size: 0,
             segment_bytes,
             head: Head {
-                hard: found.hard,
+                hard: loaded.hard.clone(),
                 notes: loaded.notes.clone(),
                 last,
             },
-            closed: found.segments,
+            closed,
             _lock: lock,
         };
-        // A new segment starts with all that the older ones may be dropped for.
         let mut first = Save {
-            hard: Some(folder.head.hard.clone()),
+            hard: Some(loaded.hard.clone()),
             notes: loaded.notes.clone(),
             cut: Some(last + 1),
             ..Save::default()
@@ -235,18 +175,7 @@
             first.entries = loaded.entries.clone();
         }
         folder.save(&[first])?;
-        Ok((folder, loaded))
-    }
-
-    fn create(path: &Path, number: u64) -> Result<File, DiskDefect> {
-        let p = segment_path(path, number);
-        let f = OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(&p)
-            .map_err(io(&p))?;
-        sync_dir(path)?;
-        Ok(f)
+        Ok(folder)
     }
 
     /// Writes a batch of saves and syncs once for all of them. Where this fails, nothing of the batch counts: it is to
@@ -277,7 +206,7 @@
 
     fn roll(&mut self) -> Result<(), DiskDefect> {
         let number = self.number + 1;
-        self.segment = Self::create(&self.path, number)?;
+        self.segment = create(self.directory.as_ref(), &self.path, number)?;
         self.closed.push((self.number, self.head.last));
         self.number = number;
         self.size = 0;
@@ -306,10 +235,8 @@
     fn write_capture(&mut self, c: &Capture) -> Result<(), DiskDefect> {
         let mut bytes = Vec::new();
         Frame::Capture(c.clone()).write(&mut bytes);
-        write_synced(
-            &self.path.join(format!("capture-{:016}.capture", c.index)),
-            &bytes,
-        )
+        let path = self.path.join(format!("capture-{:016}.capture", c.index));
+        write_whole(self.directory.as_ref(), &path, &bytes)
     }
 
     /// Segments that end before the capture, and all but the two newest captures, are not needed any more.
@@ -320,16 +247,72 @@
             .partition(|(_, last)| *last <= index);
         self.closed = kept;
         old.iter().for_each(|(n, _)| {
-            let _ = fs::remove_file(segment_path(&self.path, *n));
+            let _ = self.directory.remove(&segment_path(&self.path, *n));
         });
         let captures = load::numbered(&self.path, "capture-", ".capture")?;
         captures.iter().rev().skip(2).for_each(|(_, p)| {
-            let _ = fs::remove_file(p);
+            let _ = self.directory.remove(p);
         });
         Ok(())
     }
 }
 
+/// Makes a segment, which is durable before anything in it counts.
+fn create(directory: &dyn Directory, folder: &Path, number: u64) -> Result<File, DiskDefect> {
+    let path = segment_path(folder, number);
+    let segment = directory.append(&path).map_err(io(&path))?;
+    directory.sync(folder).map_err(io(folder))?;
+    Ok(segment)
+}
+
+/// Reads the mark of a folder, and makes one where the folder is new.
+fn own_mark(
+    directory: &dyn Directory,
+    path: &Path,
+    cluster: &str,
+    fresh: u64,
+) -> Result<Mark, DiskDefect> {
+    let mark_path = path.join(MARK);
+    if !mark_path.exists() {
+        let names = fs::read_dir(path).map_err(io(path))?;
+        let strange = names
+            .filter_map(|e| e.ok().and_then(|e| e.file_name().into_string().ok()))
+            .any(|n| !n.ends_with(".new") && n != "lock");
+        (!strange)
+            .then_some(())
+            .ok_or_else(|| DiskDefect::Foreign(path.to_path_buf()))?;
+        let mark = Mark {
+            format: FOLDER_VERSION,
+            cluster: cluster.into(),
+            disk: fresh,
+        };
+        let bytes = serde_json::to_vec(&mark).unwrap_or_default();
+        write_whole(directory, &mark_path, &bytes)?;
+    }
+    let mark = read_mark(path)?;
+    (mark.cluster == cluster)
+        .then_some(())
+        .ok_or_else(|| DiskDefect::Cluster {
+            found: mark.cluster.clone(),
+            wanted: cluster.into(),
+        })?;
+    Ok(mark)
+}
+
+/// Keeps other processes away for as long as the file is open.
+fn lock(folder: &Path) -> Result<File, DiskDefect> {
+    let path = folder.join("lock");
+    let lock = OpenOptions::new()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(&path)
+        .map_err(io(&path))?;
+    lock.try_lock()
+        .map_err(|_| DiskDefect::Busy(folder.to_path_buf()))?;
+    Ok(lock)
+}
+
 fn read_mark(path: &Path) -> Result<Mark, DiskDefect> {
     let p = path.join(MARK);
     let bytes = fs::read(&p).map_err(io(&p))?;
