What waits for one receiver is bounded in bytes

Change: Queue counts the bytes of its frames and takes no more than 4 MiB, a single larger frame excepted; what finds no place is dropped as before (heartbeats are repeated, entries sent again). The end line tells how many.

Conclusion: traffic.rs, what_waits_for_one_receiver_is_bounded_in_bytes.

--- a/landingdrift/src/daemon/control.rs
+++ b/landingdrift/src/daemon/control.rs
@@ -144,6 +144,10 @@
             .into_iter()
             .map(|(k, v)| format!("{k}={v}"))
             .collect();
-        log::info!("ends; counters: {}", counters.join(" "));
+        log::info!(
+            "ends; frames_dropped={} counters: {}",
+            self.transport.dropped,
+            counters.join(" ")
+        );
     }
 }
--- a/landingdrift/src/daemon/traffic/frames/deliver.rs
+++ b/landingdrift/src/daemon/traffic/frames/deliver.rs
@@ -1,27 +1,25 @@
-use super::{socket, Frames, QUEUE};
+use super::queue::{queue, Queue, Queued};
+use super::{socket, Frames};
 use rocket::tokio::io::AsyncWriteExt;
 use rocket::tokio::net::TcpStream;
 use rocket::tokio::runtime::Handle;
-use rocket::tokio::sync::mpsc::{channel, Receiver, Sender};
+use rocket::tokio::sync::mpsc::Receiver;
 use rocket::tokio::time::timeout;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The queue towards one receiver.
-pub type Route = Sender<Vec<u8>>;
-
 /// Frames that are small go out together up to this many bytes.
 const GATHERED: usize = 16 << 10;
 
 /// Starts the task that delivers to one receiver; it ends when nothing is to be delivered for long.
-pub fn start(handle: &Handle, addr: SocketAddr, frames: &Frames) -> Route {
-    let (tx, rx) = channel(QUEUE);
+pub fn start(handle: &Handle, addr: SocketAddr, frames: &Frames) -> Queue {
+    let (queue, rx) = queue();
     handle.spawn(deliver(addr, frames.patience, frames.idle(), rx));
-    tx
+    queue
 }
 
-async fn deliver(addr: SocketAddr, patience: Duration, idle: Duration, mut rx: Receiver<Vec<u8>>) {
+async fn deliver(addr: SocketAddr, patience: Duration, idle: Duration, mut rx: Receiver<Queued>) {
     let mut conn: Option<TcpStream> = None;
     loop {
         let first = match timeout(idle, rx.recv()).await {
@@ -67,16 +65,17 @@
 async fn write(
     c: &mut TcpStream,
     patience: Duration,
-    first: Vec<u8>,
-    rx: &mut Receiver<Vec<u8>>,
+    first: Queued,
+    rx: &mut Receiver<Queued>,
 ) -> io::Result<()> {
-    let mut out = Vec::with_capacity(first.len().min(GATHERED) + 4);
+    let mut out = Vec::with_capacity(first.bytes().len().min(GATHERED) + 4);
     let mut next = Some(first);
-    while let Some(bytes) = next {
+    while let Some(frame) = next {
+        let bytes = frame.bytes();
         out.extend((bytes.len() as u32).to_le_bytes());
         if bytes.len() > GATHERED {
             push(c, patience, &out).await?;
-            return push(c, patience, &bytes).await;
+            return push(c, patience, bytes).await;
         }
         out.extend(bytes);
         next = Some(())
--- a/landingdrift/src/daemon/traffic/frames/mod.rs
+++ b/landingdrift/src/daemon/traffic/frames/mod.rs
@@ -1,16 +1,16 @@
 //! Frames between the system's own processes over TCP: a length, then an envelope.
 
 mod deliver;
+mod queue;
 mod receive;
 mod socket;
 
 use crate::daemon::control::Input;
 use crate::settings::Limits;
 use crate::wire::{pack, Body};
-use deliver::Route;
+use queue::{NotQueued, Queue};
 use rocket::tokio::net::TcpListener;
 use rocket::tokio::runtime::Handle;
-use rocket::tokio::sync::mpsc::error::TrySendError;
 use rocket::tokio::task::AbortHandle;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,8 +21,6 @@
 const TOP: u64 = 256 << 20;
 /// What a frame holds beside jobs and configuration.
 const BESIDE: u64 = 16 << 20;
-/// Frames that wait for one receiver.
-const QUEUE: usize = 4096;
 
 /// How a process talks in frames.
 #[derive(Clone, Debug)]
@@ -56,7 +54,7 @@
 pub struct Transport {
     frames: Frames,
     handle: Handle,
-    routes: HashMap<String, Route>,
+    routes: HashMap<String, Queue>,
     listener: AbortHandle,
     /// Frames that found a full queue or were too long.
     pub dropped: u64,
@@ -115,20 +113,25 @@
             return;
         }
         let left = match self.routes.get(to) {
-            Some(route) => route.try_send(bytes),
-            None => Err(TrySendError::Closed(bytes)),
+            Some(queue) => queue.push(bytes),
+            None => Err(NotQueued::Closed(bytes)),
         };
         match left {
             Ok(()) => {}
-            Err(TrySendError::Full(_)) => self.dropped += 1,
-            Err(TrySendError::Closed(bytes)) => {
+            Err(NotQueued::Full) => self.dropped += 1,
+            Err(NotQueued::Closed(bytes)) => {
                 self.routes.retain(|_, r| !r.is_closed());
-                let route = deliver::start(&self.handle, addr, &self.frames);
-                let _ = route.try_send(bytes);
-                self.routes.insert(to.into(), route);
+                let queue = deliver::start(&self.handle, addr, &self.frames);
+                let _ = queue.push(bytes);
+                self.routes.insert(to.into(), queue);
             }
         }
     }
+
+    /// The bytes that wait for receivers.
+    pub fn waiting(&self) -> usize {
+        self.routes.values().map(Queue::bytes).sum()
+    }
 }
 
 impl Drop for Transport {
--- a/landingdrift/tests/traffic.rs
+++ b/landingdrift/tests/traffic.rs
@@ -123,6 +123,22 @@
     assert_eq!(next(&at_b).1, ask(1));
 }
 
+#[test]
+fn what_waits_for_one_receiver_is_bounded_in_bytes() {
+    const MOST_BYTES: usize = 4 << 20;
+    let traffic = Traffic::start().expect("starts");
+    let ((mut a, _at_a), (b, at_b)) = (listen(&traffic), listen(&traffic));
+    let deaf = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let deaf_at = deaf.local_addr().expect("an address").to_string();
+    for i in 0..200 {
+        a.send(&deaf_at, &forwarded(i, 500_000));
+        assert!(a.waiting() <= MOST_BYTES, "{} bytes", a.waiting());
+    }
+    assert!(a.dropped > 0);
+    a.send(b.me(), &ask(1));
+    assert_eq!(next(&at_b).1, ask(1));
+}
+
 #[test]
 fn a_frame_that_is_too_long_ends_its_connection_and_nothing_else() {
     let traffic = Traffic::start().expect("starts");
