The rehearsal's disks can be full and can hang

Cause: the refusing and the hanging disk were struck only in storage.rs, beside no workers and callers.

--- a/rehearsal/src/scenario/faults.rs
+++ b/rehearsal/src/scenario/faults.rs
@@ -68,6 +68,10 @@
     HugeConfig,
     /// A process is stopped in order and comes back as a build that speaks the next wire version.
     Upgrade,
+    /// The disks of `amount` cores, one where it is 0, refuse every write.
+    DiskFull,
+    /// The disks of `amount` cores, one where it is 0, confirm nothing.
+    DiskStall,
 }
 
 impl Kind {
@@ -112,6 +116,8 @@
         Kind::Quota,
         Kind::HugeConfig,
         Kind::Upgrade,
+        Kind::DiskFull,
+        Kind::DiskStall,
     ];
 
     /// Its name in scenario files.
@@ -156,7 +162,9 @@
             LoseZone | Drain | Evacuate => &["zone"],
             WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut
             | WorkerLeaves | WorkerChange => &["worker"],
-            SplitCore | SlowDisk | LoseTail | ReplaceCore | Outage => &["core", "leader"],
+            SplitCore | SlowDisk | LoseTail | ReplaceCore | Outage | DiskFull | DiskStall => {
+                &["core", "leader"]
+            }
             SwapNode => &["node"],
             Tries | Quota => &["queue"],
             _ => &["core", "node", "leader"],
@@ -206,11 +214,11 @@
 pub fn random_faults(draw: &mut Draw, number: usize, from: u64, to: u64) -> Vec<Fault> {
     use Kind::*;
     let often = [Kill, Kill, Freeze, WorkerCrash, WorkerCut, LoseTail, Outage];
-    // An upgrade is done in an order, not at random.
+    // An upgrade is done in an order, not at random; disks that refuse have scenarios of their own.
     let kinds: Vec<Kind> = Kind::ALL
         .iter()
         .chain(&often)
-        .filter(|k| **k != Upgrade)
+        .filter(|k| !matches!(k, Upgrade | DiskFull | DiskStall))
         .copied()
         .collect();
     let mut out: Vec<Fault> = Vec::new();
--- a/rehearsal/src/simulator/disk.rs
+++ b/rehearsal/src/simulator/disk.rs
@@ -2,6 +2,17 @@
 use landingdrift::kernel::Save;
 use std::collections::VecDeque;
 
+/// Whether a disk takes what it is given.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Condition {
+    #[default]
+    Sound,
+    /// It answers every write with an error.
+    Full,
+    /// It answers nothing.
+    Stalled,
+}
+
 /// A core's disk: what is durable, and what is on its way.
 #[derive(Clone, Debug)]
 pub struct SimDisk {
@@ -9,6 +20,7 @@
     saves: VecDeque<Save>,
     pub pending: VecDeque<Save>,
     pub delay: u64,
+    pub condition: Condition,
 }
 
 fn fold(l: &mut Loaded, s: &Save) {
@@ -39,6 +51,7 @@
             saves: VecDeque::new(),
             pending: VecDeque::new(),
             delay: 2,
+            condition: Condition::Sound,
         }
     }
 
--- a/rehearsal/src/simulator/faults.rs
+++ b/rehearsal/src/simulator/faults.rs
@@ -1,3 +1,4 @@
+use super::disk::Condition;
 use super::world::{Ent, Happening, Kind as Part, World};
 use crate::history::Event;
 use crate::scenario::{job, Fault, Kind, Mix};
@@ -33,7 +34,7 @@
             };
         }
         let of: Vec<usize> = match f.kind {
-            SplitCore | SlowDisk | LoseTail | ReplaceCore => cores,
+            SplitCore | SlowDisk | LoseTail | ReplaceCore | DiskFull | DiskStall => cores,
             Tries | Quota => vec![0, 1, 2],
             SwapNode => nodes,
             LoseZone | Drain | Evacuate => vec![0, 1, 2],
@@ -104,6 +105,8 @@
                 .several(x, &f)
                 .into_iter()
                 .for_each(|c| self.set_delay(c, 120)),
+            DiskFull => self.set_conditions(x, &f, Condition::Full),
+            DiskStall => self.set_conditions(x, &f, Condition::Stalled),
             LoseTail => {
                 self.look();
                 self.kill(x);
@@ -295,6 +298,7 @@
                 .several(x, &f)
                 .into_iter()
                 .for_each(|c| self.set_delay(c, 2)),
+            DiskFull | DiskStall => self.set_conditions(x, &f, Condition::Sound),
             Outage => {
                 all.iter().for_each(|j| self.start(*j));
                 self.note(Event::OutageOver);
@@ -447,6 +451,14 @@
         }
     }
 
+    fn set_conditions(&mut self, x: usize, f: &Fault, to: Condition) {
+        for c in self.several(x, f) {
+            if let Part::Core(_, disk) = &mut self.procs[c].kind {
+                disk.condition = to;
+            }
+        }
+    }
+
     fn lose_tail(&mut self, x: usize) {
         self.owe(x);
         let n = 1 + self.draw.below(4) as usize;
--- a/rehearsal/src/simulator/world.rs
+++ b/rehearsal/src/simulator/world.rs
@@ -1,4 +1,4 @@
-use super::disk::SimDisk;
+use super::disk::{Condition, SimDisk};
 use super::EPOCH;
 use crate::checkers::{summary, Promised, Summary};
 use crate::history::{Event, History};
@@ -21,6 +21,8 @@
 
 /// How often everything looks at the time.
 const TICK: u64 = 20;
+/// How often a write that a disk did not take is tried again.
+const DISK_RETRY: u64 = 200;
 
 pub(super) enum Kind {
     Core(Option<Box<Core>>, Box<SimDisk>),
@@ -634,9 +636,13 @@
                 }
             }
             Happening::Saved(i, life, ticket) if self.procs[i].life == life => {
-                if let Kind::Core(_, disk) = &mut self.procs[i].kind {
-                    disk.done(ticket);
+                let Kind::Core(_, disk) = &mut self.procs[i].kind else {
+                    return;
+                };
+                if disk.condition != Condition::Sound {
+                    return self.not_saved(i, life, ticket);
                 }
+                disk.done(ticket);
                 self.reach(i, Msg::Saved(ticket));
             }
             Happening::Call {
@@ -892,6 +898,16 @@
         }
     }
 
+    /// A disk that takes nothing is tried again.
+    fn not_saved(&mut self, i: usize, life: u64, ticket: u64) {
+        if let Kind::Core(_, disk) = &self.procs[i].kind {
+            if disk.condition == Condition::Full {
+                self.reach(i, Msg::DiskDefect("no space left".into()));
+            }
+        }
+        self.at(self.t + DISK_RETRY, Happening::Saved(i, life, ticket));
+    }
+
     fn effect(&mut self, i: usize, e: Effect) {
         match e {
             Effect::Send(to, body) => self.carry(i, &to, &body),
--- a/rehearsal/tests/simulator.rs
+++ b/rehearsal/tests/simulator.rs
@@ -34,6 +34,8 @@
     assert!(seen("workers", 1, "node_workers_lost") >= 3);
     assert!(seen("core", 1, "core_leaderships") >= 4);
     assert!(seen("core", 1, "node_own_freezes") >= 1);
+    assert!(seen("disks", 1, "core_disk_refused") >= 2);
+    assert!(seen("disks", 1, "core_disk_stalled") >= 1);
     let refused = seen("upgrade", 1, "frames_of_another_version");
     assert!(refused > 100, "builds of two versions met {refused} times");
     assert!(
