--- a/landingdrift/src/disk/defect.rs
+++ b/landingdrift/src/disk/defect.rs
@@ -27,7 +27,7 @@
 impl fmt::Display for DiskDefect {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Self::Io { path, why } if why.kind() == std::io::ErrorKind::StorageFull => write!(f, "{}: the disk is full: free some of it, then start again", path.display()),
+            Self::Io { path, why } if why.kind() == std::io::ErrorKind::StorageFull => write!(f, "{}: the disk is full: free some of it", path.display()),
             Self::Io { path, why } => write!(f, "{}: {why}: check the folder's rights and its disk", path.display()),
             Self::Foreign(p) => write!(f, "{} holds files of something else: name an empty folder or the one this core used before", p.display()),
             Self::Version { found } => write!(f, "the data folder has format {found}, this build reads {FOLDER_VERSION}: run the build that wrote it"),
--- a/landingdrift/src/disk/mod.rs
+++ b/landingdrift/src/disk/mod.rs
@@ -223,6 +223,7 @@
     /// A sync that failed may have lost what it was to write, so nothing of that batch is believed; the caller writes
     /// the whole batch again.
     pub fn recover(&mut self) -> Result<(), DiskDefect> {
+        self.make_room()?;
         let path = segment_path(&self.path, self.number);
         OpenOptions::new()
             .write(true)
@@ -232,6 +233,17 @@
         self.roll()
     }
 
+    /// Removes what a full disk can do without: captures that were not written whole, and all whole ones but the newest.
+    fn make_room(&self) -> Result<(), DiskDefect> {
+        let halves = load::numbered(&self.path, "capture-", ".new")?;
+        let whole = load::numbered(&self.path, "capture-", ".capture")?;
+        let older = whole.iter().rev().skip(1);
+        halves.iter().chain(older).for_each(|(_, p)| {
+            let _ = self.directory.remove(p);
+        });
+        Ok(())
+    }
+
     fn write_capture(&mut self, c: &Capture) -> Result<(), DiskDefect> {
         let mut bytes = Vec::new();
         Frame::Capture(c.clone()).write(&mut bytes);
--- a/landingdrift/tests/disk_refuses.rs
+++ b/landingdrift/tests/disk_refuses.rs
@@ -175,3 +175,36 @@
     assert_eq!((l.hard.term, l.hard.vote.as_str()), (3, "a"));
     assert_eq!(l.notes.len(), 1);
 }
+
+#[test]
+fn a_full_disk_is_freed_of_what_can_be_done_without() {
+    let p = folder("room");
+    let (mut f, _) = Folder::open(&p, "c", 1 << 20, 7).expect("made");
+    for n in 1..=3 {
+        let capture = landingdrift::kernel::Capture {
+            index: 10 * n,
+            term: 1,
+            bytes: vec![b's'; 100],
+        };
+        let whole = Save {
+            capture: Some(capture),
+            ..save(n, 10 * n - 9, 10 * n)
+        };
+        f.save(&[whole]).expect("saved");
+    }
+    // As a disk that was full in the middle of a capture leaves it.
+    fs::write(p.join("capture-0000000000000040.new"), vec![0; 5000]).expect("written");
+    f.recover().expect("usable again");
+    let left = fs::read_dir(&p).expect("a folder").filter_map(Result::ok);
+    let captures: Vec<String> = left
+        .filter_map(|e| e.file_name().into_string().ok())
+        .filter(|n| n.starts_with("capture-"))
+        .collect();
+    assert_eq!(captures, ["capture-0000000000000030.capture"]);
+    f.save(&[save(4, 31, 35)]).expect("saved");
+    drop(f);
+    let (_, l) = Folder::open(&p, "c", 1 << 20, 7).expect("opened");
+    assert!(!l.damaged);
+    assert_eq!(l.capture.map(|c| c.index), Some(30));
+    assert_eq!(l.entries.last().map(|e| e.index), Some(35));
+}
