--- a/landingdrift/tests/snapshots.rs
+++ b/landingdrift/tests/snapshots.rs
@@ -118,8 +118,7 @@
 fn a_sender_that_dies_in_the_middle_is_followed_by_another() {
     let (mut all, leader, behind) = one_behind();
     all.boot(behind);
-    let begun = all.until(5000, |c| installs(c, behind).len() >= 2);
-    assert!(begun);
+    assert!(all.until(5000, |c| installs(c, behind).len() >= 2));
     assert_eq!(all.counter(behind, "captures_installed"), 0);
     all.kill(leader);
     let led = all.until(10_000, |c| c.leader().is_some_and(|l| l != leader));
@@ -165,13 +164,12 @@
 }
 
 fn last_verdict(all: &Cores, from: usize) -> InstallVerdict {
-    let of = all.sent.iter().rev().filter(|(_, c)| c.from == name(from));
-    of.filter_map(|(_, c)| match &c.body {
+    let mut of = all.sent.iter().rev().filter(|(_, c)| c.from == name(from));
+    let found = of.find_map(|(_, c)| match &c.body {
         Body::InstallVerdict(m) => Some((**m).clone()),
         _ => None,
-    })
-    .next()
-    .expect("a verdict")
+    });
+    found.expect("a verdict")
 }
 
 #[test]
