--- a/landingdrift/src/agreement/duties.rs
+++ b/landingdrift/src/agreement/duties.rs
@@ -42,7 +42,7 @@
         }
         // One loop's work at a time: the next is derived from what the last one made.
         let settled = self.commit >= self.opened && self.record.place >= self.duty_index;
-        if settled && self.clock.set() && self.stopping.is_none() {
+        if settled && self.clock.set() && !self.gives_way(now) {
             if let Some(c) = self.next_duty(now) {
                 self.duty_index = self.push(now, &c);
                 self.wants_round = true;
--- a/landingdrift/src/agreement/elect.rs
+++ b/landingdrift/src/agreement/elect.rs
@@ -9,7 +9,9 @@
         // Just awake and with no leader heard of, there is most likely none: a total outage.
         let eager = now.mono < self.eager_until && self.leader.is_empty();
         let span = if eager { span / 4 } else { span };
-        self.election_at = now.mono + span + self.draw.below(span);
+        // Whoever is being shut down leaves the lead to others, as long as there are any.
+        let reserve = if self.stopping.is_some() { span } else { 0 };
+        self.election_at = now.mono + reserve + span + self.draw.below(span);
     }
 
     /// Falls back to following, in a term not older than its own.
@@ -46,7 +48,7 @@
         if self.waking.is_some()
             || !self.is_voter()
             || self.answerable(now) > own
-            || self.stopping.is_some()
+            || !self.storage.takes_writes()
         {
             return;
         }
@@ -92,7 +94,7 @@
         let led = self.role == Role::Leader
             || (!self.leader.is_empty()
                 && now.mono.saturating_sub(self.heard_leader) < self.cfg.bounds.election());
-        if self.waking.is_some() || (led && !m.handed) {
+        if self.waking.is_some() || (led && !m.handed) || !self.storage.takes_writes() {
             return;
         }
         // A candidate that is not known yet may be one promoted in entries that are missing here.
@@ -213,19 +215,35 @@
         self.send_round(now, true);
     }
 
-    /// Names a successor: the voter that is farthest and was heard last, and does not leave itself.
+    /// The voter that should lead next: it answers, does not leave itself, has a working disk, and is farthest.
+    fn successor(&mut self, now: Now) -> Option<String> {
+        let voters = self.voters();
+        let silence_allowed = self.cfg.bounds.election();
+        let fit = |address: &String, peer: &Peer| {
+            voters.contains(address)
+                && !peer.leaving
+                && !peer.refuses
+                && now.mono.saturating_sub(peer.heard) < silence_allowed
+        };
+        self.peers
+            .iter()
+            .filter(|(address, peer)| fit(address, peer))
+            .max_by_key(|(_, peer)| (peer.matched, peer.heard))
+            .map(|(address, _)| address.clone())
+    }
+
+    /// Whether this leader is being shut down and another can lead in its place.
+    pub(super) fn gives_way(&mut self, now: Now) -> bool {
+        self.stopping.is_some() && self.successor(now).is_some()
+    }
+
+    /// Offers the lead to a successor, if there is one.
     pub(super) fn hand_over(&mut self, now: Now) {
         self.handed_at = now.mono;
-        let voters = self.voters();
         let term = self.hard.term;
-        let to = self
-            .peers
-            .iter()
-            .filter(|(k, p)| voters.contains(k) && !p.leaving)
-            .max_by_key(|(_, p)| (p.matched, p.heard))
-            .map(|(k, _)| k.clone());
-        to.iter()
-            .for_each(|to| self.send(to, Body::HandOver(Box::new(HandOver { term }))));
+        if let Some(successor) = self.successor(now) {
+            self.send(&successor, Body::HandOver(Box::new(HandOver { term })));
+        }
     }
 
     pub(super) fn on_hand_over(&mut self, now: Now, term: u64) {
@@ -237,6 +255,7 @@
             && self.role == Role::Follower
             && self.waking.is_none()
             && self.stopping.is_none()
+            && self.storage.takes_writes()
             && self.is_voter()
             && self.floor <= own
         {
--- a/landingdrift/src/agreement/members.rs
+++ b/landingdrift/src/agreement/members.rs
@@ -223,6 +223,8 @@
             Health::Silent
         } else if peer.leaving {
             Health::Leaving
+        } else if peer.refuses {
+            Health::Impaired
         } else {
             Health::Reachable
         };
--- a/landingdrift/src/agreement/membership.rs
+++ b/landingdrift/src/agreement/membership.rs
@@ -13,6 +13,8 @@
     Reachable,
     /// It answers, and is being shut down in order.
     Leaving,
+    /// It answers, and its disk takes nothing.
+    Impaired,
     /// It has not answered for longer than the span after which a voter is exchanged.
     Silent,
     /// Another disk answers at its address: this identity will never answer again.
@@ -205,7 +207,7 @@
         let dispensable = |address: &str| {
             let health = match self.health(address) {
                 Health::Silent | Health::Replaced => 3,
-                Health::Leaving => 2,
+                Health::Leaving | Health::Impaired => 2,
                 Health::Reachable => u32::from(self.members[address].standby_only),
             };
             (health, self.voters_in(self.zone(address)))
@@ -231,6 +233,7 @@
     fn outgoing_voter(&self) -> Option<&str> {
         self.first_voter_with(Health::Silent)
             .or_else(|| self.first_voter_with(Health::Leaving))
+            .or_else(|| self.first_voter_with(Health::Impaired))
     }
 
     /// Where there are fewer voters than wanted, a standby is promoted; an odd number grows only by two, or where one
@@ -249,7 +252,7 @@
         Some(MembershipChange::Promote(best.to_string()))
     }
 
-    /// A standby is promoted beside a voter that is silent, leaving or in a crowded zone, which is demoted next.
+    /// A standby is promoted beside a voter that is silent, leaving, without a working disk or in a crowded zone, which is demoted next.
     ///
     /// The other order, demoting first, can end for ever: of three voters one is silent and demoted, the second is lost
     /// before that is committed, and the first comes back; it may not be elected with its shorter log, and the leader
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -4,14 +4,18 @@
 mod duties;
 mod elect;
 mod feed;
+mod feed_snapshots;
 mod inspect;
 mod members;
 pub mod membership;
 mod replicate;
+mod snapshot;
+mod storage;
 mod wake;
 
 pub use clock::AgreedClock;
 
+use crate::chunks::{Assembly, Snapshot};
 use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save, Verdict};
 use crate::record::Record;
 use crate::settings::Settings;
@@ -19,6 +23,10 @@
 use crate::wire::{Body, Entry, Note, RequestToken};
 use serde_json::json;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// The bytes of entries in one message, unless a single entry is larger.
+const BATCH_BYTES: usize = 1 << 20;
 
 /// What a core finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
@@ -60,7 +68,9 @@
     sent: u64,
     /// The round of the batch under way; 0 for none.
     pending: u64,
-    installing: u64,
+    outgoing: Option<snapshot::Outgoing>,
+    /// Its disk takes nothing: it hears beats, and gets no entries.
+    refuses: bool,
 }
 
 impl Peer {
@@ -71,7 +81,7 @@
             self.round_sent = 0;
             self.next = 1;
             self.pending = 0;
-            self.installing = 0;
+            self.outgoing = None;
         }
         self.disk = disk;
     }
@@ -92,8 +102,9 @@
     beside_core: bool,
     /// It follows a light copy of the record.
     light: bool,
-    /// When it was last sent a capture.
-    captured: u64,
+    /// The last chunk of a snapshot that it was sent, and the place of that snapshot.
+    chunk: feed_snapshots::SentChunk,
+    fetched: u64,
 }
 
 /// A core.
@@ -109,8 +120,11 @@
     /// The entries after `base`.
     log: VecDeque<Entry>,
     base: (u64, u64),
-    capture: Capture,
+    capture: Arc<Snapshot>,
     captured: u64,
+    /// The bytes of the entries applied since.
+    uncaptured_bytes: u64,
+    incoming: Assembly,
     record: Record,
     commit: u64,
     durable: u64,
@@ -143,8 +157,7 @@
     /// When a duty was last moved to a better place.
     moved: u64,
     followers: BTreeMap<String, Follower>,
-    /// The record packed lately, with its place.
-    packed: Option<(u64, Vec<u8>)>,
+    feed_snapshots: feed_snapshots::FeedSnapshots,
     reads: Vec<feed::Read>,
     asked: BTreeMap<u64, (String, RequestToken)>,
     /// Whom to tell what has become durable, and the round it asked in.
@@ -175,7 +188,7 @@
     released: bool,
     /// When the lead was last offered to another.
     handed_at: u64,
-    disk_dead: bool,
+    storage: storage::Storage,
     counters: BTreeMap<&'static str, u64>,
     out: Vec<Effect>,
 }
@@ -226,7 +239,13 @@
             log,
             base,
             captured: base.0,
-            capture: loaded.capture.unwrap_or_default(),
+            capture: Arc::new(
+                loaded
+                    .capture
+                    .map_or_else(Snapshot::default, Snapshot::from),
+            ),
+            uncaptured_bytes: 0,
+            incoming: Assembly::default(),
             record,
             commit: base.0,
             durable: last,
@@ -256,7 +275,7 @@
             duty_index: 0,
             moved: 0,
             followers: BTreeMap::new(),
-            packed: None,
+            feed_snapshots: feed_snapshots::FeedSnapshots::default(),
             reads: Vec::new(),
             asked: BTreeMap::new(),
             confirmed: None,
@@ -276,7 +295,7 @@
             stopping: None,
             released: false,
             handed_at: 0,
-            disk_dead: false,
+            storage: storage::Storage::default(),
             counters: BTreeMap::new(),
             out: Vec::new(),
             cfg,
@@ -321,7 +340,7 @@
             .take(most)
             .take_while(|e| {
                 bytes += e.command.len();
-                bytes <= 8 << 20 || bytes == e.command.len()
+                bytes <= BATCH_BYTES || bytes == e.command.len()
             })
             .cloned()
             .collect()
@@ -348,6 +367,7 @@
         }
         let last = self.last().0;
         self.saving.push_back((self.ticket, last));
+        self.storage.handed_over(self.last_tick, self.ticket);
         self.count("disk_saves", 1);
         self.out.push(Effect::Save(save));
         self.ticket
@@ -365,6 +385,7 @@
 
     fn on_saved(&mut self, now: Now, ticket: u64) {
         self.saved = self.saved.max(ticket);
+        self.storage_confirmed(now, ticket);
         while let Some((_, last)) = self.saving.pop_front_if(|(t, _)| *t <= ticket) {
             self.durable = self.durable.max(last);
         }
@@ -386,6 +407,7 @@
                 break;
             };
             let ruling = self.record.apply_bytes(e.index, e.at, &e.command);
+            self.uncaptured_bytes += e.command.len() as u64;
             self.count("entries_applied", 1);
             self.count("entries_refused", u64::from(ruling.is_err()));
             if let Some((to, token)) = self.asked.remove(&next) {
@@ -406,34 +428,6 @@
         self.capture_when_due();
     }
 
-    fn capture_when_due(&mut self) {
-        let every = self.cfg.limits.capture_every;
-        let place = self.record.place;
-        if place < self.captured + every || self.unsaved.capture.is_some() {
-            return;
-        }
-        let Some(term) = self.term_at(place) else {
-            return;
-        };
-        self.capture = Capture {
-            index: place,
-            term,
-            bytes: self.record.pack(),
-        };
-        self.captured = place;
-        self.unsaved.capture = Some(self.capture.clone());
-        self.count("captures", 1);
-        // A tail stays in memory for those that are only a little behind.
-        let keep_from = place.saturating_sub(every / 2);
-        while self.log.front().is_some_and(|e| e.index <= keep_from) {
-            self.base = self
-                .log
-                .pop_front()
-                .map_or(self.base, |e| (e.index, e.term));
-        }
-        self.flush();
-    }
-
     fn on_tick(&mut self, now: Now) {
         let gap = now.mono.saturating_sub(self.last_tick);
         self.last_tick = now.mono;
@@ -444,7 +438,9 @@
             self.arm_election(now);
             self.peers.values_mut().for_each(|p| p.heard = now.mono);
             self.followers.values_mut().for_each(|f| f.heard = now.mono);
+            self.storage.restart_wait(now.mono);
         }
+        self.storage_tick(now);
         self.wake_tick(now);
         self.join_tick(now);
         let every = self.cfg.bounds.shuffle();
@@ -488,7 +484,7 @@
 
     /// What the core says of itself over HTTP.
     fn on_call(&mut self, now: Now, call: u64, req: &crate::kernel::Request) {
-        let ready = !self.disk_dead
+        let ready = self.storage.takes_writes()
             && self.waking.is_none()
             && (self.role == Role::Leader
                 || now.mono.saturating_sub(self.heard_leader) < 2 * self.cfg.bounds.election());
@@ -510,7 +506,8 @@
                     200,
                     json!({"core": self.name, "role": format!("{:?}", self.role), "leader": self.leader, "term": self.hard.term, "commit": self.commit,
                            "last": self.last().0, "members": members, "version": self.record.version,
-                           "machineLossesLeft": left.machine_losses_left, "zoneLossSurvivable": left.zone_loss_survivable}),
+                           "machineLossesLeft": left.machine_losses_left, "zoneLossSurvivable": left.zone_loss_survivable,
+                           "disk": self.storage.report(now.mono)}),
                 )
             }
             _ => Verdict::error(
@@ -528,11 +525,7 @@
         match msg {
             Msg::Tick => self.on_tick(now),
             Msg::Saved(ticket) => self.on_saved(now, ticket),
-            Msg::DiskDefect(why) => {
-                self.disk_dead = true;
-                self.line(format!("the disk refused ({why}): this core stops; free the disk or replace the machine, then start it again"));
-                self.out.push(Effect::Exit);
-            }
+            Msg::DiskDefect(why) => self.on_disk_defect(now, &why),
             Msg::Call(call, req) => self.on_call(now, call, &req),
             Msg::Changed(new) => self.cfg = *new,
             Msg::Stop => self.on_stop(now),
@@ -543,6 +536,7 @@
                 Body::Append(m) => self.on_append(now, &from, *m),
                 Body::AppendVerdict(m) => self.on_append_verdict(now, &from, &m),
                 Body::Install(m) => self.on_install(now, &from, *m),
+                Body::InstallVerdict(m) => self.on_install_verdict(now, &from, &m),
                 Body::HandOver(m) => self.on_hand_over(now, m.term),
                 Body::Join(m) => self.on_join(now, &from, *m),
                 Body::FeedPull(m) => self.on_pull(now, &from, *m),
@@ -574,6 +568,8 @@
             .map(|(k, v)| (k.to_string(), *v))
             .collect();
         all.push(("term".into(), self.hard.term));
+        let takes_writes = self.storage.takes_writes();
+        all.push(("disk_takes_writes".into(), u64::from(takes_writes)));
         all.push(("commit".into(), self.commit));
         all.push(("leads".into(), u64::from(self.role == Role::Leader)));
         all.push(("jobs_open".into(), self.record.open.len() as u64));
@@ -588,6 +584,10 @@
             let zone = u64::from(left.zone_loss_survivable);
             all.push(("zone_loss_survivable".into(), zone));
         }
+        let log_bytes = self.log.iter().map(|e| e.command.len() as u64).sum();
+        all.push(("log_bytes_in_memory".into(), log_bytes));
+        let outgoing = self.peers.values().filter(|p| p.outgoing.is_some()).count();
+        all.push(("snapshots_on_their_way".into(), outgoing as u64));
         all
     }
 }
--- a/landingdrift/src/agreement/replicate.rs
+++ b/landingdrift/src/agreement/replicate.rs
@@ -1,8 +1,8 @@
 use super::clock::Told;
 use super::{Core, Role};
-use crate::kernel::{Capture, Now};
-use crate::record::{Command, Record};
-use crate::wire::{Append, AppendVerdict, Body, Entry, Install, Note};
+use crate::kernel::Now;
+use crate::record::Command;
+use crate::wire::{Append, AppendVerdict, Body, Entry, Note};
 
 impl Core {
     /// Enters a command into the log; returns its index.
@@ -57,7 +57,7 @@
     }
 
     /// One batch of entries is under way to a core at a time; beats go out beside it.
-    fn replicate(&mut self, now: Now, to: &str, beat: bool) {
+    pub(super) fn replicate(&mut self, now: Now, to: &str, beat: bool) {
         let patience = 4 * self.cfg.bounds.heartbeat();
         let Some(p) = self.peers.get_mut(to) else {
             return;
@@ -69,39 +69,21 @@
         }
         let p = p.clone();
         let (term, commit) = (self.hard.term, self.commit);
-        let sure = p.pending > 0;
+        let sure = p.pending > 0 || p.refuses;
         if !beat && (sure || p.next > self.last().0) {
             return;
         }
         let from = if sure { p.matched } else { p.next - 1 };
-        let Some((prev, prev_term)) = self
-            .term_at(from)
-            .map(|t| (from, t))
-            .or(sure.then_some((0, 0)))
-        else {
-            // Too far behind for the log: the capture goes first, not more often than it can arrive.
-            if p.installing == 0 || now.mono >= p.installing + 10 * self.cfg.bounds.heartbeat() {
-                let c = self.capture.clone();
-                let round = self.round;
-                self.count("captures_sent", 1);
-                self.peers
-                    .get_mut(to)
-                    .iter_mut()
-                    .for_each(|p| p.installing = now.mono.max(1));
-                self.send(
-                    to,
-                    Body::Install(Box::new(Install {
-                        term,
-                        round,
-                        index: c.index,
-                        index_term: c.term,
-                        capture: c.bytes,
-                    })),
-                );
+        let place = self.term_at(from).map(|term| (from, term));
+        if place.is_none() && !sure {
+            // Too far behind for the log: a snapshot goes first, beside the heartbeats.
+            self.send_snapshot(now, to);
+            if !beat {
+                return;
             }
-            return;
-        };
-        let entries = if sure {
+        }
+        let (prev, prev_term) = place.unwrap_or((0, 0));
+        let entries = if sure || place.is_none() {
             Vec::new()
         } else {
             self.entries(p.next, 512)
@@ -162,6 +144,7 @@
                     carried: told.carried,
                     disk,
                     leaving: self.stopping.is_some(),
+                    refuses: false,
                 })),
             );
             return;
@@ -179,8 +162,9 @@
         let fits = m.prev_index < self.base.0 || self.term_at(m.prev_index) == Some(m.prev_term);
         // A refusal names the place that did not fit.
         let mut matched = m.prev_index;
+        let refuses = !self.storage.takes_writes();
         if fits {
-            for e in m.entries {
+            for e in m.entries.into_iter().filter(|_| !refuses) {
                 matched = e.index;
                 if e.index <= self.base.0 || self.term_at(e.index) == Some(e.term) {
                     continue;
@@ -220,6 +204,7 @@
                 carried: told.carried,
                 disk,
                 leaving: self.stopping.is_some(),
+                refuses,
             },
         );
     }
@@ -259,7 +244,7 @@
     }
 
     /// Once caught up with what it had confirmed, a core counts again.
-    fn rise(&mut self) {
+    pub(super) fn rise(&mut self) {
         let (index, term) = self.last();
         if self.floor > (0, 0) && (term, index) >= self.floor {
             self.floor = (0, 0);
@@ -275,6 +260,7 @@
             self.disk,
             self.durable.min(self.verified),
         );
+        let refuses = !self.storage.takes_writes();
         let told = self.confirmed.clone();
         if let Some((to, round)) = told.filter(|(to, _)| *to == self.leader && !to.is_empty()) {
             self.send_durable_hard(
@@ -289,6 +275,7 @@
                     carried: false,
                     disk,
                     leaving: self.stopping.is_some(),
+                    refuses,
                 },
             );
         }
@@ -329,7 +316,12 @@
         }
         p.heard = now.mono;
         p.round_sent = p.round_sent.max(sent);
-        p.installing = 0;
+        let was_refusing = std::mem::replace(&mut p.refuses, m.refuses);
+        if m.refuses || was_refusing {
+            // From the last sure place again, once its disk takes writes.
+            p.pending = 0;
+            p.next = p.matched + 1;
+        }
         // A verdict on an older round says nothing about the batch under way.
         let fresh = m.round >= p.pending;
         if fresh {
@@ -376,43 +368,4 @@
             self.answer_reads(now);
         }
     }
-
-    pub(super) fn on_install(&mut self, now: Now, from: &str, m: Install) {
-        if m.term < self.hard.term {
-            return;
-        }
-        self.follow(now, m.term, from);
-        self.heard_leader = now.mono;
-        self.arm_election(now);
-        if m.index > self.commit {
-            match Record::unpack(&m.capture) {
-                Ok(r) => {
-                    self.record = r;
-                    self.log.clear();
-                    self.base = (m.index, m.index_term);
-                    self.captured = m.index;
-                    self.commit = m.index;
-                    self.capture = Capture {
-                        index: m.index,
-                        term: m.index_term,
-                        bytes: m.capture,
-                    };
-                    self.unsaved.entries.clear();
-                    self.unsaved.cut = Some(1);
-                    self.unsaved.capture = Some(self.capture.clone());
-                    self.members_cache = None;
-                    self.durable = 0;
-                    self.verified = m.index;
-                    self.count("captures_installed", 1);
-                    self.rise();
-                }
-                Err(why) => self.line(why),
-            }
-        }
-        self.confirmed = Some((from.to_string(), m.round));
-        let ticket = self.flush();
-        if ticket <= self.saved {
-            self.confirm();
-        }
-    }
 }
--- a/landingdrift/src/agreement/wake.rs
+++ b/landingdrift/src/agreement/wake.rs
@@ -81,7 +81,7 @@
                 p.take_disk(m.disk);
                 p.next = m.last_index + 1;
                 p.matched = p.matched.min(m.last_index);
-                p.installing = 0;
+                p.outgoing = None;
                 p.pending = 0;
             });
             self.hello(from, Some(m.disk));
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -28,7 +28,7 @@
     pub hold_ms: u64,
     /// How often workers beat; 0 for an eighth of `leave_ms`.
     pub beat_ms: u64,
-    /// A process that is asked to stop is ended by force after this time.
+    /// How long a process that is told to end may take before it is killed.
     pub grace_ms: u64,
 }
 
@@ -68,7 +68,7 @@
     }
     /// How long a replica that is asked to stop waits for a standby to vote in its place.
     pub fn leave(&self) -> u64 {
-        self.grace_ms * 7 / 10
+        self.grace_ms * 5 / 8
     }
     /// How long a waking core waits for all others.
     pub fn wake(&self) -> u64 {
@@ -126,6 +126,26 @@
     pub fn reserve(&self) -> u64 {
         self.desired_ms / 2
     }
+    /// How long a process that is told to end goes on serving, so that callers find out that it is not ready.
+    pub fn serve_on(&self) -> u64 {
+        self.grace_ms * 5 / 12
+    }
+    /// When the parts of a process that was told to end are ended, whatever they still have to do.
+    pub fn end_parts(&self) -> u64 {
+        self.grace_ms * 2 / 3
+    }
+    /// When a process that was told to end has surely ended; the rest of the grace is for a slow machine.
+    pub fn end_process(&self) -> u64 {
+        self.grace_ms * 4 / 5
+    }
+    /// How long the last answers may take to leave.
+    pub fn flush_answers(&self) -> u64 {
+        self.grace_ms / 60
+    }
+    /// The longest pause before a disk that refused is tried again.
+    pub fn disk_pause(&self) -> u64 {
+        self.desired_ms / 2
+    }
     /// When a caller told to come back should do so.
     pub fn back(&self) -> u64 {
         self.state_ms / 3
@@ -150,6 +170,8 @@
     pub identity_ms: u64,
     /// Entries between two captures.
     pub capture_every: u64,
+    /// Bytes of entries that a core keeps in memory; a snapshot is taken after half of it.
+    pub log_bytes: u64,
     /// Size at which a log segment is closed.
     pub segment_bytes: u64,
 }
@@ -164,6 +186,7 @@
             retain_ms: 600_000,
             identity_ms: 86_400_000,
             capture_every: 5000,
+            log_bytes: 32 << 20,
             segment_bytes: 8 << 20,
         }
     }
--- a/rehearsal/src/explorer/cluster.rs
+++ b/rehearsal/src/explorer/cluster.rs
@@ -30,7 +30,7 @@
     AnswersOldReads,
     /// It tells every proposer that its change has won.
     AcknowledgesRivals,
-    /// Its disk forgets everything when it ends, keeps its number, and nobody remembers what it confirmed.
+    /// Its disk forgets the log when it ends, keeps its number, and nobody remembers what it confirmed.
     ForgetsSilently,
     /// It passes entries on with another time than it has itself.
     AltersTimes,
@@ -201,7 +201,7 @@
         replica.inbox.clear();
         replica.disk.crash(arrived);
         if self.defect == Some(Defect::ForgetsSilently) {
-            replica.disk = SimDisk::new(replica.disk_number);
+            replica.disk.forget_log();
         }
         let address = replica.address.clone();
         self.network
