Only the leader proposes members, terms and assignments; lives and disks drawn from the system

Cause, by reading: any peer's proposal was entered as it came, a change of the membership too. The number of a disk and of a process's life came from name, clock and process number; members are now told apart by it.

Change: Command::may_be_proposed; Process::seed takes the operating system's randomness.

--- a/landingdrift/src/agreement/feed.rs
+++ b/landingdrift/src/agreement/feed.rs
@@ -178,6 +178,10 @@
         token: RequestToken,
         command: Vec<u8>,
     ) {
+        if !Command::may_be_proposed(&command) {
+            self.count("proposals_out_of_place", 1);
+            return;
+        }
         if !self.settled() || self.gives_way(now) || !self.accepts_orders(now) {
             let leader = if self.role == Role::Leader {
                 String::new()
--- a/landingdrift/src/daemon/process.rs
+++ b/landingdrift/src/daemon/process.rs
@@ -58,9 +58,12 @@
         self.clock.now()
     }
 
-    /// A seed for the part of a name.
+    /// A seed for the part of a name. Lives of processes and disks are told apart by it, so it comes from the operating
+    /// system's randomness; only where that is missing from the clock and the process's number.
     pub fn seed(&self, name: &str) -> u64 {
-        digest(name.as_bytes()) ^ self.now().wall ^ (u64::from(std::process::id()) << 40)
+        let drawn = getrandom::u64()
+            .unwrap_or_else(|_| self.now().wall ^ (u64::from(std::process::id()) << 40));
+        digest(name.as_bytes()) ^ drawn
     }
 
     /// Starts a part.
--- a/landingdrift/src/record/command.rs
+++ b/landingdrift/src/record/command.rs
@@ -230,6 +230,12 @@
         };
         matches!(kind, 0 | 1 | 10 | 12..=17)
     }
+    /// Whether a command may come from outside the leader. Terms, assignments and members are the leader's alone.
+    /// Told by the number of its kind alone.
+    pub fn may_be_proposed(bytes: &[u8]) -> bool {
+        let kind = postcard::take_from_bytes::<u32>(bytes).map(|(kind, _)| kind);
+        kind.is_ok_and(|kind| !matches!(kind, 0 | 12..=18))
+    }
     /// Whether copies of this command must take effect once at the most.
     pub fn is_order(&self) -> bool {
         matches!(
--- a/rehearsal/src/explorer/cluster.rs
+++ b/rehearsal/src/explorer/cluster.rs
@@ -332,14 +332,17 @@
             number: 0,
             value,
         };
+        self.propose_command(i, token, &command);
+    }
+
+    /// Somebody proposes a command, whatever it is.
+    pub fn propose_command(&mut self, i: usize, token: u64, command: &Command) {
         let propose = Propose {
             token: request(token),
             command: command.pack(),
         };
-        self.step(
-            i,
-            Msg::Wire(CLIENT.into(), Body::Propose(Box::new(propose))),
-        );
+        let body = Body::Propose(Box::new(propose));
+        self.step(i, Msg::Wire(CLIENT.into(), body));
     }
 
     /// A client asks a replica how far the log goes.
--- a/rehearsal/tests/explorer.rs
+++ b/rehearsal/tests/explorer.rs
@@ -1,5 +1,6 @@
 //! The replicas under the model checker: random walks, every order of events to a depth, and planted defects.
 
+use landingdrift::record::Command;
 use rehearsal::explorer::cluster::{Cluster, Defect};
 use rehearsal::explorer::ledger::Invariant;
 use rehearsal::explorer::search::{search, Budget, Found};
@@ -205,3 +206,28 @@
 fn newcomers_that_never_vote_are_caught_as_not_repaired() {
     assert!(caught(Defect::IgnoresNewcomers, Invariant::Repaired));
 }
+
+#[test]
+fn nobody_but_the_leader_changes_the_membership() {
+    let mut cluster = settled(3);
+    let leader = cluster.leader().expect("somebody leads");
+    let before = cluster.membership();
+    let (core, member) = before.iter().next().expect("members");
+    let commands = [
+        Command::CoreGone {
+            core: core.clone(),
+            disk: member.disk,
+        },
+        Command::Found {
+            cores: Default::default(),
+        },
+        Command::Opened {
+            leader: core.clone(),
+        },
+    ];
+    for (number, command) in commands.iter().enumerate() {
+        cluster.propose_command(leader, 1000 + number as u64, command);
+    }
+    cluster.run(1000, &BTreeSet::new(), |_| false);
+    assert_eq!(cluster.membership(), before);
+}
