--- /dev/null
+++ b/landingdrift/src/record/job/mod.rs
@@ -0,0 +1,13 @@
+//! Jobs: what a client asks for, its checks, and what has become of it.
+
+mod check;
+mod ledger;
+mod room;
+mod spec;
+mod state;
+
+pub use check::{SpecDefect, STEP_TASKS_MOST, TASKS_MOST};
+pub use ledger::{Job, Send, Task};
+pub use room::Room;
+pub use spec::{JobSpec, StepSpec, TaskSpec};
+pub use state::{JobState, SendState, TaskState};
--- /dev/null
+++ b/landingdrift/src/record/job/room.rs
@@ -0,0 +1,44 @@
+//! Room of workers and tasks: processors, memory, accelerators.
+
+use serde::{Deserialize, Serialize};
+
+/// Room of a worker, or what a task needs of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    pub cpu: u32,
+    pub memory: u32,
+    pub accelerators: u32,
+}
+
+impl Room {
+    /// Whether `other` fits into it.
+    pub fn holds(self, other: Self) -> bool {
+        other.cpu <= self.cpu
+            && other.memory <= self.memory
+            && other.accelerators <= self.accelerators
+    }
+    /// What is left of it without `other`.
+    pub fn less(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+    /// Both together.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+    /// The smaller of each.
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/landingdrift/src/record/job/spec.rs
@@ -0,0 +1,102 @@
+//! Jobs as clients hand them in.
+
+use super::Room;
+use serde::{Deserialize, Serialize};
+
+/// A job as a client hands it in: single tasks, or steps of alike ones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct JobSpec {
+    /// Made by the client; retries carry the same one.
+    pub id: String,
+    pub queue: String,
+    #[serde(default)]
+    pub tasks: Vec<TaskSpec>,
+    /// Steps of alike tasks, kept once and not task by task.
+    #[serde(default)]
+    pub steps: Vec<StepSpec>,
+    /// Handed to the workers of all steps as it is.
+    #[serde(default)]
+    pub payload: String,
+    /// The steps run so many times (0 and 1: once), each time with a due time of its own.
+    #[serde(default)]
+    pub times: u32,
+    /// When the first time is due, in milliseconds since 1970, and the period after it.
+    #[serde(default)]
+    pub first_due: u64,
+    #[serde(default)]
+    pub period_ms: u64,
+}
+
+/// A step: so many tasks that are alike. Its tasks are called TIME.STEP.INDEX, counted from 0.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct StepSpec {
+    pub count: u32,
+    /// Numbers of earlier steps whose tasks must all be done before.
+    #[serde(default)]
+    pub depends_on: Vec<u32>,
+    /// The tasks run as one group: they start together, and one good end counts for all.
+    #[serde(default)]
+    pub gang: bool,
+    pub task: TaskSpec,
+}
+
+/// A task of a job.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct TaskSpec {
+    #[serde(default)]
+    pub name: String,
+    pub service: String,
+    #[serde(default)]
+    pub labels: Vec<String>,
+    /// Processor room.
+    pub room: u32,
+    #[serde(default)]
+    pub memory: u32,
+    #[serde(default)]
+    pub accelerators: u32,
+    #[serde(default)]
+    pub depends_on: Vec<String>,
+    #[serde(default)]
+    pub may_repeat: bool,
+    /// Not before this moment, in milliseconds since 1970.
+    #[serde(default)]
+    pub due: u64,
+    /// Tasks of one gang run together or not at all.
+    #[serde(default)]
+    pub gang: String,
+    /// A zone, rack or worker where the task's data is near.
+    #[serde(default)]
+    pub near: String,
+    /// Members of its gang belong on one rack.
+    #[serde(default)]
+    pub same_rack: bool,
+    /// At most so many tasks of its step on one worker; 0 for any number.
+    #[serde(default)]
+    pub anti_affinity: u32,
+    /// It never ends well: however it ends it is started again, until the job is cancelled.
+    #[serde(default)]
+    pub long_running: bool,
+    /// It keeps its progress, and goes on from there when it is started again.
+    #[serde(default)]
+    pub checkpoints: bool,
+    /// A rough guess of how long it runs.
+    #[serde(default)]
+    pub estimate_ms: u32,
+    /// Handed to the worker as it is.
+    #[serde(default, with = "crate::record::pack::json")]
+    pub payload: serde_json::Value,
+}
+
+impl TaskSpec {
+    /// The room it needs.
+    pub fn needs(&self) -> Room {
+        Room {
+            cpu: self.room,
+            memory: self.memory,
+            accelerators: self.accelerators,
+        }
+    }
+}
