--- a/rehearsal/tests/code_shape.rs
+++ b/rehearsal/tests/code_shape.rs
@@ -15,7 +15,6 @@
     ("landingdrift/tests/cell.rs", 530),
     ("landingdrift/tests/record.rs", 825),
     ("landingdrift/tests/traffic.rs", 404),
-    ("rehearsal/src/checkers/runs.rs", 598),
     ("rehearsal/src/explorer/cluster.rs", 515),
     ("rehearsal/src/explorer/walk.rs", 518),
     ("rehearsal/src/fleet/drive.rs", 587),
