--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -6,28 +6,29 @@
 mod feed;
 mod feed_snapshots;
 mod inspect;
+mod log;
 mod members;
 pub mod membership;
+mod peers;
 mod replicate;
 mod snapshot;
+mod status;
+mod stop;
 mod storage;
 mod wake;
 
 pub use clock::AgreedClock;
+pub(crate) use peers::{Follower, Peer};
 
 use crate::chunks::{Assembly, Snapshot};
-use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save, Verdict};
+use crate::kernel::{Capture, Draw, Effect, Hard, Msg, Now, Part, Save};
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::views::Views;
 use crate::wire::{Body, Entry, Note, RequestToken};
-use serde_json::json;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// The bytes of entries in one message, unless a single entry is larger.
-const BATCH_BYTES: usize = 1 << 20;
-
 /// What a core finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
 pub struct Loaded {
@@ -51,62 +52,6 @@
     Leader,
 }
 
-/// What a leader knows of another core.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Peer {
-    next: u64,
-    matched: u64,
-    /// The disk that answered last, 0 before any did, and the newest round it answered.
-    disk: u64,
-    answered: u64,
-    /// It is being shut down in order.
-    leaving: bool,
-    /// When the latest round that it answered was sent.
-    round_sent: u64,
-    /// When it was last heard, and when entries were last sent.
-    heard: u64,
-    sent: u64,
-    /// The round of the batch under way; 0 for none.
-    pending: u64,
-    outgoing: Option<snapshot::Outgoing>,
-    /// Its disk takes nothing: it hears beats, and gets no entries.
-    refuses: bool,
-}
-
-impl Peer {
-    /// Takes note of the disk that answers. What an earlier disk at this address confirmed is gone with it.
-    fn take_disk(&mut self, disk: u64) {
-        if self.disk != 0 && self.disk != disk {
-            self.matched = 0;
-            self.round_sent = 0;
-            self.next = 1;
-            self.pending = 0;
-            self.outgoing = None;
-        }
-        self.disk = disk;
-    }
-}
-
-/// What a leader knows of a node that follows the feed.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Follower {
-    place: u64,
-    sent: u64,
-    heard: u64,
-    echo: u64,
-    zone: String,
-    http: String,
-    leaving: bool,
-    successor: String,
-    share: u32,
-    beside_core: bool,
-    /// It follows a light copy of the record.
-    light: bool,
-    /// The last chunk of a snapshot that it was sent, and the place of that snapshot.
-    chunk: feed_snapshots::SentChunk,
-    fetched: u64,
-}
-
 /// A core.
 #[derive(Clone)]
 pub struct Core {
@@ -314,91 +259,6 @@
         self.out.push(Effect::Send(to.into(), body));
     }
 
-    fn last(&self) -> (u64, u64) {
-        self.log.back().map_or(self.base, |e| (e.index, e.term))
-    }
-
-    fn term_at(&self, index: u64) -> Option<u64> {
-        if index == self.base.0 {
-            return Some(self.base.1);
-        }
-        self.entry(index).map(|e| e.term)
-    }
-
-    fn entry(&self, index: u64) -> Option<&Entry> {
-        index
-            .checked_sub(self.base.0 + 1)
-            .and_then(|i| self.log.get(i as usize))
-    }
-
-    fn entries(&self, from: u64, most: usize) -> Vec<Entry> {
-        let skip = from.saturating_sub(self.base.0 + 1) as usize;
-        let mut bytes = 0usize;
-        self.log
-            .iter()
-            .skip(skip)
-            .take(most)
-            .take_while(|e| {
-                bytes += e.command.len();
-                bytes <= BATCH_BYTES || bytes == e.command.len()
-            })
-            .cloned()
-            .collect()
-    }
-
-    /// Hands what has changed to the disk; returns the ticket that confirms it.
-    fn flush(&mut self) -> u64 {
-        let s = &self.unsaved;
-        if s.hard.is_none() && s.cut.is_none() && s.entries.is_empty() && s.capture.is_none() {
-            return self.ticket;
-        }
-        self.ticket += 1;
-        let mut save = std::mem::take(&mut self.unsaved);
-        save.ticket = self.ticket;
-        if save.hard.is_some() {
-            self.hard_ticket = self.ticket;
-        }
-        save.notes = self.notes.values().cloned().collect();
-        if let Some(cut) = save.cut {
-            self.durable = self.durable.min(cut.saturating_sub(1));
-            self.saving
-                .iter_mut()
-                .for_each(|(_, last)| *last = (*last).min(cut.saturating_sub(1)));
-        }
-        let last = self.last().0;
-        self.saving.push_back((self.ticket, last));
-        self.storage.handed_over(self.last_tick, self.ticket);
-        self.count("disk_saves", 1);
-        self.out.push(Effect::Save(save));
-        self.ticket
-    }
-
-    /// Sends once everything changed so far is durable.
-    fn send_durable(&mut self, to: &str, body: Body) {
-        let ticket = self.flush();
-        if ticket <= self.saved {
-            self.send(to, body);
-        } else {
-            self.held.push_back((ticket, Effect::Send(to.into(), body)));
-        }
-    }
-
-    fn on_saved(&mut self, now: Now, ticket: u64) {
-        self.saved = self.saved.max(ticket);
-        self.storage_confirmed(now, ticket);
-        while let Some((_, last)) = self.saving.pop_front_if(|(t, _)| *t <= ticket) {
-            self.durable = self.durable.max(last);
-        }
-        while let Some((_, effect)) = self.held.pop_front_if(|(t, _)| *t <= ticket) {
-            self.out.push(effect);
-        }
-        match self.role {
-            Role::Leader => self.advance(now),
-            Role::Candidate => self.tally(now),
-            _ => self.confirm(),
-        }
-    }
-
     /// Applies what is committed and gives the waiting their verdicts.
     fn apply_committed(&mut self) {
         while self.record.place < self.commit {
@@ -455,69 +315,6 @@
         }
         self.stop_tick(now);
     }
-
-    fn on_stop(&mut self, now: Now) {
-        if self.stopping.is_some() {
-            return;
-        }
-        self.stopping = Some(now.mono + self.cfg.bounds.leave());
-        self.released = false;
-        if self.role == Role::Leader {
-            self.hand_over(now);
-        }
-    }
-
-    /// A replica that stops hands the lead on, and ends once a standby votes in its place, or the leader says that none
-    /// can, or its time is over.
-    fn stop_tick(&mut self, now: Now) {
-        let Some(until) = self.stopping else { return };
-        let votes = self.record.cores.get(&self.name).is_some_and(|m| m.voter);
-        let replaced = self.role != Role::Leader && (!votes || self.released);
-        if now.mono >= until || replaced {
-            self.out.push(Effect::Exit);
-            return;
-        }
-        if self.role == Role::Leader && now.mono >= self.handed_at + self.cfg.bounds.heartbeat() {
-            self.hand_over(now);
-        }
-    }
-
-    /// What the core says of itself over HTTP.
-    fn on_call(&mut self, now: Now, call: u64, req: &crate::kernel::Request) {
-        let ready = self.storage.takes_writes()
-            && self.waking.is_none()
-            && (self.role == Role::Leader
-                || now.mono.saturating_sub(self.heard_leader) < 2 * self.cfg.bounds.election());
-        let verdict = match (req.method.as_str(), req.path.as_str()) {
-            ("GET", "/live") => Verdict::new(200, json!({"live": true})),
-            ("GET", "/ready") => Verdict::new(
-                if ready && self.stopping.is_none() {
-                    200
-                } else {
-                    503
-                },
-                json!({"ready": ready && self.stopping.is_none()}),
-            ),
-            ("GET", "/metrics") => self.metrics(),
-            ("GET", "/v1/status") => {
-                let members = self.members();
-                let left = &self.resilience;
-                Verdict::new(
-                    200,
-                    json!({"core": self.name, "role": format!("{:?}", self.role), "leader": self.leader, "term": self.hard.term, "commit": self.commit,
-                           "last": self.last().0, "members": members, "version": self.record.version,
-                           "machineLossesLeft": left.machine_losses_left, "zoneLossSurvivable": left.zone_loss_survivable,
-                           "disk": self.storage.report(now.mono)}),
-                )
-            }
-            _ => Verdict::error(
-                404,
-                "noSuchRoute",
-                "a core serves /live, /ready, /metrics and /v1/status: send all else to a node",
-            ),
-        };
-        self.out.push(Effect::Answer(call, verdict));
-    }
 }
 
 impl Part for Core {
@@ -562,32 +359,6 @@
     }
 
     fn counters(&self) -> Vec<(String, u64)> {
-        let mut all: Vec<(String, u64)> = self
-            .counters
-            .iter()
-            .map(|(k, v)| (k.to_string(), *v))
-            .collect();
-        all.push(("term".into(), self.hard.term));
-        let takes_writes = self.storage.takes_writes();
-        all.push(("disk_takes_writes".into(), u64::from(takes_writes)));
-        all.push(("commit".into(), self.commit));
-        all.push(("leads".into(), u64::from(self.role == Role::Leader)));
-        all.push(("jobs_open".into(), self.record.open.len() as u64));
-        all.push(("jobs_kept".into(), self.record.jobs.len() as u64));
-        all.push(("log_entries_in_memory".into(), self.log.len() as u64));
-        if self.role == Role::Leader {
-            let left = &self.resilience;
-            all.push(("voters".into(), left.voters as u64));
-            all.push(("standbys".into(), left.standbys as u64));
-            let losses = left.machine_losses_left.max(0) as u64;
-            all.push(("machine_losses_left".into(), losses));
-            let zone = u64::from(left.zone_loss_survivable);
-            all.push(("zone_loss_survivable".into(), zone));
-        }
-        let log_bytes = self.log.iter().map(|e| e.command.len() as u64).sum();
-        all.push(("log_bytes_in_memory".into(), log_bytes));
-        let outgoing = self.peers.values().filter(|p| p.outgoing.is_some()).count();
-        all.push(("snapshots_on_their_way".into(), outgoing as u64));
-        all
+        self.all_counters()
     }
 }
--- a/rehearsal/src/explorer/cluster.rs
+++ b/rehearsal/src/explorer/cluster.rs
@@ -1,14 +1,14 @@
 //! A few replicas with their disks and the messages between them, under the checker's control.
 
+use super::defect::{distort, Defect};
 use super::ledger::{Invariant, Ledger};
 use crate::simulator::disk::SimDisk;
 use landingdrift::agreement::Core;
 use landingdrift::kernel::{Effect, Msg, Now, Part, Save};
-use landingdrift::record::{Command, CoreMember};
+use landingdrift::record::CoreMember;
 use landingdrift::settings::{Bounds, Settings};
-use landingdrift::wire::{Body, Entry, Propose, ReadAsk, RequestToken};
-use serde_json::json;
-use std::collections::{BTreeMap, BTreeSet};
+use landingdrift::wire::{Body, Entry};
+use std::collections::BTreeMap;
 
 /// Where answers to clients go.
 pub const CLIENT: &str = "client";
@@ -19,27 +19,6 @@
 /// When the whole cluster starts for the first time, in its own time.
 const FIRST_START: u64 = 1000;
 
-/// How a replica misbehaves on purpose, to show that an invariant catches it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Defect {
-    /// It gives its vote to everybody who asks.
-    VotesForAll,
-    /// It says that entries are on its disk which are not.
-    ConfirmsUnsaved,
-    /// It answers reads at once with an old index.
-    AnswersOldReads,
-    /// It tells every proposer that its change has won.
-    AcknowledgesRivals,
-    /// Its disk forgets the log when it ends, keeps its number, and nobody remembers what it confirmed.
-    ForgetsSilently,
-    /// It passes entries on with another time than it has itself.
-    AltersTimes,
-    /// It gives its vote to nobody.
-    VotesForNobody,
-    /// Requests to be admitted say that the newcomer may not vote.
-    IgnoresNewcomers,
-}
-
 /// One machine with a disk.
 #[derive(Clone)]
 pub struct Replica {
@@ -80,7 +59,7 @@
     pub instant_disks: bool,
     /// What the replicas write, where that is wanted.
     pub log: Option<Vec<String>>,
-    next_token: u64,
+    pub(super) next_token: u64,
     next_number: u64,
 }
 
@@ -319,61 +298,8 @@
         }
     }
 
-    /// A client proposes a configuration on top of a version at a replica.
-    pub fn propose(&mut self, i: usize, base: u64) {
-        let token = self.token();
-        let change = format!("change-{token}");
-        self.ledger.proposes(token, change.clone());
-        let value = json!({"queues": {}, "notes": {"by": change}});
-        let command = Command::Configure {
-            change,
-            base,
-            patch: false,
-            number: 0,
-            value,
-        };
-        self.propose_command(i, token, &command);
-    }
-
-    /// Somebody proposes a command, whatever it is.
-    pub fn propose_command(&mut self, i: usize, token: u64, command: &Command) {
-        let propose = Propose {
-            token: request(token),
-            command: command.pack(),
-        };
-        let body = Body::Propose(Box::new(propose));
-        self.step(i, Msg::Wire(CLIENT.into(), body));
-    }
-
-    /// A client asks a replica how far the log goes.
-    pub fn read(&mut self, i: usize) {
-        let token = self.token();
-        self.ledger.reads(token);
-        let ask = Body::ReadAsk(Box::new(ReadAsk {
-            token: request(token),
-        }));
-        self.step(i, Msg::Wire(CLIENT.into(), ask));
-    }
-
-    fn token(&mut self) -> u64 {
-        self.next_token += 1;
-        self.next_token
-    }
-
-    fn answer(&mut self, body: &Body) {
-        match body {
-            Body::Proposed(answer) if answer.outcome == 0 => {
-                if let Some(index) = self.ledger.proposed(answer) {
-                    self.check_durable(index);
-                }
-            }
-            Body::ReadPlace(answer) => self.ledger.read(answer),
-            _ => {}
-        }
-    }
-
     /// An acknowledged entry is on as many disks as may be lost at once, and one more.
-    fn check_durable(&mut self, index: u64) {
+    pub(super) fn check_durable(&mut self, index: u64) {
         let term = self.ledger.committed_term(index);
         let holds = |r: &&Replica| {
             let loaded = r.disk.load();
@@ -449,102 +375,8 @@
         });
         (voters.len(), intact.collect())
     }
-
-    /// Lets time pass: messages arrive when they are due, replicas look at the time.
-    /// Disks named as stalled confirm nothing.
-    pub fn run(
-        &mut self,
-        ms: u64,
-        stalled: &BTreeSet<usize>,
-        mut lossy: impl FnMut(&InFlight) -> bool,
-    ) {
-        let until = self.now + ms;
-        let tick = self.settings.bounds.tick();
-        while self.now < until {
-            self.now += 1;
-            self.deliver_due(&mut lossy);
-            if self.now.is_multiple_of(tick) {
-                (0..self.replicas.len()).for_each(|i| self.step_if_awake(i));
-            }
-            if self.now.is_multiple_of(2) {
-                (0..self.replicas.len())
-                    .filter(|i| !stalled.contains(i))
-                    .for_each(|i| self.sync(i));
-            }
-        }
-    }
-
-    fn step_if_awake(&mut self, i: usize) {
-        if !self.replicas[i].frozen {
-            self.step(i, Msg::Tick);
-        }
-    }
-
-    fn deliver_due(&mut self, lossy: &mut impl FnMut(&InFlight) -> bool) {
-        let now = self.now;
-        let network = std::mem::take(&mut self.network);
-        let (due, later): (Vec<InFlight>, Vec<InFlight>) =
-            network.into_iter().partition(|m| m.due <= now);
-        self.network = later;
-        for message in due {
-            if !lossy(&message) {
-                self.deliver(message);
-            }
-        }
-    }
-}
-
-/// The token of the client's request with a number.
-fn request(number: u64) -> RequestToken {
-    RequestToken {
-        incarnation: 1,
-        number,
-        attempt: 1,
-    }
 }
 
 fn address(i: usize) -> String {
     format!("10.0.0.{}:7000", i + 1)
 }
-
-/// What a misbehaving replica sends in place of a message.
-fn distort(defect: Defect, body: Body) -> Body {
-    match (defect, body) {
-        (Defect::VotesForAll, Body::VoteVerdict(mut verdict)) => {
-            verdict.granted = true;
-            Body::VoteVerdict(verdict)
-        }
-        (Defect::AnswersOldReads, Body::ReadPlace(mut answer)) => {
-            answer.ok = true;
-            answer.place = 0;
-            Body::ReadPlace(answer)
-        }
-        (Defect::AcknowledgesRivals, Body::Proposed(mut answer)) => {
-            let won = json!({"done": {"version": 1, "place": answer.place}});
-            answer.verdict = serde_json::to_vec(&won).unwrap_or_default();
-            Body::Proposed(answer)
-        }
-        (Defect::VotesForNobody, Body::VoteVerdict(mut verdict)) => {
-            verdict.granted = false;
-            Body::VoteVerdict(verdict)
-        }
-        (Defect::ForgetsSilently, Body::Hello(mut hello)) => {
-            hello.noted.index = 0;
-            hello.notes.clear();
-            Body::Hello(hello)
-        }
-        (Defect::ForgetsSilently, Body::Append(mut append)) => {
-            append.notes.clear();
-            Body::Append(append)
-        }
-        (Defect::IgnoresNewcomers, Body::Join(mut join)) => {
-            join.standby_only = true;
-            Body::Join(join)
-        }
-        (Defect::AltersTimes, Body::Append(mut append)) => {
-            append.entries.iter_mut().for_each(|e| e.at += 1);
-            Body::Append(append)
-        }
-        (_, body) => body,
-    }
-}
--- /dev/null
+++ b/rehearsal/src/explorer/defect.rs
@@ -0,0 +1,67 @@
+//! Planted defects: each shows that an invariant catches what it is meant for.
+
+use landingdrift::wire::Body;
+use serde_json::json;
+
+/// How a replica misbehaves on purpose, to show that an invariant catches it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// It gives its vote to everybody who asks.
+    VotesForAll,
+    /// It says that entries are on its disk which are not.
+    ConfirmsUnsaved,
+    /// It answers reads at once with an old index.
+    AnswersOldReads,
+    /// It tells every proposer that its change has won.
+    AcknowledgesRivals,
+    /// Its disk forgets the log when it ends, keeps its number, and nobody remembers what it confirmed.
+    ForgetsSilently,
+    /// It passes entries on with another time than it has itself.
+    AltersTimes,
+    /// It gives its vote to nobody.
+    VotesForNobody,
+    /// Requests to be admitted say that the newcomer may not vote.
+    IgnoresNewcomers,
+}
+
+/// What a misbehaving replica sends in place of a message.
+pub(super) fn distort(defect: Defect, body: Body) -> Body {
+    match (defect, body) {
+        (Defect::VotesForAll, Body::VoteVerdict(mut verdict)) => {
+            verdict.granted = true;
+            Body::VoteVerdict(verdict)
+        }
+        (Defect::AnswersOldReads, Body::ReadPlace(mut answer)) => {
+            answer.ok = true;
+            answer.place = 0;
+            Body::ReadPlace(answer)
+        }
+        (Defect::AcknowledgesRivals, Body::Proposed(mut answer)) => {
+            let won = json!({"done": {"version": 1, "place": answer.place}});
+            answer.verdict = serde_json::to_vec(&won).unwrap_or_default();
+            Body::Proposed(answer)
+        }
+        (Defect::VotesForNobody, Body::VoteVerdict(mut verdict)) => {
+            verdict.granted = false;
+            Body::VoteVerdict(verdict)
+        }
+        (Defect::ForgetsSilently, Body::Hello(mut hello)) => {
+            hello.noted.index = 0;
+            hello.notes.clear();
+            Body::Hello(hello)
+        }
+        (Defect::ForgetsSilently, Body::Append(mut append)) => {
+            append.notes.clear();
+            Body::Append(append)
+        }
+        (Defect::IgnoresNewcomers, Body::Join(mut join)) => {
+            join.standby_only = true;
+            Body::Join(join)
+        }
+        (Defect::AltersTimes, Body::Append(mut append)) => {
+            append.entries.iter_mut().for_each(|e| e.at += 1);
+            Body::Append(append)
+        }
+        (_, body) => body,
+    }
+}
--- a/rehearsal/tests/explorer.rs
+++ b/rehearsal/tests/explorer.rs
@@ -1,10 +1,12 @@
 //! The replicas under the model checker: random walks, every order of events to a depth, and planted defects.
 
 use landingdrift::record::Command;
-use rehearsal::explorer::cluster::{Cluster, Defect};
+use rehearsal::explorer::cluster::Cluster;
+use rehearsal::explorer::defect::Defect;
 use rehearsal::explorer::ledger::Invariant;
 use rehearsal::explorer::search::{search, Budget, Found};
-use rehearsal::explorer::walk::{Trouble, Walk};
+use rehearsal::explorer::trouble::Trouble;
+use rehearsal::explorer::walk::Walk;
 use std::collections::BTreeSet;
 
 fn must_hold(walk: &Walk) {
