--- a/rehearsal/src/explorer/mod.rs
+++ b/rehearsal/src/explorer/mod.rs
@@ -3,7 +3,11 @@
 //!
 //! [`search`] walks every order of events to a stated depth; [`walk`] takes long random ways in virtual time.
 
+mod client;
 pub mod cluster;
+pub mod defect;
 pub mod ledger;
 pub mod search;
+mod time;
+pub mod trouble;
 pub mod walk;
--- a/rehearsal/tests/explorer.rs
+++ b/rehearsal/tests/explorer.rs
@@ -1,10 +1,12 @@
 //! The replicas under the model checker: random walks, every order of events to a depth, and planted defects.
 
 use landingdrift::record::Command;
-use rehearsal::explorer::cluster::{Cluster, Defect};
+use rehearsal::explorer::cluster::Cluster;
+use rehearsal::explorer::defect::Defect;
 use rehearsal::explorer::ledger::Invariant;
 use rehearsal::explorer::search::{search, Budget, Found};
-use rehearsal::explorer::walk::{Trouble, Walk};
+use rehearsal::explorer::trouble::Trouble;
+use rehearsal::explorer::walk::Walk;
 use std::collections::BTreeSet;
 
 fn must_hold(walk: &Walk) {
@@ -231,3 +233,14 @@
     cluster.run(1000, &BTreeSet::new(), |_| false);
     assert_eq!(cluster.membership(), before);
 }
+
+#[test]
+fn nobody_waits_for_a_disk_that_is_known_to_be_lost() {
+    let mut cluster = settled(3);
+    (0..3).for_each(|i| cluster.crash(i, usize::MAX));
+    cluster.wipe(1);
+    (0..3).for_each(|i| cluster.start(i));
+    let wait = cluster.settings.bounds.wake();
+    cluster.run(wait / 2, &BTreeSet::new(), |_| false);
+    assert!(cluster.leader().is_some(), "two of three know everything");
+}
