A newcomer asks to be admitted at once; the explorer's clocks count from each start

Ruled out: the removal of the old identity (0.03 s) and the promotion (0.14 s).

Change: the first request goes out at once. The explorer's replicas had clocks that went on over restarts, so it could not see this; now each process's clock starts with it.

--- a/landingdrift/src/agreement/members.rs
+++ b/landingdrift/src/agreement/members.rs
@@ -290,11 +290,11 @@
         let admitted = self.is_identity(&name, self.disk);
         let abandoned = silence > self.cfg.bounds.exchange();
         let every = JOIN_EVERY_HEARTBEATS * self.cfg.bounds.heartbeat();
-        let due = now.mono >= self.joined_at + every;
+        let due = self.joined_at.is_none_or(|at| now.mono >= at + every);
         if self.waking.is_some() || self.role == Role::Leader || !due || (admitted && !abandoned) {
             return;
         }
-        self.joined_at = now.mono;
+        self.joined_at = Some(now.mono);
         let mut targets: BTreeSet<String> = self.members().into_keys().collect();
         targets.extend(self.cfg.seeds.iter().cloned());
         targets.extend(self.views.cores.iter().cloned());
--- a/landingdrift/src/agreement/mod.rs
+++ b/landingdrift/src/agreement/mod.rs
@@ -114,7 +114,7 @@
     /// Zones of other replicas, as they said when they or this one started.
     zones: BTreeMap<String, String>,
     /// When this replica last asked to be admitted.
-    joined_at: u64,
+    joined_at: Option<u64>,
     /// This replica's disk is empty while others have a log: it is a newcomer, whatever the settings say of founders.
     joining: bool,
     resilience: membership::Resilience,
@@ -227,7 +227,7 @@
             hard_ticket: 0,
             join_requests: BTreeMap::new(),
             zones: BTreeMap::new(),
-            joined_at: 0,
+            joined_at: None,
             resilience: membership::Resilience::default(),
             wants_round: false,
             wants_beat: false,
--- a/rehearsal/src/explorer/cluster.rs
+++ b/rehearsal/src/explorer/cluster.rs
@@ -32,7 +32,9 @@
     pub gone: bool,
     /// Since when it has been up and awake.
     pub up_since: u64,
-    /// How far its steady clock is ahead of the cluster's time.
+    /// When its process started: its steady clock counts from there.
+    pub started_at: u64,
+    /// How far that clock is ahead.
     pub clock_ahead: u64,
     inbox: Vec<Msg>,
 }
@@ -112,6 +114,7 @@
             frozen: false,
             gone: false,
             up_since: 0,
+            started_at: 0,
             clock_ahead: 0,
             inbox: Vec::new(),
         });
@@ -154,6 +157,7 @@
             return;
         }
         let settings = self.settings_of(i);
+        self.replicas[i].started_at = self.now;
         let seed = self.number();
         let loaded = self.replicas[i].disk.load();
         let now = self.clock(i);
@@ -166,7 +170,8 @@
     }
 
     fn clock(&self, i: usize) -> Now {
-        let mono = self.now + self.replicas[i].clock_ahead;
+        let replica = &self.replicas[i];
+        let mono = 1 + self.now - replica.started_at + replica.clock_ahead;
         Now {
             mono,
             wall: EPOCH + self.now,
--- a/rehearsal/tests/explorer.rs
+++ b/rehearsal/tests/explorer.rs
@@ -244,3 +244,13 @@
     cluster.run(wait / 2, &BTreeSet::new(), |_| false);
     assert!(cluster.leader().is_some(), "two of three know everything");
 }
+
+#[test]
+fn a_newcomer_asks_to_be_admitted_at_once() {
+    let mut cluster = settled(3);
+    let newcomer = cluster.add_newcomer("z0".into());
+    let heartbeats = 3 * cluster.settings.bounds.heartbeat();
+    cluster.run(heartbeats, &BTreeSet::new(), |_| false);
+    let address = &cluster.replicas[newcomer].address;
+    assert!(cluster.membership().contains_key(address));
+}
