--- a/rehearsal/tests/explorer.rs
+++ b/rehearsal/tests/explorer.rs
@@ -111,6 +111,7 @@
 };
 
 fn holds(found: &Found, states: usize) {
+    println!("{} states, {} events deep", found.states, found.deepest);
     assert_eq!(found.broken, None);
     assert!(found.states > states, "only {} states", found.states);
 }
@@ -151,6 +152,22 @@
     holds(&search(&settled(3), budget), 500);
 }
 
+#[test]
+fn every_order_of_an_exchange_among_four_replicas_keeps_the_invariants() {
+    let mut cluster = settled(3);
+    cluster.add_newcomer("z1".into());
+    cluster.run(1000, &BTreeSet::new(), |_| false);
+    cluster.network.clear();
+    assert_eq!(cluster.membership().len(), 4, "the newcomer stands by");
+    let budget = Budget {
+        timeouts: 1,
+        stops: 1,
+        crashes: 1,
+        ..CALM
+    };
+    holds(&search(&cluster, budget), 500);
+}
+
 /// Whether a planted defect is caught in some walk, by the invariant that is meant for it.
 fn caught(defect: Defect, invariant: Invariant) -> bool {
     (0..40).any(|seed| {
