Sight for BUDGET: ends that contradict the cluster state, or that it has no run for, are logged

Cause: neither logs nor counters showed an end that a worker reports of a run that is not live in the cluster state; it was acknowledged in silence. Change: log line and counters ends_contradicting_state and ends_of_unknown_runs; no change of logic.

--- a/landingdrift/src/node/zone_scheduler/heartbeats.rs
+++ b/landingdrift/src/node/zone_scheduler/heartbeats.rs
@@ -81,6 +81,7 @@
             return self.late_heartbeat_response();
         }
         self.resolve_run_names(&mut heartbeat);
+        self.observe_late_ends(&heartbeat);
         let known = self.state.workers.get(&heartbeat.info.worker);
         let known = known.cloned().unwrap_or_default();
         if heartbeat.info.incarnation < known.info.incarnation {
--- a/landingdrift/src/node/zone_scheduler/mod.rs
+++ b/landingdrift/src/node/zone_scheduler/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - `heartbeats` receives what workers report,
 //! - `orders` derives what the response tells a worker to start and to stop,
+//! - `late_ends` observes what workers report of runs that are over by the cluster state,
 //! - `lease_expiry` detects workers that are silent or have left,
 //! - `stragglers` finds runs that should be rescheduled,
 //! - `reservations` and `offers` offer free slots to the schedulers that reserved them, in the order of `targets`.
 
 mod heartbeats;
+mod late_ends;
 mod lease_expiry;
 mod offer_round;
 mod offers;
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -165,22 +165,34 @@
 
     /// Sends a heartbeat of the worker; returns the response, and what was proposed because of it.
     pub fn heartbeat(&mut self, sequence: u64, running: bool) -> (Option<Response>, Vec<Command>) {
-        let name = RunName {
-            job: "j".into(),
-            task: "0.0.0".into(),
-            run: 1,
-        };
         let run = RunningAttempt {
-            name: Some(name),
+            name: Some(run_name(1)),
             ..RunningAttempt::default()
         };
-        let heartbeat = Heartbeat {
-            info: info(),
+        self.send_heartbeat(Heartbeat {
             running: if running { vec![run] } else { Vec::new() },
-            sequence,
-            uses_run_names: true,
-            ..Heartbeat::default()
-        };
+            ..named_heartbeat(sequence)
+        })
+    }
+
+    /// Sends a heartbeat that reports the end of a run of the job's task.
+    pub fn heartbeat_with_end(
+        &mut self,
+        sequence: u64,
+        run: u32,
+        outcome: Outcome,
+    ) -> (Option<Response>, Vec<Command>) {
+        self.send_heartbeat(Heartbeat {
+            ended: vec![EndReport {
+                name: Some(run_name(run)),
+                outcome,
+                ..EndReport::default()
+            }],
+            ..named_heartbeat(sequence)
+        })
+    }
+
+    fn send_heartbeat(&mut self, heartbeat: Heartbeat) -> (Option<Response>, Vec<Command>) {
         self.call += 1;
         let request = Request {
             method: "POST".into(),
@@ -191,6 +203,32 @@
         let now = self.now();
         response_and_proposals(self.node.step(now, Msg::Call(self.call, request)))
     }
+
+    /// A counter of the node; 0 if it has not counted yet.
+    pub fn counter(&self, name: &str) -> u64 {
+        let counters = self.node.counters();
+        let found = counters.iter().find(|(counter, _)| counter == name);
+        found.map_or(0, |(_, number)| *number)
+    }
+}
+
+/// A run of the only task of job `j`.
+pub fn run_name(run: u32) -> RunName {
+    RunName {
+        job: "j".into(),
+        task: "0.0.0".into(),
+        run,
+    }
+}
+
+/// A heartbeat of the worker, which identifies runs by their names.
+fn named_heartbeat(sequence: u64) -> Heartbeat {
+    Heartbeat {
+        info: info(),
+        sequence,
+        uses_run_names: true,
+        ..Heartbeat::default()
+    }
 }
 
 /// The response among some effects, and the commands that were proposed.
