--- a/landingdrift/src/node/zone_scheduler/lease_expiry.rs
+++ b/landingdrift/src/node/zone_scheduler/lease_expiry.rs
@@ -138,6 +138,8 @@
     /// A worker reports that it has left: what ran there is dead shortly.
     pub(in crate::node) fn on_worker_left(&mut self, now: Now, worker: &str) {
         let dead_at = now.mono + self.settings.bounds.obey() / 2;
+        self.count("workers_left", 1);
+        self.log(format!("worker {worker} reports that it has left"));
         for worker in self.workers_named(worker) {
             worker.left_at = Some(dead_at);
             worker.leaving = true;
