--- a/landingdrift/src/node/zone_scheduler/lease_expiry.rs
+++ b/landingdrift/src/node/zone_scheduler/lease_expiry.rs
@@ -139,7 +139,12 @@
     pub(in crate::node) fn on_worker_left(&mut self, now: Now, worker: &str) {
         let dead_at = now.mono + self.settings.bounds.obey() / 2;
         self.count("workers_left", 1);
-        self.log(format!("worker {worker} reports that it has left"));
+        let known = self.state.workers.get(worker);
+        let attempts = known.map_or(0, |known| known.attempts.len());
+        let announced = known.is_some_and(|known| known.info.leaving);
+        self.log(format!(
+            "worker {worker} reports that it has left; announced before: {announced}; live attempts: {attempts}"
+        ));
         for worker in self.workers_named(worker) {
             worker.left_at = Some(dead_at);
             worker.leaving = true;
--- a/testkit/src/checkers/runs/limits.rs
+++ b/testkit/src/checkers/runs/limits.rs
@@ -1,5 +1,6 @@
 //! Limits of queues, and the checker of attempts, which are limited so.
 
+use super::unreported::unreported_ends;
 use super::{Specs, TaskKey};
 use crate::checkers::interval::Interval;
 use crate::checkers::{PromisedBounds, Violation};
@@ -103,6 +104,7 @@
 /// A task that has failed as often as its queue permits is not tried again.
 pub fn max_attempts(history: &History, bounds: &PromisedBounds) -> Vec<Violation> {
     let specs = Specs::new(history);
+    let unreported = unreported_ends(history);
     let mut limits = Limits::default();
     let mut failures: BTreeMap<TaskKey, u32> = BTreeMap::new();
     let mut violations = Vec::new();
@@ -110,11 +112,14 @@
         limits.observe(timed, |settings| &settings.max_attempts);
         match &timed.event {
             Event::RunEnded {
+                worker,
+                attempt,
                 job,
                 task,
                 outcome: Outcome::Failed,
-                ..
-            } => *failures.entry((job, task)).or_default() += 1,
+            } if !unreported.contains(&(worker.as_str(), *attempt)) => {
+                *failures.entry((job, task)).or_default() += 1;
+            }
             Event::RunStarted { job, task, .. } => {
                 let now = Interval::new(timed.at_ms, timed.at_ms);
                 let spec = specs.job(job);
--- a/testkit/src/checkers/runs/mod.rs
+++ b/testkit/src/checkers/runs/mod.rs
@@ -3,6 +3,7 @@
 mod gangs;
 mod limits;
 mod placement;
+mod unreported;
 
 pub use gangs::{alone_times, gangs};
 pub use limits::{max_attempts, Limits};
@@ -12,6 +13,7 @@
 use crate::history::{Event, History};
 use landingdrift::state::{JobSpec, Outcome, TaskSpec};
 use std::collections::{BTreeMap, BTreeSet};
+use unreported::unreported_ends;
 
 /// The specifications of all jobs that were offered.
 struct Specs<'a>(BTreeMap<&'a str, &'a JobSpec>);
@@ -49,12 +51,13 @@
     from: u64,
     /// When it ended, in milliseconds; `u64::MAX` if it did not.
     to: u64,
-    /// How it ended; none if it did not, or if its worker died.
+    /// How it ended; none if it did not, if its worker died, or if the worker could tell nobody.
     outcome: Option<Outcome>,
 }
 
 /// All runs, in the order of their starts.
 fn runs(history: &History) -> Vec<Run<'_>> {
+    let unreported = unreported_ends(history);
     let mut runs: Vec<Run> = Vec::new();
     // The open runs' positions, by worker and attempt.
     let mut open: BTreeMap<(&str, u64), usize> = BTreeMap::new();
@@ -85,7 +88,8 @@
             } if *outcome != Outcome::NeverStarted => {
                 if let Some(position) = open.remove(&(worker.as_str(), *attempt)) {
                     runs[position].to = timed.at_ms;
-                    runs[position].outcome = Some(*outcome);
+                    let is_reported = !unreported.contains(&(worker.as_str(), *attempt));
+                    runs[position].outcome = is_reported.then_some(*outcome);
                 }
             }
             Event::WorkerDied { worker } => open.retain(|(runs_on, _), position| {
--- /dev/null
+++ b/testkit/src/checkers/runs/unreported.rs
@@ -0,0 +1,32 @@
+//! Ends of runs that nobody was told of: the worker's lease ran out, or its process died, before they were acknowledged.
+
+use crate::history::{Event, History};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Runs by worker and attempt.
+pub(super) type RunIds<'a> = BTreeSet<(&'a str, u64)>;
+
+/// The ends that were not acknowledged before their worker's lease ran out. A report that comes later says nothing of
+/// whether the run was counted in time. Where workers have no leases there are none.
+pub(super) fn unreported_ends(history: &History) -> RunIds<'_> {
+    let mut open: BTreeMap<&str, BTreeSet<u64>> = BTreeMap::new();
+    let mut unreported = RunIds::new();
+    for timed in &history.events {
+        match &timed.event {
+            Event::RunEnded {
+                worker, attempt, ..
+            } => {
+                open.entry(worker).or_default().insert(*attempt);
+            }
+            Event::EndAcknowledged { worker, attempt } => {
+                open.entry(worker).or_default().remove(attempt);
+            }
+            Event::LeaseExpired { worker } => {
+                let attempts = open.remove(worker.as_str()).unwrap_or_default();
+                unreported.extend(attempts.into_iter().map(|no| (worker.as_str(), no)));
+            }
+            _ => {}
+        }
+    }
+    unreported
+}
--- a/testkit/src/fleet/drive/faults.rs
+++ b/testkit/src/fleet/drive/faults.rs
@@ -67,6 +67,9 @@
             FaultKind::WorkerCrash => self.end_worker(target),
             FaultKind::WorkerCut => self.cut_worker(target, true),
             FaultKind::WorkerLeaves => self.announce_leaving(target),
+            FaultKind::WorkerLeavesUnannounced => {
+                self.with_worker(target, |worker| worker.leave_unannounced());
+            }
             FaultKind::Drain => self.set_zone(target, "draining"),
             FaultKind::Evacuate => self.set_zone(target, "evacuated"),
             other => self.log_line(&format!("{other:?} is for the simulator only: left out")),
@@ -208,7 +211,7 @@
             }
             WorkerCrash if self.workers[target].worker.is_none() => self.start_worker(target),
             WorkerCut => self.cut_worker(target, false),
-            WorkerLeaves => {
+            WorkerLeaves | WorkerLeavesUnannounced => {
                 self.end_worker(target);
                 self.start_worker(target);
             }
--- a/testkit/src/history.rs
+++ b/testkit/src/history.rs
@@ -133,6 +133,14 @@
         change: String,
         jobs: BTreeMap<String, FinalState>,
     },
+    /// The end of a run was acknowledged to its worker, which forgets it.
+    EndAcknowledged {
+        worker: String,
+        /// The number of the attempt.
+        attempt: u64,
+    },
+    /// The lease of a worker has run out: what ran there was killed.
+    LeaseExpired { worker: String },
 }
 
 /// The state of a job at the end of the day.
--- a/testkit/src/measure/mod.rs
+++ b/testkit/src/measure/mod.rs
@@ -94,6 +94,8 @@
         nodes: 0,
         workers: 0,
         jobs_per_second: 0.0,
+        lease_ms: 0,
+        doomed_share: 0.0,
         faults: Vec::new(),
         random_faults: 0,
         has_last_fault: false,
--- a/testkit/src/scenario/fault.rs
+++ b/testkit/src/scenario/fault.rs
@@ -90,10 +90,14 @@
     DiskFull,
     /// The disks of `amount` replicas, one where it is 0, confirm nothing.
     DiskStall,
+    /// A worker says that it leaves by the call that others make as they end, runs on and heartbeats as before, and ends;
+    /// another process takes its place.
+    WorkerLeavesUnannounced,
 }
 
 impl FaultKind {
-    /// All kinds. Random faults are drawn by their position in this list, so its order stays as it is.
+    /// The kinds of random faults. They are drawn by their position in this list, so it stays as it is; a kind that came
+    /// later strikes where a scenario names it.
     pub const ALL: &[Self] = &[
         Self::Kill,
         Self::Freeze,
@@ -138,6 +142,9 @@
         Self::DiskStall,
     ];
 
+    /// Kinds that are never drawn.
+    pub const NAMED_ONLY: &[Self] = &[Self::WorkerLeavesUnannounced];
+
     /// Its name in scenario files.
     pub fn name(self) -> String {
         let value = serde_json::to_value(self).unwrap_or_default();
@@ -149,8 +156,15 @@
         use FaultKind::*;
         match self {
             LoseZone | Drain | Evacuate => &["zone"],
-            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut
-            | WorkerLeaves | WorkerChange => &["worker"],
+            WorkerCrash
+            | WorkerGone
+            | WorkerFreeze
+            | WorkerSlow
+            | WorkerFailing
+            | WorkerCut
+            | WorkerLeaves
+            | WorkerLeavesUnannounced
+            | WorkerChange => &["worker"],
             SplitCore | SlowDisk | LoseTail | ReplaceCore | Outage | DiskFull | DiskStall => {
                 &["core", "leader"]
             }
--- a/testkit/src/scenario/mod.rs
+++ b/testkit/src/scenario/mod.rs
@@ -42,6 +42,13 @@
     /// Jobs a second; the shape's own rate where 0.
     #[serde(default, rename = "rate")]
     pub jobs_per_second: f64,
+    /// Workers run tasks for as long as a lease of this length lasts, in milliseconds, and identify runs by their names;
+    /// 0 for workers without leases.
+    #[serde(default)]
+    pub lease_ms: u64,
+    /// The share of jobs that can never succeed.
+    #[serde(default, rename = "doomed")]
+    pub doomed_share: f64,
     #[serde(default)]
     pub faults: Vec<Fault>,
     /// Further faults, drawn from the seed.
@@ -134,6 +141,9 @@
         if self.jobs_per_second > 0.0 {
             mix.jobs_per_second = self.jobs_per_second;
         }
+        if self.doomed_share > 0.0 {
+            mix.doomed_share = self.doomed_share;
+        }
         mix
     }
 
@@ -152,6 +162,10 @@
             rate.is_finite() && (0.0..=MAX_JOBS_PER_SECOND).contains(&rate),
             "rate: give 0 (the shape's own) to 10000 jobs a second",
         )?;
+        ensure(
+            (0.0..=1.0).contains(&self.doomed_share),
+            "doomed: give a share from 0 to 1",
+        )?;
         ensure(
             self.nodes <= MAX_NODES && self.workers <= MAX_WORKERS,
             "nodes, workers: give at most 1000 and 10000",
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -44,8 +44,15 @@
         Kill | Freeze | LoseZone | SlowDisk | DiskFull | DiskStall | LoseTail | ReplaceCore
         | SwapNode | Outage | ClockJump | Restart | Upgrade => Area::Machines,
         Cut | CutOneWay | SplitCore | CutCores | SlowLink | FlakyLink | LostAnswers => Area::Links,
-        WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut
-        | WorkerLeaves | WorkerChange => Area::Workers,
+        WorkerCrash
+        | WorkerGone
+        | WorkerFreeze
+        | WorkerSlow
+        | WorkerFailing
+        | WorkerCut
+        | WorkerLeaves
+        | WorkerLeavesUnannounced
+        | WorkerChange => Area::Workers,
         Crowd | Huge | Doomed | Urgent | Wrong | Storm | Rivals | LargeConfig | HugeConfig
         | Drain | Evacuate | Tries | Quota => Area::Load,
     }
@@ -107,8 +114,15 @@
             SplitCore | SlowDisk | LoseTail | ReplaceCore | DiskFull | DiskStall => self.replicas(),
             SwapNode => self.nodes(),
             Tries | Quota | LoseZone | Drain | Evacuate => (0..ZONES).collect(),
-            WorkerCrash | WorkerGone | WorkerFreeze | WorkerSlow | WorkerFailing | WorkerCut
-            | WorkerLeaves | WorkerChange => (0..self.workers.len()).collect(),
+            WorkerCrash
+            | WorkerGone
+            | WorkerFreeze
+            | WorkerSlow
+            | WorkerFailing
+            | WorkerCut
+            | WorkerLeaves
+            | WorkerLeavesUnannounced
+            | WorkerChange => (0..self.workers.len()).collect(),
             _ => [self.replicas(), self.nodes()].concat(),
         }
     }
@@ -189,6 +203,9 @@
             WorkerFailing => self.fail_runs(target, fault.amount),
             WorkerCut => self.cut_worker(target, true),
             WorkerLeaves => self.with_worker(target, |worker, now| worker.leave(now)),
+            WorkerLeavesUnannounced => {
+                self.with_worker(target, |worker, _| worker.leave_unannounced());
+            }
             WorkerChange => {
                 let cpu = self.workers[target].info.cpu / 4;
                 self.with_worker(target, |worker, now| {
@@ -280,7 +297,7 @@
             WorkerSlow => self.set_slowdown(target, 1.0),
             WorkerFailing => self.set_failing_share(target, 0.0),
             WorkerCut => self.cut_worker(target, false),
-            WorkerLeaves => {
+            WorkerLeaves | WorkerLeavesUnannounced => {
                 self.crash_worker(target);
                 self.start_worker(target);
             }
--- a/testkit/src/simulator/faults/workers.rs
+++ b/testkit/src/simulator/faults/workers.rs
@@ -32,9 +32,14 @@
     /// Ends a worker's process, if it runs.
     pub(super) fn crash_worker(&mut self, number: usize) {
         let machine = &mut self.workers[number];
-        if machine.worker.take().is_some() {
+        if let Some(dead) = machine.worker.take() {
             machine.incarnation += 1;
             let worker = machine.info.worker.clone();
+            if dead.has_lease() {
+                // Nothing that it has not reported can ever be.
+                let worker = worker.clone();
+                self.record(Event::LeaseExpired { worker });
+            }
             self.record(Event::WorkerDied { worker });
         }
     }
--- a/testkit/src/simulator/world/setup.rs
+++ b/testkit/src/simulator/world/setup.rs
@@ -8,7 +8,7 @@
 use crate::scenario::{random_faults, Fault, Scenario, FIRST_RANDOM_FAULT_MS};
 use crate::simulator::EPOCH;
 use landingdrift::sans_io::{Msg, Rng};
-use landingdrift::settings::{Hopper, Settings};
+use landingdrift::settings::{Bounds, Hopper, Settings};
 use landingdrift::state::WorkerInfo;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -29,6 +29,10 @@
         let replica_address = |zone: usize| format!("10.0.{zone}.1:7000");
         let settings = Settings {
             seeds: (0..ZONES).map(replica_address).collect(),
+            bounds: Bounds {
+                lease_ms: scenario.lease_ms,
+                ..Bounds::default()
+            },
             ..Settings::default()
         };
         let mut world = Self {
