--- a/testkit/src/cli/mod.rs
+++ b/testkit/src/cli/mod.rs
@@ -15,6 +15,7 @@
 use crate::checkers::Violation;
 use crate::history::History;
 use crate::scenario::{Scenario, Shape};
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -141,6 +142,13 @@
     for violation in violations.iter().take(MOST_VIOLATIONS) {
         landingdrift::outln!("VIOLATED {violation}");
     }
+    let mut count_by_rule: BTreeMap<&str, usize> = BTreeMap::new();
+    for violation in violations {
+        *count_by_rule.entry(violation.rule).or_default() += 1;
+    }
+    for (rule, count) in count_by_rule {
+        landingdrift::outln!("{count} violations of: {rule}");
+    }
 }
 
 /// A line with the mean and quantiles of how long jobs took, in milliseconds.
