A worker's report that it leaves is an announcement, no proof of death

A worker that sends the report first and serves on runs them to their end: failures that nobody counts, repeats, starts on a worker that leaves. A node with a light copy acknowledged the report and dropped it; so did a node that holds no lease of the zone.

Change: module departure. The report marks the worker as leaving in the cluster state, for the rest of its process; its runs are dead when its lease has run out. Only the report of a worker that had announced before that it leaves is its last word, and a heartbeat after it defers that. Light copies and former holders pass the report on.

Conclusion: a statement of intent was taken for evidence of an end.

--- a/landingdrift/src/node/calls/heartbeats.rs
+++ b/landingdrift/src/node/calls/heartbeats.rs
@@ -40,10 +40,15 @@
             let response = self.heartbeat(now, heartbeat);
             return self.reply(&origin, response);
         }
+        self.pass_to_holder(now, origin, holder, &request);
+    }
+
+    /// Passes a worker's call to the holder of its zone lease. A call is forwarded once: a node that got it from another
+    /// names the holder that it knows.
+    fn pass_to_holder(&mut self, now: Now, origin: Origin, holder: String, request: &Request) {
         if let Origin::Local(_) = origin {
-            return self.forward_to(now, origin, &holder, &request);
+            return self.forward_to(now, origin, &holder, request);
         }
-        // A heartbeat is forwarded once: a node that got it from another names the holder that it knows.
         let why = "another node holds the cell: ask that one";
         let response = Response {
             by: holder,
@@ -52,7 +57,7 @@
         self.reply(&origin, response);
     }
 
-    /// A worker reports that it has left: the holder of its zone lease records it.
+    /// A worker reports that it leaves: the holder of its zone lease takes note of it.
     pub(super) fn on_left(&mut self, now: Now, origin: Origin, worker: &str, request: &Request) {
         let known = self.state.workers.get(worker);
         let zone = known
@@ -60,8 +65,8 @@
             .unwrap_or_default();
         let lease = self.state.holder(&zone_lease(&zone));
         let holder = lease.map(|lease| lease.holder.clone()).unwrap_or_default();
-        if !holder.is_empty() && holder != self.name && matches!(origin, Origin::Local(_)) {
-            return self.forward_to(now, origin, &holder, request);
+        if !holder.is_empty() && holder != self.name {
+            return self.pass_to_holder(now, origin, holder, request);
         }
         self.on_worker_left(now, worker);
         self.reply(&origin, Response::new(200, json!({"worker": worker})));
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -99,9 +99,13 @@
     Some(value)
 }
 
-/// Whether a call reads what a light copy of the cluster state does not have.
-fn reads_jobs(method: &str, parts: &[&str]) -> bool {
-    method == "GET" && matches!(parts, ["v1", "jobs" | "status" | "workers", ..])
+/// Whether a call needs what a light copy of the cluster state does not have: jobs and workers.
+fn needs_full_copy(method: &str, parts: &[&str]) -> bool {
+    match method {
+        "GET" => matches!(parts, ["v1", "jobs" | "status" | "workers", ..]),
+        "POST" => matches!(parts, ["v1", "workers", _, "left"]),
+        _ => false,
+    }
 }
 
 /// Whether a call counts towards the limit on open calls: probes and heartbeats are always taken.
@@ -130,7 +134,7 @@
         if is_limited(&parts) && self.calls.len() as u64 >= self.settings.limits.calls {
             return self.reject_busy(&origin);
         }
-        if self.light && reads_jobs(&request.method, &parts) {
+        if self.light && needs_full_copy(&request.method, &parts) {
             return self.forward_to_any_holder(now, origin, &request);
         }
         self.route(now, origin, request, &parts);
--- a/landingdrift/src/node/zone_scheduler/heartbeats.rs
+++ b/landingdrift/src/node/zone_scheduler/heartbeats.rs
@@ -80,6 +80,7 @@
         if self.is_late(&heartbeat) {
             return self.late_heartbeat_response();
         }
+        self.note_departure(&mut heartbeat);
         self.resolve_run_names(&mut heartbeat);
         self.observe_late_ends(&heartbeat);
         let known = self.state.workers.get(&heartbeat.info.worker);
@@ -99,6 +100,17 @@
         self.orders_response(&heartbeat, epoch)
     }
 
+    /// Takes note of whether the worker says that it is leaving. It stays so, whatever it says afterwards.
+    fn note_departure(&mut self, heartbeat: &mut Heartbeat) {
+        let says_leaving = heartbeat.info.leaving;
+        heartbeat.info.leaving |= self.is_leaving(&heartbeat.info);
+        let info = &heartbeat.info;
+        if let Some(worker) = self.worker_mut(&info.zone, &info.worker) {
+            let incarnation = info.incarnation;
+            worker.departure.note_heartbeat(incarnation, says_leaving);
+        }
+    }
+
     /// Records a heartbeat, and says what is to be proposed because of it.
     fn record_heartbeat(
         &mut self,
@@ -142,7 +154,10 @@
         if worker.reschedule_proposed {
             return;
         }
-        let leaves_in_ms = heartbeat.leaves_in_ms.filter(|_| info.leaving);
+        let leave_ms = self.settings.bounds.leave_ms;
+        let remaining_ms = worker.departure.remaining_ms(now, leave_ms);
+        let leaves_in_ms = heartbeat.leaves_in_ms.or(remaining_ms);
+        let leaves_in_ms = leaves_in_ms.filter(|_| info.leaving);
         let stragglers = self.stragglers(now, &info.worker, &worker.progress, leaves_in_ms);
         if !stragglers.attempts.is_empty() {
             self.reschedule_attempts(now, &info.worker, epoch, stragglers);
--- a/landingdrift/src/node/zone_scheduler/lease_expiry.rs
+++ b/landingdrift/src/node/zone_scheduler/lease_expiry.rs
@@ -1,4 +1,4 @@
-//! Failure detection: workers that are lost, and workers whose lease has expired or that have left.
+//! Failure detection: workers that are lost, and workers whose lease has expired or that have ended.
 
 use super::stragglers::Stragglers;
 use super::WorkerState;
@@ -14,7 +14,7 @@
     zone_epoch: u64,
 }
 
-/// A worker whose lease has expired or that has left: what ran there is dead.
+/// A worker whose lease has expired or that has ended: what ran there is dead.
 struct ExpiredWorker {
     worker: String,
     zone_epoch: u64,
@@ -23,7 +23,7 @@
 }
 
 impl Node {
-    /// Detects workers that are lost, have left or whose lease has expired, and offers free slots.
+    /// Detects workers that are lost, have ended or whose lease has expired, and offers free slots.
     pub(in crate::node) fn zone_schedulers_tick(&mut self, now: Now) {
         if !self.fresh_for_zones(now) {
             // Nothing is decided on an old copy of the cluster state, and silence does not count against workers
@@ -105,7 +105,7 @@
         let worker = expired.worker;
         let incarnation = self.incarnation_of(&worker);
         self.log(format!(
-            "worker {worker} is silent beyond its lease: what ran there is dead"
+            "worker {worker} has ended, or is silent beyond its lease: what ran there is dead"
         ));
         self.count("workers_lease_expired", 1);
         let command = Command::ExpireAttempts {
@@ -135,22 +135,6 @@
         }
     }
 
-    /// A worker reports that it has left: what ran there is dead shortly.
-    pub(in crate::node) fn on_worker_left(&mut self, now: Now, worker: &str) {
-        let dead_at = now.mono + self.settings.bounds.obey() / 2;
-        self.count("workers_left", 1);
-        let known = self.state.workers.get(worker);
-        let attempts = known.map_or(0, |known| known.attempts.len());
-        let announced = known.is_some_and(|known| known.info.leaving);
-        self.log(format!(
-            "worker {worker} reports that it has left; announced before: {announced}; live attempts: {attempts}"
-        ));
-        for worker in self.workers_named(worker) {
-            worker.left_at = Some(dead_at);
-            worker.leaving = true;
-        }
-    }
-
     /// Proposes to reschedule the stragglers of a worker.
     pub(super) fn reschedule_attempts(
         &mut self,
@@ -199,9 +183,12 @@
 }
 
 impl WorkerState {
-    /// Begins to end the worker's attempts if it has left or its lease has expired.
+    /// Begins to end the worker's attempts if it has ended or its lease has expired.
     fn begin_expiry(&mut self, now: Now, bounds: &Bounds, known: &Worker) {
-        let has_left = self.left_at.is_some_and(|at| now.mono >= at);
+        let silence_ms = bounds.obey() / 2;
+        let has_left = self
+            .departure
+            .has_ended(now, self.last_heartbeat, silence_ms);
         let expires_after = bounds.lease_expired_after();
         let unrenewed_for = now.mono.saturating_sub(self.lease_renewed_at);
         let lease_expired = expires_after > 0 && unrenewed_for > expires_after;
--- a/landingdrift/src/node/zone_scheduler/mod.rs
+++ b/landingdrift/src/node/zone_scheduler/mod.rs
@@ -3,10 +3,12 @@
 //! - `heartbeats` receives what workers report,
 //! - `orders` derives what the response tells a worker to start and to stop,
 //! - `late_ends` observes what workers report of runs that are over by the cluster state,
-//! - `lease_expiry` detects workers that are silent or have left,
+//! - `departure` takes note of workers that report that they leave,
+//! - `lease_expiry` detects workers that are silent or have ended,
 //! - `stragglers` finds runs that should be rescheduled,
 //! - `reservations` and `offers` offer free slots to the schedulers that reserved them, in the order of `targets`.
 
+mod departure;
 mod heartbeats;
 mod late_ends;
 mod lease_expiry;
@@ -24,6 +26,7 @@
 use crate::sans_io::Now;
 use crate::state::Resources;
 use crate::wire::Reservation;
+use departure::Departure;
 use offer_round::{OfferRound, PromisedResources};
 use std::collections::BTreeMap;
 
@@ -59,8 +62,7 @@
     expiring: Vec<u64>,
     expiry_proposed: bool,
     lease_renewed_at: u64,
-    /// When what ran on a worker that reported that it left is dead.
-    left_at: Option<u64>,
+    departure: Departure,
     last_report_at: u64,
     /// The sequence numbers of the first heartbeat that this holder received, and of the newest.
     first_sequence: u64,
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -6,10 +6,10 @@
 use landingdrift::sans_io::{Effect, Msg, Now, Part, Request, Response};
 use landingdrift::settings::{Bounds, Settings};
 use landingdrift::state::{
-    ClusterState, Command, EndReport, JobSpec, Outcome, Placement, RunName, StepSpec, TaskSpec,
-    WorkerInfo,
+    pack_apply_result, ClusterState, Command, EndReport, JobSpec, Outcome, Placement, RunName,
+    StepSpec, TaskSpec, WorkerInfo,
 };
-use landingdrift::wire::{Body, WatchBatch};
+use landingdrift::wire::{Body, ProposeRequest, ProposeResponse, WatchBatch};
 use serde_json::json;
 
 pub const NODE: &str = "10.0.0.1:1";
@@ -92,6 +92,36 @@
             .unwrap_or_else(|rejection| panic!("{command:?}: {rejection}"));
     }
 
+    /// Appends what the node proposes among some effects, answers it, and lets the node follow; returns the commands.
+    pub fn commit(&mut self, effects: Vec<Effect>) -> Vec<Command> {
+        let mut committed = Vec::new();
+        for effect in effects {
+            if let Effect::Send(_, Body::ProposeRequest(request)) = effect {
+                committed.push(self.commit_proposal(*request));
+            }
+        }
+        self.follow();
+        committed
+    }
+
+    fn commit_proposal(&mut self, request: ProposeRequest) -> Command {
+        let command = Command::unpack(&request.command).expect("a command");
+        let log_index = self.state.applied_index + 1;
+        let at = 1000 + self.elapsed_ms;
+        let result = self.state.apply(log_index, at, &command);
+        let response = ProposeResponse {
+            token: request.token,
+            outcome: 0,
+            log_index,
+            leader: REPLICA.into(),
+            response: pack_apply_result(&result),
+        };
+        let body = Body::ProposeResponse(Box::new(response));
+        let now = self.now();
+        self.node.step(now, Msg::Wire(REPLICA.into(), body));
+        command
+    }
+
     pub fn now(&self) -> Now {
         Now {
             mono: self.elapsed_ms,
@@ -193,6 +223,11 @@
     }
 
     fn send_heartbeat(&mut self, heartbeat: Heartbeat) -> (Option<Response>, Vec<Command>) {
+        response_and_proposals(self.send_heartbeat_effects(heartbeat))
+    }
+
+    /// Sends a heartbeat; returns all its effects.
+    pub fn send_heartbeat_effects(&mut self, heartbeat: Heartbeat) -> Vec<Effect> {
         self.call += 1;
         let request = Request {
             method: "POST".into(),
@@ -201,7 +236,7 @@
             ..Request::default()
         };
         let now = self.now();
-        response_and_proposals(self.node.step(now, Msg::Call(self.call, request)))
+        self.node.step(now, Msg::Call(self.call, request))
     }
 
     /// A counter of the node; 0 if it has not counted yet.
