An end is acknowledged only once the node's copy of the cluster state is surely complete

Cause: a run that the copy has no attempt for was taken for one that is over. A former holder, whose copy counts as fresh for half a second, acknowledged ends of runs that its successor had started and told them to stop; a light copy would have acknowledged everything. The worker forgets such an end and refuses the start when it is sent again: the failure counts for nothing.

Change: module unknown_runs. A run that the copy does not know is over only if the copy has all that was committed when the run was first reported. A light copy acts for no zone.

Conclusion: absence in a copy that may be behind is no evidence.

--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -129,9 +129,12 @@
         self.watch.has_snapshot && self.watch_age(now) <= self.settings.bounds.fresh()
     }
 
-    /// Whether the watch is fresh enough to act as the zone schedulers whose leases this node holds.
+    /// Whether the watch is fresh enough to act as the zone schedulers whose leases this node holds. A light copy never
+    /// is: it knows of no run.
     pub(crate) fn fresh_for_zones(&self, now: Now) -> bool {
-        self.watch.has_snapshot && self.watch_age(now) <= self.settings.bounds.fresh_for_zones()
+        !self.light
+            && self.watch.has_snapshot
+            && self.watch_age(now) <= self.settings.bounds.fresh_for_zones()
     }
 
     fn watch_age(&self, now: Now) -> u64 {
--- a/landingdrift/src/node/zone_scheduler/heartbeats.rs
+++ b/landingdrift/src/node/zone_scheduler/heartbeats.rs
@@ -82,6 +82,7 @@
         }
         self.note_departure(&mut heartbeat);
         self.resolve_run_names(&mut heartbeat);
+        self.note_unknown_runs(now, &heartbeat);
         self.observe_late_ends(&heartbeat);
         let known = self.state.workers.get(&heartbeat.info.worker);
         let known = known.cloned().unwrap_or_default();
--- a/landingdrift/src/node/zone_scheduler/late_ends.rs
+++ b/landingdrift/src/node/zone_scheduler/late_ends.rs
@@ -2,7 +2,7 @@
 
 use super::Heartbeat;
 use crate::node::Node;
-use crate::state::{Attempt, AttemptState, EndReport, Outcome, RunName};
+use crate::state::{AttemptState, EndReport, Outcome, RunName};
 
 impl Node {
     /// Logs and counts the reported ends that the cluster state has no attempt for, or that contradict it.
@@ -10,7 +10,8 @@
         let worker = &heartbeat.info.worker;
         for end in heartbeat.ended.iter().filter(|end| end.no == 0) {
             let Some(name) = &end.name else { continue };
-            match self.ended_attempt(worker, name) {
+            let known = self.attempt_by_name(worker, name);
+            match known.map(|attempt| attempt.state) {
                 None => {
                     self.count("ends_of_unknown_runs", 1);
                     self.log_late_end(worker, name, end, "no attempt of it is known");
@@ -24,15 +25,6 @@
         }
     }
 
-    /// What the cluster state has become of the attempt that a worker calls by its names.
-    fn ended_attempt(&self, worker: &str, name: &RunName) -> Option<AttemptState> {
-        let job = self.state.jobs.get(&name.job)?;
-        let task = job.tasks.get(job.find(&name.task)?)?;
-        let mut attempts = task.attempts.iter();
-        let is_meant = |attempt: &&Attempt| attempt.run == name.run && attempt.worker == worker;
-        attempts.find(is_meant).map(|attempt| attempt.state)
-    }
-
     fn log_late_end(&mut self, worker: &str, name: &RunName, end: &EndReport, known: &str) {
         let RunName { job, task, run } = name;
         let outcome = end.outcome;
--- a/landingdrift/src/node/zone_scheduler/mod.rs
+++ b/landingdrift/src/node/zone_scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! - `departure` takes note of workers that report that they leave,
 //! - `lease_expiry` detects workers that are silent or have ended,
 //! - `stragglers` finds runs that should be rescheduled,
+//! - `unknown_runs` keeps the runs that the copy of the cluster state does not know yet,
 //! - `reservations` and `offers` offer free slots to the schedulers that reserved them, in the order of `targets`.
 
 mod departure;
@@ -18,6 +19,7 @@
 mod reservations;
 mod stragglers;
 mod targets;
+mod unknown_runs;
 
 pub use heartbeats::{Heartbeat, RunningAttempt};
 pub use stragglers::{find_stragglers, ObservedRun, RescheduleReason, RunProgress};
@@ -29,6 +31,7 @@
 use departure::Departure;
 use offer_round::{OfferRound, PromisedResources};
 use std::collections::BTreeMap;
+use unknown_runs::UnknownRuns;
 
 /// What the name of a zone scheduler's lease begins with; the zone follows.
 const ZONE_LEASE_PREFIX: &str = "cell/";
@@ -63,6 +66,7 @@
     expiry_proposed: bool,
     lease_renewed_at: u64,
     departure: Departure,
+    unknown_runs: UnknownRuns,
     last_report_at: u64,
     /// The sequence numbers of the first heartbeat that this holder received, and of the newest.
     first_sequence: u64,
--- a/landingdrift/src/node/zone_scheduler/orders.rs
+++ b/landingdrift/src/node/zone_scheduler/orders.rs
@@ -3,7 +3,7 @@
 use super::Heartbeat;
 use crate::node::Node;
 use crate::sans_io::Response;
-use crate::state::{Attempt, AttemptState, Job, Resources, TaskState};
+use crate::state::{Attempt, AttemptState, EndReport, Job, Resources, TaskState};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 
@@ -109,7 +109,8 @@
             if run.attempt != 0 {
                 continue;
             }
-            if let Some(name) = &run.name {
+            let name = run.name.as_ref();
+            if let Some(name) = name.filter(|name| self.is_run_over(heartbeat, name)) {
                 orders
                     .stops_by_name
                     .push(json!([name.job, name.task, name.run]));
@@ -124,9 +125,11 @@
 
     /// How many of the ends, from the first on, need not be reported again.
     fn settled_prefix(&self, heartbeat: &Heartbeat) -> usize {
-        let ends = heartbeat.ended.iter();
-        ends.take_while(|end| !self.state.live.contains_key(&end.no))
-            .count()
+        let is_settled = |end: &&EndReport| match &end.name {
+            Some(name) => self.is_run_over(heartbeat, name),
+            None => self.is_over(end.no),
+        };
+        heartbeat.ended.iter().take_while(is_settled).count()
     }
 
     /// The attempts whose reported ends need not be reported again.
--- /dev/null
+++ b/landingdrift/src/node/zone_scheduler/unknown_runs.rs
@@ -0,0 +1,66 @@
+//! Runs that a worker reports and this node's copy of the cluster state has no attempt for.
+//!
+//! The copy may be behind: another holder may have started the run under a lease that this node doesn't know of yet. That
+//! a run is missing proves something only once the copy has all that was committed when the run was first reported. Until
+//! then its end is not acknowledged, since the worker would forget it, and it is not told to stop.
+
+use super::Heartbeat;
+use crate::node::Node;
+use crate::sans_io::Now;
+use crate::state::{Attempt, RunName};
+use std::collections::BTreeMap;
+
+/// Unknown runs, each with when it was first reported, by this node's monotonic clock.
+#[derive(Default)]
+pub(super) struct UnknownRuns(BTreeMap<RunName, u64>);
+
+impl UnknownRuns {
+    /// Whether a run was unknown already when the copy of the cluster state was surely complete.
+    fn is_missing(&self, name: &RunName, complete_at: u64) -> bool {
+        let first_reported_at = self.0.get(name);
+        first_reported_at.is_some_and(|reported_at| *reported_at <= complete_at)
+    }
+
+    /// Keeps the runs that are still unknown.
+    fn replace(&mut self, names: Vec<RunName>, now: Now) {
+        let mut earlier = std::mem::take(&mut self.0);
+        for name in names {
+            let first_reported_at = earlier.remove(&name).unwrap_or(now.mono);
+            self.0.insert(name, first_reported_at);
+        }
+    }
+}
+
+impl Node {
+    /// Takes note of the runs of a heartbeat that the copy of the cluster state has no attempt for.
+    pub(super) fn note_unknown_runs(&mut self, now: Now, heartbeat: &Heartbeat) {
+        let info = &heartbeat.info;
+        let running = heartbeat.running.iter().map(|run| &run.name);
+        let ended = heartbeat.ended.iter().map(|end| &end.name);
+        let mut unknown: Vec<RunName> = running.chain(ended).flatten().cloned().collect();
+        unknown.retain(|name| self.attempt_by_name(&info.worker, name).is_none());
+        if let Some(worker) = self.worker_mut(&info.zone, &info.worker) {
+            worker.unknown_runs.replace(unknown, now);
+        }
+    }
+
+    /// Whether a run that a worker reports is surely over by the cluster state: its attempt has ended, or there never was
+    /// one.
+    pub(super) fn is_run_over(&self, heartbeat: &Heartbeat, name: &RunName) -> bool {
+        let info = &heartbeat.info;
+        if let Some(attempt) = self.attempt_by_name(&info.worker, name) {
+            return !attempt.state.live();
+        }
+        let complete_at = self.watch.fresh_at;
+        let worker = self.worker(&info.zone, &info.worker);
+        worker.is_some_and(|worker| worker.unknown_runs.is_missing(name, complete_at))
+    }
+
+    /// The attempt that a worker calls by its names, live or not.
+    pub(super) fn attempt_by_name(&self, worker: &str, name: &RunName) -> Option<&Attempt> {
+        let job = self.state.jobs.get(&name.job)?;
+        let task = job.tasks.get(job.find(&name.task)?)?;
+        let mut attempts = task.attempts.iter();
+        attempts.find(|attempt| attempt.run == name.run && attempt.worker == worker)
+    }
+}
--- a/landingdrift/src/state/report.rs
+++ b/landingdrift/src/state/report.rs
@@ -40,7 +40,7 @@
 }
 
 /// A run by its names, for workers that do not keep the numbers of attempts.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct RunName {
     /// The id of the job.
--- a/landingdrift/tests/acknowledged_ends.rs
+++ b/landingdrift/tests/acknowledged_ends.rs
@@ -48,3 +48,34 @@
     assert_ne!(body["settledTo"], json!(1), "acknowledged: {body}");
     assert_eq!(proposed, [], "it has no attempt to report");
 }
+
+#[test]
+fn a_former_holder_stops_no_run_that_its_copy_does_not_know() {
+    let mut harness = NodeHarness::new();
+    move_lease_and_start_job(&mut harness);
+    harness.elapsed_ms += 50;
+    let (response, _) = harness.heartbeat(1, true);
+    assert_eq!(response.expect("answered").body["stopRuns"], json!([]));
+}
+
+#[test]
+fn the_end_of_a_run_that_there_never_was_is_acknowledged_once_the_copy_is_surely_complete() {
+    let mut harness = NodeHarness::new();
+    harness.follow();
+    harness.elapsed_ms += 50;
+    let (response, _) = harness.heartbeat_with_end(1, 1, Outcome::Failed);
+    assert_eq!(response.expect("answered").body["settledTo"], json!(0));
+    harness.elapsed_ms += 50;
+    harness.follow();
+    let (response, _) = harness.heartbeat_with_end(2, 1, Outcome::Failed);
+    assert_eq!(response.expect("answered").body["settledTo"], json!(1));
+}
+
+#[test]
+fn a_light_copy_answers_no_heartbeat() {
+    let mut harness = NodeHarness::new();
+    harness.start_job();
+    harness.follow_light();
+    let (response, _) = harness.heartbeat_with_end(1, 1, Outcome::Failed);
+    assert_eq!(response.expect("answered").status, 503);
+}
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -104,7 +104,8 @@
         committed
     }
 
-    fn commit_proposal(&mut self, request: ProposeRequest) -> Command {
+    /// Appends a proposal of the node, and answers it.
+    pub fn commit_proposal(&mut self, request: ProposeRequest) -> Command {
         let command = Command::unpack(&request.command).expect("a command");
         let log_index = self.state.applied_index + 1;
         let at = 1000 + self.elapsed_ms;
@@ -131,6 +132,15 @@
 
     /// Lets the node catch up with the cluster state.
     pub fn follow(&mut self) -> Vec<Effect> {
+        self.install_copy(self.state.pack(), false)
+    }
+
+    /// Gives the node a light copy of the cluster state.
+    pub fn follow_light(&mut self) -> Vec<Effect> {
+        self.install_copy(self.state.light().pack(), true)
+    }
+
+    fn install_copy(&mut self, snapshot: Vec<u8>, light: bool) -> Vec<Effect> {
         let batch = WatchBatch {
             replica: REPLICA.into(),
             leader: REPLICA.into(),
@@ -139,11 +149,11 @@
             quorum_age: 0,
             clock: 1000 + self.elapsed_ms,
             commit: self.state.applied_index,
-            snapshot: self.state.pack(),
+            snapshot,
             snapshot_index: self.state.applied_index,
             entries: Vec::new(),
             replicas: vec![REPLICA.into()],
-            light: false,
+            light,
             reached: self.state.applied_index,
         };
         let now = self.now();
@@ -153,6 +163,25 @@
         )
     }
 
+    /// Another node holds the zone's lease for a moment; then this one holds it again, under another epoch.
+    pub fn pass_zone_lease_back_and_forth(&mut self) {
+        let other = "10.0.0.3:1";
+        self.append(Command::RegisterNode {
+            node: other.into(),
+            zone: "z".into(),
+            http: other.into(),
+        });
+        for holder in [other, NODE] {
+            let from_epoch = self.state.leases["cell/z"].epoch;
+            self.append(Command::GrantLease {
+                lease: "cell/z".into(),
+                holder: holder.into(),
+                from_epoch,
+            });
+            self.follow();
+        }
+    }
+
     /// Accepts a job of one step with so many tasks.
     pub fn accept(&mut self, id: &str, count: u32) {
         let seen = self.state.applied_index;
