What a worker has reported outweighs what is inferred from its silence

The same cause elsewhere: ends that a holder had received were dropped. While a report was on its way further ends waited for the next heartbeat, and if none came their attempts expired: a failure that nobody counts. Heartbeats that came while attempts were being ended were refused with all they said. An expiry that the log had, and this node's copy did not, was proposed again on every tick, and heartbeats in between renewed the lease of what was dead. A new holder counted leases from its own start, while its predecessor renewed them for as long as its copy counted as fresh.

Change: module end_reports. Received ends are kept until the cluster state shows them, reported without a heartbeat if none comes, and never expire; late heartbeats renew nothing and report their ends; an expiry is proposed again only once the copy has it; leases of a former holder are waited for.

Conclusion: evidence first, inference only where nothing was said.

--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -270,7 +270,9 @@
             }),
             Purpose::UpdateWorker { worker } => self.on_info_proposal_done(&worker),
             Purpose::Report { worker } => self.on_report_proposal_done(&worker),
-            Purpose::ExpireAttempts { worker } => self.on_expiry_proposal_done(&worker, true),
+            Purpose::ExpireAttempts { worker } => {
+                self.on_expiry_proposal_done(&worker, log_index);
+            }
             Purpose::RescheduleAttempts { worker } => self.on_reschedule_proposal_done(&worker),
         }
     }
@@ -325,7 +327,7 @@
             Purpose::UpdateWorker { worker } => self.on_info_proposal_done(&worker),
             Purpose::Report { worker } => self.on_report_proposal_done(&worker),
             // It may still be applied: the worker's lease is not renewed before its expiry has a result.
-            Purpose::ExpireAttempts { worker } => self.on_expiry_proposal_done(&worker, false),
+            Purpose::ExpireAttempts { worker } => self.on_expiry_proposal_done(&worker, 0),
             Purpose::RescheduleAttempts { worker } => self.on_reschedule_proposal_done(&worker),
         }
     }
--- a/landingdrift/src/node/zone_scheduler/heartbeats.rs
+++ b/landingdrift/src/node/zone_scheduler/heartbeats.rs
@@ -77,11 +77,12 @@
         };
         self.update_zone_schedulers(now);
         self.count("heartbeats", 1);
+        self.resolve_run_names(&mut heartbeat);
         if self.is_late(&heartbeat) {
+            self.report_late_ends(now, &heartbeat);
             return self.late_heartbeat_response();
         }
         self.note_departure(&mut heartbeat);
-        self.resolve_run_names(&mut heartbeat);
         self.note_unknown_runs(now, &heartbeat);
         self.observe_late_ends(&heartbeat);
         let known = self.state.workers.get(&heartbeat.info.worker);
@@ -129,6 +130,7 @@
         let worker = workers.entry(heartbeat.info.worker.clone()).or_default();
         worker.renew_lease(now, heartbeat);
         ends.extend(worker.never_started(&self.state, heartbeat));
+        worker.note_ends(&ends);
         worker.record_runs(now, heartbeat);
         let report_overdue = now.mono >= worker.last_report_at + report_interval;
         let has_report = !ends.is_empty() || (!running.is_empty() && report_overdue);
@@ -212,12 +214,15 @@
         }
     }
 
-    /// The reported ends of runs that the cluster state knows as live.
-    fn live_ends(&self, now: Now, heartbeat: &Heartbeat) -> Vec<EndReport> {
+    /// The reported ends of runs that the cluster state knows as live on the worker.
+    pub(super) fn live_ends(&self, now: Now, heartbeat: &Heartbeat) -> Vec<EndReport> {
         let worker = self.worker(&heartbeat.info.zone, &heartbeat.info.worker);
         let mut ends = Vec::new();
         for end in &heartbeat.ended {
-            if !self.state.live.contains_key(&end.no) {
+            let known = self.state.attempt(end.no);
+            let is_own =
+                known.is_some_and(|(_, _, attempt)| attempt.worker == heartbeat.info.worker);
+            if !is_own {
                 continue;
             }
             let mut end = EndReport {
@@ -257,33 +262,13 @@
         };
         self.propose(now, &command, purpose, self.settings.bounds.call());
     }
-
-    /// Proposes which runs have started and which have ended.
-    fn propose_report(
-        &mut self,
-        now: Now,
-        heartbeat: &Heartbeat,
-        running: Vec<u64>,
-        ends: Vec<EndReport>,
-    ) {
-        let command = Command::ReportAttempts {
-            worker: heartbeat.info.worker.clone(),
-            incarnation: heartbeat.info.incarnation,
-            running,
-            ends,
-        };
-        let purpose = Purpose::Report {
-            worker: heartbeat.info.worker.clone(),
-        };
-        self.propose(now, &command, purpose, self.settings.bounds.call());
-    }
 }
 
 impl WorkerState {
     /// Renews the worker's lease and records the heartbeat's sequence number.
     fn renew_lease(&mut self, now: Now, heartbeat: &Heartbeat) {
         self.last_heartbeat = now.mono;
-        self.lease_renewed_at = now.mono;
+        self.lease_renewed_at = self.lease_renewed_at.max(now.mono);
         self.newest_sequence = self.newest_sequence.max(heartbeat.sequence);
         if self.first_sequence == 0 {
             self.first_sequence = heartbeat.sequence;
--- a/landingdrift/src/node/zone_scheduler/lease_expiry.rs
+++ b/landingdrift/src/node/zone_scheduler/lease_expiry.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::sans_io::Now;
 use crate::settings::Bounds;
-use crate::state::{Command, Worker};
+use crate::state::{ClusterState, Command, Worker};
 
 /// A worker that has been silent too long.
 struct LostWorker {
@@ -36,6 +36,7 @@
             return;
         }
         let (lost, expired) = self.detect_failures(now);
+        self.report_remaining_ends(now);
         for worker in lost {
             self.propose_lost(now, worker);
         }
@@ -55,10 +56,11 @@
             for (name, worker) in &mut zone_scheduler.workers {
                 worker.drop_overdue_offers(now, bounds.offer());
                 let known = self.state.workers.get(name);
+                worker.forget_applied(&self.state);
                 if let Some(known) = known {
                     worker.begin_expiry(now, bounds, known);
                 }
-                if !worker.expiring.is_empty() && !worker.expiry_proposed {
+                if worker.needs_expiry_proposal(&self.state) {
                     worker.expiry_proposed = true;
                     let checkpoints = std::mem::take(&mut worker.checkpoints);
                     expired.push(ExpiredWorker {
@@ -125,13 +127,11 @@
         known.map_or(0, |worker| worker.info.incarnation)
     }
 
-    /// The expiry of a worker's attempts was applied, or given up; given up, it is proposed again.
-    pub(in crate::node) fn on_expiry_proposal_done(&mut self, worker: &str, applied: bool) {
+    /// The log has the expiry of a worker's attempts at an index, or it is given up; then it is proposed again.
+    pub(in crate::node) fn on_expiry_proposal_done(&mut self, worker: &str, log_index: u64) {
         for worker in self.workers_named(worker) {
             worker.expiry_proposed = false;
-            if applied {
-                worker.expiring.clear();
-            }
+            worker.expiry_log_index = log_index;
         }
     }
 
@@ -194,7 +194,24 @@
         let lease_expired = expires_after > 0 && unrenewed_for > expires_after;
         let under_way = !self.expiring.is_empty() || self.info_proposed;
         if (has_left || lease_expired) && !under_way {
-            self.expiring = known.attempts.iter().copied().collect();
+            // What the worker has reported as ended has ended as it said.
+            let is_unreported = |attempt: &&u64| !self.reported_ends.contains_key(*attempt);
+            let unreported = known.attempts.iter().filter(is_unreported);
+            self.expiring = unreported.copied().collect();
         }
     }
+
+    /// Forgets the ends and expiries that the cluster state shows.
+    fn forget_applied(&mut self, state: &ClusterState) {
+        self.reported_ends
+            .retain(|attempt, _| state.live.contains_key(attempt));
+        self.expiring
+            .retain(|attempt| state.live.contains_key(attempt));
+    }
+
+    /// Whether attempts wait to be ended, and no proposal to do so is on its way to this node.
+    fn needs_expiry_proposal(&self, state: &ClusterState) -> bool {
+        let has_followed = state.applied_index >= self.expiry_log_index;
+        !self.expiring.is_empty() && !self.expiry_proposed && has_followed
+    }
 }
--- a/landingdrift/src/node/zone_scheduler/mod.rs
+++ b/landingdrift/src/node/zone_scheduler/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `heartbeats` receives what workers report,
 //! - `orders` derives what the response tells a worker to start and to stop,
+//! - `end_reports` brings the ends of runs into the log,
 //! - `late_ends` observes what workers report of runs that are over by the cluster state,
 //! - `departure` takes note of workers that report that they leave,
 //! - `lease_expiry` detects workers that are silent or have ended,
@@ -10,6 +11,7 @@
 //! - `reservations` and `offers` offer free slots to the schedulers that reserved them, in the order of `targets`.
 
 mod departure;
+mod end_reports;
 mod heartbeats;
 mod late_ends;
 mod lease_expiry;
@@ -26,7 +28,7 @@
 
 use super::Node;
 use crate::sans_io::Now;
-use crate::state::Resources;
+use crate::state::{EndReport, Resources};
 use crate::wire::Reservation;
 use departure::Departure;
 use offer_round::{OfferRound, PromisedResources};
@@ -36,6 +38,9 @@
 /// What the name of a zone scheduler's lease begins with; the zone follows.
 const ZONE_LEASE_PREFIX: &str = "cell/";
 
+/// The epoch of the first lease that a cluster grants: nobody held it before.
+const FIRST_EPOCH: u64 = 1;
+
 /// The zone whose scheduler a lease is for; none for the leases of queues.
 pub(super) fn zone_of_lease(lease: &str) -> Option<&str> {
     lease.strip_prefix(ZONE_LEASE_PREFIX)
@@ -61,9 +66,13 @@
     no_offers_until: u64,
     info_proposed: bool,
     report_proposed: bool,
+    /// Ends that the worker has reported and the cluster state does not show yet, by the numbers of their attempts.
+    reported_ends: BTreeMap<u64, EndReport>,
     /// Attempts that are being ended because the worker's lease has expired: it is not renewed meanwhile.
     expiring: Vec<u64>,
     expiry_proposed: bool,
+    /// Where the log has the newest expiry: until this node has applied it, its copy still shows the attempts as live.
+    expiry_log_index: u64,
     lease_renewed_at: u64,
     departure: Departure,
     unknown_runs: UnknownRuns,
@@ -116,6 +125,12 @@
             epoch,
             ..ZoneScheduler::default()
         });
+        // The holder before renewed leases until it knew that the zone's lease had moved.
+        let predecessor_ms = if epoch > FIRST_EPOCH {
+            self.settings.bounds.fresh_for_zones()
+        } else {
+            0
+        };
         zone_scheduler
             .workers
             .retain(|name, _| known.contains_key(name));
@@ -123,7 +138,7 @@
             let worker = zone_scheduler.workers.entry(name);
             worker.or_insert_with(|| WorkerState {
                 last_heartbeat: now.mono,
-                lease_renewed_at: now.mono,
+                lease_renewed_at: now.mono + predecessor_ms,
                 resources,
                 ..WorkerState::default()
             });
@@ -137,13 +152,6 @@
         }
     }
 
-    /// A proposal of what a worker reported has an outcome, or is given up.
-    pub(in crate::node) fn on_report_proposal_done(&mut self, worker: &str) {
-        for worker in self.workers_named(worker) {
-            worker.report_proposed = false;
-        }
-    }
-
     /// A worker of one zone scheduler.
     fn worker(&self, zone: &str, worker: &str) -> Option<&WorkerState> {
         let zone_scheduler = self.zone_schedulers.get(zone)?;
--- /dev/null
+++ b/landingdrift/tests/reported_ends.rs
@@ -0,0 +1,119 @@
+//! What a worker has reported outweighs what is inferred from its silence.
+
+mod node_harness;
+
+use landingdrift::sans_io::{Effect, Msg, Part};
+use landingdrift::state::{AttemptState, Command, Outcome};
+use landingdrift::wire::Body;
+use node_harness::{response_and_proposals, NodeHarness};
+
+/// Lets time pass with ticks alone until a moment; commits what is proposed.
+fn pass_silent_time(harness: &mut NodeHarness, until_ms: u64) -> Vec<Command> {
+    let mut committed = Vec::new();
+    while harness.elapsed_ms < until_ms {
+        harness.elapsed_ms += 20;
+        harness.follow();
+        let now = harness.now();
+        let effects = harness.node.step(now, Msg::Tick);
+        committed.extend(harness.commit(effects));
+    }
+    committed
+}
+
+/// A holder whose first report of the worker's runs is on its way, unanswered.
+fn with_open_report() -> NodeHarness {
+    let mut harness = NodeHarness::new();
+    harness.start_job();
+    harness.elapsed_ms = 1000;
+    harness.follow();
+    let (_, proposed) = harness.heartbeat(1, true);
+    let is_report = |command: &Command| matches!(command, Command::ReportAttempts { .. });
+    assert!(proposed.iter().any(is_report), "{proposed:?}");
+    harness
+}
+
+#[test]
+fn an_end_that_came_during_another_report_is_reported_though_the_worker_falls_silent() {
+    let mut harness = with_open_report();
+    // The report before is still on its way: this one waits.
+    let (_, proposed) = harness.heartbeat_with_end(2, 1, Outcome::Failed);
+    assert_eq!(proposed, []);
+    pass_silent_time(&mut harness, 9000);
+    let task = &harness.state.jobs["j"].tasks[0];
+    assert_eq!(task.attempts[0].state, AttemptState::Failed);
+    assert_eq!(task.failures, 1, "it counts as a failure");
+}
+
+#[test]
+fn an_end_that_comes_while_its_attempt_expires_is_reported() {
+    let mut harness = NodeHarness::new();
+    harness.start_job();
+    harness.heartbeat(1, true);
+    // The expiry is proposed, and no replica answers.
+    let mut is_expiring = false;
+    while !is_expiring {
+        harness.elapsed_ms += 20;
+        harness.follow();
+        let now = harness.now();
+        let (_, proposed) = response_and_proposals(harness.node.step(now, Msg::Tick));
+        let is_expiry = |command: &Command| matches!(command, Command::ExpireAttempts { .. });
+        is_expiring = proposed.iter().any(is_expiry);
+    }
+    let (response, proposed) = harness.heartbeat_with_end(2, 1, Outcome::Failed);
+    assert_eq!(response.expect("answered").status, 503, "it renews nothing");
+    let reports_end = |command: &Command| match command {
+        Command::ReportAttempts { ends, .. } => ends.len() == 1,
+        _ => false,
+    };
+    assert!(proposed.iter().any(reports_end), "{proposed:?}");
+}
+
+#[test]
+fn an_expiry_is_proposed_once_though_the_copy_of_the_cluster_state_is_behind() {
+    let mut harness = NodeHarness::new();
+    harness.start_job();
+    harness.heartbeat(1, true);
+    let mut expiries = 0;
+    while harness.elapsed_ms < 7000 {
+        harness.elapsed_ms += 20;
+        if expiries == 0 {
+            harness.follow();
+        }
+        let now = harness.now();
+        for effect in harness.node.step(now, Msg::Tick) {
+            if let Effect::Send(_, Body::ProposeRequest(request)) = effect {
+                let command = harness.commit_proposal(*request);
+                expiries += u32::from(matches!(command, Command::ExpireAttempts { .. }));
+            }
+        }
+        // Stale copies answer nobody: the rest of the time that it counts as fresh is enough.
+        if expiries > 0 && harness.elapsed_ms > 6700 {
+            break;
+        }
+    }
+    assert_eq!(expiries, 1);
+    // What ran there is dead by the log: no heartbeat renews its lease, though the copy still shows it as live.
+    let (response, _) = harness.heartbeat(2, true);
+    assert_eq!(response.expect("answered").status, 503);
+}
+
+#[test]
+fn a_new_holder_takes_into_account_that_its_predecessor_renewed_leases_until_it_knew() {
+    let mut harness = NodeHarness::new();
+    harness.start_job();
+    harness.pass_zone_lease_back_and_forth();
+    let taken_over_at = harness.elapsed_ms;
+    let mut expired_at = None;
+    while expired_at.is_none() {
+        let next_step = harness.elapsed_ms + 20;
+        let committed = pass_silent_time(&mut harness, next_step);
+        let is_expiry = |command: &Command| matches!(command, Command::ExpireAttempts { .. });
+        expired_at = committed
+            .iter()
+            .any(is_expiry)
+            .then_some(harness.elapsed_ms);
+    }
+    // The predecessor's copy counts as fresh for 500 ms; 6,000 ms by a clock that runs 2 % slow are 6,123.
+    let waited_ms = expired_at.expect("in the end") - taken_over_at;
+    assert!((6623..7000).contains(&waited_ms), "{waited_ms}");
+}
