--- a/testkit/src/cli/fleet.rs
+++ b/testkit/src/cli/fleet.rs
@@ -25,11 +25,15 @@
     let mut shape = shape(arguments)?;
     let mut seconds = arguments.number("seconds", 20)?;
     let mut faults = vec![kill(seconds * 300, "leader"), kill(seconds * 600, "node:1")];
+    let mut doomed_share = 0.0;
+    let mut lease_ms = 0;
     if let Some(file) = arguments.text("scenario") {
         let scenario = Scenario::load(file).map_err(|error| error.to_string())?;
         shape = scenario.shape;
         seconds = scenario.seconds;
         faults = scenario.faults;
+        doomed_share = scenario.doomed_share;
+        lease_ms = scenario.lease_ms;
     }
     let own_folder = format!("landingdrift-fleet-{}", std::process::id());
     let own_folder = std::env::temp_dir().join(own_folder);
@@ -38,6 +42,8 @@
         seconds,
         settle_seconds: arguments.number("settle", 60)?,
         jobs_per_second: arguments.number("rate", 0)? as f64,
+        doomed_share,
+        lease_ms,
         program: arguments
             .text("program")
             .map_or_else(program, PathBuf::from),
--- a/testkit/src/fleet/drive.rs
+++ b/testkit/src/fleet/drive.rs
@@ -145,7 +145,10 @@
         let slot = &mut self.workers[index];
         slot.incarnation += 1;
         slot.info.incarnation = slot.incarnation;
-        let worker = Worker::new(slot.info.clone(), nodes, seed);
+        let mut worker = Worker::new(slot.info.clone(), nodes, seed);
+        if self.options.lease_ms > 0 {
+            worker = worker.with_lease();
+        }
         let up = worker.up_event();
         slot.worker = Some(worker);
         self.record(up);
@@ -153,9 +156,14 @@
 
     fn end_worker(&mut self, index: usize) {
         let slot = &mut self.workers[index];
-        slot.worker = None;
+        let dead = slot.worker.take();
         slot.incarnation += 1;
         let worker = slot.info.worker.clone();
+        if dead.is_some_and(|dead| dead.has_lease()) {
+            // Nothing that it has not reported can ever be.
+            let worker = worker.clone();
+            self.record(Event::LeaseExpired { worker });
+        }
         self.record(Event::WorkerDied { worker });
     }
 
--- a/testkit/src/fleet/drive/setup.rs
+++ b/testkit/src/fleet/drive/setup.rs
@@ -42,6 +42,9 @@
     if options.jobs_per_second > 0.0 {
         mix.jobs_per_second = options.jobs_per_second;
     }
+    if options.doomed_share > 0.0 {
+        mix.doomed_share = options.doomed_share;
+    }
     let workers = (0..options.shape.workers())
         .map(|index| worker_slot(options, index, &mix.services))
         .collect();
--- a/testkit/src/fleet/launch.rs
+++ b/testkit/src/fleet/launch.rs
@@ -60,6 +60,8 @@
     network: u32,
     seeds: String,
     cluster: String,
+    /// A settings file, where the day needs other settings than the usual ones.
+    settings_file: Option<PathBuf>,
 }
 
 /// An error about a file, folder or program.
@@ -70,6 +72,17 @@
     }
 }
 
+/// Writes the settings that a day with leases needs.
+fn write_settings(options: &Options) -> Result<Option<PathBuf>, FleetError> {
+    if options.lease_ms == 0 {
+        return Ok(None);
+    }
+    let file = options.folder.join("settings.toml");
+    let text = format!("[bounds]\nhold_ms = {}\n", options.lease_ms);
+    fs::write(&file, text).map_err(|error| io_error(&file, error))?;
+    Ok(Some(file))
+}
+
 impl Fleet {
     /// Starts all processes.
     pub fn start(options: &Options) -> Result<Self, FleetError> {
@@ -89,6 +102,7 @@
             network,
             seeds: seeds.join(","),
             cluster: format!("fleet-{network}"),
+            settings_file: write_settings(options)?,
         };
         for zone in 0..ZONES {
             fleet.add(true, zone, 1);
@@ -176,6 +190,9 @@
         command.args(["--zone", &format!("z{}", process.zone)]);
         command.args(["--seeds", &self.seeds]);
         command.args(["--cluster", &self.cluster]);
+        if let Some(file) = &self.settings_file {
+            command.arg("--settings").arg(file);
+        }
         if let Some(data) = &process.data {
             command.arg("--data").arg(data);
         }
--- a/testkit/src/fleet/mod.rs
+++ b/testkit/src/fleet/mod.rs
@@ -19,6 +19,10 @@
     pub settle_seconds: u64,
     /// Jobs a second; the shape's own rate where 0.
     pub jobs_per_second: f64,
+    /// The share of jobs that can never succeed.
+    pub doomed_share: f64,
+    /// The lease of workers on what they run, in milliseconds; 0 for workers without leases.
+    pub lease_ms: u64,
     /// The program under test.
     pub program: PathBuf,
     /// Where data folders and logs go.
--- a/testkit/src/scale/drive.rs
+++ b/testkit/src/scale/drive.rs
@@ -105,6 +105,8 @@
         seconds: options.seconds,
         settle_seconds: 0,
         jobs_per_second: 0.0,
+        doomed_share: 0.0,
+        lease_ms: 0,
         program: options.program.clone(),
         folder: options.folder.clone(),
         faults: Vec::new(),
--- a/testkit/tests/fleet.rs
+++ b/testkit/tests/fleet.rs
@@ -23,6 +23,8 @@
         seconds: 14,
         settle_seconds: 90,
         jobs_per_second: 5.0,
+        doomed_share: 0.0,
+        lease_ms: 0,
         program: program(),
         folder: folder.clone(),
         faults,
--- a/testkit/tests/operator.rs
+++ b/testkit/tests/operator.rs
@@ -36,6 +36,8 @@
             seconds: 0,
             settle_seconds: 0,
             jobs_per_second: 0.0,
+            doomed_share: 0.0,
+            lease_ms: 0,
             program: program(),
             folder: folder.clone(),
             faults: Vec::new(),
