A worker's report that it leaves is acknowledged once the log has it

Change: 200 once the entry is applied; 503 from a node whose copy is not fresh or lacks the worker; optional ?incarnation=N.

--- a/landingdrift/src/node/calls/heartbeats.rs
+++ b/landingdrift/src/node/calls/heartbeats.rs
@@ -1,10 +1,10 @@
 //! Heartbeats of workers, and their reports that they have left: the holder of the worker's zone lease answers them.
 
-use super::Origin;
+use super::{param, Origin, ProposedCall};
 use crate::node::zone_scheduler::Heartbeat;
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
-use crate::state::zone_lease;
+use crate::state::{zone_lease, ApplyResult};
 use serde_json::json;
 
 /// Reads a heartbeat; the response says what is wrong with it.
@@ -25,6 +25,11 @@
     Ok(heartbeat)
 }
 
+/// A worker's report that it leaves was taken note of.
+fn left_response(worker: &str) -> Response {
+    Response::new(200, json!({"worker": worker}))
+}
+
 impl Node {
     pub(super) fn on_heartbeat(&mut self, now: Now, origin: Origin, request: Request) {
         let heartbeat = match read_heartbeat(&request.body) {
@@ -59,17 +64,39 @@
 
     /// A worker reports that it leaves: the holder of its zone lease takes note of it.
     pub(super) fn on_left(&mut self, now: Now, origin: Origin, worker: &str, request: &Request) {
+        // A copy that is behind may not know the worker, and what is acknowledged has to take effect.
+        let incarnation = param(&request.query, "incarnation").and_then(|text| text.parse().ok());
         let known = self.state.workers.get(worker);
-        let zone = known
-            .map(|worker| worker.info.zone.clone())
-            .unwrap_or_default();
+        let known = known.filter(|known| {
+            let is_meant = incarnation.is_none_or(|number: u64| number == known.info.incarnation);
+            is_meant && self.fresh(now)
+        });
+        let Some(known) = known else {
+            let response = self.not_ready_response();
+            return self.reply(&origin, response);
+        };
+        let zone = known.info.zone.clone();
         let lease = self.state.holder(&zone_lease(&zone));
         let holder = lease.map(|lease| lease.holder.clone()).unwrap_or_default();
         if !holder.is_empty() && holder != self.name {
             return self.pass_to_holder(now, origin, holder, request);
         }
         self.on_worker_left(now, worker);
-        self.reply(&origin, Response::new(200, json!({"worker": worker})));
+        let Some(command) = self.leaving_command(worker) else {
+            return self.reply(&origin, left_response(worker));
+        };
+        // A later holder of the zone has to know it as well: it is acknowledged once the log has it.
+        let worker = worker.into();
+        self.open_with_proposal(now, origin, &command, ProposedCall::Departure { worker });
+    }
+
+    /// The response to a worker's report, once the log has an entry that it leaves or that was rejected.
+    pub(super) fn departure_response(&self, worker: &str, result: ApplyResult) -> Response {
+        match result {
+            Ok(_) => left_response(worker),
+            // The zone's lease or the worker's process is another one by now.
+            Err(_) => self.not_ready_response(),
+        }
     }
 
     /// The response to a heartbeat from a zone without a scheduler: nobody declared it, and no node is in it.
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -33,11 +33,23 @@
 /// What a call has proposed, which decides the response once it is applied or rejected.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ProposedCall {
-    AcceptJob { id: String },
-    CancelJob { id: String },
-    UpdateConfig { change: String },
-    ResolveAttempt { id: String },
+    AcceptJob {
+        id: String,
+    },
+    CancelJob {
+        id: String,
+    },
+    UpdateConfig {
+        change: String,
+    },
+    ResolveAttempt {
+        id: String,
+    },
     SetEvacuation,
+    /// A worker is leaving.
+    Departure {
+        worker: String,
+    },
 }
 
 /// What an open call waits for.
@@ -317,6 +329,7 @@
                 Ok(body) => Response::new(200, body),
                 Err(rejection) => rejected_response(&rejection),
             },
+            ProposedCall::Departure { worker } => self.departure_response(&worker, result),
             ProposedCall::ResolveAttempt { id } => match result {
                 Ok(_) => Response::new(200, json!({"id": id, "resolved": true})),
                 Err(rejection) => rejected_response(&rejection),
--- a/landingdrift/src/node/zone_scheduler/departure.rs
+++ b/landingdrift/src/node/zone_scheduler/departure.rs
@@ -5,7 +5,6 @@
 //! has run out, as with any other silence. Only a worker that had announced before, in its heartbeats, that it is leaving
 //! sends the report as its last word; and where there are no leases the report is the only word there is.
 
-use crate::node::propose::Purpose;
 use crate::node::Node;
 use crate::sans_io::Now;
 use crate::state::{zone_lease, Command, WorkerInfo};
@@ -67,7 +66,7 @@
 }
 
 impl Node {
-    /// A worker reports that it leaves: it gets nothing new, here or by any other node.
+    /// A worker reports that it leaves: this node offers it no more.
     pub(in crate::node) fn on_worker_left(&mut self, now: Now, worker: &str) {
         let has_lease = self.settings.bounds.lease_ms > 0;
         let incarnation = self.incarnation_of(worker);
@@ -82,29 +81,20 @@
         self.log(format!(
             "worker {worker} reports that it leaves; announced before: {announced}; live attempts: {attempts}"
         ));
-        self.propose_leaving(now, worker);
     }
 
-    /// Proposes that a worker is leaving, if the cluster state does not have it so.
-    fn propose_leaving(&mut self, now: Now, worker: &str) {
-        let known = self.state.workers.get(worker);
-        let Some(known) = known.filter(|known| !known.info.leaving && !known.lost) else {
-            return;
-        };
+    /// The command by which a worker is leaving for all nodes; none if the cluster state has it so.
+    pub(in crate::node) fn leaving_command(&self, worker: &str) -> Option<Command> {
+        let known = self.state.workers.get(worker)?;
+        if known.info.leaving {
+            return None;
+        }
         let info = WorkerInfo {
             leaving: true,
             ..known.info.clone()
         };
-        let Some(zone_epoch) = self.epoch(&zone_lease(&info.zone)) else {
-            return;
-        };
-        for worker in self.workers_named(worker) {
-            worker.info_proposed = true;
-        }
-        let command = Command::UpdateWorker { info, zone_epoch };
-        let worker = worker.into();
-        let within = self.settings.bounds.call();
-        self.propose(now, &command, Purpose::UpdateWorker { worker }, within);
+        let zone_epoch = self.epoch(&zone_lease(&info.zone))?;
+        Some(Command::UpdateWorker { info, zone_epoch })
     }
 
     /// Whether a worker that says it stays is leaving all the same: it has reported so, or its process has said so before.
--- a/landingdrift/src/node/zone_scheduler/heartbeats.rs
+++ b/landingdrift/src/node/zone_scheduler/heartbeats.rs
@@ -168,7 +168,7 @@
     }
 
     /// The response where this node can't act for the zone.
-    fn not_ready_response(&self) -> Response {
+    pub(in crate::node) fn not_ready_response(&self) -> Response {
         Response::error(
             503,
             "notReady",
--- a/landingdrift/tests/departing_workers.rs
+++ b/landingdrift/tests/departing_workers.rs
@@ -22,8 +22,11 @@
     let effects = harness.node.step(now, Msg::Call(harness.call, request));
     let is_acknowledged =
         |effect: &Effect| matches!(effect, Effect::Answer(_, answer) if answer.status == 200);
-    assert!(effects.iter().any(is_acknowledged));
-    harness.commit(effects);
+    let was_known = harness.state.workers["w"].info.leaving;
+    let at_once = effects.iter().any(is_acknowledged);
+    assert_eq!(at_once, was_known, "a later holder has to know it as well");
+    let answers = harness.commit(effects).answers;
+    assert!(at_once || answers.iter().any(is_acknowledged));
 }
 
 /// A heartbeat of the worker that runs the job's task, and says whether it is leaving.
@@ -63,7 +66,7 @@
         if let Some(heartbeat) = beats(harness.elapsed_ms) {
             effects.extend(harness.send_heartbeat_effects(heartbeat));
         }
-        if expired(&harness.commit(effects)) > 0 {
+        if expired(&harness.commit(effects).commands) > 0 {
             return Some(harness.elapsed_ms);
         }
     }
@@ -131,3 +134,21 @@
     pass_time(&mut harness, 1500, |at| Some(next(at)));
     assert!(!harness.state.workers["w"].info.leaving);
 }
+
+#[test]
+fn a_node_that_does_not_know_the_worker_acknowledges_no_report() {
+    let mut harness = NodeHarness::new();
+    // It follows no replica yet: its copy of the cluster state is empty.
+    let request = Request {
+        method: "POST".into(),
+        path: "/v1/workers/w/left".into(),
+        ..Request::default()
+    };
+    let now = harness.now();
+    let effects = harness.node.step(now, Msg::Call(1, request));
+    let statuses = effects.iter().filter_map(|effect| match effect {
+        Effect::Answer(_, answer) => Some(answer.status),
+        _ => None,
+    });
+    assert_eq!(statuses.collect::<Vec<_>>(), [503]);
+}
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -26,6 +26,13 @@
     pub call: u64,
 }
 
+/// What was committed, and the effects of the answers to it.
+#[derive(Default)]
+pub struct Committed {
+    pub commands: Vec<Command>,
+    pub answers: Vec<Effect>,
+}
+
 pub fn info() -> WorkerInfo {
     WorkerInfo {
         worker: "w".into(),
@@ -92,20 +99,22 @@
             .unwrap_or_else(|rejection| panic!("{command:?}: {rejection}"));
     }
 
-    /// Appends what the node proposes among some effects, answers it, and lets the node follow; returns the commands.
-    pub fn commit(&mut self, effects: Vec<Effect>) -> Vec<Command> {
-        let mut committed = Vec::new();
+    /// Appends what the node proposes among some effects, answers it, and lets the node follow.
+    pub fn commit(&mut self, effects: Vec<Effect>) -> Committed {
+        let mut committed = Committed::default();
         for effect in effects {
             if let Effect::Send(_, Body::ProposeRequest(request)) = effect {
-                committed.push(self.commit_proposal(*request));
+                let (command, answers) = self.commit_proposal(*request);
+                committed.commands.push(command);
+                committed.answers.extend(answers);
             }
         }
         self.follow();
         committed
     }
 
-    /// Appends a proposal of the node, and answers it.
-    pub fn commit_proposal(&mut self, request: ProposeRequest) -> Command {
+    /// Appends a proposal of the node, and answers it; returns the effects of the answer as well.
+    pub fn commit_proposal(&mut self, request: ProposeRequest) -> (Command, Vec<Effect>) {
         let command = Command::unpack(&request.command).expect("a command");
         let log_index = self.state.applied_index + 1;
         let at = 1000 + self.elapsed_ms;
@@ -119,8 +128,8 @@
         };
         let body = Body::ProposeResponse(Box::new(response));
         let now = self.now();
-        self.node.step(now, Msg::Wire(REPLICA.into(), body));
-        command
+        let effects = self.node.step(now, Msg::Wire(REPLICA.into(), body));
+        (command, effects)
     }
 
     pub fn now(&self) -> Now {
--- a/landingdrift/tests/reported_ends.rs
+++ b/landingdrift/tests/reported_ends.rs
@@ -15,7 +15,7 @@
         harness.follow();
         let now = harness.now();
         let effects = harness.node.step(now, Msg::Tick);
-        committed.extend(harness.commit(effects));
+        committed.extend(harness.commit(effects).commands);
     }
     committed
 }
@@ -82,7 +82,7 @@
         let now = harness.now();
         for effect in harness.node.step(now, Msg::Tick) {
             if let Effect::Send(_, Body::ProposeRequest(request)) = effect {
-                let command = harness.commit_proposal(*request);
+                let (command, _) = harness.commit_proposal(*request);
                 expiries += u32::from(matches!(command, Command::ExpireAttempts { .. }));
             }
         }
--- a/testkit/src/fakes/worker/mod.rs
+++ b/testkit/src/fakes/worker/mod.rs
@@ -1,10 +1,12 @@
 //! A fake worker: it sends heartbeats, runs what it is told to and reports how that ended.
 
+mod departure;
 mod lease;
 mod orders;
 
 use super::{request, Output};
 use crate::history::Event;
+use departure::DepartureReport;
 use landingdrift::sans_io::{fnv1a, Rng};
 use landingdrift::state::{EndReport, Outcome, RunName, WorkerInfo};
 use lease::WorkerLease;
@@ -100,6 +102,8 @@
     last_call: u64,
     /// Where set, it runs tasks for as long as its lease lasts, and identifies runs by their names.
     lease: Option<WorkerLease>,
+    /// Its report that it leaves, until that is acknowledged.
+    departure: Option<DepartureReport>,
 }
 
 impl Worker {
@@ -123,6 +127,7 @@
             open_call: None,
             last_call: 0,
             lease: None,
+            departure: None,
         }
     }
 
@@ -161,20 +166,6 @@
         outputs
     }
 
-    /// Says that it leaves by the call that others make as they end, and runs on as before. It doesn't wait for the
-    /// answer.
-    pub fn leave_unannounced(&mut self) -> Vec<Output> {
-        self.last_call += 1;
-        let worker = self.info.worker.clone();
-        let path = format!("/v1/workers/{worker}/left");
-        let call = Output::Call {
-            to: self.node(),
-            call: self.last_call,
-            request: request("POST", &path, "", None),
-        };
-        vec![Output::Event(Event::WorkerLeaving { worker }), call]
-    }
-
     /// The node that it talks to.
     fn node(&self) -> String {
         self.nodes[self.current_node % self.nodes.len().max(1)].clone()
@@ -197,6 +188,7 @@
     pub fn tick(&mut self, now: u64) -> Vec<Output> {
         let mut outputs = self.end_runs(now);
         outputs.extend(self.expire_lease(now));
+        outputs.extend(self.report_departure(now));
         let open = self.open_call;
         if open.is_some_and(|open| now >= open.sent_ms + CALL_TIMEOUT_MS) {
             self.open_call = None;
--- a/testkit/src/fakes/worker/orders.rs
+++ b/testkit/src/fakes/worker/orders.rs
@@ -52,6 +52,9 @@
 impl Worker {
     /// A node has answered a heartbeat.
     pub fn answer(&mut self, now: u64, call: u64, response: &Response) -> Vec<Output> {
+        if let Some(left) = self.departure_answered(call, response) {
+            return vec![left];
+        }
         let Some(open) = self.open_call.take_if(|open| open.call == call) else {
             return Vec::new();
         };
--- a/testkit/src/fleet/drive/faults.rs
+++ b/testkit/src/fleet/drive/faults.rs
@@ -68,7 +68,8 @@
             FaultKind::WorkerCut => self.cut_worker(target, true),
             FaultKind::WorkerLeaves => self.announce_leaving(target),
             FaultKind::WorkerLeavesUnannounced => {
-                self.with_worker(target, |worker| worker.leave_unannounced());
+                let now = self.now();
+                self.with_worker(target, |worker| worker.leave_unannounced(now));
             }
             FaultKind::Drain => self.set_zone(target, "draining"),
             FaultKind::Evacuate => self.set_zone(target, "evacuated"),
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -204,7 +204,7 @@
             WorkerCut => self.cut_worker(target, true),
             WorkerLeaves => self.with_worker(target, |worker, now| worker.leave(now)),
             WorkerLeavesUnannounced => {
-                self.with_worker(target, |worker, _| worker.leave_unannounced());
+                self.with_worker(target, |worker, now| worker.leave_unannounced(now));
             }
             WorkerChange => {
                 let cpu = self.workers[target].info.cpu / 4;
