Zone scheduler: runs that are live by their numbers are not looked up by their names again

Cause: each heartbeat resolved the names of all its runs twice, since unknown runs are kept. A late heartbeat of an earlier process no longer resets what is known of the next one's leaving.

--- a/landingdrift/src/node/zone_scheduler/heartbeats.rs
+++ b/landingdrift/src/node/zone_scheduler/heartbeats.rs
@@ -82,14 +82,14 @@
             self.report_late_ends(now, &heartbeat);
             return self.late_heartbeat_response();
         }
-        self.note_departure(&mut heartbeat);
-        self.note_unknown_runs(now, &heartbeat);
-        self.observe_late_ends(&heartbeat);
         let known = self.state.workers.get(&heartbeat.info.worker);
         let known = known.cloned().unwrap_or_default();
         if heartbeat.info.incarnation < known.info.incarnation {
             return old_incarnation_response();
         }
+        self.note_departure(&mut heartbeat);
+        self.note_unknown_runs(now, &heartbeat);
+        self.observe_late_ends(&heartbeat);
         let info_changed = known.info != heartbeat.info || known.lost;
         let due = self.record_heartbeat(now, &heartbeat, info_changed);
         self.reschedule_stragglers(now, &heartbeat, epoch);
--- a/landingdrift/src/node/zone_scheduler/orders.rs
+++ b/landingdrift/src/node/zone_scheduler/orders.rs
@@ -126,6 +126,7 @@
     /// How many of the ends, from the first on, need not be reported again.
     fn settled_prefix(&self, heartbeat: &Heartbeat) -> usize {
         let is_settled = |end: &&EndReport| match &end.name {
+            Some(_) if end.no != 0 => self.is_over(end.no),
             Some(name) => self.is_run_over(heartbeat, name),
             None => self.is_over(end.no),
         };
--- a/landingdrift/src/node/zone_scheduler/unknown_runs.rs
+++ b/landingdrift/src/node/zone_scheduler/unknown_runs.rs
@@ -35,8 +35,11 @@
     /// Takes note of the runs of a heartbeat that the copy of the cluster state has no attempt for.
     pub(super) fn note_unknown_runs(&mut self, now: Now, heartbeat: &Heartbeat) {
         let info = &heartbeat.info;
-        let running = heartbeat.running.iter().map(|run| &run.name);
-        let ended = heartbeat.ended.iter().map(|end| &end.name);
+        // Those that are live have got the numbers of their attempts.
+        let running = heartbeat.running.iter().filter(|run| run.attempt == 0);
+        let running = running.map(|run| &run.name);
+        let ended = heartbeat.ended.iter().filter(|end| end.no == 0);
+        let ended = ended.map(|end| &end.name);
         let mut unknown: Vec<RunName> = running.chain(ended).flatten().cloned().collect();
         unknown.retain(|name| self.attempt_by_name(&info.worker, name).is_none());
         if let Some(worker) = self.worker_mut(&info.zone, &info.worker) {
