--- a/landingdrift/src/node/zone_scheduler/end_reports.rs
+++ b/landingdrift/src/node/zone_scheduler/end_reports.rs
@@ -52,7 +52,7 @@
     }
 
     /// A report has an outcome, or is given up. Ends that came meanwhile, or that it did not bring into the log, are
-    /// reported at the next tick.
+    /// reported because of the next heartbeat, or without one if heartbeats are missing.
     pub(in crate::node) fn on_report_proposal_done(&mut self, worker: &str) {
         for worker in self.workers_named(worker) {
             worker.report_proposed = false;
