--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -29,7 +29,11 @@
 
     /// Forwards a call to a node.
     pub(super) fn forward_to(&mut self, now: Now, origin: Origin, to: &str, request: &Request) {
-        let call = self.open_call(now, origin, CallState::Forwarded { to: to.into() });
+        let state = CallState::Forwarded {
+            to: to.into(),
+            path: request.path.clone(),
+        };
+        let call = self.open_call(now, origin, state);
         let forwarded = ForwardRequest {
             token: self.request_token(call, 0),
             method: request.method.clone(),
@@ -61,7 +65,7 @@
         let call = forwarded.token.number;
         let open_call = self.calls.open.get(&call);
         let is_expected = open_call.is_some_and(
-            |open_call| matches!(&open_call.state, CallState::Forwarded { to } if to == from),
+            |open_call| matches!(&open_call.state, CallState::Forwarded { to, .. } if to == from),
         );
         if !is_expected {
             return self.count("responses_unexpected", 1);
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - `jobs`, `routed_jobs`, `config`, `heartbeats` and `status` serve the routes,
 //! - `read` answers reads that must not be stale,
-//! - `forward` passes calls to other nodes.
+//! - `forward` passes calls to other nodes,
+//! - `unanswered` notes the calls that end without an answer.
 
 mod config;
 mod forward;
@@ -11,6 +12,7 @@
 mod read;
 mod routed_jobs;
 mod status;
+mod unanswered;
 
 use super::propose::Purpose;
 use super::Node;
@@ -76,7 +78,7 @@
         answer_by: u64,
     },
     /// For the node that it was forwarded to.
-    Forwarded { to: String },
+    Forwarded { to: String, path: String },
 }
 
 /// A call that is not answered yet.
@@ -275,6 +277,7 @@
             now.mono >= open_call.deadline && !proposed
         };
         for call in self.calls_that(is_overdue) {
+            self.note_unanswered(now, call);
             let response = self.overdue_response(call);
             self.finish(call, response);
         }
--- a/landingdrift/src/node/calls/routed_jobs.rs
+++ b/landingdrift/src/node/calls/routed_jobs.rs
@@ -30,6 +30,7 @@
         let rest = request.path.strip_prefix(ROUTED_PREFIX).unwrap_or_default();
         let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
         if !self.fresh(now) || self.state.version == 0 {
+            self.note_call_without_copy();
             let response = Response::error(503, "notReady", "this node has no configuration that is new enough, and took nothing: come back later, or go to another node");
             return self.reply(&origin, response.retry(self.settings.bounds.back()));
         }
--- /dev/null
+++ b/landingdrift/src/node/calls/unanswered.rs
@@ -0,0 +1,60 @@
+//! Calls that end without an answer: counted and logged by what they waited for.
+
+use super::{CallState, OpenCall};
+use crate::node::Node;
+use crate::sans_io::Now;
+
+impl CallState {
+    /// What the call asks for.
+    fn subject(&self) -> String {
+        match self {
+            Self::ProposalPending => "for a change".into(),
+            Self::ReadIndexPending { query, .. } | Self::CatchingUp { query, .. } => {
+                format!("for {query:?}")
+            }
+            Self::PollPending { id, .. } => format!("for job {id}"),
+            Self::Forwarded { path, .. } => path.clone(),
+        }
+    }
+
+    /// The counter of calls that ended while they were in this state, and what they waited for.
+    fn waited_for(&self) -> (&'static str, String) {
+        match self {
+            Self::ProposalPending => ("calls_unanswered_proposal", "its proposal".into()),
+            Self::ReadIndexPending { asked, .. } => (
+                "calls_unanswered_read_index",
+                format!("a read index, asked of {}", asked.join(", ")),
+            ),
+            Self::CatchingUp { read_index, .. } => (
+                "calls_unanswered_catching_up",
+                format!("this node's copy to reach index {read_index}"),
+            ),
+            Self::PollPending { .. } => ("calls_unanswered_poll", "a fresh copy".into()),
+            Self::Forwarded { to, .. } => {
+                ("calls_unanswered_forward", format!("an answer of {to}"))
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Counts and logs an open call that is given up.
+    pub(super) fn note_unanswered(&mut self, now: Now, call: u64) {
+        let Some(open_call) = self.calls.open.get(&call) else {
+            return;
+        };
+        let (counter, waited_for) = open_call.state.waited_for();
+        let line = unanswered_line(open_call, &waited_for, now, self.settings.bounds.call());
+        self.count(counter, 1);
+        self.log(line);
+    }
+}
+
+fn unanswered_line(open_call: &OpenCall, waited_for: &str, now: Now, call_ms: u64) -> String {
+    let opened_at = open_call.deadline.saturating_sub(call_ms);
+    let waited_ms = now.mono.saturating_sub(opened_at);
+    format!(
+        "call {} ends without an answer after {waited_ms} ms: it waited for {waited_for}",
+        open_call.state.subject()
+    )
+}
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -162,6 +162,7 @@
             }
         }
         self.watch_tick(now);
+        self.report_catch_up(now);
         self.peer_sampler_tick(now);
         self.proposals_tick(now);
         self.calls_tick(now);
--- /dev/null
+++ b/landingdrift/src/node/watch/entries.rs
@@ -0,0 +1,93 @@
+//! The entries of the log, applied to a node's copy of the cluster state.
+
+use super::super::zone_scheduler::zone_of_lease;
+use super::super::Node;
+use crate::sans_io::Now;
+use crate::state::Command;
+use crate::wire::{Entry, WatchBatch};
+
+impl Node {
+    /// Applies the entries of a batch that follow; returns whether there were any.
+    pub(super) fn apply_entries(&mut self, batch: &WatchBatch) -> bool {
+        if batch.light != self.light {
+            return false;
+        }
+        let mut changed = false;
+        for entry in &batch.entries {
+            let next = self.state.applied_index + 1;
+            // A light copy gets only the entries that concern it.
+            if entry.index == next || (self.light && entry.index > next) {
+                self.apply_entry(entry);
+                changed = true;
+            }
+        }
+        if self.light && batch.reached > self.state.applied_index {
+            // The entries between concern jobs and workers, of which a light copy keeps nothing.
+            self.state.applied_index = batch.reached;
+            changed = true;
+        }
+        changed
+    }
+
+    /// Does what a change of the cluster state gives cause for.
+    pub(super) fn on_state_changed(&mut self, now: Now) {
+        self.update_zone_schedulers(now);
+        self.answer_ready_reads();
+        self.schedule(now);
+        self.offer_all(now);
+    }
+
+    /// Applies an entry of the log to this node's copy of the cluster state.
+    fn apply_entry(&mut self, entry: &Entry) {
+        let command = Command::unpack(&entry.command).ok();
+        // Before the entry is applied: the attempts that end are not live afterwards.
+        self.mark_dirty_jobs(command.as_ref().map(Command::action));
+        let version = self.state.version;
+        let result = self
+            .state
+            .apply_bytes(entry.index, entry.at, &entry.command);
+        self.count("watch_entries", 1);
+        if let Some(Command::StartAttempts {
+            job, placements, ..
+        }) = &command
+        {
+            for placement in placements {
+                self.release_promise(&placement.worker, job);
+            }
+            self.count("starts_refused", u64::from(result.is_err()));
+        }
+        if self.state.version != version {
+            let version = self.state.version;
+            self.log(format!("configuration version {version} in force"));
+        }
+    }
+
+    /// Marks the jobs whose demand for slots a command may change.
+    fn mark_dirty_jobs(&mut self, action: Option<&Command>) {
+        match action {
+            Some(Command::ReportAttempts { ends, .. }) => {
+                for end in ends {
+                    if let Some((job, _)) = self.state.live.get(&end.no) {
+                        self.sched.dirty.insert(job.clone());
+                    }
+                }
+            }
+            Some(Command::AcceptJob { spec, .. }) => {
+                self.sched.dirty.insert(spec.id.clone());
+            }
+            Some(Command::GrantLease { lease, .. }) => {
+                self.sched.all_dirty = true;
+                if zone_of_lease(lease).is_some() {
+                    self.sched.forget_reservations();
+                }
+            }
+            Some(
+                Command::StartAttempts { .. }
+                | Command::TermStarted { .. }
+                | Command::CancelJob { .. }
+                | Command::RegisterNode { .. },
+            ) => {}
+            _ => self.sched.all_dirty = true,
+        }
+    }
+}
--- a/landingdrift/src/node/watch.rs
+++ b/landingdrift/src/node/watch/mod.rs
@@ -1,11 +1,18 @@
 //! The watch: how a node follows the cluster state.
+//!
+//! - `snapshot` fetches and installs the snapshot that a node starts from,
+//! - `entries` applies the entries that follow,
+//! - `catch_up` notes what happens while the copy is missing or old.
+
+mod catch_up;
+mod entries;
+mod snapshot;
 
-use super::zone_scheduler::zone_of_lease;
 use super::Node;
 use crate::sans_io::Now;
-use crate::snapshot_chunks::{ChunkOutcome, SnapshotAssembly, SnapshotId};
-use crate::state::{ClusterState, Command};
-use crate::wire::{Body, Entry, WatchBatch, WatchRequest, WatchSnapshotChunk};
+use crate::snapshot_chunks::SnapshotAssembly;
+use crate::wire::{Body, WatchBatch, WatchRequest};
+use catch_up::CatchUp;
 
 /// A replica that has not answered for so many request intervals is exchanged for another.
 const SILENT_INTERVALS: u64 = 4;
@@ -30,6 +37,7 @@
     clock: ClockReading,
     /// The snapshot that is being fetched.
     incoming: SnapshotAssembly,
+    catch_up: CatchUp,
 }
 
 impl Watch {
@@ -44,6 +52,7 @@
             last_response_at: now.mono,
             clock: ClockReading::default(),
             incoming: SnapshotAssembly::default(),
+            catch_up: CatchUp::new(now),
         }
     }
 
@@ -54,6 +63,12 @@
 }
 
 impl Node {
+    /// A call is refused because there is no fresh copy to answer it from.
+    pub(super) fn note_call_without_copy(&mut self) {
+        self.watch.catch_up.refused_calls += 1;
+        self.count("calls_refused_without_copy", 1);
+    }
+
     /// The cluster time, as well as a node can know it: never ahead of the replicas' clock.
     pub(crate) fn cluster_time(&self, now: Now) -> u64 {
         let ClockReading {
@@ -98,6 +113,7 @@
         if self.watch.replica.is_empty() || silent_for > SILENT_INTERVALS * interval_ms {
             self.switch_replica();
             self.watch.last_response_at = now.mono;
+            self.watch.catch_up.replica_switches += 1;
         }
         if self.watch.replica.is_empty() {
             return;
@@ -180,6 +196,7 @@
         self.watch.replica = from.into();
         self.watch.leader = from.into();
         self.watch.last_response_at = now.mono;
+        self.watch.catch_up.batches += 1;
         let mut changed = self.install_snapshot_of(&batch);
         changed |= self.apply_entries(&batch);
         if self.state.applied_index >= batch.commit && batch.commit > 0 {
@@ -211,38 +228,6 @@
         self.watch.next_watch_request = self.watch.next_watch_request.min(soon);
     }
 
-    /// Installs the snapshot of a batch if it has one that is needed; returns whether it did.
-    fn install_snapshot_of(&mut self, batch: &WatchBatch) -> bool {
-        let is_needed = batch.snapshot_index > self.state.applied_index
-            || batch.commit < self.state.applied_index
-            || batch.light != self.light;
-        !batch.snapshot.is_empty()
-            && is_needed
-            && self.install_snapshot(&batch.snapshot, batch.light)
-    }
-
-    /// Applies the entries of a batch that follow; returns whether there were any.
-    fn apply_entries(&mut self, batch: &WatchBatch) -> bool {
-        if batch.light != self.light {
-            return false;
-        }
-        let mut changed = false;
-        for entry in &batch.entries {
-            let next = self.state.applied_index + 1;
-            // A light copy gets only the entries that concern it.
-            if entry.index == next || (self.light && entry.index > next) {
-                self.apply_entry(entry);
-                changed = true;
-            }
-        }
-        if self.light && batch.reached > self.state.applied_index {
-            // The entries between concern jobs and workers, of which a light copy keeps nothing.
-            self.state.applied_index = batch.reached;
-            changed = true;
-        }
-        changed
-    }
-
     /// All that was committed when the replica answered has been applied.
     fn caught_up(&mut self, now: Now, batch: &WatchBatch) {
         if !self.watch.has_snapshot {
@@ -258,119 +243,4 @@
             read_at: now.mono,
         };
     }
-
-    /// Takes a chunk of the snapshot that this node fetches, and asks for the next.
-    pub(super) fn on_watch_chunk(&mut self, now: Now, from: &str, chunk: &WatchSnapshotChunk) {
-        let is_needed = chunk.index > self.state.applied_index
-            || chunk.commit < self.state.applied_index
-            || chunk.light != self.light;
-        if from != self.watch.replica || !is_needed {
-            return;
-        }
-        let id = SnapshotId {
-            index: chunk.index,
-            term: chunk.term,
-            total: chunk.total,
-            checksum: chunk.checksum,
-        };
-        match self.watch.incoming.take(id, chunk.offset, &chunk.bytes) {
-            ChunkOutcome::Part => {}
-            ChunkOutcome::Corrupt => {
-                self.count("watch_snapshots_refused", 1);
-                self.log(format!(
-                    "a snapshot at index {} refused: its checksum is wrong",
-                    chunk.index
-                ));
-                return;
-            }
-            ChunkOutcome::Whole(bytes) => {
-                if self.install_snapshot(&bytes, chunk.light) {
-                    self.on_state_changed(now);
-                }
-            }
-        }
-        self.watch.last_response_at = now.mono;
-        self.watch.next_watch_request = now.mono;
-        self.watch_tick(now);
-    }
-
-    /// Replaces this node's copy of the cluster state by a snapshot; returns whether it could be read.
-    fn install_snapshot(&mut self, bytes: &[u8], light: bool) -> bool {
-        match ClusterState::unpack(bytes) {
-            Ok(state) => {
-                self.state = state;
-                self.light = light;
-                self.count("watch_snapshots", 1);
-                self.sched.all_dirty = true;
-                self.sched.forget_reservations();
-                true
-            }
-            Err(why) => {
-                self.log(why);
-                false
-            }
-        }
-    }
-
-    /// Does what a change of the cluster state gives cause for.
-    fn on_state_changed(&mut self, now: Now) {
-        self.update_zone_schedulers(now);
-        self.answer_ready_reads();
-        self.schedule(now);
-        self.offer_all(now);
-    }
-
-    /// Applies an entry of the log to this node's copy of the cluster state.
-    fn apply_entry(&mut self, entry: &Entry) {
-        let command = Command::unpack(&entry.command).ok();
-        // Before the entry is applied: the attempts that end are not live afterwards.
-        self.mark_dirty_jobs(command.as_ref().map(Command::action));
-        let version = self.state.version;
-        let result = self
-            .state
-            .apply_bytes(entry.index, entry.at, &entry.command);
-        self.count("watch_entries", 1);
-        if let Some(Command::StartAttempts {
-            job, placements, ..
-        }) = &command
-        {
-            for placement in placements {
-                self.release_promise(&placement.worker, job);
-            }
-            self.count("starts_refused", u64::from(result.is_err()));
-        }
-        if self.state.version != version {
-            let version = self.state.version;
-            self.log(format!("configuration version {version} in force"));
-        }
-    }
-
-    /// Marks the jobs whose demand for slots a command may change.
-    fn mark_dirty_jobs(&mut self, action: Option<&Command>) {
-        match action {
-            Some(Command::ReportAttempts { ends, .. }) => {
-                for end in ends {
-                    if let Some((job, _)) = self.state.live.get(&end.no) {
-                        self.sched.dirty.insert(job.clone());
-                    }
-                }
-            }
-            Some(Command::AcceptJob { spec, .. }) => {
-                self.sched.dirty.insert(spec.id.clone());
-            }
-            Some(Command::GrantLease { lease, .. }) => {
-                self.sched.all_dirty = true;
-                if zone_of_lease(lease).is_some() {
-                    self.sched.forget_reservations();
-                }
-            }
-            Some(
-                Command::StartAttempts { .. }
-                | Command::TermStarted { .. }
-                | Command::CancelJob { .. }
-                | Command::RegisterNode { .. },
-            ) => {}
-            _ => self.sched.all_dirty = true,
-        }
-    }
 }
--- /dev/null
+++ b/landingdrift/src/node/watch/snapshot.rs
@@ -0,0 +1,88 @@
+//! The snapshots that a node starts from: fetched in chunks, then installed as its copy of the cluster state.
+
+use super::super::Node;
+use crate::sans_io::Now;
+use crate::snapshot_chunks::{ChunkOutcome, SnapshotId};
+use crate::state::ClusterState;
+use crate::wire::{WatchBatch, WatchSnapshotChunk};
+
+impl Node {
+    /// Installs the snapshot of a batch if it has one that is needed; returns whether it did.
+    pub(super) fn install_snapshot_of(&mut self, batch: &WatchBatch) -> bool {
+        let is_needed = batch.snapshot_index > self.state.applied_index
+            || batch.commit < self.state.applied_index
+            || batch.light != self.light;
+        !batch.snapshot.is_empty()
+            && is_needed
+            && self.install_snapshot(&batch.snapshot, batch.light)
+    }
+
+    /// Takes a chunk of the snapshot that this node fetches, and asks for the next.
+    pub(in crate::node) fn on_watch_chunk(
+        &mut self,
+        now: Now,
+        from: &str,
+        chunk: &WatchSnapshotChunk,
+    ) {
+        let is_needed = chunk.index > self.state.applied_index
+            || chunk.commit < self.state.applied_index
+            || chunk.light != self.light;
+        self.watch.catch_up.chunks += 1;
+        if from != self.watch.replica || !is_needed {
+            return self.note_unused_chunk();
+        }
+        let received_before = self.watch.incoming.received();
+        let id = SnapshotId {
+            index: chunk.index,
+            term: chunk.term,
+            total: chunk.total,
+            checksum: chunk.checksum,
+        };
+        match self.watch.incoming.take(id, chunk.offset, &chunk.bytes) {
+            ChunkOutcome::Part => {
+                if self.watch.incoming.received() <= received_before {
+                    self.note_unused_chunk();
+                }
+            }
+            ChunkOutcome::Corrupt => {
+                self.count("watch_snapshots_refused", 1);
+                self.log(format!(
+                    "a snapshot at index {} refused: its checksum is wrong",
+                    chunk.index
+                ));
+                return;
+            }
+            ChunkOutcome::Whole(bytes) => {
+                if self.install_snapshot(&bytes, chunk.light) {
+                    self.on_state_changed(now);
+                }
+            }
+        }
+        self.watch.last_response_at = now.mono;
+        self.watch.next_watch_request = now.mono;
+        self.watch_tick(now);
+    }
+
+    fn note_unused_chunk(&mut self) {
+        self.watch.catch_up.unused_chunks += 1;
+        self.count("watch_chunks_unused", 1);
+    }
+
+    /// Replaces this node's copy of the cluster state by a snapshot; returns whether it could be read.
+    fn install_snapshot(&mut self, bytes: &[u8], light: bool) -> bool {
+        match ClusterState::unpack(bytes) {
+            Ok(state) => {
+                self.state = state;
+                self.light = light;
+                self.count("watch_snapshots", 1);
+                self.sched.all_dirty = true;
+                self.sched.forget_reservations();
+                true
+            }
+            Err(why) => {
+                self.log(why);
+                false
+            }
+        }
+    }
+}
--- a/testkit/src/scenario/mod.rs
+++ b/testkit/src/scenario/mod.rs
@@ -2,10 +2,12 @@
 
 mod fault;
 mod mix;
+mod node_class;
 mod shape;
 
 pub use fault::{last_fault, random_faults, Fault, FaultKind};
 pub use mix::{random_job, Mix};
+pub use node_class::NodeClass;
 pub use shape::Shape;
 
 use serde::{Deserialize, Serialize};
@@ -36,9 +38,18 @@
     /// Nodes; the shape's own number where 0.
     #[serde(default)]
     pub nodes: usize,
+    /// Further nodes, on machines of other classes.
+    #[serde(default, rename = "class")]
+    pub node_classes: Vec<NodeClass>,
     /// Workers; the shape's own number where 0.
     #[serde(default)]
     pub workers: usize,
+    /// Each worker calls a proxy beside it, and no node.
+    #[serde(default, rename = "proxies")]
+    pub has_worker_proxies: bool,
+    /// Clients call any node, whether it says that it is ready or not.
+    #[serde(default, rename = "any_node")]
+    pub clients_call_any_node: bool,
     /// Jobs a second; the shape's own rate where 0.
     #[serde(default, rename = "rate")]
     pub jobs_per_second: f64,
@@ -127,6 +138,24 @@
         }
     }
 
+    /// The class of the machine that a node runs on, the usual one for those of the shape.
+    pub fn class_of_node(&self, index: usize) -> NodeClass {
+        let mut first = self.node_count();
+        for class in &self.node_classes {
+            if (first..first + class.count).contains(&index) {
+                return class.clone();
+            }
+            first += class.count;
+        }
+        NodeClass::default()
+    }
+
+    /// The number of all nodes, of every class.
+    pub fn total_nodes(&self) -> usize {
+        let classes = self.node_classes.iter();
+        self.node_count() + classes.map(|class| class.count).sum::<usize>()
+    }
+
     /// The number of workers, with the shape's own for 0.
     pub fn worker_count(&self) -> usize {
         match self.workers {
@@ -167,7 +196,7 @@
             "doomed: give a share from 0 to 1",
         )?;
         ensure(
-            self.nodes <= MAX_NODES && self.workers <= MAX_WORKERS,
+            self.total_nodes() <= MAX_NODES && self.workers <= MAX_WORKERS,
             "nodes, workers: give at most 1000 and 10000",
         )?;
         ensure(
@@ -180,7 +209,7 @@
         )?;
         for (index, fault) in self.faults.iter().enumerate() {
             fault
-                .check(self.node_count(), self.worker_count())
+                .check(self.total_nodes(), self.worker_count())
                 .map_err(|InvalidValue(remedy)| {
                     InvalidValue(format!("faults[{index}].{remedy}"))
                 })?;
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -82,7 +82,7 @@
     fn nodes(&self) -> Vec<usize> {
         let processes = 0..self.processes.len();
         processes
-            .filter(|number| !self.processes[*number].is_replica())
+            .filter(|number| self.processes[*number].is_node())
             .filter(|number| !self.processes[*number].is_gone)
             .collect()
     }
--- a/testkit/src/simulator/faults/machines.rs
+++ b/testkit/src/simulator/faults/machines.rs
@@ -3,7 +3,7 @@
 use super::{Condition, World};
 use crate::history::Event;
 use crate::scenario::Fault;
-use crate::simulator::world::Process;
+use crate::simulator::world::{Machine, Process};
 use landingdrift::sans_io::Msg;
 
 /// How far a clock jumps where the fault doesn't say, in milliseconds: an hour.
@@ -48,14 +48,19 @@
         self.processes[replaced].is_gone = true;
         let newcomer = self.processes.len();
         let zone = self.processes[replaced].zone;
-        self.add_node(zone, new_address(zone, newcomer));
+        let machine = Machine {
+            share: self.processes[replaced].machine.share,
+            link: self.processes[replaced].machine.link.clone(),
+        };
+        self.add_node(zone, new_address(zone, newcomer), machine);
         let nodes = self.node_addresses();
         self.client.nodes = nodes.clone();
         for operator in &mut self.operators {
             operator.nodes = nodes.clone();
         }
         let machines = self.workers.iter_mut();
-        for worker in machines.filter_map(|machine| machine.worker.as_mut()) {
+        let without_proxy = machines.filter(|machine| machine.proxy.is_none());
+        for worker in without_proxy.filter_map(|machine| machine.worker.as_mut()) {
             worker.nodes = nodes.clone();
         }
     }
--- a/testkit/src/simulator/world/callers.rs
+++ b/testkit/src/simulator/world/callers.rs
@@ -32,6 +32,8 @@
     pub inbox: Vec<WaitingAnswer>,
     /// Counts its starts and ends.
     pub incarnation: u64,
+    /// The address of the proxy beside the worker, which it calls instead of nodes.
+    pub proxy: Option<String>,
 }
 
 /// Who makes a call; a worker with its incarnation, so that answers to an earlier one are dropped.
@@ -44,7 +46,10 @@
 
 impl World {
     pub(in crate::simulator) fn start_worker(&mut self, number: usize) {
-        let nodes = self.node_addresses();
+        let nodes = match &self.workers[number].proxy {
+            Some(proxy) => vec![proxy.clone()],
+            None => self.node_addresses(),
+        };
         let seed = self.rng.number();
         let machine = &mut self.workers[number];
         machine.incarnation += 1;
--- a/testkit/src/simulator/world/links.rs
+++ b/testkit/src/simulator/world/links.rs
@@ -51,6 +51,14 @@
             &sender.address,
             body,
         );
+        let Some(mut at_ms) = self.pass_links(from, to, at_ms, frame.len() as u64) else {
+            return;
+        };
+        if !is_flaky {
+            let last = self.arrivals.entry((from, to)).or_default();
+            at_ms = at_ms.max(*last);
+            *last = at_ms;
+        }
         if is_flaky && self.rng.below(100) < FLAKY_DUPLICATE_PERCENT {
             let again_ms = at_ms + self.rng.below(FLAKY_DUPLICATE_MS);
             self.schedule_delivery(again_ms, from, to, frame.clone());
@@ -58,6 +66,14 @@
         self.schedule_delivery(at_ms, from, to, frame);
     }
 
+    /// When a frame that would arrive at a time does so, given the bandwidth of the links of sender and receiver.
+    fn pass_links(&mut self, from: usize, to: usize, at_ms: u64, bytes: u64) -> Option<u64> {
+        let latency_ms = at_ms.saturating_sub(self.now);
+        let sent_ms = self.processes[from].machine.link.send(self.now, bytes)?;
+        let arrival_ms = sent_ms + latency_ms;
+        self.processes[to].machine.link.receive(arrival_ms, bytes)
+    }
+
     /// Connections break and come back: nothing keeps its order, and some messages never arrive.
     fn flaky_arrival(&mut self, latency_ms: u64) -> Option<u64> {
         if self.rng.below(100) < FLAKY_LOSS_PERCENT {
--- a/testkit/src/simulator/world/mod.rs
+++ b/testkit/src/simulator/world/mod.rs
@@ -2,8 +2,10 @@
 
 mod callers;
 mod day;
+mod link;
 mod links;
 mod observe;
+mod process;
 mod processes;
 mod report;
 mod schedule;
@@ -12,7 +14,8 @@
 pub use report::Report;
 
 pub(in crate::simulator) use callers::{repeat_first_task, Caller, WorkerMachine};
-pub(in crate::simulator) use processes::{Part, Process};
+pub(in crate::simulator) use link::Link;
+pub(in crate::simulator) use process::{Machine, Part, Process};
 pub(in crate::simulator) use schedule::Action;
 
 use crate::fakes::client::Client;
--- a/testkit/src/simulator/world/observe.rs
+++ b/testkit/src/simulator/world/observe.rs
@@ -24,7 +24,8 @@
         }
         if self.now.is_multiple_of(READY_EVERY_MS) {
             let processes = 0..self.processes.len();
-            let ready = processes.filter(|number| self.is_ready_node(*number));
+            let any_node = self.scenario.clients_call_any_node;
+            let ready = processes.filter(|number| !any_node && self.is_ready_node(*number));
             let ready = ready.map(|number| self.processes[number].address.clone());
             self.client.ready_nodes = ready.collect();
         }
@@ -38,7 +39,7 @@
         let group = self.largest_group(newest);
         let reaches_group = |number: usize| {
             let process = &self.processes[number];
-            let is_awake_node = !process.is_replica() && process.is_awake();
+            let is_awake_node = process.is_node() && process.is_awake();
             is_awake_node && group.iter().all(|replica| self.is_linked(number, *replica))
         };
         let nodes = (0..self.processes.len()).filter(|number| reaches_group(*number));
--- a/testkit/src/simulator/world/processes.rs
+++ b/testkit/src/simulator/world/processes.rs
@@ -1,6 +1,7 @@
-//! The processes of the system: replicas and nodes, how they start, are killed and handle messages.
+//! The processes of the system: how they are added, start, are killed and handle messages.
 
 use super::observe::change_mark;
+use super::process::{Machine, Part, Process};
 use super::{Action, World, TICK_MS};
 use crate::history::Event;
 use crate::simulator::disk::{Condition, SimDisk};
@@ -9,8 +10,7 @@
 use landingdrift::node::Node;
 use landingdrift::sans_io::{Effect, Msg, Now, Part as _, WriteBatch};
 use landingdrift::settings::Settings;
-use landingdrift::wire::WIRE_VERSION;
-use std::collections::BTreeMap;
+use landingdrift::worker_proxy::WorkerProxy;
 
 /// How often a write that a disk did not take is tried again, in milliseconds.
 const WRITE_RETRY_MS: u64 = 200;
@@ -21,114 +21,12 @@
 /// Steady clocks start below this many milliseconds, each anywhere.
 const CLOCK_START_MS: u64 = 1 << 40;
 
-/// The part that a process runs; none while it is down.
-pub(in crate::simulator) enum Part {
-    Replica {
-        replica: Option<Box<Replica>>,
-        disk: Box<SimDisk>,
-    },
-    Node(Option<Box<Node>>),
-}
-
-/// A simulated process, with its clocks and its disk.
-pub(in crate::simulator) struct Process {
-    pub part: Part,
-    pub address: String,
-    pub zone: usize,
-    /// Counts its starts and ends: nothing that was on its way to an earlier incarnation counts.
-    pub incarnation: u64,
-    pub is_frozen: bool,
-    /// It never starts again.
-    pub is_gone: bool,
-    /// What reached it while it was frozen.
-    pub inbox: Vec<Msg>,
-    /// How far its clock of the day is off, in milliseconds.
-    pub wall_offset_ms: i64,
-    /// How many times longer its messages take.
-    pub slowness: u64,
-    /// What its steady clock showed at the beginning of the day, in milliseconds.
-    pub steady_offset_ms: u64,
-    /// The version of the configuration that it had in force when it was last ready.
-    pub config_version: u64,
-    /// What it sends may be late, doubled, out of order or lost.
-    pub is_flaky: bool,
-    /// The wire version that its build speaks.
-    pub wire_version: u16,
-    /// Its disk has to get to this log index again before it counts as whole.
-    pub has_lost_up_to: u64,
-    /// The counters of all its incarnations that have ended.
-    pub counters: BTreeMap<String, u64>,
-}
-
-impl Process {
-    pub fn is_up(&self) -> bool {
-        match &self.part {
-            Part::Replica { replica, .. } => replica.is_some(),
-            Part::Node(node) => node.is_some(),
-        }
-    }
-
-    /// Whether it runs and is neither frozen nor gone.
-    pub fn is_awake(&self) -> bool {
-        self.is_up() && !self.is_frozen && !self.is_gone
-    }
-
-    /// The replica that runs in it.
-    pub fn replica(&self) -> Option<&Replica> {
-        match &self.part {
-            Part::Replica { replica, .. } => replica.as_deref(),
-            Part::Node(_) => None,
-        }
-    }
-
-    /// The node that runs in it.
-    pub fn node(&self) -> Option<&Node> {
-        match &self.part {
-            Part::Node(node) => node.as_deref(),
-            Part::Replica { .. } => None,
-        }
-    }
-
-    /// The disk of a replica.
-    pub fn disk_mut(&mut self) -> Option<&mut SimDisk> {
-        match &mut self.part {
-            Part::Replica { disk, .. } => Some(disk),
-            Part::Node(_) => None,
-        }
-    }
-
-    /// Whether it is for a replica, and not for a node.
-    pub fn is_replica(&self) -> bool {
-        matches!(self.part, Part::Replica { .. })
-    }
-
-    fn begin_incarnation(&mut self) {
-        self.incarnation += 1;
-        self.is_frozen = false;
-        self.inbox.clear();
-    }
-
-    /// Adds the counters of the part that runs to those of earlier incarnations.
-    pub fn keep_counters(&mut self) {
-        let (role, counters) = match &self.part {
-            Part::Replica { replica, .. } => {
-                ("core", replica.as_ref().map(|replica| replica.counters()))
-            }
-            Part::Node(node) => ("node", node.as_ref().map(|node| node.counters())),
-        };
-        for (name, value) in counters.unwrap_or_default() {
-            let key = format!("{role}_{name}");
-            *self.counters.entry(key).or_default() += value;
-        }
-    }
-}
-
 impl World {
     /// The addresses of the nodes that the platform names.
     pub(in crate::simulator) fn node_addresses(&self) -> Vec<String> {
         let processes = self.processes.iter();
         processes
-            .filter(|process| !process.is_replica() && !process.is_gone)
+            .filter(|process| process.is_node() && !process.is_gone)
             .map(|process| process.address.clone())
             .collect()
     }
@@ -142,6 +40,7 @@
             http: process.address.clone(),
             zone: format!("z{}", process.zone),
             data: data.into(),
+            share: process.machine.share,
             ..self.settings.clone()
         }
     }
@@ -154,35 +53,25 @@
             replica: None,
             disk: Box::new(disk),
         };
-        self.add(part, zone, address);
+        self.add(part, zone, address, Machine::default());
     }
 
-    /// Adds a node, and starts it.
-    pub(in crate::simulator) fn add_node(&mut self, zone: usize, address: String) {
-        self.add(Part::Node(None), zone, address);
+    /// Adds a node on a machine, and starts it.
+    pub(in crate::simulator) fn add_node(&mut self, zone: usize, address: String, on: Machine) {
+        self.add(Part::Node(None), zone, address, on);
     }
 
-    fn add(&mut self, part: Part, zone: usize, address: String) {
+    /// Adds the proxy beside a worker, and starts it.
+    pub(in crate::simulator) fn add_worker_proxy(&mut self, zone: usize, address: String) {
+        self.add(Part::WorkerProxy(None), zone, address, Machine::default());
+    }
+
+    fn add(&mut self, part: Part, zone: usize, address: String, machine: Machine) {
         let number = self.processes.len();
         self.by_address.insert(address.clone(), number);
         let steady_offset_ms = self.rng.below(CLOCK_START_MS);
-        self.processes.push(Process {
-            part,
-            address,
-            zone,
-            incarnation: 0,
-            is_frozen: false,
-            is_gone: false,
-            inbox: Vec::new(),
-            wall_offset_ms: 0,
-            slowness: 1,
-            steady_offset_ms,
-            config_version: 0,
-            is_flaky: false,
-            wire_version: WIRE_VERSION,
-            has_lost_up_to: 0,
-            counters: BTreeMap::new(),
-        });
+        let process = Process::new(part, address, zone, machine, steady_offset_ms);
+        self.processes.push(process);
         self.start(number);
     }
 
@@ -212,6 +101,7 @@
                 *replica = Some(Box::new(started.expect("a sound disk loads")));
             }
             Part::Node(node) => *node = Some(Box::new(Node::new(settings, now, seed))),
+            Part::WorkerProxy(proxy) => *proxy = Some(Box::new(WorkerProxy::new(settings, seed))),
         }
         let tick = Action::TickProcess {
             process: number,
@@ -240,6 +130,7 @@
                 let node = process.address.clone();
                 self.record(Event::NodeDown { node });
             }
+            Part::WorkerProxy(proxy) => *proxy = None,
         }
     }
 
@@ -276,7 +167,10 @@
                 ..
             } => replica.step(now, message),
             Part::Node(Some(node)) => node.step(now, message),
-            Part::Replica { replica: None, .. } | Part::Node(None) => Vec::new(),
+            Part::WorkerProxy(Some(proxy)) => proxy.step(now, message),
+            Part::Replica { replica: None, .. } | Part::Node(None) | Part::WorkerProxy(None) => {
+                Vec::new()
+            }
         };
         for effect in effects {
             self.apply(number, effect);
--- a/testkit/src/simulator/world/setup.rs
+++ b/testkit/src/simulator/world/setup.rs
@@ -1,7 +1,7 @@
 //! Setting a world up at the beginning of a day.
 
 use super::schedule::PROBE_EVERY_MS;
-use super::{Action, Availability, PlannedJob, WorkerMachine, World};
+use super::{Action, Availability, Link, Machine, PlannedJob, WorkerMachine, World};
 use crate::fakes::client::Client;
 use crate::fakes::operator::Operator;
 use crate::history::History;
@@ -68,10 +68,15 @@
         for zone in 0..ZONES {
             world.add_replica(zone, replica_address(zone));
         }
-        for index in 0..scenario.node_count() {
+        for index in 0..scenario.total_nodes() {
             let zone = index % ZONES;
             let address = format!("10.0.{zone}.{}:7000", FIRST_NODE_ADDRESS + index);
-            world.add_node(zone, address);
+            let class = scenario.class_of_node(index);
+            let machine = Machine {
+                share: class.share,
+                link: Link::of_kbps(class.link_kbps),
+            };
+            world.add_node(zone, address, machine);
         }
         let nodes = world.node_addresses();
         world.add_workers(scenario);
@@ -110,7 +115,13 @@
                 is_cut: false,
                 inbox: Vec::new(),
                 incarnation: 0,
+                proxy: None,
             });
+            if scenario.has_worker_proxies {
+                let address = format!("10.1.{zone}.{}:7000", FIRST_NODE_ADDRESS + index);
+                self.workers[index].proxy = Some(address.clone());
+                self.add_worker_proxy(zone, address);
+            }
             self.start_worker(index);
         }
     }
