--- a/landingdrift/src/consensus/mod.rs
+++ b/landingdrift/src/consensus/mod.rs
@@ -40,6 +40,7 @@
 mod snapshot_transfer;
 mod status;
 mod watch;
+mod watch_flow;
 mod watch_snapshots;
 
 pub use clock::{ClockReading, ClusterClock};
--- a/landingdrift/src/consensus/watch.rs
+++ b/landingdrift/src/consensus/watch.rs
@@ -5,17 +5,20 @@
 
 use super::clock::ClockReading;
 use super::lease_assignment::SMALL_NODE_SHARE;
+use super::watch_flow::Unacknowledged;
 use super::watch_snapshots::{SentChunk, WatchSnapshots};
 use super::{Replica, Role};
 use crate::sans_io::Now;
 use crate::state::Command;
-use crate::wire::{Body, WatchBatch, WatchRequest};
+use crate::wire::{Body, Entry, WatchBatch, WatchRequest};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A node that lacks more entries than this starts over from a snapshot, which is smaller than all that made it.
 const MAX_ENTRIES_BEHIND: u64 = 1024;
 /// Entries in one message to a node.
 const MAX_BATCH_ENTRIES: u64 = 512;
+/// Bytes of entries in one message to a node; a single entry may be larger.
+const MAX_BATCH_BYTES: usize = 64 << 10;
 /// Snapshots that no node has fetched for so many time-outs of a node are dropped.
 const UNUSED_SNAPSHOT_NODE_TIMEOUTS: u64 = 2;
 /// For so many time-outs of a node a new leader assumes that nodes with enough of a processor will yet be heard.
@@ -28,6 +31,8 @@
     pub applied_index: u64,
     /// The last entry that was sent to it.
     pub sent_index: u64,
+    /// The entries that were sent to it and not acknowledged yet.
+    unacknowledged: Unacknowledged,
     pub last_heard_at: u64,
     /// When the node sent its last request, by its own clock; sent back so that it knows how fresh an answer is.
     pub request_sent_at: u64,
@@ -55,6 +60,35 @@
     pub snapshots: WatchSnapshots,
 }
 
+/// The entries in one message to a node.
+struct SentEntries {
+    entries: Vec<Entry>,
+    bytes: u64,
+    /// The index that a node comes to which applies them.
+    reached: u64,
+}
+
+impl SentEntries {
+    fn none(reached: u64) -> Self {
+        Self {
+            entries: Vec::new(),
+            bytes: 0,
+            reached,
+        }
+    }
+}
+
+impl Watcher {
+    /// Whether a node that asks has not received all that was sent to it. One whose process or copy is another one by now
+    /// has received nothing.
+    fn awaits_more_than(&self, request: &WatchRequest, light: bool) -> bool {
+        let is_same_process =
+            request.sent >= self.request_sent_at && request.log_index >= self.applied_index;
+        let is_same_kind = self.light == light && request.light == light;
+        is_same_process && is_same_kind && self.sent_index > request.log_index
+    }
+}
+
 impl Replica {
     /// The latest time at which this leader surely led, in monotonic milliseconds: a majority has answered a round that
     /// was sent then.
@@ -97,15 +131,39 @@
         if self.needs_snapshot(&request.node, from_index) {
             self.send_watch_chunk(now, from, &request);
         }
-        let reached = self.send_watch_batch(now, from, request.sent, Some(from_index));
-        self.note_sent(&request.node, reached);
+        if self.has_entries_in_flight(&request.node) {
+            let nothing = SentEntries::none(request.log_index);
+            self.send_entries(now, from, request.sent, true, nothing);
+            return;
+        }
+        self.send_watch_batch(now, from, request.sent, Some(from_index));
+    }
+
+    /// Whether entries are on their way to a node. It is not sent further ones meanwhile: a light copy can't tell
+    /// whether it has missed some, and a narrow link is not to be filled.
+    fn has_entries_in_flight(&self, node: &str) -> bool {
+        let watcher = self.watch.watchers.get(node);
+        watcher.is_some_and(|watcher| watcher.sent_index > watcher.applied_index)
     }
 
     fn note_watcher(&mut self, now: Now, request: &WatchRequest, light: bool) {
         let known = self.watch.watchers.get(&request.node);
+        let bounds = &self.settings.bounds;
+        let mut sent_index = request.log_index;
+        let mut unacknowledged = Unacknowledged::default();
+        if let Some(known) = known.filter(|known| known.awaits_more_than(request, light)) {
+            unacknowledged = known.unacknowledged;
+            if request.log_index > known.applied_index {
+                unacknowledged.progressed(now.mono);
+            }
+            if unacknowledged.is_in_flight(now.mono, bounds) {
+                sent_index = known.sent_index;
+            }
+        }
         let watcher = Watcher {
             applied_index: request.log_index,
-            sent_index: request.log_index,
+            sent_index,
+            unacknowledged,
             last_heard_at: now.mono,
             request_sent_at: request.sent,
             zone: request.zone.clone(),
@@ -121,10 +179,15 @@
         self.watch.watchers.insert(request.node.clone(), watcher);
     }
 
-    fn note_sent(&mut self, node: &str, reached: u64) {
-        if let Some(watcher) = self.watch.watchers.get_mut(node) {
-            watcher.sent_index = watcher.sent_index.max(reached);
+    fn note_sent(&mut self, now: Now, node: &str, sent: &SentEntries) {
+        let Some(watcher) = self.watch.watchers.get_mut(node) else {
+            return;
+        };
+        let in_flight = watcher.sent_index > watcher.applied_index;
+        if sent.bytes > 0 {
+            watcher.unacknowledged.send(in_flight, sent.bytes, now.mono);
         }
+        watcher.sent_index = watcher.sent_index.max(sent.reached);
     }
 
     /// Whether a node is to follow a light copy: it has too little of a processor for leases, and others have enough.
@@ -146,14 +209,14 @@
         for (node, watcher) in &self.watch.watchers {
             let is_fresh = now.mono.saturating_sub(watcher.last_heard_at) < fresh_ms;
             let lacks_entries = watcher.sent_index < self.log.commit_index;
-            let may_be_sent = holders.contains(node) && lacks_entries && is_fresh;
+            let is_full = !watcher.light;
+            let may_be_sent = holders.contains(node) && is_full && lacks_entries && is_fresh;
             if may_be_sent && !self.needs_snapshot(node, watcher.sent_index) {
                 due.push((node.clone(), watcher.request_sent_at, watcher.sent_index));
             }
         }
         for (node, request_sent_at, sent_index) in due {
-            let reached = self.send_watch_batch(now, &node, request_sent_at, Some(sent_index));
-            self.note_sent(&node, reached);
+            self.send_watch_batch(now, &node, request_sent_at, Some(sent_index));
         }
     }
 
@@ -171,35 +234,61 @@
         index < self.log.base().index || index > commit_index || is_far_behind
     }
 
-    /// Sends the entries that follow `from_index`, as far as the log has them; returns the index that they reach.
-    /// Without an index, the message says that this replica does not lead, and who does.
+    /// Sends the entries that follow `from_index`, as far as the log has them. Without an index, the message says that
+    /// this replica does not lead, and who does.
     fn send_watch_batch(
         &mut self,
         now: Now,
         to: &str,
         request_sent_at: u64,
         from_index: Option<u64>,
-    ) -> u64 {
+    ) {
         let leads = from_index.is_some();
+        let from_index = from_index.filter(|index| !self.needs_snapshot(to, *index));
+        let sent = match from_index {
+            Some(index) => self.entries_after(to, index),
+            None => SentEntries::none(0),
+        };
+        self.note_sent(now, to, &sent);
+        self.send_entries(now, to, request_sent_at, leads, sent);
+    }
+
+    /// The entries after an index that one message to a node holds.
+    fn entries_after(&self, node: &str, index: u64) -> SentEntries {
+        let light = self.watch.watchers.get(node).is_some_and(|w| w.light);
+        let wanted = (self.log.commit_index - index).min(MAX_BATCH_ENTRIES);
+        let mut sent = SentEntries::none(index);
+        for entry in self.log.batch(index + 1, wanted as usize) {
+            let is_wanted = !light || Command::concerns_all(&entry.command);
+            let bytes = entry.command.len() as u64;
+            let is_full = sent.bytes > 0 && sent.bytes + bytes > MAX_BATCH_BYTES as u64;
+            if is_wanted && is_full {
+                break;
+            }
+            sent.reached = entry.index;
+            if is_wanted {
+                sent.bytes += bytes;
+                sent.entries.push(entry);
+            }
+        }
+        sent
+    }
+
+    fn send_entries(
+        &mut self,
+        now: Now,
+        to: &str,
+        request_sent_at: u64,
+        leads: bool,
+        sent: SentEntries,
+    ) {
         let quorum_age = if leads {
             now.mono.saturating_sub(self.last_quorum_contact(now))
         } else {
             0
         };
-        let watcher = self.watch.watchers.get(to);
-        let light = watcher.is_some_and(|w| w.light);
-        let from_index = from_index.filter(|index| !self.needs_snapshot(to, *index));
-        let mut entries = Vec::new();
-        if let Some(index) = from_index {
-            let wanted = (self.log.commit_index - index).min(MAX_BATCH_ENTRIES);
-            entries = self.log.batch(index + 1, wanted as usize);
-        }
-        let last_sent = entries.last().map(|entry| entry.index);
-        let reached = last_sent.or(from_index).unwrap_or(0);
-        if light {
-            entries.retain(|entry| Command::concerns_all(&entry.command));
-        }
-        self.count("watch_entries", entries.len() as u64);
+        let light = self.watch.watchers.get(to).is_some_and(|w| w.light);
+        self.count("watch_entries", sent.entries.len() as u64);
         let batch = WatchBatch {
             replica: self.name.clone(),
             leader: self.leader.clone(),
@@ -211,12 +300,11 @@
             // Older builds sent snapshots here, whole.
             snapshot: Vec::new(),
             snapshot_index: 0,
-            entries,
+            entries: sent.entries,
             replicas: self.members().into_keys().collect(),
             light,
-            reached,
+            reached: sent.reached,
         };
         self.send(to, Body::WatchBatch(Box::new(batch)));
-        reached
     }
 }
--- /dev/null
+++ b/landingdrift/src/consensus/watch_flow.rs
@@ -0,0 +1,99 @@
+//! Flow control towards the nodes that follow the log: what is on its way to a node is not sent again before it can
+//! have arrived, however narrow the node's link is, and each repetition waits twice as long as the last.
+
+use crate::settings::Bounds;
+
+/// What is sent waits this many heartbeats for its acknowledgement, beside the time that its bytes take.
+const ACK_HEARTBEATS: u64 = 2;
+/// Links are assumed to carry at least so many bytes in a millisecond; narrower ones cost repetitions.
+const SLOWEST_LINK_BYTES_PER_MS: u64 = 128;
+/// The wait doubles with each repetition, up to so many times.
+const MAX_DOUBLINGS: u32 = 5;
+/// A chunk that is acknowledged later than this is followed by a smaller one.
+const SLOW_CHUNK_HEARTBEATS: u64 = 2;
+/// The first chunk of a snapshot, in bytes; later ones grow while the node fetches them quickly.
+const FIRST_CHUNK_BYTES: usize = 32 << 10;
+/// The smallest chunk of a snapshot, in bytes.
+const MIN_CHUNK_BYTES: usize = 16 << 10;
+
+/// What was sent to a node and not acknowledged yet. Times are monotonic milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Unacknowledged {
+    bytes: u64,
+    sent_at: u64,
+    /// How often it was sent again.
+    repetitions: u32,
+}
+
+impl Unacknowledged {
+    /// What is sent now for the first time.
+    pub fn new(bytes: u64, sent_at: u64) -> Self {
+        Self {
+            bytes,
+            sent_at,
+            repetitions: 0,
+        }
+    }
+
+    /// Bytes are sent: behind what is in flight, or again where something was sent and not acknowledged in time.
+    pub fn send(&mut self, in_flight: bool, bytes: u64, now_ms: u64) {
+        if in_flight {
+            self.bytes += bytes;
+        } else if self.bytes > 0 {
+            self.bytes = bytes;
+            self.repeat(now_ms);
+        } else {
+            *self = Self::new(bytes, now_ms);
+        }
+    }
+
+    /// It is sent again.
+    pub fn repeat(&mut self, now_ms: u64) {
+        self.sent_at = now_ms;
+        self.repetitions += 1;
+    }
+
+    /// A part of it was acknowledged: the rest is waited for from now on.
+    pub fn progressed(&mut self, now_ms: u64) {
+        *self = Self::new(0, now_ms);
+    }
+
+    /// Whether it may still be on its way.
+    pub fn is_in_flight(&self, now_ms: u64, bounds: &Bounds) -> bool {
+        let transfer_ms = self.bytes / SLOWEST_LINK_BYTES_PER_MS;
+        let usual_ms = ACK_HEARTBEATS * bounds.heartbeat() + transfer_ms;
+        let wait_ms = usual_ms << self.repetitions.min(MAX_DOUBLINGS);
+        now_ms < self.sent_at + wait_ms
+    }
+}
+
+/// The size of the chunks in which a node fetches a snapshot: small at first, so that a narrow link is not blocked, and
+/// larger as long as they are fetched quickly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ChunkSize(usize);
+
+impl Default for ChunkSize {
+    fn default() -> Self {
+        Self(FIRST_CHUNK_BYTES)
+    }
+}
+
+impl ChunkSize {
+    pub fn bytes(self) -> usize {
+        self.0
+    }
+
+    /// A chunk was acknowledged after so many milliseconds.
+    pub fn acknowledged(&mut self, after_ms: u64, max_bytes: usize, bounds: &Bounds) {
+        if after_ms <= bounds.heartbeat() / 2 {
+            self.0 = (self.0 * 2).min(max_bytes);
+        } else if after_ms > SLOW_CHUNK_HEARTBEATS * bounds.heartbeat() {
+            self.0 = (self.0 / 2).max(MIN_CHUNK_BYTES);
+        }
+    }
+
+    /// A chunk was not acknowledged in time.
+    pub fn timed_out(&mut self) {
+        self.0 = (self.0 / 2).max(MIN_CHUNK_BYTES);
+    }
+}
--- a/landingdrift/src/consensus/watch_snapshots.rs
+++ b/landingdrift/src/consensus/watch_snapshots.rs
@@ -1,14 +1,16 @@
 //! The snapshots that nodes fetch: a few, shared by all that fetch them, and dropped when nobody does.
 
-use super::snapshot_transfer::REPEAT_AFTER_HEARTBEATS;
+use super::watch_flow::{ChunkSize, Unacknowledged};
 use super::Replica;
 use crate::sans_io::Now;
-use crate::snapshot_chunks::{ChunkedSnapshot, SnapshotId};
+use crate::snapshot_chunks::{ChunkedSnapshot, SnapshotId, CHUNK_BYTES};
 use crate::wire::{Body, WatchRequest, WatchSnapshotChunk};
 use std::sync::Arc;
 
-/// Snapshots of one kind that are kept at once: one that is being fetched, and a newer one.
-const MAX_KEPT: usize = 2;
+/// Full snapshots that are kept at once: one that is being fetched, and a newer one.
+const MAX_KEPT_FULL: usize = 2;
+/// Light snapshots that are kept at once: they are small, and nodes on narrow links take long to fetch one.
+const MAX_KEPT_LIGHT: usize = 8;
 /// A snapshot that is not older than so many entries is given to the next node as well.
 const SHARED_FOR_ENTRIES: u64 = 256;
 
@@ -53,12 +55,16 @@
         self.0.iter_mut().rev().find(|kept| fits(kept))
     }
 
-    /// Adds a snapshot, in place of the oldest of its kind if there are too many.
+    /// Adds a snapshot; where there are too many of its kind, it takes the place of the one that was not used for the
+    /// longest time.
     fn add(&mut self, light: bool, snapshot: Arc<ChunkedSnapshot>, now: Now) {
-        while self.0.iter().filter(|kept| kept.light == light).count() >= MAX_KEPT {
-            if let Some(oldest) = self.0.iter().position(|kept| kept.light == light) {
-                self.0.remove(oldest);
-            }
+        let max_kept = if light { MAX_KEPT_LIGHT } else { MAX_KEPT_FULL };
+        while self.0.iter().filter(|kept| kept.light == light).count() >= max_kept {
+            let of_kind = self.0.iter().enumerate();
+            let of_kind = of_kind.filter(|(_, kept)| kept.light == light);
+            let unused = of_kind.min_by_key(|(_, kept)| kept.last_used_at);
+            let Some((unused, _)) = unused else { break };
+            self.0.remove(unused);
         }
         self.0.push(KeptSnapshot {
             light,
@@ -68,58 +74,79 @@
     }
 }
 
-/// The last chunk that was sent to a node.
+/// The last chunk that was sent to a node, and the size of the next.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct SentChunk {
     index: u64,
     checksum: u32,
     offset: u64,
-    /// When it was sent, in monotonic milliseconds.
-    sent_at: u64,
+    /// When it was sent first, in monotonic milliseconds.
+    first_sent_at: u64,
+    unacknowledged: Unacknowledged,
+    size: ChunkSize,
 }
 
 impl SentChunk {
-    fn is_same_chunk(&self, other: &Self) -> bool {
-        (self.index, self.checksum, self.offset) == (other.index, other.checksum, other.offset)
+    /// Whether it is the one that a node asks for now.
+    fn is_at(&self, id: &SnapshotId, offset: u64) -> bool {
+        (self.index, self.checksum, self.offset) == (id.index, id.checksum, offset)
+    }
+
+    /// Whether the one that a node asks for follows it: then it was received.
+    fn is_before(&self, id: &SnapshotId, offset: u64) -> bool {
+        (self.index, self.checksum) == (id.index, id.checksum) && self.offset < offset
     }
 }
 
 impl Replica {
     /// Sends the chunk that a node lacks, unless it may still be on its way.
     pub(super) fn send_watch_chunk(&mut self, now: Now, to: &str, request: &WatchRequest) {
-        let light = self.watch.watchers.get(to).is_some_and(|w| w.light);
+        let Some(watcher) = self.watch.watchers.get(to) else {
+            return;
+        };
+        let light = watcher.light;
+        let mut sent = watcher.last_chunk;
         let snapshot = self.watch_snapshot(now, light, request);
         let id = snapshot.identity();
         let resumes = (request.part_index, request.part_checksum) == (id.index, id.checksum);
-        let chunk = SentChunk {
-            index: id.index,
-            checksum: id.checksum,
-            offset: if resumes { request.part_received } else { 0 },
-            sent_at: now.mono,
-        };
-        let repeat_after = REPEAT_AFTER_HEARTBEATS * self.settings.bounds.heartbeat();
-        let Some(watcher) = self.watch.watchers.get_mut(to) else {
-            return;
-        };
-        let last_chunk = watcher.last_chunk;
-        let is_repeated = chunk.is_same_chunk(&last_chunk);
-        if is_repeated && now.mono < last_chunk.sent_at + repeat_after {
+        let offset = if resumes { request.part_received } else { 0 };
+        let is_repeated = sent.is_at(&id, offset);
+        let bounds = &self.settings.bounds;
+        if is_repeated && sent.unacknowledged.is_in_flight(now.mono, bounds) {
             return;
         }
-        watcher.last_chunk = chunk;
-        watcher.fetched_index = id.index;
-        let begins = chunk.offset == 0 && !is_repeated;
+        if is_repeated {
+            sent.size.timed_out();
+        } else if sent.is_before(&id, offset) {
+            let after_ms = now.mono.saturating_sub(sent.first_sent_at);
+            sent.size.acknowledged(after_ms, CHUNK_BYTES, bounds);
+        }
+        let bytes = snapshot.chunk_of(offset, sent.size.bytes()).to_vec();
+        if is_repeated {
+            sent.unacknowledged.repeat(now.mono);
+        } else {
+            sent.first_sent_at = now.mono;
+            sent.unacknowledged = Unacknowledged::new(bytes.len() as u64, now.mono);
+        }
+        (sent.index, sent.checksum, sent.offset) = (id.index, id.checksum, offset);
+        if let Some(watcher) = self.watch.watchers.get_mut(to) {
+            watcher.last_chunk = sent;
+            watcher.fetched_index = id.index;
+        }
+        let begins = offset == 0 && !is_repeated;
         self.count("watch_snapshots", u64::from(begins));
         self.count("watch_chunks", 1);
+        self.count("watch_chunks_repeated", u64::from(is_repeated));
         let body = WatchSnapshotChunk {
             commit: self.log.commit_index,
             light,
             index: id.index,
             term: id.term,
-            offset: chunk.offset,
+            offset,
             total: id.total,
             checksum: id.checksum,
-            bytes: snapshot.chunk(chunk.offset).to_vec(),
+            bytes,
+            requested_from: request.log_index,
         };
         self.send(to, Body::WatchSnapshotChunk(Box::new(body)));
     }
@@ -138,8 +165,16 @@
             let id = kept.id();
             (id.index, id.checksum) == (request.part_index, request.part_checksum)
         };
-        let is_new_enough =
-            |kept: &KeptSnapshot| applied.saturating_sub(kept.id().index) <= SHARED_FOR_ENTRIES;
+        // A node that has applied more than this replica has lost what the others did not keep.
+        let least_index = if request.log_index <= applied {
+            request.log_index
+        } else {
+            0
+        };
+        let is_new_enough = |kept: &KeptSnapshot| {
+            let index = kept.id().index;
+            index >= least_index && applied.saturating_sub(index) <= SHARED_FOR_ENTRIES
+        };
         let snapshots = &mut self.watch.snapshots;
         let resumes = snapshots
             .find(|kept| is_usable(kept) && is_begun(kept))
@@ -156,17 +191,18 @@
             kept.last_used_at = now.mono;
             return kept.snapshot.clone();
         }
-        let made = self.make_watch_snapshot(light);
+        let made = self.make_watch_snapshot(light, least_index);
         self.watch.snapshots.add(light, made.clone(), now);
         made
     }
 
-    fn make_watch_snapshot(&self, light: bool) -> Arc<ChunkedSnapshot> {
+    fn make_watch_snapshot(&self, light: bool, least_index: u64) -> Arc<ChunkedSnapshot> {
         let applied = self.state.applied_index;
         let own = &self.snapshots.latest;
         let own_index = own.identity().index;
         let follows_log = own_index > 0 && own_index >= self.log.base().index;
-        if !light && follows_log && applied - own_index <= SHARED_FOR_ENTRIES {
+        let is_usable = follows_log && own_index >= least_index;
+        if !light && is_usable && applied - own_index <= SHARED_FOR_ENTRIES {
             return own.clone();
         }
         let bytes = if light {
--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -1,41 +1,173 @@
-//! Calls that another node answers: each is forwarded once, and its outcome is unknown if no response comes.
+//! Calls that another node answers.
+//!
+//! A call that may be repeated is forwarded to one node after the other until one answers: at once where a node
+//! refuses, after a while where it is silent. Any other call is forwarded once, and its outcome is unknown if no
+//! response comes.
 
-use super::{CallState, Origin};
+use super::{CallState, OpenCall, Origin};
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
 use crate::wire::{Body, ForwardRequest, ForwardResponse};
 use serde_json::Value;
 
+/// A repeatable call is forwarded to another node after this part of the time for which a node works on a call.
+const RETRY_PART: u64 = 6;
+/// The most nodes that one call is forwarded to.
+const MAX_ATTEMPTS: usize = 6;
+
+/// One attempt of a call to have another node answer it.
+pub(super) struct ForwardAttempt {
+    pub to: String,
+    is_refused: bool,
+}
+
+/// A repeatable call that other nodes are asked to answer.
+pub(super) struct RepeatedForward {
+    request: Request,
+    attempts: Vec<ForwardAttempt>,
+    /// When the next node is asked, in monotonic milliseconds; none once all were.
+    next_at: Option<u64>,
+}
+
+impl RepeatedForward {
+    fn new(request: Request, first_at: u64) -> Self {
+        Self {
+            request,
+            attempts: Vec::new(),
+            next_at: Some(first_at),
+        }
+    }
+
+    /// Whether some node may still answer.
+    fn is_open(&self) -> bool {
+        self.next_at.is_some() || self.attempts.iter().any(|attempt| !attempt.is_refused)
+    }
+
+    /// The nodes that were asked, for the log.
+    pub(super) fn asked(&self) -> String {
+        let nodes = self.attempts.iter().map(|attempt| attempt.to.as_str());
+        nodes.collect::<Vec<_>>().join(", ")
+    }
+
+    pub(super) fn path(&self) -> &str {
+        &self.request.path
+    }
+}
+
 impl Node {
-    /// Forwards a call to some node that holds a lease, and so has a full copy of the cluster state.
-    pub(super) fn forward_to_any_holder(&mut self, now: Now, origin: Origin, request: &Request) {
-        let holders: Vec<String> = self
-            .state
-            .leases
-            .values()
-            .map(|lease| lease.holder.clone())
-            .filter(|holder| !holder.is_empty() && *holder != self.name)
-            .collect();
-        let picked = self.rng.pick(&holders).cloned();
-        match (picked, &origin) {
-            (Some(to), Origin::Local(_)) => self.forward_to(now, origin, &to, request),
-            _ => {
-                let why = "this node keeps no jobs and knows of none that does: come back later, or go to another node";
-                let response = Response::error(503, "noDuty", why);
-                self.reply(&origin, response.retry(self.settings.bounds.back()));
-            }
+    /// Has another node answer a repeatable call that this one can't answer.
+    pub(super) fn forward_repeatable(&mut self, now: Now, origin: Origin, request: &Request) {
+        let Origin::Local(_) = origin else {
+            // It was forwarded already: whoever did so asks another node.
+            let response = self.no_full_copy_response();
+            return self.reply(&origin, response);
+        };
+        let call = self.open_call(now, origin, CallState::ForwardedRepeatedly);
+        self.set_forward(call, request.clone(), now.mono);
+        self.advance_forward(now, call);
+    }
+
+    /// Other nodes are asked as well if this one has not answered an open call soon.
+    pub(super) fn hedge(&mut self, now: Now, call: u64, request: Request) {
+        let hedge_at = now.mono + self.forward_retry_ms();
+        self.set_forward(call, request, hedge_at);
+    }
+
+    /// An open call can't be answered here any more: another node has to.
+    pub(super) fn hand_over(&mut self, now: Now, call: u64, request: Request) {
+        let Some(open_call) = self.calls.open.get_mut(&call) else {
+            return;
+        };
+        if let Origin::Remote(..) = open_call.origin {
+            let response = self.no_full_copy_response();
+            return self.finish(call, response);
+        }
+        open_call.state = CallState::ForwardedRepeatedly;
+        if open_call.forward.is_none() {
+            self.set_forward(call, request, now.mono);
         }
+        self.advance_forward(now, call);
     }
 
-    /// Forwards a call to a node.
-    pub(super) fn forward_to(&mut self, now: Now, origin: Origin, to: &str, request: &Request) {
-        let state = CallState::Forwarded {
-            to: to.into(),
-            path: request.path.clone(),
+    fn set_forward(&mut self, call: u64, request: Request, first_at: u64) {
+        if let Some(open_call) = self.calls.open.get_mut(&call) {
+            open_call.forward = Some(RepeatedForward::new(request, first_at));
+        }
+    }
+
+    fn forward_retry_ms(&self) -> u64 {
+        self.settings.bounds.call() / RETRY_PART
+    }
+
+    fn no_full_copy_response(&self) -> Response {
+        let why = "this node keeps no jobs and knows of none that does: come back later, or go to another node";
+        Response::error(503, "noDuty", why).retry(self.settings.bounds.back())
+    }
+
+    /// Asks the next nodes for the calls whose last one was silent.
+    pub(super) fn forwards_tick(&mut self, now: Now) {
+        let is_due = |open_call: &OpenCall| {
+            let forward = open_call.forward.as_ref();
+            let next_at = forward.and_then(|forward| forward.next_at);
+            next_at.is_some_and(|at| now.mono >= at)
         };
-        let call = self.open_call(now, origin, state);
+        for call in self.calls_that(is_due) {
+            self.note_silent_target(now, call);
+            self.advance_forward(now, call);
+        }
+    }
+
+    fn note_silent_target(&mut self, now: Now, call: u64) {
+        let open_call = self.calls.open.get(&call);
+        let forward = open_call.and_then(|open_call| open_call.forward.as_ref());
+        let last = forward.and_then(|forward| forward.attempts.last());
+        let Some(silent) = last.filter(|attempt| !attempt.is_refused) else {
+            return;
+        };
+        let until = now.mono + self.settings.bounds.node_lost();
+        let node = silent.to.clone();
+        self.calls.silent_nodes.note_silence(&node, until);
+        self.count("forwards_without_answer", 1);
+    }
+
+    /// Forwards a repeatable call to the next node; answers it where none is left and none can answer any more.
+    fn advance_forward(&mut self, now: Now, call: u64) {
+        let Some(open_call) = self.calls.open.get_mut(&call) else {
+            return;
+        };
+        let Some(mut forward) = open_call.forward.take() else {
+            return;
+        };
+        let may_ask = forward.attempts.len() < MAX_ATTEMPTS;
+        let target = self
+            .pick_forward_target(now, &forward.attempts)
+            .filter(|_| may_ask);
+        match target {
+            Some(to) => {
+                let attempt = forward.attempts.len();
+                self.send_forward(call, attempt, &to, &forward.request);
+                forward.next_at = Some(now.mono + self.forward_retry_ms());
+                let is_refused = false;
+                forward.attempts.push(ForwardAttempt { to, is_refused });
+            }
+            None => forward.next_at = None,
+        }
+        let is_open = forward.is_open();
+        let Some(open_call) = self.calls.open.get_mut(&call) else {
+            return;
+        };
+        open_call.forward = Some(forward);
+        let waits_here = !matches!(open_call.state, CallState::ForwardedRepeatedly);
+        if !is_open && !waits_here {
+            self.note_unanswered(now, call);
+            let response = self.no_full_copy_response();
+            self.finish(call, response);
+        }
+    }
+
+    fn send_forward(&mut self, call: u64, attempt: usize, to: &str, request: &Request) {
         let forwarded = ForwardRequest {
-            token: self.request_token(call, 0),
+            token: self.request_token(call, attempt),
             method: request.method.clone(),
             path: request.path.clone(),
             query: request.query.clone(),
@@ -45,6 +177,16 @@
         self.send(to, Body::ForwardRequest(Box::new(forwarded)));
     }
 
+    /// Forwards a call to a node, once.
+    pub(super) fn forward_to(&mut self, now: Now, origin: Origin, to: &str, request: &Request) {
+        let state = CallState::ForwardedOnce {
+            to: to.into(),
+            path: request.path.clone(),
+        };
+        let call = self.open_call(now, origin, state);
+        self.send_forward(call, 0, to, request);
+    }
+
     pub(in crate::node) fn on_forward_request(
         &mut self,
         now: Now,
@@ -61,21 +203,50 @@
         self.on_call(now, origin, request);
     }
 
-    pub(in crate::node) fn on_forward_response(&mut self, from: &str, forwarded: ForwardResponse) {
+    pub(in crate::node) fn on_forward_response(
+        &mut self,
+        now: Now,
+        from: &str,
+        forwarded: ForwardResponse,
+    ) {
         let call = forwarded.token.number;
-        let open_call = self.calls.open.get(&call);
-        let is_expected = open_call.is_some_and(
-            |open_call| matches!(&open_call.state, CallState::Forwarded { to, .. } if to == from),
-        );
-        if !is_expected {
-            return self.count("responses_unexpected", 1);
-        }
-        let response = Response {
-            status: forwarded.status,
-            retry_ms: forwarded.retry_ms,
-            body: serde_json::from_slice(&forwarded.body).unwrap_or(Value::Null),
-            by: forwarded.by,
+        let attempt = forwarded.token.attempt as usize;
+        let open_call = self.calls.open.get_mut(&call);
+        let is_repeatable = match open_call {
+            Some(open_call) => open_call.take_forward_response(from, attempt, forwarded.status),
+            None => None,
         };
-        self.finish(call, response);
+        self.calls.silent_nodes.note_answer(from);
+        match is_repeatable {
+            None => self.count("responses_unexpected", 1),
+            Some(true) if forwarded.status == 503 => self.advance_forward(now, call),
+            Some(_) => self.finish(call, response_of(forwarded)),
+        }
+    }
+}
+
+impl OpenCall {
+    /// Notes the response of a node that the call was forwarded to; returns whether the call may be repeated, or
+    /// nothing where that node was not asked.
+    fn take_forward_response(&mut self, from: &str, attempt: usize, status: u16) -> Option<bool> {
+        if let CallState::ForwardedOnce { to, .. } = &self.state {
+            return (to == from).then_some(false);
+        }
+        let forward = self.forward.as_mut()?;
+        let attempt = forward.attempts.get_mut(attempt)?;
+        if attempt.to != from {
+            return None;
+        }
+        attempt.is_refused = status == 503;
+        Some(true)
+    }
+}
+
+fn response_of(forwarded: ForwardResponse) -> Response {
+    Response {
+        status: forwarded.status,
+        retry_ms: forwarded.retry_ms,
+        body: serde_json::from_slice(&forwarded.body).unwrap_or(Value::Null),
+        by: forwarded.by,
     }
 }
--- /dev/null
+++ b/landingdrift/src/node/calls/forward_targets.rs
@@ -0,0 +1,65 @@
+//! Which node a repeatable call is forwarded to: one that probably can answer it and has not just been silent.
+
+use super::forward::ForwardAttempt;
+use crate::node::Node;
+use crate::sans_io::Now;
+use std::collections::BTreeMap;
+
+/// The nodes that did not answer a forwarded call in time, until they are trusted again.
+#[derive(Default)]
+pub struct SilentNodes {
+    /// By address: until when, in monotonic milliseconds.
+    until: BTreeMap<String, u64>,
+}
+
+impl SilentNodes {
+    pub(super) fn note_silence(&mut self, node: &str, until: u64) {
+        self.until.insert(node.into(), until);
+    }
+
+    pub(super) fn note_answer(&mut self, node: &str) {
+        self.until.remove(node);
+    }
+
+    fn contains(&self, node: &str, now: Now) -> bool {
+        self.until.get(node).is_some_and(|until| now.mono < *until)
+    }
+}
+
+impl Node {
+    /// A node that a call was not forwarded to yet: lease holders first, since they have full copies of the cluster
+    /// state; then nodes that are alive, then peers, then seeds. Nodes that were silent lately come last.
+    pub(super) fn pick_forward_target(
+        &mut self,
+        now: Now,
+        attempts: &[ForwardAttempt],
+    ) -> Option<String> {
+        let mut fallback = Vec::new();
+        for group in self.forward_target_groups() {
+            let (silent, answering): (Vec<String>, Vec<String>) = group
+                .into_iter()
+                .filter(|node| *node != self.name && !node.is_empty())
+                .filter(|node| !attempts.iter().any(|attempt| attempt.to == *node))
+                .partition(|node| self.calls.silent_nodes.contains(node, now));
+            if let Some(picked) = self.rng.pick(&answering) {
+                return Some(picked.clone());
+            }
+            fallback.extend(silent);
+        }
+        self.rng.pick(&fallback).cloned()
+    }
+
+    /// The nodes that may answer, the likeliest group first.
+    fn forward_target_groups(&self) -> [Vec<String>; 4] {
+        let leases = self.state.leases.values();
+        let holders = leases.map(|lease| lease.holder.clone()).collect();
+        let nodes = self.state.nodes.iter();
+        let alive = nodes.filter(|(_, node)| node.alive);
+        let alive = alive.map(|(address, _)| address.clone()).collect();
+        let peers = self.peer_sampler.of_role("node");
+        let known_replicas = &self.peer_sampler.replicas;
+        let seeds = self.settings.seeds.iter();
+        let seeds = seeds.filter(|seed| !known_replicas.contains(*seed));
+        [holders, alive, peers, seeds.cloned().collect()]
+    }
+}
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -2,11 +2,12 @@
 //!
 //! - `jobs`, `routed_jobs`, `config`, `heartbeats` and `status` serve the routes,
 //! - `read` answers reads that must not be stale,
-//! - `forward` passes calls to other nodes,
+//! - `forward` passes calls to other nodes, which `forward_targets` picks,
 //! - `unanswered` notes the calls that end without an answer.
 
 mod config;
 mod forward;
+mod forward_targets;
 mod heartbeats;
 mod jobs;
 mod read;
@@ -19,6 +20,8 @@
 use crate::sans_io::{Effect, Now, Part, Request, Response};
 use crate::state::{ApplyResult, Command, Rejection};
 use crate::wire::{Body, ForwardResponse, NodeProgress, RequestToken};
+use forward::RepeatedForward;
+use forward_targets::SilentNodes;
 use read::ReadQuery;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -77,8 +80,10 @@
         received_at: u64,
         answer_by: u64,
     },
-    /// For the node that it was forwarded to.
-    Forwarded { to: String, path: String },
+    /// For the node that it was forwarded to, once.
+    ForwardedOnce { to: String, path: String },
+    /// For any of the nodes that it is forwarded to.
+    ForwardedRepeatedly,
 }
 
 /// A call that is not answered yet.
@@ -86,12 +91,17 @@
     origin: Origin,
     deadline: u64,
     state: CallState,
+    /// Other nodes that are asked to answer it, where it may be repeated.
+    forward: Option<RepeatedForward>,
 }
 
 /// The calls that are not answered yet, by number.
 #[derive(Default)]
 pub struct Calls {
     open: BTreeMap<u64, OpenCall>,
+    silent_nodes: SilentNodes,
+    /// When the next call without an answer may be logged, in monotonic milliseconds.
+    next_unanswered_line: u64,
 }
 
 impl Calls {
@@ -113,7 +123,7 @@
     Some(value)
 }
 
-/// Whether a call needs what a light copy of the cluster state does not have: jobs and workers.
+/// Whether a call, which may be repeated, needs what a light copy of the cluster state does not have: jobs and workers.
 fn needs_full_copy(method: &str, parts: &[&str]) -> bool {
     match method {
         "GET" => matches!(parts, ["v1", "jobs" | "status" | "workers", ..]),
@@ -149,7 +159,7 @@
             return self.reject_busy(&origin);
         }
         if self.light && needs_full_copy(&request.method, &parts) {
-            return self.forward_to_any_holder(now, origin, &request);
+            return self.forward_repeatable(now, origin, &request);
         }
         self.route(now, origin, request, &parts);
     }
@@ -244,6 +254,7 @@
             origin,
             deadline: now.mono + self.settings.bounds.call(),
             state,
+            forward: None,
         };
         self.calls.open.insert(call, open_call);
         call
@@ -288,6 +299,7 @@
         for call in self.calls_that(must_retry) {
             self.send_read_index(now, call, None);
         }
+        self.forwards_tick(now);
     }
 
     /// The open calls that meet a condition.
@@ -305,10 +317,10 @@
     fn overdue_response(&self, call: u64) -> Response {
         let open_call = self.calls.open.get(&call);
         let state = open_call.map(|open_call| &open_call.state);
-        if let Some(CallState::Forwarded { .. }) = state {
+        if let Some(CallState::ForwardedOnce { .. }) = state {
             return self.unsure_response();
         }
-        let why = "no core answered in time, so nothing sure can be said: come back later";
+        let why = "neither a core nor another node answered in time, so nothing sure can be said: come back later";
         Response::error(503, "noCore", why).retry(self.settings.bounds.back())
     }
 
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -2,7 +2,7 @@
 
 use super::{CallState, OpenCall, Origin};
 use crate::node::Node;
-use crate::sans_io::{Now, Response};
+use crate::sans_io::{Now, Request, Response};
 use crate::wire::{Body, NodeProgress, ReadIndexRequest, ReadIndexResponse};
 use serde_json::json;
 
@@ -20,6 +20,38 @@
     Workers,
 }
 
+impl ReadQuery {
+    /// Whether it needs what a light copy of the cluster state does not have: jobs and workers.
+    fn needs_full_copy(&self) -> bool {
+        match self {
+            Self::Job { .. } | Self::Jobs { .. } | Self::Status | Self::Workers => true,
+            Self::ClusterConfig | Self::Change { .. } => false,
+        }
+    }
+
+    /// The request by which another node is asked for the same.
+    pub(super) fn to_request(&self) -> Request {
+        let path = match self {
+            Self::Job { id } => format!("/v1/jobs/{id}"),
+            Self::Jobs { .. } => "/v1/jobs".into(),
+            Self::ClusterConfig => "/v1/desired".into(),
+            Self::Change { id } => format!("/v1/changes/{id}"),
+            Self::Status => "/v1/status".into(),
+            Self::Workers => "/v1/workers".into(),
+        };
+        let query = match self {
+            Self::Jobs { query } => query.clone(),
+            _ => String::new(),
+        };
+        Request {
+            method: "GET".into(),
+            path,
+            query,
+            ..Request::default()
+        }
+    }
+}
+
 /// A read that can be answered: this node has caught up to its read index.
 struct ReadyRead {
     call: u64,
@@ -35,6 +67,17 @@
 }
 
 impl CallState {
+    /// What a read asks for.
+    fn query(&self) -> Option<ReadQuery> {
+        match self {
+            Self::ReadIndexPending { query, .. } | Self::CatchingUp { query, .. } => {
+                Some(query.clone())
+            }
+            Self::PollPending { id, .. } => Some(ReadQuery::Job { id: id.clone() }),
+            _ => None,
+        }
+    }
+
     fn ready_read(&self, call: u64, applied_index: u64) -> Option<ReadyRead> {
         match self {
             Self::CatchingUp {
@@ -72,12 +115,17 @@
 impl Node {
     /// Answers a call with what the cluster state has, or something newer, at the time of the call.
     pub(super) fn read(&mut self, now: Now, origin: Origin, query: ReadQuery) {
+        let request = query.to_request();
         let state = CallState::ReadIndexPending {
             query,
             retry_at: now.mono,
             asked: Vec::new(),
         };
+        let is_local = matches!(origin, Origin::Local(_));
         let call = self.open_call(now, origin, state);
+        if is_local {
+            self.hedge(now, call, request);
+        }
         self.send_read_index(now, call, None);
     }
 
@@ -154,6 +202,22 @@
         self.watch.leader = self.rng.pick(&replicas).cloned().unwrap_or_default();
     }
 
+    /// Hands the reads over to other nodes that this one can't answer, as its copy has become a light one.
+    pub(in crate::node) fn hand_over_reads(&mut self, now: Now) {
+        if !self.light {
+            return;
+        }
+        let mut reads = Vec::new();
+        for (call, open_call) in &self.calls.open {
+            let query = open_call.state.query();
+            let query = query.filter(ReadQuery::needs_full_copy);
+            reads.extend(query.map(|query| (*call, query.to_request())));
+        }
+        for (call, request) in reads {
+            self.hand_over(now, call, request);
+        }
+    }
+
     /// Answers the reads whose read index this node has caught up to.
     pub(in crate::node) fn answer_ready_reads(&mut self) {
         let applied_index = self.state.applied_index;
--- a/landingdrift/src/node/calls/routed_jobs.rs
+++ b/landingdrift/src/node/calls/routed_jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs that are submitted by host and path: they go to the queue with that host and the longest matching prefix.
 
-use super::Origin;
+use super::{Origin, ReadQuery};
 use crate::config::Queue;
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
@@ -30,6 +30,9 @@
         let rest = request.path.strip_prefix(ROUTED_PREFIX).unwrap_or_default();
         let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
         if !self.fresh(now) || self.state.version == 0 {
+            if request.method == "GET" {
+                return self.forward_repeatable(now, origin, request);
+            }
             self.note_call_without_copy();
             let response = Response::error(503, "notReady", "this node has no configuration that is new enough, and took nothing: come back later, or go to another node");
             return self.reply(&origin, response.retry(self.settings.bounds.back()));
@@ -46,7 +49,7 @@
         let service = queue.service.clone();
         let id = path[queue.prefix.len()..].trim_matches('/').to_string();
         if self.light && request.method == "GET" {
-            return self.forward_to_any_holder(now, origin, request);
+            return self.forward_routed_read(now, origin, request, &id);
         }
         match (request.method.as_str(), id.as_str()) {
             ("GET", "") => {
@@ -66,6 +69,16 @@
         }
     }
 
+    /// Has another node answer a read. What asks for a job is forwarded by its id alone: the other node may not have the
+    /// configuration yet by which this one found the queue.
+    fn forward_routed_read(&mut self, now: Now, origin: Origin, request: &Request, id: &str) {
+        if id.is_empty() {
+            return self.forward_repeatable(now, origin, request);
+        }
+        let by_id = ReadQuery::Job { id: id.into() }.to_request();
+        self.forward_repeatable(now, origin, &by_id);
+    }
+
     /// How many jobs of a queue have not started.
     fn waiting(&self, queue: &str) -> usize {
         let open = self.state.open.iter();
--- a/landingdrift/src/node/calls/unanswered.rs
+++ b/landingdrift/src/node/calls/unanswered.rs
@@ -4,6 +4,9 @@
 use crate::node::Node;
 use crate::sans_io::Now;
 
+/// At most one line is logged in this time, in milliseconds; all calls are counted.
+const LINE_EVERY_MS: u64 = 250;
+
 impl CallState {
     /// What the call asks for.
     fn subject(&self) -> String {
@@ -13,7 +16,8 @@
                 format!("for {query:?}")
             }
             Self::PollPending { id, .. } => format!("for job {id}"),
-            Self::Forwarded { path, .. } => path.clone(),
+            Self::ForwardedOnce { path, .. } => path.clone(),
+            Self::ForwardedRepeatedly => String::new(),
         }
     }
 
@@ -30,9 +34,10 @@
                 format!("this node's copy to reach index {read_index}"),
             ),
             Self::PollPending { .. } => ("calls_unanswered_poll", "a fresh copy".into()),
-            Self::Forwarded { to, .. } => {
+            Self::ForwardedOnce { to, .. } => {
                 ("calls_unanswered_forward", format!("an answer of {to}"))
             }
+            Self::ForwardedRepeatedly => ("calls_unanswered_forward", "other nodes".into()),
         }
     }
 }
@@ -44,6 +49,10 @@
             return;
         };
         let (counter, waited_for) = open_call.state.waited_for();
+        if now.mono < self.calls.next_unanswered_line {
+            return self.count(counter, 1);
+        }
+        self.calls.next_unanswered_line = now.mono + LINE_EVERY_MS;
         let line = unanswered_line(open_call, &waited_for, now, self.settings.bounds.call());
         self.count(counter, 1);
         self.log(line);
@@ -53,8 +62,10 @@
 fn unanswered_line(open_call: &OpenCall, waited_for: &str, now: Now, call_ms: u64) -> String {
     let opened_at = open_call.deadline.saturating_sub(call_ms);
     let waited_ms = now.mono.saturating_sub(opened_at);
-    format!(
-        "call {} ends without an answer after {waited_ms} ms: it waited for {waited_for}",
-        open_call.state.subject()
-    )
+    let subject = open_call.state.subject();
+    let forwarded = match &open_call.forward {
+        Some(forward) => format!("; {} was forwarded to {}", forward.path(), forward.asked()),
+        None => String::new(),
+    };
+    format!("call {subject} ends without an answer after {waited_ms} ms: it waited for {waited_for}{forwarded}")
 }
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -205,7 +205,7 @@
             }
             Body::ForwardRequest(request) => self.on_forward_request(now, from, *request),
             Body::ForwardResponse(response) if self.is_own(&response.token) => {
-                self.on_forward_response(from, *response)
+                self.on_forward_response(now, from, *response)
             }
             Body::Hello(_) | Body::JoinCluster(_) => {}
             // To an earlier incarnation; `is_own` has counted them.
--- a/landingdrift/src/node/watch/entries.rs
+++ b/landingdrift/src/node/watch/entries.rs
@@ -32,6 +32,7 @@
     /// Does what a change of the cluster state gives cause for.
     pub(super) fn on_state_changed(&mut self, now: Now) {
         self.update_zone_schedulers(now);
+        self.hand_over_reads(now);
         self.answer_ready_reads();
         self.schedule(now);
         self.offer_all(now);
--- a/landingdrift/src/node/watch/mod.rs
+++ b/landingdrift/src/node/watch/mod.rs
@@ -16,6 +16,8 @@
 
 /// A replica that has not answered for so many request intervals is exchanged for another.
 const SILENT_INTERVALS: u64 = 4;
+/// The wait for a replica doubles each time that one was taken for silent which led nevertheless, up to so many times.
+const MAX_FALSE_ALARMS: u32 = 3;
 
 /// The cluster time as a replica told it, and when it did by this node's clock.
 #[derive(Clone, Copy, Default)]
@@ -34,6 +36,10 @@
     pub leader: String,
     pub next_watch_request: u64,
     pub last_response_at: u64,
+    /// The leader that was taken for silent last, until one is heard again; empty for none.
+    suspect: String,
+    /// How often the present leader was taken for silent without being so.
+    false_alarms: u32,
     clock: ClockReading,
     /// The snapshot that is being fetched.
     incoming: SnapshotAssembly,
@@ -50,6 +56,8 @@
             leader: String::new(),
             next_watch_request: 0,
             last_response_at: now.mono,
+            suspect: String::new(),
+            false_alarms: 0,
             clock: ClockReading::default(),
             incoming: SnapshotAssembly::default(),
             catch_up: CatchUp::new(now),
@@ -110,7 +118,8 @@
         };
         self.watch.next_watch_request = now.mono + interval_ms;
         let silent_for = now.mono.saturating_sub(self.watch.last_response_at);
-        if self.watch.replica.is_empty() || silent_for > SILENT_INTERVALS * interval_ms {
+        if self.watch.replica.is_empty() || silent_for > self.silence_limit(interval_ms) {
+            self.suspect_replica();
             self.switch_replica();
             self.watch.last_response_at = now.mono;
             self.watch.catch_up.replica_switches += 1;
@@ -123,6 +132,32 @@
         self.send(&replica, Body::WatchRequest(Box::new(request)));
     }
 
+    /// After how long a silence the replica is exchanged.
+    fn silence_limit(&self, interval_ms: u64) -> u64 {
+        (SILENT_INTERVALS * interval_ms) << self.watch.false_alarms
+    }
+
+    /// The replica is taken for silent. If it was the leader, it may yet turn out to be one.
+    fn suspect_replica(&mut self) {
+        if self.watch.replica == self.watch.leader {
+            self.watch.suspect = self.watch.replica.clone();
+        }
+    }
+
+    /// A replica that leads was heard.
+    fn note_leader(&mut self, now: Now, leader: &str) {
+        if self.watch.leader != leader {
+            self.watch.false_alarms = 0;
+        } else if self.watch.suspect == leader {
+            // It was not silent: what it sent was long on its way.
+            self.watch.false_alarms = (self.watch.false_alarms + 1).min(MAX_FALSE_ALARMS);
+        }
+        self.watch.suspect.clear();
+        self.watch.replica = leader.into();
+        self.watch.leader = leader.into();
+        self.watch.last_response_at = now.mono;
+    }
+
     fn watch_request(&self, now: Now) -> WatchRequest {
         let leaving = self.stopping.is_some();
         let clock_known = self.watch.clock_known();
@@ -193,9 +228,7 @@
         if !batch.ok {
             return self.on_watch_refused(now, from, batch);
         }
-        self.watch.replica = from.into();
-        self.watch.leader = from.into();
-        self.watch.last_response_at = now.mono;
+        self.note_leader(now, from);
         self.watch.catch_up.batches += 1;
         let mut changed = self.install_snapshot_of(&batch);
         changed |= self.apply_entries(&batch);
--- a/landingdrift/src/node/watch/snapshot.rs
+++ b/landingdrift/src/node/watch/snapshot.rs
@@ -24,11 +24,9 @@
         from: &str,
         chunk: &WatchSnapshotChunk,
     ) {
-        let is_needed = chunk.index > self.state.applied_index
-            || chunk.commit < self.state.applied_index
-            || chunk.light != self.light;
         self.watch.catch_up.chunks += 1;
-        if from != self.watch.replica || !is_needed {
+        self.note_leader(now, from);
+        if !self.needs_chunk(chunk) {
             return self.note_unused_chunk();
         }
         let received_before = self.watch.incoming.received();
@@ -58,11 +56,19 @@
                 }
             }
         }
-        self.watch.last_response_at = now.mono;
         self.watch.next_watch_request = now.mono;
         self.watch_tick(now);
     }
 
+    /// Whether a chunk is of a snapshot that this node needs. A copy goes back, or becomes one of the other kind, only
+    /// by a chunk that answers a request which this very copy made: others were overtaken on their way.
+    fn needs_chunk(&self, chunk: &WatchSnapshotChunk) -> bool {
+        let applied = self.state.applied_index;
+        let starts_over = chunk.commit < applied || chunk.light != self.light;
+        let is_newer = chunk.index > applied;
+        is_newer || (starts_over && chunk.requested_from == applied)
+    }
+
     fn note_unused_chunk(&mut self) {
         self.watch.catch_up.unused_chunks += 1;
         self.count("watch_chunks_unused", 1);
@@ -72,6 +78,10 @@
     fn install_snapshot(&mut self, bytes: &[u8], light: bool) -> bool {
         match ClusterState::unpack(bytes) {
             Ok(state) => {
+                if state.applied_index < self.state.applied_index {
+                    // What follows has to come before callers see a state older than before.
+                    self.watch.has_snapshot = false;
+                }
                 self.state = state;
                 self.light = light;
                 self.count("watch_snapshots", 1);
--- a/landingdrift/src/snapshot_chunks/mod.rs
+++ b/landingdrift/src/snapshot_chunks/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::sans_io::Snapshot;
 
-/// The bytes of one chunk: small enough that a heartbeat behind it is not late on a narrow link.
+/// The most bytes of one chunk.
 pub const CHUNK_BYTES: usize = 256 << 10;
 /// No snapshot is taken that says it is longer.
 pub const LONGEST_SNAPSHOT: u64 = 1 << 30;
@@ -44,10 +44,15 @@
         self.identity
     }
 
-    /// The chunk that starts at an offset; empty behind the end.
+    /// The largest chunk that starts at an offset; empty behind the end.
     pub fn chunk(&self, offset: u64) -> &[u8] {
+        self.chunk_of(offset, CHUNK_BYTES)
+    }
+
+    /// The chunk of at most so many bytes that starts at an offset; empty behind the end.
+    pub fn chunk_of(&self, offset: u64, max_bytes: usize) -> &[u8] {
         let from = (offset as usize).min(self.bytes.len());
-        let to = (from + CHUNK_BYTES).min(self.bytes.len());
+        let to = (from + max_bytes.min(CHUNK_BYTES)).min(self.bytes.len());
         &self.bytes[from..to]
     }
 
--- /dev/null
+++ b/landingdrift/tests/forwarded_reads.rs
@@ -0,0 +1,216 @@
+//! Reads that a node can't answer itself: other nodes are asked, one after the other, until one answers.
+
+mod node_harness;
+
+use landingdrift::sans_io::{Effect, Msg, Part, Request, Response};
+use landingdrift::settings::Bounds;
+use landingdrift::state::Command;
+use landingdrift::wire::{Body, ForwardRequest, ForwardResponse, ReadIndexResponse};
+use node_harness::{NodeHarness, NODE, REPLICA};
+use serde_json::json;
+
+const HOLDERS: [&str; 3] = ["10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"];
+const CALL: u64 = 1000;
+
+/// A node with a light copy, beside three nodes that hold leases.
+fn light_node() -> NodeHarness {
+    let mut harness = NodeHarness::new();
+    for (index, holder) in HOLDERS.into_iter().enumerate() {
+        harness.append(Command::RegisterNode {
+            node: holder.into(),
+            zone: "z".into(),
+            http: holder.into(),
+        });
+        let lease = ["cell/z", "queue/q", "cell/y"][index];
+        let known = harness.state.leases.get(lease);
+        let from_epoch = known.map_or(0, |lease| lease.epoch);
+        harness.append(Command::GrantLease {
+            lease: lease.into(),
+            holder: holder.into(),
+            from_epoch,
+        });
+    }
+    harness.accept("j", 1);
+    harness.follow_light();
+    harness
+}
+
+fn ask(harness: &mut NodeHarness, path: &str) -> Vec<Effect> {
+    let request = Request {
+        method: "GET".into(),
+        path: path.into(),
+        ..Request::default()
+    };
+    let now = harness.now();
+    harness.node.step(now, Msg::Call(CALL, request))
+}
+
+fn forwarded(effects: &[Effect]) -> Vec<(String, ForwardRequest)> {
+    let forwarded = effects.iter().filter_map(|effect| match effect {
+        Effect::Send(to, Body::ForwardRequest(request)) => Some((to.clone(), (**request).clone())),
+        _ => None,
+    });
+    forwarded.collect()
+}
+
+fn answer(effects: &[Effect]) -> Option<Response> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Answer(CALL, response) => Some(response.clone()),
+        _ => None,
+    })
+}
+
+/// A node answers what was forwarded to it.
+fn respond(
+    harness: &mut NodeHarness,
+    from: &str,
+    request: &ForwardRequest,
+    status: u16,
+) -> Vec<Effect> {
+    let response = ForwardResponse {
+        token: request.token,
+        status,
+        retry_ms: 0,
+        body: serde_json::to_vec(&json!({"state": "running", "error": "busy"})).expect("JSON"),
+        by: from.into(),
+    };
+    let now = harness.now();
+    let body = Body::ForwardResponse(Box::new(response));
+    harness.node.step(now, Msg::Wire(from.into(), body))
+}
+
+/// Lets time pass while the copy stays fresh; returns all effects.
+fn pass(harness: &mut NodeHarness, ms: u64) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    let until = harness.elapsed_ms + ms;
+    while harness.elapsed_ms < until {
+        harness.elapsed_ms += 20;
+        effects.extend(harness.follow_light());
+        let now = harness.now();
+        effects.extend(harness.node.step(now, Msg::Tick));
+    }
+    effects
+}
+
+#[test]
+fn a_read_that_one_node_refuses_is_forwarded_to_another_at_once() {
+    let mut harness = light_node();
+    let first = forwarded(&ask(&mut harness, "/v1/jobs/j"));
+    let (to, request) = first.first().expect("it is forwarded").clone();
+    let effects = respond(&mut harness, &to, &request, 503);
+    assert_eq!(answer(&effects), None, "another node may know");
+    let second = forwarded(&effects);
+    let (other, request) = second.first().expect("it is forwarded again").clone();
+    assert_ne!(other, to);
+    let effects = respond(&mut harness, &other, &request, 200);
+    assert_eq!(answer(&effects).map(|response| response.status), Some(200));
+}
+
+#[test]
+fn a_read_that_one_node_is_silent_on_is_forwarded_to_another_in_time() {
+    let mut harness = light_node();
+    let first = forwarded(&ask(&mut harness, "/v1/jobs/j"));
+    let (silent, _) = first.first().expect("it is forwarded").clone();
+    let later = forwarded(&pass(&mut harness, Bounds::default().call() / 2));
+    let (other, request) = later.first().expect("it is forwarded again").clone();
+    assert_ne!(other, silent);
+    let effects = respond(&mut harness, &other, &request, 200);
+    assert_eq!(answer(&effects).map(|response| response.status), Some(200));
+    // The next read does not begin with the node that was silent.
+    let next = forwarded(&ask(&mut harness, "/v1/jobs/j"));
+    assert_ne!(next[0].0, silent);
+}
+
+#[test]
+fn a_late_answer_of_the_first_node_is_as_good() {
+    let mut harness = light_node();
+    let first = forwarded(&ask(&mut harness, "/v1/jobs/j"));
+    let (late, request) = first.first().expect("it is forwarded").clone();
+    pass(&mut harness, Bounds::default().call() / 2);
+    let effects = respond(&mut harness, &late, &request, 200);
+    assert_eq!(answer(&effects).map(|response| response.status), Some(200));
+}
+
+#[test]
+fn a_read_that_all_nodes_refuse_is_answered_at_once() {
+    let mut harness = light_node();
+    let mut effects = ask(&mut harness, "/v1/jobs/j");
+    for _ in 0..20 {
+        let Some((to, request)) = forwarded(&effects).first().cloned() else {
+            break;
+        };
+        effects = respond(&mut harness, &to, &request, 503);
+    }
+    let last = answer(&effects).expect("an answer");
+    assert_eq!(last.status, 503);
+    assert!(last.retry_ms > 0, "it says when to come back");
+}
+
+#[test]
+fn a_read_that_was_forwarded_is_not_forwarded_on() {
+    let mut harness = light_node();
+    let first = forwarded(&ask(&mut harness, "/v1/jobs/j"));
+    let (_, request) = first.first().expect("it is forwarded").clone();
+    let now = harness.now();
+    let body = Body::ForwardRequest(Box::new(request));
+    let effects = harness.node.step(now, Msg::Wire(HOLDERS[0].into(), body));
+    assert!(forwarded(&effects).is_empty(), "{effects:?}");
+}
+
+#[test]
+fn a_read_that_waits_while_the_copy_becomes_light_is_never_answered_as_unknown() {
+    let mut harness = light_node();
+    // A process that has just started has no copy, and does not know yet that it will be a light one.
+    let settings = landingdrift::settings::Settings {
+        listen: NODE.into(),
+        http: NODE.into(),
+        zone: "z".into(),
+        seeds: vec![REPLICA.into()],
+        ..landingdrift::settings::Settings::default()
+    };
+    harness.node = landingdrift::node::Node::new(settings, harness.now(), 2);
+    let effects = ask(&mut harness, "/v1/jobs/j");
+    let read_index = effects.iter().find_map(|effect| match effect {
+        Effect::Send(to, Body::ReadIndexRequest(request)) => Some((to.clone(), request.token)),
+        _ => None,
+    });
+    let (replica, token) = read_index.expect("a replica is asked for the read index");
+    let response = ReadIndexResponse {
+        token,
+        ok: true,
+        log_index: harness.state.applied_index,
+        leader: REPLICA.into(),
+        nodes: Vec::new(),
+    };
+    let now = harness.now();
+    let body = Body::ReadIndexResponse(Box::new(response));
+    harness.node.step(now, Msg::Wire(replica, body));
+    let effects = harness.follow_light();
+    let status = answer(&effects).map(|response| response.status);
+    assert_ne!(
+        status,
+        Some(404),
+        "a light copy does not know which jobs there are"
+    );
+    assert!(!forwarded(&effects).is_empty(), "{effects:?}");
+}
+
+#[test]
+fn a_node_without_a_copy_has_other_nodes_answer_a_read_by_host_and_path() {
+    let mut harness = light_node();
+    harness.elapsed_ms += 10 * Bounds::default().fresh();
+    let effects = ask(&mut harness, "/v1/at/host.example/jobs/j");
+    assert_eq!(answer(&effects), None, "another node may have a copy");
+    assert!(!forwarded(&effects).is_empty(), "{effects:?}");
+}
+
+#[test]
+fn a_read_of_the_configuration_that_waits_for_the_copy_is_answered_by_another_node() {
+    let mut harness = light_node();
+    let effects = ask(&mut harness, "/v1/desired");
+    assert!(forwarded(&effects).is_empty(), "it tries itself first");
+    let later = forwarded(&pass(&mut harness, Bounds::default().call() / 2));
+    let (to, request) = later.first().expect("it is forwarded").clone();
+    let effects = respond(&mut harness, &to, &request, 200);
+    assert_eq!(answer(&effects).map(|response| response.status), Some(200));
+}
--- a/landingdrift/tests/stored/messages.rs
+++ b/landingdrift/tests/stored/messages.rs
@@ -204,6 +204,7 @@
         total: 5,
         checksum: 6,
         bytes: vec![7, 8],
+        requested_from: 0,
     };
     vec![
         Body::Shuffle(Box::new(shuffle)),
--- a/testkit/src/simulator/world/observe.rs
+++ b/testkit/src/simulator/world/observe.rs
@@ -24,8 +24,7 @@
         }
         if self.now.is_multiple_of(READY_EVERY_MS) {
             let processes = 0..self.processes.len();
-            let any_node = self.scenario.clients_call_any_node;
-            let ready = processes.filter(|number| !any_node && self.is_ready_node(*number));
+            let ready = processes.filter(|number| self.takes_clients(*number));
             let ready = ready.map(|number| self.processes[number].address.clone());
             self.client.ready_nodes = ready.collect();
         }
@@ -75,6 +74,16 @@
             && !self.blocked.contains(&(other, one))
     }
 
+    /// Whether the platform steers clients to a process: a node that is ready, or any node that runs.
+    fn takes_clients(&self, number: usize) -> bool {
+        let process = &self.processes[number];
+        if self.scenario.clients_call_any_node {
+            process.is_node() && process.is_awake()
+        } else {
+            self.is_ready_node(number)
+        }
+    }
+
     fn is_ready_node(&self, number: usize) -> bool {
         let process = &self.processes[number];
         let node = process.node().filter(|_| !process.is_frozen);
