Large answers are not asked of two nodes at once; large proposals get time; a proxy role

A read of the configuration that waits for the copy was handed to a further node every sixth of bounds.call() by the mend of reads itself: several answers of 400 kB on a link of 2 Mbit/s. A proposal of a large configuration was sent again every five heartbeats, however narrow the link. A read index was asked of the same silent replica again.

Change: no second node is asked for a large answer before the first has refused; a proposal is sent again only after the time that its bytes take; a read index is asked of another replica after a silence. The command line has the role proxy, so that fleets of real processes can have worker proxies.

--- a/landingdrift/src/consensus/watch_flow.rs
+++ b/landingdrift/src/consensus/watch_flow.rs
@@ -1,12 +1,11 @@
 //! Flow control towards the nodes that follow the log: what is on its way to a node is not sent again before it can
 //! have arrived, however narrow the node's link is, and each repetition waits twice as long as the last.
 
+use crate::sans_io::transfer_ms;
 use crate::settings::Bounds;
 
 /// What is sent waits this many heartbeats for its acknowledgement, beside the time that its bytes take.
 const ACK_HEARTBEATS: u64 = 2;
-/// Links are assumed to carry at least so many bytes in a millisecond; narrower ones cost repetitions.
-const SLOWEST_LINK_BYTES_PER_MS: u64 = 128;
 /// The wait doubles with each repetition, up to so many times.
 const MAX_DOUBLINGS: u32 = 5;
 /// A chunk that is acknowledged later than this is followed by a smaller one.
@@ -60,8 +59,7 @@
 
     /// Whether it may still be on its way.
     pub fn is_in_flight(&self, now_ms: u64, bounds: &Bounds) -> bool {
-        let transfer_ms = self.bytes / SLOWEST_LINK_BYTES_PER_MS;
-        let usual_ms = ACK_HEARTBEATS * bounds.heartbeat() + transfer_ms;
+        let usual_ms = ACK_HEARTBEATS * bounds.heartbeat() + transfer_ms(self.bytes);
         let wait_ms = usual_ms << self.repetitions.min(MAX_DOUBLINGS);
         now_ms < self.sent_at + wait_ms
     }
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -1,4 +1,4 @@
-//! The commands that run a replica or a node as a process of its own.
+//! The commands that run a replica, a node or a worker proxy as a process of its own.
 
 use super::error::ProcessError;
 use super::process::Process;
@@ -6,6 +6,7 @@
 use crate::node::Node;
 use crate::sans_io::roles::Role;
 use crate::settings::{from_arguments, Settings, FLAGS};
+use crate::worker_proxy::WorkerProxy;
 use std::ffi::OsString;
 use std::time::Duration;
 
@@ -14,8 +15,12 @@
 /// The role of a process that runs a node.
 const NODE: &str = "node";
 
+/// The role of a process that runs a worker proxy.
+const PROXY: &str = "proxy";
+
 inventory::submit! { Role { name: CORE, summary: "keeps the record on disk, with two others", run: run_replica } }
 inventory::submit! { Role { name: NODE, summary: "serves callers, workers and operators; places jobs", run: run_node } }
+inventory::submit! { Role { name: PROXY, summary: "beside a worker: passes its calls to the node of its zone", run: run_worker_proxy } }
 
 fn run_replica(arguments: Vec<OsString>) -> i32 {
     run(CORE, arguments)
@@ -25,6 +30,10 @@
     run(NODE, arguments)
 }
 
+fn run_worker_proxy(arguments: Vec<OsString>) -> i32 {
+    run(PROXY, arguments)
+}
+
 fn usage(role: &str) {
     crate::outln!("landingdrift {role} [flags]\n\nFlags win over the settings file.\n");
     for (flag, help) in FLAGS {
@@ -66,12 +75,17 @@
 ) -> Result<i32, ProcessError> {
     let is_replica = role == CORE;
     let mut process = Process::start(&settings.log)?;
-    let part = if is_replica {
-        process.replica(&settings)?
-    } else {
-        let (seed, now) = (process.seed(&settings.listen), process.now());
-        let node = Node::new(settings.clone(), now, seed);
-        process.part(Box::new(node), &settings)?
+    let (seed, now) = (process.seed(&settings.listen), process.now());
+    let part = match role {
+        CORE => process.replica(&settings)?,
+        PROXY => {
+            let proxy = WorkerProxy::new(settings.clone(), seed);
+            process.part(Box::new(proxy), &settings)?
+        }
+        _ => {
+            let node = Node::new(settings.clone(), now, seed);
+            process.part(Box::new(node), &settings)?
+        }
     };
     let addr = settings
         .http
--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -1,8 +1,8 @@
 //! Calls that another node answers.
 //!
 //! A call that may be repeated is forwarded to one node after the other until one answers: at once where a node
-//! refuses, after a while where it is silent. Any other call is forwarded once, and its outcome is unknown if no
-//! response comes.
+//! refuses, and after a while where it is silent, unless its answer may be large and still on its way. Any other call
+//! is forwarded once, and its outcome is unknown if no response comes.
 
 use super::{CallState, OpenCall, Origin};
 use crate::node::Node;
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Whether the answer is small: a large one fills a narrow link, so no second node is asked for it while a first one
+    /// may be sending it.
+    fn has_small_answer(&self) -> bool {
+        let path = self.request.path.as_str();
+        let large = ["/v1/desired", "/v1/status", "/v1/workers", "/v1/jobs"];
+        !large.contains(&path.trim_end_matches('/'))
+    }
+
     /// Whether some node may still answer.
     fn is_open(&self) -> bool {
         self.next_at.is_some() || self.attempts.iter().any(|attempt| !attempt.is_refused)
@@ -146,7 +154,8 @@
             Some(to) => {
                 let attempt = forward.attempts.len();
                 self.send_forward(call, attempt, &to, &forward.request);
-                forward.next_at = Some(now.mono + self.forward_retry_ms());
+                let retry_at = now.mono + self.forward_retry_ms();
+                forward.next_at = forward.has_small_answer().then_some(retry_at);
                 let is_refused = false;
                 forward.attempts.push(ForwardAttempt { to, is_refused });
             }
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -131,7 +131,12 @@
 
     /// Asks a replica for the read index; `leader_hint` is the leader that a replica has just named.
     pub(super) fn send_read_index(&mut self, now: Now, call: u64, leader_hint: Option<String>) {
-        let to = self.replica_to_ask(leader_hint);
+        let open_call = self.calls.open.get(&call);
+        let last_asked = match open_call.map(|open_call| &open_call.state) {
+            Some(CallState::ReadIndexPending { asked, .. }) => asked.last().cloned(),
+            _ => return,
+        };
+        let to = self.likely_leader(leader_hint, last_asked.unwrap_or_default());
         let retry_after = RETRY_HEARTBEATS * self.settings.bounds.heartbeat();
         let open_call = self.calls.open.get_mut(&call);
         let Some(OpenCall {
@@ -151,18 +156,6 @@
         self.send(&to, Body::ReadIndexRequest(Box::new(request)));
     }
 
-    /// The leader that was named, else the one that the watch knows, else any replica.
-    fn replica_to_ask(&mut self, leader_hint: Option<String>) -> String {
-        if let Some(named) = leader_hint.filter(|named| !named.is_empty()) {
-            return named;
-        }
-        if !self.watch.leader.is_empty() {
-            return self.watch.leader.clone();
-        }
-        let replicas = self.replicas();
-        self.rng.pick(&replicas).cloned().unwrap_or_default()
-    }
-
     pub(in crate::node) fn on_read_index_response(
         &mut self,
         now: Now,
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -2,7 +2,7 @@
 
 use super::calls::ProposedCall;
 use super::Node;
-use crate::sans_io::{Now, Response};
+use crate::sans_io::{transfer_ms, Now, Response};
 use crate::state::{unpack_apply_result, ApplyResult, Command, Order, ProposalId};
 use crate::wire::{Body, ProposeRequest, ProposeResponse, RequestToken};
 
@@ -11,7 +11,8 @@
 /// A proposal is sent on to a named leader at once only for its first attempts: replicas that disagree on who leads
 /// would pass it round for ever otherwise.
 const MAX_REDIRECTS: usize = 7;
-/// An idempotent proposal without a response is sent again after so many heartbeats.
+/// An idempotent proposal without a response is sent again after so many heartbeats, beside the time that its bytes take
+/// on a narrow link.
 const RESEND_AFTER_HEARTBEATS: u64 = 5;
 
 /// One attempt of a proposal to reach a replica.
@@ -99,7 +100,8 @@
         let send_again = match last.outcome {
             AttemptOutcome::Rejected => now.mono >= last.sent_at + heartbeat_ms / 4,
             AttemptOutcome::Unanswered => {
-                let overdue_at = last.sent_at + RESEND_AFTER_HEARTBEATS * heartbeat_ms;
+                let patience_ms = RESEND_AFTER_HEARTBEATS * heartbeat_ms + self.transfer_ms();
+                let overdue_at = last.sent_at + patience_ms;
                 self.idempotent && now.mono >= overdue_at
             }
         };
@@ -110,6 +112,14 @@
         }
     }
 
+    /// How long its bytes take on the narrowest link.
+    fn transfer_ms(&self) -> u64 {
+        match &self.command {
+            PackedCommand::Ready(bytes) => transfer_ms(bytes.len() as u64),
+            PackedCommand::AwaitsClusterTime(_) => 0,
+        }
+    }
+
     /// Whether some replica may have appended it.
     pub fn may_be_appended(&self) -> bool {
         self.attempts
@@ -186,7 +196,11 @@
     }
 
     /// The leader that was named, else the one that the watch knows, else any replica but the one that was asked last.
-    fn likely_leader(&mut self, leader_hint: Option<String>, last_asked: String) -> String {
+    pub(super) fn likely_leader(
+        &mut self,
+        leader_hint: Option<String>,
+        last_asked: String,
+    ) -> String {
         if let Some(named) = leader_hint.filter(|named| !named.is_empty()) {
             return named;
         }
--- a/landingdrift/tests/forwarded_reads.rs
+++ b/landingdrift/tests/forwarded_reads.rs
@@ -2,8 +2,9 @@
 
 mod node_harness;
 
+use landingdrift::node::Node;
 use landingdrift::sans_io::{Effect, Msg, Part, Request, Response};
-use landingdrift::settings::Bounds;
+use landingdrift::settings::{Bounds, Settings};
 use landingdrift::state::Command;
 use landingdrift::wire::{Body, ForwardRequest, ForwardResponse, ReadIndexResponse};
 use node_harness::{NodeHarness, NODE, REPLICA};
@@ -35,6 +36,16 @@
     harness
 }
 
+fn settings_of_node() -> Settings {
+    Settings {
+        listen: NODE.into(),
+        http: NODE.into(),
+        zone: "z".into(),
+        seeds: vec![REPLICA.into()],
+        ..Settings::default()
+    }
+}
+
 fn ask(harness: &mut NodeHarness, path: &str) -> Vec<Effect> {
     let request = Request {
         method: "GET".into(),
@@ -161,14 +172,7 @@
 fn a_read_that_waits_while_the_copy_becomes_light_is_never_answered_as_unknown() {
     let mut harness = light_node();
     // A process that has just started has no copy, and does not know yet that it will be a light one.
-    let settings = landingdrift::settings::Settings {
-        listen: NODE.into(),
-        http: NODE.into(),
-        zone: "z".into(),
-        seeds: vec![REPLICA.into()],
-        ..landingdrift::settings::Settings::default()
-    };
-    harness.node = landingdrift::node::Node::new(settings, harness.now(), 2);
+    harness.node = Node::new(settings_of_node(), harness.now(), 2);
     let effects = ask(&mut harness, "/v1/jobs/j");
     let read_index = effects.iter().find_map(|effect| match effect {
         Effect::Send(to, Body::ReadIndexRequest(request)) => Some((to.clone(), request.token)),
@@ -214,3 +218,40 @@
     let effects = respond(&mut harness, &to, &request, 200);
     assert_eq!(answer(&effects).map(|response| response.status), Some(200));
 }
+
+#[test]
+fn a_large_answer_is_asked_of_a_second_node_only_once_the_first_has_refused() {
+    let mut harness = light_node();
+    let first = forwarded(&ask(&mut harness, "/v1/status"));
+    let (to, request) = first.first().expect("it is forwarded").clone();
+    let later = forwarded(&pass(&mut harness, Bounds::default().call() / 2));
+    assert!(later.is_empty(), "the answer may still be on its way");
+    let effects = respond(&mut harness, &to, &request, 503);
+    assert!(!forwarded(&effects).is_empty(), "{effects:?}");
+}
+
+#[test]
+fn a_replica_that_is_silent_on_a_read_index_is_not_asked_twice_in_a_row() {
+    let mut harness = light_node();
+    let settings = Settings {
+        seeds: vec![REPLICA.into(), "10.0.0.9:1".into()],
+        ..settings_of_node()
+    };
+    harness.node = Node::new(settings, harness.now(), 2);
+    harness.follow();
+    let mut effects = ask(&mut harness, "/v1/jobs/unknown");
+    for _ in 0..60 {
+        harness.elapsed_ms += 20;
+        let now = harness.now();
+        effects.extend(harness.node.step(now, Msg::Tick));
+    }
+    let asked: Vec<&String> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send(to, Body::ReadIndexRequest(_)) => Some(to),
+            _ => None,
+        })
+        .collect();
+    assert!(asked.len() >= 2, "{asked:?}");
+    assert!(asked.windows(2).all(|two| two[0] != two[1]), "{asked:?}");
+}
