Fleet and soak: small nodes, worker proxies, graceful stops beside the load, every job asked for

The classes of machines of the users' sites are in the fleet of real processes: nodes with little of a processor, and worker proxies. Links are as fast as this machine's: no way to narrow them for a real process is used here.

--- a/testkit/src/cli/fleet.rs
+++ b/testkit/src/cli/fleet.rs
@@ -27,6 +27,8 @@
     let mut faults = vec![kill(seconds * 300, "leader"), kill(seconds * 600, "node:1")];
     let mut doomed_share = 0.0;
     let mut lease_ms = 0;
+    let mut node_classes = Vec::new();
+    let (mut has_worker_proxies, mut clients_call_any_node) = (false, false);
     if let Some(file) = arguments.text("scenario") {
         let scenario = Scenario::load(file).map_err(|error| error.to_string())?;
         shape = scenario.shape;
@@ -34,6 +36,9 @@
         faults = scenario.faults;
         doomed_share = scenario.doomed_share;
         lease_ms = scenario.lease_ms;
+        node_classes = scenario.node_classes;
+        has_worker_proxies = scenario.has_worker_proxies;
+        clients_call_any_node = scenario.clients_call_any_node;
     }
     let own_folder = format!("landingdrift-fleet-{}", std::process::id());
     let own_folder = std::env::temp_dir().join(own_folder);
@@ -44,6 +49,9 @@
         jobs_per_second: arguments.number("rate", 0)? as f64,
         doomed_share,
         lease_ms,
+        node_classes,
+        has_worker_proxies,
+        clients_call_any_node,
         program: arguments
             .text("program")
             .map_or_else(program, PathBuf::from),
--- a/testkit/src/cli/mod.rs
+++ b/testkit/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod measure;
 mod run;
 mod scale;
+mod soak;
 mod sweep;
 
 pub(crate) use arguments::Arguments;
@@ -39,6 +40,10 @@
   fleet [--shape odvoza|gunasekera] [--seconds N] [--settle N] [--rate N] [--folder DIR]
         [--program FILE] [--scenario FILE] [--history FILE]
                                                  real processes on this machine; a leader and a node are killed midway
+  soak [--from N] [--seeds N] [--seconds N] [--faults N] [--small N] [--folder DIR] [--program FILE]
+                                                 days on real processes, one a seed: signals, restarts, crashes and
+                                                 changes of configuration, in series and overlapping; --small adds so
+                                                 many nodes with little processor; logs of failing seeds are kept
   measure [--shape S] [--seeds N] [--seconds N] [--load U,..] [--beta B,..] [--vary NAME=VALUE,..]
                                                  admission against FIFO and SRPT with best-effort copies
   capacity [--sizes N,N,N] [--warm SECONDS] [--seconds N] [--seed N]
@@ -97,6 +102,7 @@
         Some("measure") => measure::run(arguments),
         Some("capacity") => capacity::run(arguments),
         Some("scale") => scale::run(arguments),
+        Some("soak") => soak::run(arguments),
         Some(other) => Err(format!("no command is called '{other}'")),
         None => Err("no command was given".into()),
     }
--- a/testkit/src/fakes/client.rs
+++ b/testkit/src/fakes/client.rs
@@ -316,6 +316,13 @@
         }
     }
 
+    /// Accepted jobs that it asks for and has no final answer about.
+    pub fn unanswered(&self) -> Vec<String> {
+        let jobs = self.jobs.iter();
+        let unanswered = jobs.filter(|(_, job)| job.is_accepted && job.stage != Stage::Ended);
+        unanswered.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Jobs that have not ended yet, as far as it knows.
     pub fn waiting(&self) -> usize {
         let jobs = self.jobs.values();
--- a/testkit/src/fleet/drive.rs
+++ b/testkit/src/fleet/drive.rs
@@ -87,6 +87,13 @@
     target: usize,
 }
 
+/// A process that was asked to stop.
+struct Stopping {
+    process: usize,
+    /// When it is killed if it has not ended, in milliseconds since the day's start.
+    kill_at_ms: u64,
+}
+
 /// A fleet's day under way.
 struct Day<'a> {
     options: &'a Options,
@@ -99,6 +106,11 @@
     operator: Operator,
     rng: Rng,
     repairs: Vec<Repair>,
+    stopping: Vec<Stopping>,
+    /// What was seen to be wrong beside what the history tells.
+    violations: Vec<Violation>,
+    /// Every job has been asked for once more after the load.
+    has_asked_again: bool,
     /// Processes that are killed or stand still.
     down: BTreeSet<usize>,
     http: Http,
@@ -140,7 +152,10 @@
     }
 
     fn start_worker(&mut self, index: usize) {
-        let nodes = self.fleet.nodes();
+        let nodes = match self.fleet.worker_proxies().get(index) {
+            Some(proxy) => vec![proxy.clone()],
+            None => self.fleet.nodes(),
+        };
         let seed = self.rng.number();
         let slot = &mut self.workers[index];
         slot.incarnation += 1;
@@ -198,8 +213,10 @@
             while let Some(fault) = faults.pop_front_if(|fault| fault.at_ms <= now) {
                 self.strike(&fault);
             }
+            self.reap_stopping();
             self.heal_due(now, is_calm)?;
-            let has_faults = !faults.is_empty() || !self.repairs.is_empty();
+            let has_faults =
+                !faults.is_empty() || !self.repairs.is_empty() || !self.stopping.is_empty();
             if now >= load_ms && !has_faults && !is_calm {
                 is_calm = true;
                 self.end_load();
@@ -212,6 +229,10 @@
             while let Ok(answer) = answers.try_recv() {
                 self.handle_answer(&answer);
             }
+            if is_calm && self.is_settled() && !self.has_asked_again {
+                self.has_asked_again = true;
+                self.client.poll_all(now);
+            }
             if is_calm && (self.is_settled() || now >= end_ms) {
                 break;
             }
@@ -230,7 +251,11 @@
 
     /// Heals what is due; once the load has ended, all.
     fn heal_due(&mut self, now: u64, is_calm: bool) -> Result<(), FleetError> {
-        let is_due = |repair: &mut Repair| repair.due_ms <= now || is_calm;
+        let stopping = &self.stopping;
+        let is_due = |repair: &mut Repair| {
+            let waits = stopping.iter().any(|s| s.process == repair.target);
+            !waits && (repair.due_ms <= now || is_calm)
+        };
         let due: Vec<Repair> = self.repairs.extract_if(.., is_due).collect();
         for repair in due {
             self.heal(&repair.fault, repair.target)?;
@@ -256,7 +281,7 @@
     /// Asks every node which version is in force, and now and then has the operator read it.
     fn probe(&mut self, now: u64) {
         for (index, process) in self.fleet.processes.iter().enumerate() {
-            if process.is_replica {
+            if !process.is_node() {
                 continue;
             }
             let caller = Caller::Probe(index);
--- a/testkit/src/fleet/drive/close.rs
+++ b/testkit/src/fleet/drive/close.rs
@@ -2,7 +2,7 @@
 
 use super::{Day, Outcome};
 use crate::calls::call;
-use crate::checkers::{check, summary, PromisedBounds};
+use crate::checkers::{check, summary, PromisedBounds, Violation};
 use crate::fakes::request;
 use crate::fleet::FleetError;
 use crate::history::{Event, FinalState};
@@ -87,8 +87,18 @@
         Ok(())
     }
 
+    /// Every job that was accepted has been asked for once more, and each has been answered for.
+    fn check_all_answered(&mut self) {
+        for id in self.client.unanswered() {
+            let description = format!("no answer came about job {id} at the end of the day");
+            let violation = Violation::new("every job is answered for", self.now(), description);
+            self.violations.push(violation);
+        }
+    }
+
     /// Ends the day and checks its history.
     pub(super) fn close(mut self, epoch_ms: u64) -> Result<Outcome, FleetError> {
+        self.check_all_answered();
         let jobs = self.jobs()?;
         let config = self.ask("/v1/desired", "")?;
         let version = config["version"].as_u64().unwrap_or(0);
@@ -107,9 +117,11 @@
             alone_ms: usual.alone_in_fault_ms,
             ..usual
         };
+        let mut violations = check(&self.history, &bounds);
+        violations.append(&mut self.violations);
         Ok(Outcome {
             summary: summary(&self.history, &bounds),
-            violations: check(&self.history, &bounds),
+            violations,
             latencies_ms: self.client.observations.latencies_ms,
             history: self.history,
             promises_kept: sum_of_queues(&status, "kept"),
--- a/testkit/src/fleet/drive/faults.rs
+++ b/testkit/src/fleet/drive/faults.rs
@@ -1,18 +1,24 @@
 //! The faults of a day: what each does to the fleet and the fakes, and how it is healed.
 
-use super::{Day, Repair};
+use super::{Day, Repair, Stopping};
 use crate::calls::call;
+use crate::checkers::Violation;
 use crate::fakes::request;
-use crate::fleet::launch::FleetProcess;
-use crate::fleet::FleetError;
+use crate::fleet::{FleetError, FleetProcess};
 use crate::history::{Event, WORKER_REACHABLE, WORKER_UNREACHABLE};
 use crate::scenario::{Fault, FaultKind};
-use std::time::Duration;
+use serde_json::{json, Map, Value};
 
 /// The replicas that a fleet starts with.
 const REPLICAS: usize = 3;
 /// How long a process that is told to stop may take.
-const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+const STOP_TIMEOUT_MS: u64 = 10_000;
+/// Changes of configuration in a storm.
+const STORM_CHANGES: usize = 10;
+/// The notes of a large configuration.
+const LARGE_NOTES: usize = 2000;
+/// The size of each of them, in bytes.
+const LARGE_NOTE_BYTES: usize = 150;
 /// What a disk loses that had not written everything, in bytes: some tens of entries.
 const LOST_TAIL_BYTES: u64 = 6000;
 
@@ -21,7 +27,8 @@
     fn leader(&self) -> usize {
         let status = request("GET", "/v1/status", "", None);
         let leads = |process: &FleetProcess| {
-            process.is_replica && call(&self.http, &process.http, &status).body["role"] == "Leader"
+            process.is_replica()
+                && call(&self.http, &process.http, &status).body["role"] == "Leader"
         };
         self.fleet.processes.iter().position(leads).unwrap_or(0)
     }
@@ -44,7 +51,7 @@
     /// The process that is the node of a number, counted round.
     fn node(&self, number: usize) -> usize {
         let processes = self.fleet.processes.iter().enumerate();
-        let nodes = processes.filter(|(_, process)| !process.is_replica);
+        let nodes = processes.filter(|(_, process)| process.is_node());
         let nodes: Vec<usize> = nodes.map(|(index, _)| index).collect();
         let chosen = number % nodes.len().max(1);
         nodes.get(chosen).copied().unwrap_or(0)
@@ -58,8 +65,11 @@
         });
         match fault.kind {
             FaultKind::Kill => self.kill(target),
-            FaultKind::Freeze => self.fleet.freeze(target),
-            FaultKind::Restart => self.stop(target),
+            FaultKind::Freeze => self.freeze(target),
+            FaultKind::Restart => self.ask_to_stop(target),
+            FaultKind::HangUp => self.fleet.hang_up(target),
+            FaultKind::Storm => self.change_often(),
+            FaultKind::LargeConfig => self.apply_large_configuration(),
             FaultKind::Outage => self.kill_all(),
             FaultKind::LoseZone => self.kill_zone(target),
             FaultKind::LoseTail => self.lose_tail(target),
@@ -88,7 +98,8 @@
     fn note_down(&mut self, kind: FaultKind, target: usize) {
         use FaultKind::*;
         match kind {
-            Kill | Freeze | Restart | LoseTail | ReplaceCore => {
+            // A process that was asked to stop is down once it has ended.
+            Kill | Freeze | LoseTail | ReplaceCore => {
                 self.down.insert(target);
             }
             LoseZone => self.down.extend(self.processes_in(target)),
@@ -107,25 +118,88 @@
     /// Records that a node went down; nothing is recorded of replicas.
     fn record_node_down(&mut self, index: usize) {
         let process = &self.fleet.processes[index];
-        if !process.is_replica {
+        if process.is_node() {
             let node = process.http.clone();
             self.record(Event::NodeDown { node });
         }
     }
 
     fn kill(&mut self, index: usize) {
+        self.forget_stopping(index);
         self.fleet.kill(index);
         self.record_node_down(index);
     }
 
-    fn stop(&mut self, index: usize) {
-        let is_graceful = self.fleet.stop(index, STOP_TIMEOUT);
-        self.log_line(if is_graceful {
-            "stopped gracefully"
-        } else {
-            "did not stop gracefully"
+    /// Asks a process to stop gracefully; it serves on meanwhile, and whoever has a connection uses it.
+    fn ask_to_stop(&mut self, index: usize) {
+        if !self.fleet.is_running(index) || self.is_stopping(index) {
+            return;
+        }
+        self.fleet.ask_to_stop(index);
+        self.stopping.push(Stopping {
+            process: index,
+            kill_at_ms: self.now() + STOP_TIMEOUT_MS,
         });
+    }
+
+    /// Looks which processes that were asked to stop have ended, and kills those that took too long.
+    pub(super) fn reap_stopping(&mut self) {
+        let now = self.now();
+        for stopping in std::mem::take(&mut self.stopping) {
+            let index = stopping.process;
+            match self.fleet.take_exit(index) {
+                Some(is_graceful) => self.note_stopped(index, is_graceful),
+                None if now >= stopping.kill_at_ms => {
+                    self.fleet.kill(index);
+                    self.note_stopped(index, false);
+                }
+                None => self.stopping.push(stopping),
+            }
+        }
+    }
+
+    fn is_stopping(&self, index: usize) -> bool {
+        let mut stopping = self.stopping.iter();
+        stopping.any(|stopping| stopping.process == index)
+    }
+
+    /// Has a process stand still, unless it is on its way to its end: that has to come in time.
+    fn freeze(&mut self, index: usize) {
+        if !self.is_stopping(index) {
+            self.fleet.freeze(index);
+        }
+    }
+
+    /// A process that was asked to stop is killed by a fault before it has ended.
+    fn forget_stopping(&mut self, index: usize) {
+        self.stopping.retain(|stopping| stopping.process != index);
+    }
+
+    fn note_stopped(&mut self, index: usize, is_graceful: bool) {
+        if !is_graceful {
+            let listen = self.fleet.processes[index].listen.clone();
+            let description = format!("{listen} did not stop gracefully");
+            let violation = Violation::new("stops when asked to", self.now(), description);
+            self.violations.push(violation);
+        }
+        self.down.insert(index);
         self.record_node_down(index);
+        self.record_availability();
+    }
+
+    /// The operator changes the configuration often, one change upon the other.
+    fn change_often(&mut self) {
+        for index in 0..STORM_CHANGES {
+            let change = json!({"notes": {"storm": index.to_string()}});
+            self.operator.apply(true, change);
+        }
+    }
+
+    fn apply_large_configuration(&mut self) {
+        let text = "x".repeat(LARGE_NOTE_BYTES);
+        let note = |index| (format!("n{index}"), json!(text));
+        let notes: Map<String, Value> = (0..LARGE_NOTES).map(note).collect();
+        self.operator.apply(true, json!({"notes": notes}));
     }
 
     fn kill_all(&mut self) {
@@ -148,6 +222,7 @@
     }
 
     fn lose_tail(&mut self, index: usize) {
+        self.forget_stopping(index);
         self.fleet.kill(index);
         let line = match self.fleet.truncate_log(index, LOST_TAIL_BYTES) {
             Ok(bytes) => format!("its disk lost the last {bytes} bytes"),
@@ -157,6 +232,7 @@
     }
 
     fn replace_replica(&mut self, index: usize) {
+        self.forget_stopping(index);
         let line = match self.fleet.replace(index) {
             Ok(()) => "an empty core starts at a new address".into(),
             Err(error) => error.to_string(),
@@ -191,9 +267,13 @@
         let up = processes.filter(|(index, _)| !self.down.contains(index));
         let (replicas, nodes): (Vec<_>, Vec<_>) = up
             .map(|(_, process)| process)
-            .partition(|process| process.is_replica);
+            .partition(|process| process.is_replica());
         let replicas = replicas.len();
-        let nodes = nodes.iter().map(|node| node.http.clone()).collect();
+        let nodes = nodes.iter().filter(|process| process.is_node());
+        let nodes: Vec<String> = nodes.map(|node| node.http.clone()).collect();
+        if self.options.clients_call_any_node {
+            self.client.ready_nodes.clone_from(&nodes);
+        }
         self.record(Event::Availability { replicas, nodes });
     }
 
--- a/testkit/src/fleet/drive/setup.rs
+++ b/testkit/src/fleet/drive/setup.rs
@@ -61,6 +61,9 @@
         operator,
         rng: Rng::new(options.seed ^ DAY_SEED),
         repairs: Vec::new(),
+        stopping: Vec::new(),
+        violations: Vec::new(),
+        has_asked_again: false,
         down: BTreeSet::new(),
         http,
     };
--- a/testkit/src/fleet/launch.rs
+++ b/testkit/src/fleet/launch.rs
@@ -1,12 +1,12 @@
 //! The processes of a fleet: how they are started, signalled and ended.
 
+use super::process::{FleetProcess, FleetRole};
 use super::{FleetError, Options};
+use crate::scenario::NodeClass;
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs::{self, File};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::process::{Command, Stdio};
 
 /// The zones of a fleet, each with a replica.
 const ZONES: usize = 3;
@@ -14,6 +14,10 @@
 const FIRST_NODE_ADDRESS: usize = 10;
 /// The last part of the address of a new process, above those that a fleet starts with.
 const FIRST_NEW_ADDRESS: usize = 50;
+/// The last part of the address of the first node of another class than the usual one.
+const FIRST_CLASS_ADDRESS: usize = 100;
+/// The last part of the address of the first worker proxy.
+const FIRST_PROXY_ADDRESS: usize = 150;
 /// The ports for frames and for HTTP.
 const FRAME_PORT: u16 = 7000;
 const HTTP_PORT: u16 = 8000;
@@ -22,8 +26,6 @@
 const NETWORKS: u32 = 200;
 /// The first frames of a log segment stay when it is cut: they are older than what a disk holds back. In bytes.
 const KEPT_SEGMENT_BYTES: u64 = 4096;
-/// How often it is looked whether a process has ended.
-const END_CHECK_EVERY: Duration = Duration::from_millis(20);
 
 /// Where the program stands beside the one that runs now.
 pub fn program() -> PathBuf {
@@ -34,23 +36,6 @@
     found.unwrap_or_else(|| PathBuf::from("landingdrift"))
 }
 
-/// A process of the fleet.
-pub struct FleetProcess {
-    /// Whether it is a replica, and not a node.
-    pub is_replica: bool,
-    /// The address for frames.
-    pub listen: String,
-    /// The address for HTTP.
-    pub http: String,
-    pub zone: usize,
-    /// Lost for good: it is not started again.
-    pub is_gone: bool,
-    child: Option<Child>,
-    log: PathBuf,
-    /// The folder of its disk.
-    data: Option<PathBuf>,
-}
-
 /// All processes of the fleet.
 pub struct Fleet {
     pub processes: Vec<FleetProcess>,
@@ -60,8 +45,7 @@
     network: u32,
     seeds: String,
     cluster: String,
-    /// A settings file, where the day needs other settings than the usual ones.
-    settings_file: Option<PathBuf>,
+    lease_ms: u64,
 }
 
 /// An error about a file, folder or program.
@@ -72,13 +56,15 @@
     }
 }
 
-/// Writes the settings that a day with leases needs.
-fn write_settings(options: &Options) -> Result<Option<PathBuf>, FleetError> {
-    if options.lease_ms == 0 {
+/// Writes the settings of a class of processes, where they need other settings than the usual ones: the lease of workers
+/// in milliseconds and the share of a processor in thousandths of a core.
+fn write_settings(folder: &Path, lease_ms: u64, share: u32) -> Result<Option<PathBuf>, FleetError> {
+    let usual_share = NodeClass::default().share;
+    if lease_ms == 0 && share == usual_share {
         return Ok(None);
     }
-    let file = options.folder.join("settings.toml");
-    let text = format!("[bounds]\nhold_ms = {}\n", options.lease_ms);
+    let file = folder.join(format!("settings-{share}.toml"));
+    let text = format!("share = {share}\n[bounds]\nhold_ms = {lease_ms}\n");
     fs::write(&file, text).map_err(|error| io_error(&file, error))?;
     Ok(Some(file))
 }
@@ -102,13 +88,27 @@
             network,
             seeds: seeds.join(","),
             cluster: format!("fleet-{network}"),
-            settings_file: write_settings(options)?,
+            lease_ms: options.lease_ms,
         };
+        let usual_share = NodeClass::default().share;
         for zone in 0..ZONES {
-            fleet.add(true, zone, 1);
+            fleet.add(FleetRole::Replica, zone, 1, usual_share)?;
         }
         for index in 0..options.shape.nodes() {
-            fleet.add(false, index % ZONES, FIRST_NODE_ADDRESS + index);
+            let host = FIRST_NODE_ADDRESS + index;
+            fleet.add(FleetRole::Node, index % ZONES, host, usual_share)?;
+        }
+        let of_class = |class: &NodeClass| vec![class.share; class.count];
+        let shares = options.node_classes.iter().flat_map(of_class);
+        for (index, share) in shares.enumerate() {
+            let host = FIRST_CLASS_ADDRESS + index;
+            fleet.add(FleetRole::Node, index % ZONES, host, share)?;
+        }
+        if options.has_worker_proxies {
+            for index in 0..options.shape.workers() {
+                let host = FIRST_PROXY_ADDRESS + index;
+                fleet.add(FleetRole::WorkerProxy, index % ZONES, host, usual_share)?;
+            }
         }
         for index in 0..fleet.processes.len() {
             fleet.start_process(index)?;
@@ -116,20 +116,27 @@
         Ok(fleet)
     }
 
-    fn add(&mut self, is_replica: bool, zone: usize, host: usize) {
-        let role = if is_replica { "core" } else { "node" };
-        let name = format!("{role}-{zone}-{host}");
+    fn add(
+        &mut self,
+        role: FleetRole,
+        zone: usize,
+        host: usize,
+        share: u32,
+    ) -> Result<(), FleetError> {
+        let name = format!("{}-{zone}-{host}", role.name());
         let ip = format!("127.{}.{zone}.{host}", self.network);
         self.processes.push(FleetProcess {
-            is_replica,
+            role,
             listen: format!("{ip}:{FRAME_PORT}"),
             http: format!("{ip}:{HTTP_PORT}"),
             zone,
             is_gone: false,
             child: None,
             log: self.folder.join(format!("{name}.log")),
-            data: is_replica.then(|| self.folder.join(name)),
+            data: (role == FleetRole::Replica).then(|| self.folder.join(name)),
+            settings_file: write_settings(&self.folder, self.lease_ms, share)?,
         });
+        Ok(())
     }
 
     /// Loses a replica for good; an empty one starts at a new address.
@@ -138,7 +145,13 @@
         self.processes[index].is_gone = true;
         let newcomer = self.processes.len();
         let zone = self.processes[index].zone;
-        self.add(true, zone, FIRST_NEW_ADDRESS + newcomer);
+        let share = NodeClass::default().share;
+        self.add(
+            FleetRole::Replica,
+            zone,
+            FIRST_NEW_ADDRESS + newcomer,
+            share,
+        )?;
         self.start_process(newcomer)
     }
 
@@ -159,8 +172,18 @@
 
     /// The addresses of the nodes for HTTP.
     pub fn nodes(&self) -> Vec<String> {
-        let nodes = self.processes.iter().filter(|process| !process.is_replica);
-        nodes.map(|process| process.http.clone()).collect()
+        self.addresses_of(FleetRole::Node)
+    }
+
+    /// The addresses of the worker proxies for HTTP, by the numbers of their workers; none where workers call nodes.
+    pub fn worker_proxies(&self) -> Vec<String> {
+        self.addresses_of(FleetRole::WorkerProxy)
+    }
+
+    fn addresses_of(&self, role: FleetRole) -> Vec<String> {
+        let processes = self.processes.iter();
+        let of_role = processes.filter(|process| process.role == role);
+        of_role.map(|process| process.http.clone()).collect()
     }
 
     /// Starts a process that is down.
@@ -184,13 +207,13 @@
 
     fn command(&self, process: &FleetProcess) -> Command {
         let mut command = Command::new(&self.program);
-        command.arg(if process.is_replica { "core" } else { "node" });
+        command.arg(process.role.name());
         command.args(["--listen", &process.listen]);
         command.args(["--http", &process.http]);
         command.args(["--zone", &format!("z{}", process.zone)]);
         command.args(["--seeds", &self.seeds]);
         command.args(["--cluster", &self.cluster]);
-        if let Some(file) = &self.settings_file {
+        if let Some(file) = &process.settings_file {
             command.arg("--settings").arg(file);
         }
         if let Some(data) = &process.data {
@@ -207,6 +230,11 @@
         }
     }
 
+    /// Whether a process was started and not ended since.
+    pub fn is_running(&self, index: usize) -> bool {
+        self.processes[index].child.is_some()
+    }
+
     /// Whether a process that should run has ended by itself.
     pub fn has_ended(&mut self, index: usize) -> bool {
         let child = self.processes[index].child.as_mut();
@@ -230,20 +258,24 @@
         self.signal(index, Signal::CONT);
     }
 
-    /// Asks a process to stop gracefully and waits for its end; false where it failed or had to be killed.
-    pub fn stop(&mut self, index: usize, timeout: Duration) -> bool {
+    /// Asks a process to stop gracefully; [`Fleet::take_exit`] tells when it has.
+    pub fn ask_to_stop(&self, index: usize) {
         self.signal(index, Signal::TERM);
-        let start = Instant::now();
-        while start.elapsed() < timeout {
-            if self.has_ended(index) {
-                let child = self.processes[index].child.take();
-                let status = child.and_then(|mut child| child.wait().ok());
-                return status.is_some_and(|status| status.success());
-            }
-            thread::sleep(END_CHECK_EVERY);
+    }
+
+    /// Tells a process that its settings may have changed.
+    pub fn hang_up(&self, index: usize) {
+        self.signal(index, Signal::HUP);
+    }
+
+    /// Whether a process that was asked to stop has ended, and then whether it did so gracefully.
+    pub fn take_exit(&mut self, index: usize) -> Option<bool> {
+        if !self.has_ended(index) {
+            return None;
         }
-        self.kill(index);
-        false
+        let child = self.processes[index].child.take();
+        let status = child.and_then(|mut child| child.wait().ok());
+        Some(status.is_some_and(|status| status.success()))
     }
 }
 
--- a/testkit/src/fleet/mod.rs
+++ b/testkit/src/fleet/mod.rs
@@ -2,11 +2,14 @@
 
 mod drive;
 mod launch;
+mod process;
+pub mod soak;
 
 pub use drive::{run, Outcome};
-pub use launch::{program, Fleet, FleetProcess};
+pub use launch::{program, Fleet};
+pub use process::{FleetProcess, FleetRole};
 
-use crate::scenario::{Fault, Shape};
+use crate::scenario::{Fault, NodeClass, Shape};
 use std::path::PathBuf;
 
 /// What to run.
@@ -21,6 +24,12 @@
     pub jobs_per_second: f64,
     /// The share of jobs that can never succeed.
     pub doomed_share: f64,
+    /// Further nodes, by the class of their machines; links are as fast as this machine's, whatever the class says.
+    pub node_classes: Vec<NodeClass>,
+    /// Each worker calls a proxy beside it, and no node.
+    pub has_worker_proxies: bool,
+    /// Clients call any node that runs, whether it says that it is ready or not.
+    pub clients_call_any_node: bool,
     /// The lease of workers on what they run, in milliseconds; 0 for workers without leases.
     pub lease_ms: u64,
     /// The program under test.
--- a/testkit/src/scale/setup.rs
+++ b/testkit/src/scale/setup.rs
@@ -33,7 +33,7 @@
         let status = request("GET", "/v1/status", "", None);
         let http = http_client(ROLE_TIMEOUT);
         let leads = call(&http, &process.http, &status).body["role"] == "Leader";
-        let role = match (process.is_replica, leads) {
+        let role = match (process.is_replica(), leads) {
             (true, true) => "core leader",
             (true, false) => "core follower",
             (false, _) => "node",
@@ -96,7 +96,10 @@
         inputs: &Sender<Input>,
     ) -> Result<Self, ScaleError> {
         let mut rng = Rng::new(options.seed);
-        let replicas = fleet.processes.iter().filter(|process| process.is_replica);
+        let replicas = fleet
+            .processes
+            .iter()
+            .filter(|process| process.is_replica());
         let seeds: Vec<String> = replicas.map(|process| process.listen.clone()).collect();
         let cluster = format!("fleet-{}", network_of(&seeds));
         let nodes = hollow_nodes(options, &seeds, &cluster, &mut rng);
--- a/testkit/src/scenario/fault.rs
+++ b/testkit/src/scenario/fault.rs
@@ -93,6 +93,8 @@
     /// A worker says that it leaves by the call that others make as they end, runs on and heartbeats as before, and ends;
     /// another process takes its place.
     WorkerLeavesUnannounced,
+    /// A process is told that its settings may have changed.
+    HangUp,
 }
 
 impl FaultKind {
@@ -143,7 +145,7 @@
     ];
 
     /// Kinds that are never drawn.
-    pub const NAMED_ONLY: &[Self] = &[Self::WorkerLeavesUnannounced];
+    pub const NAMED_ONLY: &[Self] = &[Self::WorkerLeavesUnannounced, Self::HangUp];
 
     /// Its name in scenario files.
     pub fn name(self) -> String {
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -42,7 +42,7 @@
     use FaultKind::*;
     match kind {
         Kill | Freeze | LoseZone | SlowDisk | DiskFull | DiskStall | LoseTail | ReplaceCore
-        | SwapNode | Outage | ClockJump | Restart | Upgrade => Area::Machines,
+        | SwapNode | Outage | ClockJump | Restart | Upgrade | HangUp => Area::Machines,
         Cut | CutOneWay | SplitCore | CutCores | SlowLink | FlakyLink | LostAnswers => Area::Links,
         WorkerCrash
         | WorkerGone
@@ -175,6 +175,10 @@
             Outage => self.begin_outage(target, fault.amount as usize),
             ClockJump => return self.jump_clocks(target, fault),
             Restart | Upgrade => self.step(target, Msg::Stop),
+            HangUp => {
+                let settings = self.settings_for(target);
+                self.step(target, Msg::SettingsChanged(Box::new(settings)));
+            }
             _ => {}
         }
         vec![target]
--- a/testkit/src/simulator/world/processes.rs
+++ b/testkit/src/simulator/world/processes.rs
@@ -32,7 +32,7 @@
     }
 
     /// The settings that a process starts with.
-    pub(super) fn settings_for(&self, process: usize) -> Settings {
+    pub(in crate::simulator) fn settings_for(&self, process: usize) -> Settings {
         let process = &self.processes[process];
         let data = if process.is_replica() { "d" } else { "" };
         Settings {
--- a/testkit/tests/fleet.rs
+++ b/testkit/tests/fleet.rs
@@ -1,8 +1,9 @@
 //! Real processes on loopback, with real signals; the history is checked as in the simulator.
 
-use landingdrift_testkit::checkers::TIMED;
+use landingdrift_testkit::fleet::soak::{untimed, Soak};
 use landingdrift_testkit::fleet::{program, run, Options};
-use landingdrift_testkit::scenario::{Fault, FaultKind, Shape};
+use landingdrift_testkit::scenario::{Fault, FaultKind, NodeClass, Shape};
+use std::path::PathBuf;
 
 fn fault(at_ms: u64, kind: FaultKind, target: &str, duration_ms: u64) -> Fault {
     Fault {
@@ -15,28 +16,36 @@
     }
 }
 
+/// The logs and data of a day.
+fn folder_of(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("landingdrift-test-{name}-{}", std::process::id()))
+}
+
 fn run_day(name: &str, faults: Vec<Fault>) {
-    let folder =
-        std::env::temp_dir().join(format!("landingdrift-test-{name}-{}", std::process::id()));
-    let options = Options {
+    run_options(Options {
         shape: Shape::Gunasekera,
         seconds: 14,
         settle_seconds: 90,
         jobs_per_second: 5.0,
         doomed_share: 0.0,
         lease_ms: 0,
+        node_classes: Vec::new(),
+        has_worker_proxies: false,
+        clients_call_any_node: false,
         program: program(),
-        folder: folder.clone(),
+        folder: folder_of(name),
         faults,
         seed: 3,
         verbose: false,
-    };
+    });
+}
+
+fn run_options(options: Options) {
+    let folder = options.folder.clone();
     let outcome = run(&options).unwrap_or_else(|e| panic!("{e}; logs in {}", folder.display()));
     // How long things took on this machine is not this test's concern; what must never happen is.
-    let violations: Vec<String> = outcome
-        .violations
+    let violations: Vec<String> = untimed(outcome.violations)
         .iter()
-        .filter(|violation| !TIMED.contains(&violation.rule))
         .map(ToString::to_string)
         .collect();
     assert!(
@@ -75,4 +84,47 @@
             fault(10_000, FaultKind::Outage, "", 500),
         ],
     );
+    // Small nodes follow light copies and forward reads; workers call proxies; clients ask any node for each job.
+    let folder = folder_of("fleet-small-nodes");
+    run_options(Options {
+        shape: Shape::Gunasekera,
+        seconds: 14,
+        settle_seconds: 90,
+        jobs_per_second: 5.0,
+        doomed_share: 0.0,
+        lease_ms: 6000,
+        node_classes: vec![NodeClass {
+            count: 4,
+            share: 56,
+            ..NodeClass::default()
+        }],
+        has_worker_proxies: true,
+        clients_call_any_node: true,
+        program: program(),
+        folder,
+        faults: vec![
+            fault(3000, FaultKind::LargeConfig, "", 500),
+            fault(5000, FaultKind::Outage, "", 1000),
+            fault(8000, FaultKind::Freeze, "node:0", 2500),
+            fault(9000, FaultKind::Restart, "node:5", 500),
+            fault(12_000, FaultKind::Outage, "", 1000),
+        ],
+        seed: 4,
+        verbose: false,
+    });
+    soak();
+}
+
+/// A short soak; the long one is started by hand with `testkit soak`.
+fn soak() {
+    let soak = Soak {
+        seconds: 8,
+        faults: 8,
+        small_nodes: 2,
+        program: program(),
+        folder: folder_of("soak"),
+    };
+    for seed in 1..=2 {
+        run_options(soak.day(seed));
+    }
 }
