--- a/testkit/src/cli/fleet.rs
+++ b/testkit/src/cli/fleet.rs
@@ -22,43 +22,36 @@
 /// What the command line asks for. Without a scenario the leader is killed after three tenths of the load, and a node
 /// after six.
 fn options(arguments: &Arguments) -> Result<Options, String> {
-    let mut shape = shape(arguments)?;
-    let mut seconds = arguments.number("seconds", 20)?;
-    let mut faults = vec![kill(seconds * 300, "leader"), kill(seconds * 600, "node:1")];
-    let mut doomed_share = 0.0;
-    let mut lease_ms = 0;
-    let mut node_classes = Vec::new();
-    let (mut has_worker_proxies, mut clients_call_any_node) = (false, false);
-    if let Some(file) = arguments.text("scenario") {
-        let scenario = Scenario::load(file).map_err(|error| error.to_string())?;
-        shape = scenario.shape;
-        seconds = scenario.seconds;
-        faults = scenario.faults;
-        doomed_share = scenario.doomed_share;
-        lease_ms = scenario.lease_ms;
-        node_classes = scenario.node_classes;
-        has_worker_proxies = scenario.has_worker_proxies;
-        clients_call_any_node = scenario.clients_call_any_node;
-    }
     let own_folder = format!("landingdrift-fleet-{}", std::process::id());
     let own_folder = std::env::temp_dir().join(own_folder);
-    Ok(Options {
-        shape,
+    let folder = arguments.text("folder").map_or(own_folder, PathBuf::from);
+    let program = arguments
+        .text("program")
+        .map_or_else(program, PathBuf::from);
+    let seconds = arguments.number("seconds", 20)?;
+    let usual = Options {
         seconds,
+        faults: vec![kill(seconds * 300, "leader"), kill(seconds * 600, "node:1")],
         settle_seconds: arguments.number("settle", 60)?,
         jobs_per_second: arguments.number("rate", 0)? as f64,
-        doomed_share,
-        lease_ms,
-        node_classes,
-        has_worker_proxies,
-        clients_call_any_node,
-        program: arguments
-            .text("program")
-            .map_or_else(program, PathBuf::from),
-        folder: arguments.text("folder").map_or(own_folder, PathBuf::from),
-        faults,
         seed: arguments.number("seed", 1)?,
         verbose: true,
+        ..Options::new(shape(arguments)?, program, folder)
+    };
+    let Some(file) = arguments.text("scenario") else {
+        return Ok(usual);
+    };
+    let scenario = Scenario::load(file).map_err(|error| error.to_string())?;
+    Ok(Options {
+        shape: scenario.shape,
+        seconds: scenario.seconds,
+        faults: scenario.faults,
+        doomed_share: scenario.doomed_share,
+        lease_ms: scenario.lease_ms,
+        node_classes: scenario.node_classes,
+        has_worker_proxies: scenario.has_worker_proxies,
+        clients_call_any_node: scenario.clients_call_any_node,
+        ..usual
     })
 }
 
--- a/testkit/src/fleet/mod.rs
+++ b/testkit/src/fleet/mod.rs
@@ -42,6 +42,28 @@
     pub verbose: bool,
 }
 
+impl Options {
+    /// A fleet of a shape without load, faults or machines of other classes.
+    pub fn new(shape: Shape, program: PathBuf, folder: PathBuf) -> Self {
+        Self {
+            shape,
+            seconds: 0,
+            settle_seconds: 0,
+            jobs_per_second: 0.0,
+            doomed_share: 0.0,
+            node_classes: Vec::new(),
+            has_worker_proxies: false,
+            clients_call_any_node: false,
+            lease_ms: 0,
+            program,
+            folder,
+            faults: Vec::new(),
+            seed: 1,
+            verbose: false,
+        }
+    }
+}
+
 /// Why a fleet's day failed.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
--- a/testkit/src/fleet/soak.rs
+++ b/testkit/src/fleet/soak.rs
@@ -81,8 +81,8 @@
         };
         let nodes = shape.nodes() + self.small_nodes;
         let faults = random_faults(&mut rng, self.faults, self.seconds * 1000, shape, nodes);
+        let folder = self.folder.join(format!("seed-{seed}"));
         Options {
-            shape,
             seconds: self.seconds,
             settle_seconds: SETTLE_SECONDS,
             jobs_per_second: JOBS_PER_SECOND,
@@ -95,11 +95,9 @@
             has_worker_proxies: true,
             clients_call_any_node: true,
             lease_ms: LEASE_MS,
-            program: self.program.clone(),
-            folder: self.folder.join(format!("seed-{seed}")),
             faults,
             seed,
-            verbose: false,
+            ..Options::new(shape, self.program.clone(), folder)
         }
     }
 }
--- a/testkit/src/scale/drive.rs
+++ b/testkit/src/scale/drive.rs
@@ -100,21 +100,11 @@
 
 /// Runs real replicas and nodes beside hollow nodes, and stops them all.
 pub fn run(options: &Options) -> Result<Outcome, ScaleError> {
+    let (program, folder) = (options.program.clone(), options.folder.clone());
     let fleet = Fleet::start(&FleetOptions {
-        shape: Shape::Gunasekera,
         seconds: options.seconds,
-        settle_seconds: 0,
-        jobs_per_second: 0.0,
-        doomed_share: 0.0,
-        lease_ms: 0,
-        node_classes: Vec::new(),
-        has_worker_proxies: false,
-        clients_call_any_node: false,
-        program: options.program.clone(),
-        folder: options.folder.clone(),
-        faults: Vec::new(),
         seed: options.seed,
-        verbose: false,
+        ..FleetOptions::new(Shape::Gunasekera, program, folder)
     })?;
     let (sender, inputs) = channel();
     let mut run = ScaleRun::new(options, &fleet, &sender)?;
--- a/testkit/tests/fleet.rs
+++ b/testkit/tests/fleet.rs
@@ -21,22 +21,21 @@
     std::env::temp_dir().join(format!("landingdrift-test-{name}-{}", std::process::id()))
 }
 
-fn run_day(name: &str, faults: Vec<Fault>) {
-    run_options(Options {
-        shape: Shape::Gunasekera,
+/// A day with jobs and without faults.
+fn busy_day(name: &str) -> Options {
+    Options {
         seconds: 14,
         settle_seconds: 90,
         jobs_per_second: 5.0,
-        doomed_share: 0.0,
-        lease_ms: 0,
-        node_classes: Vec::new(),
-        has_worker_proxies: false,
-        clients_call_any_node: false,
-        program: program(),
-        folder: folder_of(name),
+        ..Options::new(Shape::Gunasekera, program(), folder_of(name))
+    }
+}
+
+fn run_day(name: &str, faults: Vec<Fault>) {
+    run_options(Options {
         faults,
         seed: 3,
-        verbose: false,
+        ..busy_day(name)
     });
 }
 
@@ -85,13 +84,7 @@
         ],
     );
     // Small nodes follow light copies and forward reads; workers call proxies; clients ask any node for each job.
-    let folder = folder_of("fleet-small-nodes");
     run_options(Options {
-        shape: Shape::Gunasekera,
-        seconds: 14,
-        settle_seconds: 90,
-        jobs_per_second: 5.0,
-        doomed_share: 0.0,
         lease_ms: 6000,
         node_classes: vec![NodeClass {
             count: 4,
@@ -100,8 +93,6 @@
         }],
         has_worker_proxies: true,
         clients_call_any_node: true,
-        program: program(),
-        folder,
         faults: vec![
             fault(3000, FaultKind::LargeConfig, "", 500),
             fault(5000, FaultKind::Outage, "", 1000),
@@ -110,7 +101,7 @@
             fault(12_000, FaultKind::Outage, "", 1000),
         ],
         seed: 4,
-        verbose: false,
+        ..busy_day("fleet-small-nodes")
     });
     soak();
 }
--- a/testkit/tests/operator.rs
+++ b/testkit/tests/operator.rs
@@ -31,19 +31,7 @@
     fn new() -> Self {
         let name = format!("landingdrift-test-operator-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
-        let options = Options {
-            shape: Shape::Gunasekera,
-            seconds: 0,
-            settle_seconds: 0,
-            jobs_per_second: 0.0,
-            doomed_share: 0.0,
-            lease_ms: 0,
-            program: program(),
-            folder: folder.clone(),
-            faults: Vec::new(),
-            seed: 1,
-            verbose: false,
-        };
+        let options = Options::new(Shape::Gunasekera, program(), folder.clone());
         let fleet = Fleet::start(&options).unwrap_or_else(|e| panic!("{e}"));
         let nodes = fleet.nodes();
         Self {
@@ -123,7 +111,7 @@
     let third = desk.folder.join("third.json");
     let third = third.to_string_lossy();
     let mut processes = desk.fleet.processes.iter();
-    let frozen = processes.position(|process| !process.is_replica);
+    let frozen = processes.position(|process| !process.is_replica());
     let frozen = frozen.expect("a node");
     let frozen_http = &desk.fleet.processes[frozen].http;
     let mut nodes = desk.nodes.iter();
