One chunk at a time; measured link rates; retries of reads within a budget

Reads are handed to others only where the copy is not fresh; retries double their pause, are four at most, and a fifth of the calls.

--- a/landingdrift/src/consensus/watch.rs
+++ b/landingdrift/src/consensus/watch.rs
@@ -5,7 +5,7 @@
 
 use super::clock::ClockReading;
 use super::lease_assignment::SMALL_NODE_SHARE;
-use super::watch_flow::Unacknowledged;
+use super::watch_flow::{LinkRate, Unacknowledged};
 use super::watch_snapshots::{SentChunk, WatchSnapshots};
 use super::{Replica, Role};
 use crate::sans_io::Now;
@@ -17,8 +17,8 @@
 const MAX_ENTRIES_BEHIND: u64 = 1024;
 /// Entries in one message to a node.
 const MAX_BATCH_ENTRIES: u64 = 512;
-/// Bytes of entries in one message to a node; a single entry may be larger.
-const MAX_BATCH_BYTES: usize = 64 << 10;
+/// Bytes of entries in one message to a node with a light copy; a single entry may be larger.
+const MAX_LIGHT_BATCH_BYTES: u64 = 64 << 10;
 /// Snapshots that no node has fetched for so many time-outs of a node are dropped.
 const UNUSED_SNAPSHOT_NODE_TIMEOUTS: u64 = 2;
 /// For so many time-outs of a node a new leader assumes that nodes with enough of a processor will yet be heard.
@@ -33,6 +33,7 @@
     pub sent_index: u64,
     /// The entries that were sent to it and not acknowledged yet.
     unacknowledged: Unacknowledged,
+    pub rate: LinkRate,
     pub last_heard_at: u64,
     /// When the node sent its last request, by its own clock; sent back so that it knows how fresh an answer is.
     pub request_sent_at: u64,
@@ -82,10 +83,19 @@
     /// Whether a node that asks has not received all that was sent to it. One whose process or copy is another one by now
     /// has received nothing.
     fn awaits_more_than(&self, request: &WatchRequest, light: bool) -> bool {
-        let is_same_process =
-            request.sent >= self.request_sent_at && request.log_index >= self.applied_index;
         let is_same_kind = self.light == light && request.light == light;
-        is_same_process && is_same_kind && self.sent_index > request.log_index
+        self.is_same_process(request) && is_same_kind && self.sent_index > request.log_index
+    }
+
+    /// Whether a node that asks has just received all that was sent to it.
+    fn has_received_all(&self, request: &WatchRequest) -> bool {
+        let had_more = self.sent_index > self.applied_index;
+        had_more && self.is_same_process(request) && request.log_index >= self.sent_index
+    }
+
+    /// Whether a request may be of the process that sent the last one.
+    fn is_same_process(&self, request: &WatchRequest) -> bool {
+        request.sent >= self.request_sent_at && request.log_index >= self.applied_index
     }
 }
 
@@ -151,12 +161,16 @@
         let bounds = &self.settings.bounds;
         let mut sent_index = request.log_index;
         let mut unacknowledged = Unacknowledged::default();
+        let mut rate = known.map(|known| known.rate).unwrap_or_default();
+        if let Some(known) = known.filter(|known| known.has_received_all(request)) {
+            known.unacknowledged.acknowledged(now.mono, &mut rate);
+        }
         if let Some(known) = known.filter(|known| known.awaits_more_than(request, light)) {
             unacknowledged = known.unacknowledged;
             if request.log_index > known.applied_index {
                 unacknowledged.progressed(now.mono);
             }
-            if unacknowledged.is_in_flight(now.mono, bounds) {
+            if unacknowledged.is_in_flight(now.mono, rate, bounds) {
                 sent_index = known.sent_index;
             }
         }
@@ -164,6 +178,7 @@
             applied_index: request.log_index,
             sent_index,
             unacknowledged,
+            rate,
             last_heard_at: now.mono,
             request_sent_at: request.sent,
             zone: request.zone.clone(),
@@ -173,7 +188,9 @@
             share: request.share,
             beside_replica: request.beside_core,
             light,
-            last_chunk: known.map_or_else(SentChunk::default, |w| w.last_chunk),
+            last_chunk: known
+                .filter(|known| known.is_same_process(request))
+                .map_or_else(SentChunk::default, |known| known.last_chunk),
             fetched_index: known.map_or(0, |w| w.fetched_index),
         };
         self.watch.watchers.insert(request.node.clone(), watcher);
@@ -185,7 +202,10 @@
         };
         let in_flight = watcher.sent_index > watcher.applied_index;
         if sent.bytes > 0 {
-            watcher.unacknowledged.send(in_flight, sent.bytes, now.mono);
+            let rate = &mut watcher.rate;
+            watcher
+                .unacknowledged
+                .send(in_flight, sent.bytes, now.mono, rate);
         }
         watcher.sent_index = watcher.sent_index.max(sent.reached);
     }
@@ -261,8 +281,8 @@
         for entry in self.log.batch(index + 1, wanted as usize) {
             let is_wanted = !light || Command::concerns_all(&entry.command);
             let bytes = entry.command.len() as u64;
-            let is_full = sent.bytes > 0 && sent.bytes + bytes > MAX_BATCH_BYTES as u64;
-            if is_wanted && is_full {
+            let is_full = sent.bytes > 0 && sent.bytes + bytes > MAX_LIGHT_BATCH_BYTES;
+            if light && is_wanted && is_full {
                 break;
             }
             sent.reached = entry.index;
--- a/landingdrift/src/consensus/watch_snapshots.rs
+++ b/landingdrift/src/consensus/watch_snapshots.rs
@@ -105,25 +105,28 @@
             return;
         };
         let light = watcher.light;
-        let mut sent = watcher.last_chunk;
-        let snapshot = self.watch_snapshot(now, light, request);
+        let (mut sent, mut rate) = (watcher.last_chunk, watcher.rate);
+        let snapshot = self.watch_snapshot(now, light, request, &sent);
         let id = snapshot.identity();
         let resumes = (request.part_index, request.part_checksum) == (id.index, id.checksum);
         let offset = if resumes { request.part_received } else { 0 };
         let is_repeated = sent.is_at(&id, offset);
+        let is_acknowledged = sent.is_before(&id, offset);
         let bounds = &self.settings.bounds;
-        if is_repeated && sent.unacknowledged.is_in_flight(now.mono, bounds) {
+        // One chunk at a time, of whichever snapshot.
+        if !is_acknowledged && sent.unacknowledged.is_in_flight(now.mono, rate, bounds) {
             return;
         }
         if is_repeated {
             sent.size.timed_out();
-        } else if sent.is_before(&id, offset) {
+        } else if is_acknowledged {
             let after_ms = now.mono.saturating_sub(sent.first_sent_at);
+            sent.unacknowledged.acknowledged(now.mono, &mut rate);
             sent.size.acknowledged(after_ms, CHUNK_BYTES, bounds);
         }
         let bytes = snapshot.chunk_of(offset, sent.size.bytes()).to_vec();
         if is_repeated {
-            sent.unacknowledged.repeat(now.mono);
+            sent.unacknowledged.repeat(now.mono, &mut rate);
         } else {
             sent.first_sent_at = now.mono;
             sent.unacknowledged = Unacknowledged::new(bytes.len() as u64, now.mono);
@@ -131,6 +134,7 @@
         (sent.index, sent.checksum, sent.offset) = (id.index, id.checksum, offset);
         if let Some(watcher) = self.watch.watchers.get_mut(to) {
             watcher.last_chunk = sent;
+            watcher.rate = rate;
             watcher.fetched_index = id.index;
         }
         let begins = offset == 0 && !is_repeated;
@@ -151,33 +155,37 @@
         self.send(to, Body::WatchSnapshotChunk(Box::new(body)));
     }
 
-    /// The snapshot that a node has a part of, if the log still follows on it; else one that is new enough.
+    /// The snapshot that a node has a part of, or was sent a part of, if the log still follows on it; else one that is new
+    /// enough.
     fn watch_snapshot(
         &mut self,
         now: Now,
         light: bool,
         request: &WatchRequest,
+        sent: &SentChunk,
     ) -> Arc<ChunkedSnapshot> {
         let log_base = self.log.base().index;
         let applied = self.state.applied_index;
         let is_usable = |kept: &KeptSnapshot| kept.light == light && kept.id().index >= log_base;
-        let is_begun = |kept: &KeptSnapshot| {
-            let id = kept.id();
-            (id.index, id.checksum) == (request.part_index, request.part_checksum)
-        };
         // A node that has applied more than this replica has lost what the others did not keep.
         let least_index = if request.log_index <= applied {
             request.log_index
         } else {
             0
         };
+        let begun = if request.part_received > 0 {
+            (request.part_index, request.part_checksum)
+        } else {
+            (sent.index, sent.checksum)
+        };
+        let is_begun = |kept: &KeptSnapshot| (kept.id().index, kept.id().checksum) == begun;
         let is_new_enough = |kept: &KeptSnapshot| {
             let index = kept.id().index;
             index >= least_index && applied.saturating_sub(index) <= SHARED_FOR_ENTRIES
         };
         let snapshots = &mut self.watch.snapshots;
         let resumes = snapshots
-            .find(|kept| is_usable(kept) && is_begun(kept))
+            .find(|kept| is_usable(kept) && is_begun(kept) && kept.id().index >= least_index)
             .is_some();
         let fits = |kept: &KeptSnapshot| {
             let is_wanted = if resumes {
--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -1,7 +1,7 @@
 //! Calls that another node answers.
 //!
 //! A call that may be repeated is forwarded to one node after the other until one answers: at once where a node
-//! refuses, and after a while where it is silent, unless its answer may be large and still on its way. Any other call
+//! refuses, and after a while that doubles where it is silent, as far as the budget for retries goes, and unless its answer may be large and still on its way. Any other call
 //! is forwarded once, and its outcome is unknown if no response comes.
 
 use super::{CallState, OpenCall, Origin};
@@ -13,7 +13,7 @@
 /// A repeatable call is forwarded to another node after this part of the time for which a node works on a call.
 const RETRY_PART: u64 = 6;
 /// The most nodes that one call is forwarded to.
-const MAX_ATTEMPTS: usize = 6;
+const MAX_ATTEMPTS: usize = 4;
 
 /// One attempt of a call to have another node answer it.
 pub(super) struct ForwardAttempt {
@@ -146,7 +146,9 @@
         let Some(mut forward) = open_call.forward.take() else {
             return;
         };
-        let may_ask = forward.attempts.len() < MAX_ATTEMPTS;
+        let is_first = forward.attempts.is_empty();
+        let may_ask =
+            forward.attempts.len() < MAX_ATTEMPTS && self.calls.retry_budget.allows(now, is_first);
         let target = self
             .pick_forward_target(now, &forward.attempts)
             .filter(|_| may_ask);
@@ -154,7 +156,7 @@
             Some(to) => {
                 let attempt = forward.attempts.len();
                 self.send_forward(call, attempt, &to, &forward.request);
-                let retry_at = now.mono + self.forward_retry_ms();
+                let retry_at = now.mono + (self.forward_retry_ms() << attempt);
                 forward.next_at = forward.has_small_answer().then_some(retry_at);
                 let is_refused = false;
                 forward.attempts.push(ForwardAttempt { to, is_refused });
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeats;
 mod jobs;
 mod read;
+mod retry_budget;
 mod routed_jobs;
 mod status;
 mod unanswered;
@@ -23,6 +24,7 @@
 use forward::RepeatedForward;
 use forward_targets::SilentNodes;
 use read::ReadQuery;
+use retry_budget::RetryBudget;
 use serde_json::json;
 use std::collections::BTreeMap;
 
@@ -100,6 +102,7 @@
 pub struct Calls {
     open: BTreeMap<u64, OpenCall>,
     silent_nodes: SilentNodes,
+    retry_budget: RetryBudget,
     /// When the next call without an answer may be logged, in monotonic milliseconds.
     next_unanswered_line: u64,
 }
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -116,14 +116,17 @@
     /// Answers a call with what the cluster state has, or something newer, at the time of the call.
     pub(super) fn read(&mut self, now: Now, origin: Origin, query: ReadQuery) {
         let request = query.to_request();
+        let is_rare = !query.needs_full_copy();
         let state = CallState::ReadIndexPending {
             query,
             retry_at: now.mono,
             asked: Vec::new(),
         };
-        let is_local = matches!(origin, Origin::Local(_));
+        // A node with a fresh copy that takes long has too much to do, and so have others: for reads of jobs, of which
+        // there are many, it asks none of them.
+        let may_hedge = matches!(origin, Origin::Local(_)) && (is_rare || !self.fresh(now));
         let call = self.open_call(now, origin, state);
-        if is_local {
+        if may_hedge {
             self.hedge(now, call, request);
         }
         self.send_read_index(now, call, None);
--- a/landingdrift/src/node/watch/mod.rs
+++ b/landingdrift/src/node/watch/mod.rs
@@ -43,6 +43,8 @@
     clock: ClockReading,
     /// The snapshot that is being fetched.
     incoming: SnapshotAssembly,
+    /// When the last chunk of it came that was of use.
+    snapshot_progress_at: u64,
     catch_up: CatchUp,
 }
 
@@ -60,6 +62,7 @@
             false_alarms: 0,
             clock: ClockReading::default(),
             incoming: SnapshotAssembly::default(),
+            snapshot_progress_at: 0,
             catch_up: CatchUp::new(now),
         }
     }
--- a/landingdrift/src/node/watch/snapshot.rs
+++ b/landingdrift/src/node/watch/snapshot.rs
@@ -6,6 +6,9 @@
 use crate::state::ClusterState;
 use crate::wire::{WatchBatch, WatchSnapshotChunk};
 
+/// A snapshot of which nothing more has come for so many heartbeats gives way to any other.
+const STALLED_HEARTBEATS: u64 = 12;
+
 impl Node {
     /// Installs the snapshot of a batch if it has one that is needed; returns whether it did.
     pub(super) fn install_snapshot_of(&mut self, batch: &WatchBatch) -> bool {
@@ -26,19 +29,21 @@
     ) {
         self.watch.catch_up.chunks += 1;
         self.note_leader(now, from);
-        if !self.needs_chunk(chunk) {
-            return self.note_unused_chunk();
-        }
-        let received_before = self.watch.incoming.received();
         let id = SnapshotId {
             index: chunk.index,
             term: chunk.term,
             total: chunk.total,
             checksum: chunk.checksum,
         };
+        if !self.needs_chunk(chunk) || !self.may_take(now, id, chunk.offset) {
+            return self.note_unused_chunk();
+        }
+        let received_before = self.watch.incoming.received();
         match self.watch.incoming.take(id, chunk.offset, &chunk.bytes) {
             ChunkOutcome::Part => {
-                if self.watch.incoming.received() <= received_before {
+                if self.watch.incoming.received() > received_before {
+                    self.watch.snapshot_progress_at = now.mono;
+                } else {
                     self.note_unused_chunk();
                 }
             }
@@ -60,6 +65,19 @@
         self.watch_tick(now);
     }
 
+    /// Whether a chunk continues the snapshot that is being fetched, or begins another one. A begun snapshot gives way only
+    /// to a newer one, or once nothing more has come of it for a while: chunks of two snapshots that are on their way at
+    /// once would make each other useless for ever.
+    fn may_take(&self, now: Now, id: SnapshotId, offset: u64) -> bool {
+        let begun = self.watch.incoming.identity();
+        if self.watch.incoming.received() == 0 || begun == id {
+            return true;
+        }
+        let stalled_after = STALLED_HEARTBEATS * self.settings.bounds.heartbeat();
+        let is_stalled = now.mono >= self.watch.snapshot_progress_at + stalled_after;
+        offset == 0 && (id.index > begun.index || is_stalled)
+    }
+
     /// Whether a chunk is of a snapshot that this node needs. A copy goes back, or becomes one of the other kind, only
     /// by a chunk that answers a request which this very copy made: others were overtaken on their way.
     fn needs_chunk(&self, chunk: &WatchSnapshotChunk) -> bool {
--- a/landingdrift/src/sans_io/mod.rs
+++ b/landingdrift/src/sans_io/mod.rs
@@ -192,7 +192,7 @@
 }
 
 /// Links are assumed to carry at least so many bytes in a millisecond; narrower ones cost repetitions.
-const SLOWEST_LINK_BYTES_PER_MS: u64 = 128;
+pub const SLOWEST_LINK_BYTES_PER_MS: u64 = 128;
 
 /// How long bytes may take on the narrowest link, in milliseconds: what was sent is not taken for lost sooner.
 pub fn transfer_ms(bytes: u64) -> u64 {
--- a/landingdrift/tests/forwarded_reads.rs
+++ b/landingdrift/tests/forwarded_reads.rs
@@ -255,3 +255,18 @@
     assert!(asked.len() >= 2, "{asked:?}");
     assert!(asked.windows(2).all(|two| two[0] != two[1]), "{asked:?}");
 }
+
+#[test]
+fn retries_are_a_share_of_the_calls_when_every_node_is_silent() {
+    let mut harness = light_node();
+    let calls = 400;
+    let mut forwards = 0;
+    for _ in 0..calls {
+        forwards += forwarded(&ask(&mut harness, "/v1/jobs/j")).len();
+        forwards += forwarded(&pass(&mut harness, 20)).len();
+    }
+    forwards += forwarded(&pass(&mut harness, Bounds::default().call())).len();
+    assert!(forwards >= calls, "{forwards}");
+    // A fifth of the calls, ten a second, and what was saved up.
+    assert!(forwards < calls + calls / 5 + 110 + 50, "{forwards}");
+}
--- a/landingdrift/tests/watch_flow.rs
+++ b/landingdrift/tests/watch_flow.rs
@@ -190,3 +190,48 @@
     harness.node.step(now, Msg::Wire(REPLICA.into(), body));
     assert!(harness.node.is_ready(now));
 }
+
+/// A snapshot of so many bytes at an index, in chunks of which the first begins at 0.
+fn chunk(index: u64, offset: usize) -> WatchSnapshotChunk {
+    const TOTAL: usize = 9000;
+    const SIZE: usize = 1000;
+    let bytes = vec![index as u8; TOTAL];
+    WatchSnapshotChunk {
+        commit: index,
+        light: false,
+        index,
+        term: 1,
+        offset: offset as u64,
+        total: TOTAL as u64,
+        checksum: crc32fast::hash(&bytes),
+        bytes: bytes[offset..offset + SIZE].to_vec(),
+        requested_from: 0,
+    }
+}
+
+/// How much of a snapshot the node says that it has, by its last request among some effects.
+fn part_received(effects: &[Effect]) -> Option<(u64, u64)> {
+    effects.iter().rev().find_map(|effect| match effect {
+        Effect::Send(_, Body::WatchRequest(request)) => {
+            Some((request.part_index, request.part_received))
+        }
+        _ => None,
+    })
+}
+
+#[test]
+fn chunks_of_two_snapshots_on_their_way_at_once_do_not_make_each_other_useless() {
+    let mut harness = NodeHarness::new();
+    receive(&mut harness, REPLICA, chunk(1000, 0));
+    receive(&mut harness, REPLICA, chunk(1200, 0));
+    receive(&mut harness, REPLICA, chunk(1000, 1000));
+    let effects = receive(&mut harness, REPLICA, chunk(1200, 1000));
+    assert_eq!(part_received(&effects), Some((1200, 2000)));
+    // An older one comes up again only once nothing more has come of this one.
+    receive(&mut harness, REPLICA, chunk(1000, 0));
+    let effects = receive(&mut harness, REPLICA, chunk(1200, 2000));
+    assert_eq!(part_received(&effects), Some((1200, 3000)));
+    harness.elapsed_ms += 20 * HEARTBEAT_MS;
+    let effects = receive(&mut harness, REPLICA, chunk(1000, 0));
+    assert_eq!(part_received(&effects), Some((1000, 1000)));
+}
