--- a/testkit/src/cli/arguments.rs
+++ b/testkit/src/cli/arguments.rs
@@ -6,10 +6,10 @@
 const PLAIN_FLAGS: [&str; 3] = ["log", "help", "last"];
 
 /// Flags with a value.
-const VALUE_FLAGS: [&str; 24] = [
+const VALUE_FLAGS: [&str; 26] = [
     "seed", "history", "from", "seeds", "random", "threads", "shape", "seconds", "settle", "rate",
     "folder", "program", "scenario", "out", "load", "beta", "vary", "sizes", "warm", "nodes",
-    "starts", "record", "voters", "standbys",
+    "starts", "record", "voters", "standbys", "faults", "small",
 ];
 
 /// A flag and its value; empty for a plain one.
--- a/testkit/tests/bad_input.rs
+++ b/testkit/tests/bad_input.rs
@@ -74,3 +74,12 @@
         assert!(!out.stderr.is_empty(), "{arguments:?}");
     }
 }
+
+#[test]
+fn the_flags_of_the_soak_are_taken() {
+    let arguments = ["soak", "--seeds", "0", "--faults", "3", "--small", "2"];
+    let out = testkit(&arguments);
+    let said = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert_eq!(out.status.code(), Some(0), "{said}");
+    assert!(said.starts_with("0 seeds from 1"), "{said}");
+}
