--- a/landingdrift/tests/acknowledged_ends.rs
+++ b/landingdrift/tests/acknowledged_ends.rs
@@ -3,7 +3,7 @@
 
 mod node_harness;
 
-use landingdrift::state::{Command, Outcome, Placement};
+use landingdrift::state::{Command, Outcome};
 use node_harness::NodeHarness;
 use serde_json::json;
 
@@ -23,19 +23,7 @@
         holder: SUCCESSOR.into(),
         from_epoch: 1,
     });
-    let zone_epoch = harness.state.leases["cell/z"].epoch;
-    harness.accept("j", 1);
-    harness.append(Command::StartAttempts {
-        job: "j".into(),
-        owner_epoch: 2,
-        placements: vec![Placement {
-            task: 0,
-            worker: "w".into(),
-            incarnation: 1,
-            zone_epoch,
-            copy: false,
-        }],
-    });
+    harness.append_started_job();
 }
 
 #[test]
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -214,8 +214,15 @@
         });
     }
 
-    /// Accepts a job of one task, and places it on the worker.
+    /// Accepts a job of one task, and places it on the worker; the node follows.
     pub fn start_job(&mut self) {
+        self.append_started_job();
+        self.follow();
+    }
+
+    /// Appends a job of one task and its start on the worker, under the present epoch of the zone's lease.
+    pub fn append_started_job(&mut self) {
+        let zone_epoch = self.state.leases["cell/z"].epoch;
         self.accept("j", 1);
         self.append(Command::StartAttempts {
             job: "j".into(),
@@ -224,11 +231,10 @@
                 task: 0,
                 worker: "w".into(),
                 incarnation: 1,
-                zone_epoch: 1,
+                zone_epoch,
                 copy: false,
             }],
         });
-        self.follow();
     }
 
     /// Sends a heartbeat of the worker; returns the response, and what was proposed because of it.
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -114,15 +114,7 @@
             SplitCore | SlowDisk | LoseTail | ReplaceCore | DiskFull | DiskStall => self.replicas(),
             SwapNode => self.nodes(),
             Tries | Quota | LoseZone | Drain | Evacuate => (0..ZONES).collect(),
-            WorkerCrash
-            | WorkerGone
-            | WorkerFreeze
-            | WorkerSlow
-            | WorkerFailing
-            | WorkerCut
-            | WorkerLeaves
-            | WorkerLeavesUnannounced
-            | WorkerChange => (0..self.workers.len()).collect(),
+            _ if matches!(area(kind), Area::Workers) => (0..self.workers.len()).collect(),
             _ => [self.replicas(), self.nodes()].concat(),
         }
     }
