--- /dev/null
+++ b/review/standin/src/cases/late_first_beat.rs
@@ -0,0 +1,125 @@
+//! TWICE: the only heartbeat of a worker's short life comes seconds late, when a new life runs tasks at the same address;
+//! the living one is taken for gone, and what runs on it is started elsewhere as well.
+
+use crate::client::{self, Clients, CONFIRM};
+use crate::deployment::Deployment;
+use crate::record::Record;
+use crate::worker::{Event, Shared, Stage, Worker};
+use crate::Verdict;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Of 7 workers one is a share of 0.14.
+const WORKERS: usize = 7;
+/// The first life ends this long after its first heartbeat was sent, and the next one begins after `addrReuseS`.
+const FIRST_LIFE_MS: u64 = 600;
+const DOWN_MS: u64 = 2000;
+/// How late the heartbeat comes.
+const LATE_MS: u64 = 4500;
+const JOBS: usize = 40;
+const EVERY_MS: u64 = 250;
+
+pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
+    let mut deployment = Deployment::new(record, 3, 2, WORKERS)?;
+    deployment.boot(&client::config())?;
+    let shared = Arc::new(Mutex::new(Shared::default()));
+    // The worker of the first side machine is started below.
+    let late = client::profiles(&deployment).remove(0);
+    let _workers = client::workers_but(&deployment, &shared, record, Some(&late.id));
+    let clients = Clients::new(&deployment, &shared, record);
+    sleep(Duration::from_secs(3));
+    // The first life: its one heartbeat is on its way for long, gets no answer within a second, and the worker crashes.
+    record.line("the first life sends its only heartbeat, and crashes");
+    let first_id = "i-01d01d01";
+    let body = json!({
+        "backend": "trade-orders", "address": late.address, "zone": late.zone, "version": "v1", "slots": 8,
+        "state": "ready", "coldLeftMs": 0, "callSeq": 1,
+        "capacity": {"cpu": late.cpu, "memMb": late.mem_mb, "gpus": 0}, "labels": late.labels, "clockMs": 40,
+        "running": [], "finished": [],
+    })
+    .to_string();
+    let deliver = {
+        let (record, to) = (record.clone(), late.beats_to);
+        move || {
+            let request = format!("POST /landingdrift/Workers.Heartbeat/{first_id} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let Ok(mut connection) = TcpStream::connect(to) else {
+                return;
+            };
+            let _ = connection.write_all(request.as_bytes());
+            record.line(&format!("the heartbeat of {first_id} arrives"));
+            let _ = connection.set_read_timeout(Some(Duration::from_secs(1)));
+            let mut answer = [0; 2000];
+            let length = connection.read(&mut answer).unwrap_or(0);
+            let answer = String::from_utf8_lossy(&answer[..length]).replace("\r\n", " ");
+            record.line(&format!(
+                "the answer, which nobody hears any more: {answer}"
+            ));
+        }
+    };
+    if !trouble {
+        deliver();
+    } else {
+        std::thread::spawn(move || {
+            sleep(Duration::from_millis(LATE_MS));
+            deliver();
+        });
+    }
+    sleep(Duration::from_millis(FIRST_LIFE_MS + DOWN_MS));
+    record.line(&format!(
+        "the next life, {}, begins at the same address",
+        late.id
+    ));
+    let switches = crate::worker::Switches::default();
+    Worker::spawn(late.clone(), &shared, record, &switches);
+    sleep(Duration::from_millis(300));
+    let stage = Stage {
+        count: 8,
+        cpu: 800,
+        mem_mb: 2300,
+        work_ms: 3000,
+        ..Stage::default()
+    };
+    for number in 0..JOBS {
+        let id = format!("dddd{number:012x}");
+        clients.submit(number, CONFIRM, &id, &stage, "confirm")?;
+        sleep(Duration::from_millis(EVERY_MS));
+    }
+    sleep(Duration::from_secs(8));
+    if let Some(name) = deployment.ended_by_itself() {
+        return Err(format!("{name} has ended by itself"));
+    }
+    // Two runs of one task at once, on workers that are up: every worker that is listed here is.
+    let events: Vec<Event> = shared.lock().unwrap().events.clone();
+    let mut running: std::collections::BTreeMap<String, (String, u64)> = Default::default();
+    let mut twice = Vec::new();
+    for event in &events {
+        if event.how.is_empty() {
+            if let Some((other, since)) = running.get(&event.task) {
+                twice.push(format!(
+                    "{} runs on {other} since {since}, and starts on {} at {}",
+                    event.task, event.worker, event.at
+                ));
+            }
+            running.insert(event.task.clone(), (event.worker.clone(), event.at));
+        } else if running
+            .get(&event.task)
+            .is_some_and(|(worker, _)| *worker == event.worker)
+        {
+            running.remove(&event.task);
+        }
+    }
+    for text in &twice {
+        record.line(&format!("TWICE {text}"));
+    }
+    Ok(match twice.first() {
+        Some(first) => Verdict::Broken(format!(
+            "TWICE: {} tasks ran twice at once; {first}",
+            twice.len()
+        )),
+        None => Verdict::Held("no task ran twice at once".into()),
+    })
+}
