--- a/review/standin/src/cases/blamed_workers.rs
+++ b/review/standin/src/cases/blamed_workers.rs
@@ -31,7 +31,7 @@
         count: 4,
         cpu: 500,
         mem_mb: 2300,
-        work_ms: 8000,
+        work_ms: 10_000,
         affinity: rack.clone(),
         ..Stage::default()
     };
--- a/review/standin/src/cases/late_first_beat.rs
+++ b/review/standin/src/cases/late_first_beat.rs
@@ -77,7 +77,7 @@
     Worker::spawn(late.clone(), &shared, record, &switches);
     sleep(Duration::from_millis(300));
     let stage = Stage {
-        count: 8,
+        count: 10,
         cpu: 800,
         mem_mb: 2300,
         work_ms: 3000,
