--- a/review/standin/src/cases/late_first_beat.rs
+++ b/review/standin/src/cases/late_first_beat.rs
@@ -1,7 +1,7 @@
 //! TWICE: the only heartbeat of a worker's short life comes seconds late, when a new life runs tasks at the same address;
 //! the living one is taken for gone, and what runs on it is started elsewhere as well.
 
-use crate::client::{self, Clients, CONFIRM};
+use crate::client::{self, Clients, RECOUNT};
 use crate::deployment::Deployment;
 use crate::record::Record;
 use crate::worker::{Event, Shared, Stage, Worker};
@@ -20,15 +20,20 @@
 const DOWN_MS: u64 = 2000;
 /// How late the heartbeat comes.
 const LATE_MS: u64 = 4500;
+/// How long a stop takes on that worker; the pages allow 200 ms.
+const STOP_MS: u64 = 150;
+/// Of the queue that the jobs are handed in at.
+const MAX_ATTEMPTS: usize = 3;
 const JOBS: usize = 40;
 const EVERY_MS: u64 = 250;
 
-pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
+pub fn run(record: &Record, trouble: bool, failing: bool) -> Result<Verdict, String> {
     let mut deployment = Deployment::new(record, 3, 2, WORKERS)?;
     deployment.boot(&client::config())?;
     let shared = Arc::new(Mutex::new(Shared::default()));
     // The worker of the first side machine is started below.
-    let late = client::profiles(&deployment).remove(0);
+    let mut late = client::profiles(&deployment).remove(0);
+    late.stop = Duration::from_millis(STOP_MS);
     let _workers = client::workers_but(&deployment, &shared, record, Some(&late.id));
     let clients = Clients::new(&deployment, &shared, record);
     sleep(Duration::from_secs(3));
@@ -76,22 +81,28 @@
     let switches = crate::worker::Switches::default();
     Worker::spawn(late.clone(), &shared, record, &switches);
     sleep(Duration::from_millis(300));
-    let stage = Stage {
-        count: 10,
-        cpu: 800,
-        mem_mb: 2300,
-        work_ms: 3000,
-        ..Stage::default()
-    };
     for number in 0..JOBS {
         let id = format!("dddd{number:012x}");
-        clients.submit(number, CONFIRM, &id, &stage, "confirm")?;
+        // Those that fail do so after different times.
+        let fails_after = 500 + number as u64 * 173 % 600;
+        let stage = Stage {
+            count: if failing { 20 } else { 10 },
+            cpu: 400,
+            mem_mb: 1200,
+            work_ms: if failing { fails_after } else { 3000 },
+            fails: failing,
+            ..Stage::default()
+        };
+        clients.submit(number, RECOUNT, &id, &stage, "recount")?;
         sleep(Duration::from_millis(EVERY_MS));
     }
     sleep(Duration::from_secs(8));
     if let Some(name) = deployment.ended_by_itself() {
         return Err(format!("{name} has ended by itself"));
     }
+    if failing {
+        return Ok(judge_budget(&shared.lock().unwrap(), record));
+    }
     // Two runs of one task at once, on workers that are up: every worker that is listed here is.
     let events: Vec<Event> = shared.lock().unwrap().events.clone();
     let mut running: std::collections::BTreeMap<String, (String, u64)> = Default::default();
@@ -123,3 +134,30 @@
         None => Verdict::Held("no task ran twice at once".into()),
     })
 }
+
+/// BUDGET: a start once `maxAttempts` runs of the task have ended failed, and those ends are taken note of in the end.
+fn judge_budget(shared: &Shared, record: &Record) -> Verdict {
+    let mut failed: std::collections::BTreeMap<&str, usize> = Default::default();
+    let mut beyond = Vec::new();
+    for event in &shared.events {
+        let failures = failed.entry(event.task.as_str()).or_default();
+        let noted = (event.worker.clone(), event.task.clone(), event.run);
+        if event.how.is_empty() && *failures >= MAX_ATTEMPTS {
+            beyond.push(format!(
+                "{} starts as run {} on {} at {}, after {failures} failed runs",
+                event.task, event.run, event.worker, event.at
+            ));
+        } else if event.how == "failed" && shared.noted.contains(&noted) {
+            *failures += 1;
+        }
+    }
+    for text in &beyond {
+        record.line(&format!("BUDGET {text}"));
+    }
+    match beyond.first() {
+        Some(first) => {
+            Verdict::Broken(format!("BUDGET: {} starts too many; {first}", beyond.len()))
+        }
+        None => Verdict::Held("no task started once too often".into()),
+    }
+}
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -53,6 +53,7 @@
                 cpu: 16000,
                 mem_mb: 65536,
                 labels: ["a".into(), rack],
+                stop: Duration::from_millis(100),
             }
         })
         .collect()
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -19,8 +19,6 @@
 const HOLD_MAX: Duration = Duration::from_millis(6000);
 const GANG_TIMEOUT: Duration = Duration::from_millis(3000);
 const BEAT_INTERVAL_MS: u64 = 1400;
-/// How long a stop takes; the pages allow 200 ms.
-const STOP: Duration = Duration::from_millis(100);
 const AFTER_END: Duration = Duration::from_millis(50);
 
 /// A step as the client handed it in.
@@ -37,6 +35,8 @@
     pub constraints: String,
     /// The rack that holds the data; empty for none.
     pub affinity: String,
+    /// Its tasks fail, by their own fault, when they have worked for their time.
+    pub fails: bool,
 }
 
 impl Stage {
@@ -76,6 +76,7 @@
     pub at: u64,
     pub worker: String,
     pub task: String,
+    pub run: u32,
     /// Empty for a start, else how the run ended.
     pub how: String,
 }
@@ -85,6 +86,8 @@
 pub struct Shared {
     pub jobs: BTreeMap<String, Vec<Stage>>,
     pub events: Vec<Event>,
+    /// Ends that were taken note of: the worker, the task and the run.
+    pub noted: BTreeSet<(String, String, u32)>,
     /// The members of a gang's run that are there, by job, time, step and run.
     gangs: BTreeMap<String, BTreeSet<String>>,
     /// Gangs' runs that have begun to work, and since when.
@@ -131,6 +134,8 @@
     pub cpu: u32,
     pub mem_mb: u32,
     pub labels: [String; 2],
+    /// How long a stop takes; the pages allow 200 ms.
+    pub stop: Duration,
 }
 
 /// A worker; it ends when `stop` is set, as in a crash: it says nothing.
@@ -270,6 +275,10 @@
 
     fn obey(&mut self, sent: Instant, answer: &Value) {
         if let Some(last_seen) = answer["lastSeen"].as_u64() {
+            let noted = self.ended.iter().filter(|end| end.0 <= last_seen);
+            let noted =
+                noted.map(|(_, task, run, _)| (self.profile.id.clone(), task.clone(), *run));
+            self.shared.lock().unwrap().noted.extend(noted);
             self.ended.retain(|end| end.0 > last_seen);
         }
         let fence = answer["fenceToken"].as_u64().unwrap_or(0);
@@ -288,7 +297,9 @@
                 .filter(|running| running.number == run)
             {
                 Some(running) => {
-                    running.stopped_at.get_or_insert(Instant::now() + STOP);
+                    running
+                        .stopped_at
+                        .get_or_insert(Instant::now() + self.profile.stop);
                 }
                 None => {
                     let over = self.over.entry(task.to_string()).or_default();
@@ -353,6 +364,7 @@
             at: self.record.now(),
             worker: self.profile.id.clone(),
             task: task.into(),
+            run,
             how: how.into(),
         });
         let what = if how.is_empty() { "start" } else { how };
@@ -424,7 +436,8 @@
             worked = now.saturating_duration_since(shared.working[gang]);
         }
         let work = Duration::from_millis(stage.work_ms_on(&self.profile.labels[1]));
-        (!stage.long_running && worked >= work).then_some("done")
+        let how = if stage.fails { "failed" } else { "done" };
+        (!stage.long_running && worked >= work).then_some(how)
     }
 }
 
