Sight: what operators are told of a change, and at which index a node has it in force

Cause: nothing in logs or counters told which answer a change of the configuration got, at which node, under which identity; forms that the platform's translation refuses were not logged at all.

No logic is changed.

--- a/landingdrift/src/node/calls/config.rs
+++ b/landingdrift/src/node/calls/config.rs
@@ -83,6 +83,7 @@
     }
 
     pub(super) fn configured_response(&mut self, change: &str, result: ApplyResult) -> Response {
+        self.note_configured(change, &result);
         match result {
             Ok(applied) => Response::new(
                 200,
@@ -110,6 +111,23 @@
         }
     }
 
+    /// Logs and counts what the caller of a change is told, so that it can be compared with what other nodes have in force.
+    fn note_configured(&mut self, change: &str, result: &ApplyResult) {
+        match result {
+            Ok(applied) => {
+                let (version, index) = (&applied["version"], &applied["place"]);
+                self.count("config_changes_acknowledged", 1);
+                self.log(format!(
+                    "configuration change {change} acknowledged as version {version}, index {index}"
+                ));
+            }
+            Err(rejection) => {
+                self.count("config_changes_rejected", 1);
+                self.log(format!("configuration change {change} rejected: {rejection}"));
+            }
+        }
+    }
+
     /// Begins or ends the evacuation of a zone.
     pub(super) fn evacuate_zone(&mut self, now: Now, origin: Origin, zone: &str, on: bool) {
         let command = Command::SetEvacuation {
--- a/landingdrift/src/node/watch/entries.rs
+++ b/landingdrift/src/node/watch/entries.rs
@@ -59,7 +59,10 @@
         }
         if self.state.version != version {
             let version = self.state.version;
-            self.log(format!("configuration version {version} in force"));
+            let index = entry.index;
+            self.log(format!(
+                "configuration version {version} in force, index {index}"
+            ));
         }
     }
 
