--- a/landingdrift/src/node/calls/config.rs
+++ b/landingdrift/src/node/calls/config.rs
@@ -123,7 +123,9 @@
             }
             Err(rejection) => {
                 self.count("config_changes_rejected", 1);
-                self.log(format!("configuration change {change} rejected: {rejection}"));
+                self.log(format!(
+                    "configuration change {change} rejected: {rejection}"
+                ));
             }
         }
     }
