One host is one host, however it is spelt

Seen (rule CONFIG): two routes on one prefix, of hosts that differ only by case or by a port, were acknowledged by real processes, though two routes with the same host and prefix are invalid. Found beside it: a route whose host was declared with a port was taken and never served, since calls were compared without their ports.

Cause: the check of a configuration compared texts, the search for a call's queue compared hosts without case and cut the port of the call alone. Class: a rule that is checked by another comparison than it is used by.

Change: config/hosts.rs, used by both.

Upgrade: replicas of both versions judge such a configuration differently.

--- a/landingdrift/src/config/check.rs
+++ b/landingdrift/src/config/check.rs
@@ -1,4 +1,4 @@
-use super::ClusterConfig;
+use super::{canonical_host, ClusterConfig};
 use std::fmt;
 
 /// What is wrong with a declared configuration.
@@ -99,7 +99,7 @@
     let mut places = std::collections::BTreeMap::new();
     for (name, q) in d.queues.iter().filter(|(_, q)| !q.prefix.is_empty()) {
         let at = |f: &str| format!("queues.{name}.{f}");
-        let other = places.insert((&q.host, &q.prefix), name);
+        let other = places.insert((canonical_host(&q.host), &q.prefix), name);
         ensure(
             other.is_none(),
             at("prefix"),
--- a/landingdrift/src/config/mod.rs
+++ b/landingdrift/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! The configuration: what operators declare.
 
 mod check;
+mod hosts;
 mod patch;
 
 pub use check::{check, read, ConfigError};
+pub use hosts::{canonical_host, is_same_host};
 pub use patch::merge;
 
 use std::collections::BTreeMap;
--- a/landingdrift/src/node/calls/routed_jobs.rs
+++ b/landingdrift/src/node/calls/routed_jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs that are submitted by host and path: they go to the queue with that host and the longest matching prefix.
 
 use super::{Origin, ReadQuery};
-use crate::config::Queue;
+use crate::config::{is_same_host, Queue};
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
 use crate::state::{JobSpec, JobState};
@@ -13,9 +13,8 @@
 impl Node {
     /// The queue that a host and path belong to, with its name: the one of the longest prefix.
     fn routed(&self, host: &str, path: &str) -> Option<(&str, &Queue)> {
-        let host = host.split(':').next().unwrap_or_default();
         let is_match = |queue: &Queue| {
-            let of_host = !queue.prefix.is_empty() && queue.host.eq_ignore_ascii_case(host);
+            let of_host = !queue.prefix.is_empty() && is_same_host(&queue.host, host);
             of_host && path.starts_with(&queue.prefix)
         };
         let queues = self.state.config.queues.iter();
--- a/landingdrift/tests/config_updates.rs
+++ b/landingdrift/tests/config_updates.rs
@@ -186,3 +186,20 @@
     d.end("v", 3, Outcome::NeverStarted);
     assert_eq!(d.state("under-way"), JobState::Failed);
 }
+
+/// A configuration with two queues on one prefix.
+fn two_queues(hosts: [&str; 2]) -> serde_json::Value {
+    let queue = |host: &str| json!({"tries": 1, "quota": 1, "windowMs": 1000, "unsureBoundMs": 1000, "service": "s", "host": host, "prefix": "/p/"});
+    json!({"queues": {"one": queue(hosts[0]), "other": queue(hosts[1])}, "services": {"s": {"taskRoom": 1, "gangRoom": 1}}})
+}
+
+#[test]
+fn two_queues_whose_hosts_differ_only_in_spelling_are_refused() {
+    for other in ["HOST.example", "host.example:80", "Host.Example:8080"] {
+        let read = landingdrift::config::read(&two_queues(["host.example", other]));
+        let refused = read.expect_err(other);
+        assert_eq!(refused.path(), "queues.other.prefix", "{other}");
+    }
+    let read = landingdrift::config::read(&two_queues(["host.example", "host.example.org"]));
+    read.expect("these are two hosts");
+}
