What a replica sends is for one process and one copy; a copy that differs is fetched anew

Cause: proposals, read indexes and chunks are matched to the process and copy that asked, batches of the watch were not. Class: answers that are not matched to what was asked. Frames outlive the process that they are for: the sender's queue and its sockets keep them over a restart of the receiver, and a frozen replica answers what lies in its sockets when it wakes.

Change: a request names its incarnation and a batch repeats it; a batch says which index its entries follow, and by which entry the configuration was made that is in force where it ends. A batch of another process or past a gap is dropped and counted; a copy that comes to another configuration than the replicas is dropped before it answers anybody, logged, counted, and fetched anew. The leader takes nothing that it sent to an earlier process for being on its way to the next. Three fields more on the wire, which older builds leave out; then all is as it was.

Tests: landingdrift/tests/watch_identity.rs.

--- a/landingdrift/src/consensus/watch.rs
+++ b/landingdrift/src/consensus/watch.rs
@@ -35,8 +35,8 @@
     unacknowledged: Unacknowledged,
     pub rate: LinkRate,
     pub last_heard_at: u64,
-    /// When the node sent its last request, by its own clock; sent back so that it knows how fresh an answer is.
-    pub request_sent_at: u64,
+    /// The node's last request.
+    pub last_request: RequestOrigin,
     pub zone: String,
     pub http: String,
     pub leaving: bool,
@@ -53,6 +53,24 @@
     pub fetched_index: u64,
 }
 
+/// Which process asked, and when: sent back with what answers it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RequestOrigin {
+    /// The asking process; 0 where an older build did not say.
+    pub incarnation: u64,
+    /// When it asked, by its own clock: it knows by that how fresh an answer is.
+    pub sent_at: u64,
+}
+
+impl RequestOrigin {
+    fn of(request: &WatchRequest) -> Self {
+        Self {
+            incarnation: request.incarnation,
+            sent_at: request.sent,
+        }
+    }
+}
+
 /// The nodes that follow this leader's log, and the snapshots that they fetch.
 #[derive(Clone, Default)]
 pub(super) struct Watch {
@@ -65,16 +83,20 @@
 struct SentEntries {
     entries: Vec<Entry>,
     bytes: u64,
+    /// The index that a node has come to which they are for.
+    follows: u64,
     /// The index that a node comes to which applies them.
     reached: u64,
 }
 
 impl SentEntries {
-    fn none(reached: u64) -> Self {
+    /// No entries for a node that has come to an index.
+    fn none(index: u64) -> Self {
         Self {
             entries: Vec::new(),
             bytes: 0,
-            reached,
+            follows: index,
+            reached: index,
         }
     }
 }
@@ -93,9 +115,12 @@
         had_more && self.is_same_process(request) && request.log_index >= self.sent_index
     }
 
-    /// Whether a request may be of the process that sent the last one.
+    /// Whether a request is of the process that sent the last one, or may be where an older build doesn't say, and of no
+    /// copy that has started over.
     fn is_same_process(&self, request: &WatchRequest) -> bool {
-        request.sent >= self.request_sent_at && request.log_index >= self.applied_index
+        request.incarnation == self.last_request.incarnation
+            && request.sent >= self.last_request.sent_at
+            && request.log_index >= self.applied_index
     }
 }
 
@@ -120,7 +145,7 @@
     pub(super) fn on_watch_request(&mut self, now: Now, from: &str, request: WatchRequest) {
         if !self.is_ready_to_lead() {
             self.watch.snapshots.clear();
-            self.send_watch_batch(now, from, request.sent, None);
+            self.send_watch_batch(now, from, RequestOrigin::of(&request), None);
             return;
         }
         let unused_after = UNUSED_SNAPSHOT_NODE_TIMEOUTS * self.settings.bounds.node_lost();
@@ -141,12 +166,13 @@
         if self.needs_snapshot(&request.node, from_index) {
             self.send_watch_chunk(now, from, &request);
         }
+        let origin = RequestOrigin::of(&request);
         if self.has_entries_in_flight(&request.node) {
             let nothing = SentEntries::none(request.log_index);
-            self.send_entries(now, from, request.sent, true, nothing);
+            self.send_entries(now, from, origin, true, nothing);
             return;
         }
-        self.send_watch_batch(now, from, request.sent, Some(from_index));
+        self.send_watch_batch(now, from, origin, Some(from_index));
     }
 
     /// Whether entries are on their way to a node. It is not sent further ones meanwhile: a light copy can't tell
@@ -180,7 +206,7 @@
             unacknowledged,
             rate,
             last_heard_at: now.mono,
-            request_sent_at: request.sent,
+            last_request: RequestOrigin::of(request),
             zone: request.zone.clone(),
             http: request.http.clone(),
             leaving: request.leaving,
@@ -232,11 +258,11 @@
             let is_full = !watcher.light;
             let may_be_sent = holders.contains(node) && is_full && lacks_entries && is_fresh;
             if may_be_sent && !self.needs_snapshot(node, watcher.sent_index) {
-                due.push((node.clone(), watcher.request_sent_at, watcher.sent_index));
+                due.push((node.clone(), watcher.last_request, watcher.sent_index));
             }
         }
-        for (node, request_sent_at, sent_index) in due {
-            self.send_watch_batch(now, &node, request_sent_at, Some(sent_index));
+        for (node, last_request, sent_index) in due {
+            self.send_watch_batch(now, &node, last_request, Some(sent_index));
         }
     }
 
@@ -260,7 +286,7 @@
         &mut self,
         now: Now,
         to: &str,
-        request_sent_at: u64,
+        origin: RequestOrigin,
         from_index: Option<u64>,
     ) {
         let leads = from_index.is_some();
@@ -270,7 +296,7 @@
             None => SentEntries::none(0),
         };
         self.note_sent(now, to, &sent);
-        self.send_entries(now, to, request_sent_at, leads, sent);
+        self.send_entries(now, to, origin, leads, sent);
     }
 
     /// The entries after an index that one message to a node holds.
@@ -298,7 +324,7 @@
         &mut self,
         now: Now,
         to: &str,
-        request_sent_at: u64,
+        origin: RequestOrigin,
         leads: bool,
         sent: SentEntries,
     ) {
@@ -313,7 +339,7 @@
             replica: self.name.clone(),
             leader: self.leader.clone(),
             ok: leads,
-            sent: request_sent_at,
+            sent: origin.sent_at,
             quorum_age,
             clock: self.clock.read(now),
             commit: self.log.commit_index,
@@ -324,6 +350,9 @@
             replicas: self.members().into_keys().collect(),
             light,
             reached: sent.reached,
+            incarnation: origin.incarnation,
+            follows: sent.follows,
+            config_index: self.state.config_index_at(sent.reached),
         };
         self.send(to, Body::WatchBatch(Box::new(batch)));
     }
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -187,7 +187,7 @@
         match body {
             Body::WatchBatch(batch) => self.on_batch(now, from, *batch),
             Body::WatchSnapshotChunk(chunk) => self.on_watch_chunk(now, from, &chunk),
-            Body::WatchRequest(request) => self.on_misdirected_watch_request(from, request.sent),
+            Body::WatchRequest(request) => self.on_misdirected_watch_request(from, &request),
             Body::ProposeResponse(response) if self.is_own(&response.token) => {
                 self.on_propose_response(now, from, *response)
             }
--- a/landingdrift/src/node/watch/entries.rs
+++ b/landingdrift/src/node/watch/entries.rs
@@ -3,7 +3,7 @@
 use super::super::zone_scheduler::zone_of_lease;
 use super::super::Node;
 use crate::sans_io::Now;
-use crate::state::Command;
+use crate::state::{ClusterState, Command};
 use crate::wire::{Entry, WatchBatch};
 
 impl Node {
@@ -12,6 +12,11 @@
         if batch.light != self.light {
             return false;
         }
+        if batch.follows > self.state.applied_index {
+            // It continues another copy than this one: what lies between is not known here.
+            self.count("watch_batches_past_a_gap", 1);
+            return false;
+        }
         let mut changed = false;
         for entry in &batch.entries {
             let next = self.state.applied_index + 1;
@@ -29,6 +34,30 @@
         changed
     }
 
+    /// Whether this copy, having come as far as a batch goes, has another configuration in force than the replicas.
+    pub(super) fn has_diverged(&self, batch: &WatchBatch) -> bool {
+        let is_comparable = batch.config_index > 0
+            && batch.light == self.light
+            && batch.reached == self.state.applied_index;
+        is_comparable && batch.config_index != self.state.config_index()
+    }
+
+    /// Drops the copy of the cluster state: a new one is fetched.
+    pub(super) fn start_over(&mut self, now: Now) {
+        let index = self.state.applied_index;
+        self.log(format!(
+            "the copy at index {index} has another configuration than the replicas: it is fetched anew"
+        ));
+        self.count("watch_copies_diverged", 1);
+        self.state = ClusterState::new(&self.settings.cluster);
+        self.light = false;
+        self.watch.has_snapshot = false;
+        self.watch.next_watch_request = now.mono;
+        self.sched.all_dirty = true;
+        self.sched.forget_reservations();
+        self.on_state_changed(now);
+    }
+
     /// Does what a change of the cluster state gives cause for.
     pub(super) fn on_state_changed(&mut self, now: Now) {
         self.update_zone_schedulers(now);
--- a/landingdrift/src/node/watch/mod.rs
+++ b/landingdrift/src/node/watch/mod.rs
@@ -190,6 +190,7 @@
             part_index: incoming.index,
             part_checksum: incoming.checksum,
             part_received: self.watch.incoming.received(),
+            incarnation: self.incarnation,
         }
     }
 
@@ -209,12 +210,12 @@
     }
 
     /// Another process took this node for a replica: it is told which ones this node knows.
-    pub(super) fn on_misdirected_watch_request(&mut self, from: &str, sent: u64) {
+    pub(super) fn on_misdirected_watch_request(&mut self, from: &str, request: &WatchRequest) {
         let batch = WatchBatch {
             replica: self.name.clone(),
             leader: self.watch.leader.clone(),
             ok: false,
-            sent,
+            sent: request.sent,
             quorum_age: 0,
             clock: 0,
             commit: 0,
@@ -224,11 +225,17 @@
             light: false,
             reached: 0,
             replicas: self.peer_sampler.replicas.iter().cloned().collect(),
+            incarnation: request.incarnation,
+            follows: 0,
+            config_index: 0,
         };
         self.send(from, Body::WatchBatch(Box::new(batch)));
     }
 
     pub(super) fn on_batch(&mut self, now: Now, from: &str, batch: WatchBatch) {
+        if !self.is_own_batch(&batch) {
+            return;
+        }
         if !batch.ok {
             return self.on_watch_refused(now, from, batch);
         }
@@ -236,6 +243,9 @@
         self.watch.catch_up.batches += 1;
         let mut changed = self.install_snapshot_of(&batch);
         changed |= self.apply_entries(&batch);
+        if self.has_diverged(&batch) {
+            return self.start_over(now);
+        }
         if self.state.applied_index >= batch.commit && batch.commit > 0 {
             self.caught_up(now, &batch);
         } else if self.state.applied_index < batch.commit && changed {
@@ -249,6 +259,14 @@
         }
     }
 
+    /// Whether a batch answers a request of this process. The times in one for an earlier process are of another clock. An
+    /// older build doesn't say.
+    fn is_own_batch(&mut self, batch: &WatchBatch) -> bool {
+        let own = [0, self.incarnation].contains(&batch.incarnation);
+        self.count("responses_to_another_incarnation", u64::from(!own));
+        own
+    }
+
     /// The process that was asked is no leader: the one that it names is asked instead, or any other.
     fn on_watch_refused(&mut self, now: Now, from: &str, batch: WatchBatch) {
         if from != self.watch.replica {
--- a/landingdrift/src/replay/rerun/simulation.rs
+++ b/landingdrift/src/replay/rerun/simulation.rs
@@ -228,6 +228,9 @@
             light: false,
             reached: self.state.applied_index,
             replicas: vec![REPLICA.into()],
+            incarnation: 0,
+            follows: 0,
+            config_index: 0,
         };
         if needs_snapshot {
             batch.snapshot = self.state.pack();
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -162,6 +162,18 @@
         }
     }
 
+    /// The index of the entry that made the configuration in force; 0 where there is none.
+    pub fn config_index(&self) -> u64 {
+        self.changes.back().map_or(0, |change| change.log_index)
+    }
+
+    /// The index of the entry that made the configuration which was in force at an index; 0 where it is not known any more.
+    pub fn config_index_at(&self, index: u64) -> u64 {
+        let mut changes = self.changes.iter().rev();
+        let newest = changes.find(|change| change.log_index <= index);
+        newest.map_or(0, |change| change.log_index)
+    }
+
     /// A queue by the configuration, or as it was when it was removed with jobs in it.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         let configured = self.config.queues.get(name);
--- a/landingdrift/tests/common/mod.rs
+++ b/landingdrift/tests/common/mod.rs
@@ -121,6 +121,9 @@
             replicas: vec![CORE.into()],
             light: false,
             reached: self.state.applied_index,
+            incarnation: 0,
+            follows: 0,
+            config_index: 0,
         };
         let body = Body::WatchBatch(Box::new(batch));
         self.step(node, Msg::Wire(CORE.into(), body));
--- a/landingdrift/tests/light_copies.rs
+++ b/landingdrift/tests/light_copies.rs
@@ -192,6 +192,9 @@
         replicas: vec![CORE.into()],
         light: true,
         reached: r.applied_index,
+        incarnation: 0,
+        follows: 0,
+        config_index: 0,
     }
 }
 
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -164,6 +164,9 @@
             replicas: vec![REPLICA.into()],
             light,
             reached: self.state.applied_index,
+            incarnation: 0,
+            follows: 0,
+            config_index: 0,
         };
         let now = self.now();
         self.node.step(
--- a/landingdrift/tests/replicas/mod.rs
+++ b/landingdrift/tests/replicas/mod.rs
@@ -309,6 +309,7 @@
             part_index: 0,
             part_checksum: 0,
             part_received: 0,
+            incarnation: 0,
         }
     }
 
--- a/landingdrift/tests/responses.rs
+++ b/landingdrift/tests/responses.rs
@@ -59,6 +59,9 @@
             replicas: vec![CORE.into()],
             light: false,
             reached: state.applied_index,
+            incarnation: 0,
+            follows: 0,
+            config_index: 0,
         };
         desk.hear(CORE, Body::WatchBatch(Box::new(batch)));
         desk
--- a/landingdrift/tests/stored/messages.rs
+++ b/landingdrift/tests/stored/messages.rs
@@ -194,6 +194,9 @@
         replicas: vec!["a".into()],
         light: false,
         reached: 7,
+        incarnation: 0,
+        follows: 0,
+        config_index: 0,
     };
     let chunk = WatchSnapshotChunk {
         commit: 1,
@@ -231,6 +234,7 @@
         part_index: 5,
         part_checksum: 6,
         part_received: 7,
+        incarnation: 0,
     }
 }
 
--- a/landingdrift/tests/stored/mod.rs
+++ b/landingdrift/tests/stored/mod.rs
@@ -205,6 +205,9 @@
         replicas: vec![CORE.into()],
         light: false,
         reached: state.applied_index,
+        incarnation: 0,
+        follows: 0,
+        config_index: 0,
     }
 }
 
--- a/landingdrift/tests/watch_flow.rs
+++ b/landingdrift/tests/watch_flow.rs
@@ -185,6 +185,9 @@
         replicas: vec![REPLICA.into()],
         light: true,
         reached: harness.state.applied_index,
+        incarnation: 0,
+        follows: 0,
+        config_index: 0,
     };
     let body = Body::WatchBatch(Box::new(batch));
     harness.node.step(now, Msg::Wire(REPLICA.into(), body));
--- /dev/null
+++ b/landingdrift/tests/watch_identity.rs
@@ -0,0 +1,221 @@
+//! What a replica sends is for one process and one copy of the cluster state: another one takes nothing of it.
+
+mod node_harness;
+mod replicas;
+
+use landingdrift::sans_io::{Effect, Msg, Part};
+use landingdrift::settings::Limits;
+use landingdrift::state::Command;
+use landingdrift::wire::{Body, Entry, WatchBatch, WatchRequest};
+use node_harness::{NodeHarness, REPLICA};
+use replicas::{Cores, NODE};
+use serde_json::json;
+
+/// After so many milliseconds without a batch no copy is fresh.
+const STALE_MS: u64 = 5000;
+
+/// A node asks at least this often.
+const REQUEST_INTERVAL_MS: u64 = 150;
+
+/// A batch without entries for the node's copy, whose kind is `light`.
+fn batch(harness: &NodeHarness, light: bool) -> WatchBatch {
+    let index = harness.state.applied_index;
+    WatchBatch {
+        replica: REPLICA.into(),
+        leader: REPLICA.into(),
+        ok: true,
+        sent: harness.elapsed_ms,
+        quorum_age: 0,
+        clock: 1000 + harness.elapsed_ms,
+        commit: index,
+        snapshot: Vec::new(),
+        snapshot_index: 0,
+        entries: Vec::new(),
+        replicas: vec![REPLICA.into()],
+        light,
+        reached: index,
+        incarnation: 0,
+        follows: index,
+        config_index: harness.state.config_index(),
+    }
+}
+
+fn receive(harness: &mut NodeHarness, batch: WatchBatch) -> Vec<Effect> {
+    let now = harness.now();
+    let body = Body::WatchBatch(Box::new(batch));
+    harness.node.step(now, Msg::Wire(REPLICA.into(), body))
+}
+
+fn is_ready(harness: &NodeHarness) -> bool {
+    harness.node.is_ready(harness.now())
+}
+
+/// The node's next request.
+fn next_request(harness: &mut NodeHarness) -> WatchRequest {
+    harness.elapsed_ms += REQUEST_INTERVAL_MS;
+    let effects = harness.node.step(harness.now(), Msg::Tick);
+    let requests = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Send(_, Body::WatchRequest(request)) => Some(*request),
+        _ => None,
+    });
+    requests.last().expect("a request")
+}
+
+fn patch(base: u64, value: serde_json::Value) -> Command {
+    Command::UpdateConfig {
+        change: format!("on-{base}"),
+        base,
+        patch: true,
+        number: 0,
+        value,
+    }
+}
+
+/// The entry at the end of the log.
+fn last_entry(harness: &NodeHarness, command: &Command) -> Entry {
+    Entry {
+        index: harness.state.applied_index,
+        term: 1,
+        at: 1000 + harness.elapsed_ms,
+        command: command.pack(),
+    }
+}
+
+#[test]
+fn a_batch_for_an_earlier_process_makes_no_copy_fresh() {
+    let mut harness = NodeHarness::new();
+    harness.follow();
+    let own = next_request(&mut harness).incarnation;
+    harness.elapsed_ms += STALE_MS;
+    assert!(own > 0 && !is_ready(&harness));
+    // The earlier process had run for long: by this one's clock its requests lie in the future.
+    let for_earlier = WatchBatch {
+        incarnation: own ^ 1,
+        sent: 900_000_000,
+        ..batch(&harness, false)
+    };
+    receive(&mut harness, for_earlier);
+    assert!(!is_ready(&harness));
+    let for_this = WatchBatch {
+        incarnation: own,
+        ..batch(&harness, false)
+    };
+    receive(&mut harness, for_this);
+    assert!(is_ready(&harness));
+}
+
+#[test]
+fn a_light_copy_is_not_moved_past_entries_that_it_lacks() {
+    let mut harness = NodeHarness::new();
+    harness.follow_light();
+    let index = harness.state.applied_index;
+    let first = patch(
+        1,
+        json!({"queues": {"added": {"tries": 1, "quota": 1, "windowMs": 1000, "unsureBoundMs": 1000}}}),
+    );
+    harness.append(first.clone());
+    let first_entry = last_entry(&harness, &first);
+    let second = Command::SetEvacuation {
+        zone: "z".into(),
+        on: true,
+    };
+    harness.append(second.clone());
+    let second_entry = last_entry(&harness, &second);
+    // It continues the copy of an earlier process, which had the first entry.
+    let for_another_copy = WatchBatch {
+        entries: vec![second_entry.clone()],
+        follows: index + 1,
+        ..batch(&harness, true)
+    };
+    receive(&mut harness, for_another_copy);
+    assert_eq!(harness.node.state().applied_index, index);
+    let for_this_copy = WatchBatch {
+        entries: vec![first_entry, second_entry],
+        follows: index,
+        ..batch(&harness, true)
+    };
+    receive(&mut harness, for_this_copy);
+    assert_eq!(harness.node.state().applied_index, index + 2);
+    assert!(harness.node.state().config.queues.contains_key("added"));
+}
+
+#[test]
+fn a_change_that_was_refused_is_in_force_on_no_light_copy() {
+    let mut harness = NodeHarness::new();
+    harness.accept("j", 1);
+    harness.follow_light();
+    let index = harness.state.applied_index;
+    // Refused, since the queue holds a job: of that a light copy knows nothing.
+    let refused = patch(1, json!({"queues": {"q": null}}));
+    let result = harness
+        .state
+        .apply(index + 1, 1000 + harness.elapsed_ms, &refused);
+    result.expect_err("the queue holds a job");
+    let with_refused = WatchBatch {
+        entries: vec![last_entry(&harness, &refused)],
+        follows: index,
+        ..batch(&harness, true)
+    };
+    receive(&mut harness, with_refused);
+    assert!(!is_ready(&harness), "its copy is not that of the replicas");
+    assert_eq!(harness.counter("watch_copies_diverged"), 1);
+    let request = next_request(&mut harness);
+    assert_eq!((request.log_index, request.light), (0, false));
+    harness.follow_light();
+    assert!(is_ready(&harness));
+    assert!(harness.node.state().config.queues.contains_key("q"));
+}
+
+#[test]
+fn a_replica_says_for_which_process_and_copy_a_batch_is() {
+    let mut cores = Cores::start(Limits::default());
+    assert!(cores.until(5000, |cores| cores.leader().is_some()));
+    cores.change(10);
+    cores.run(3000);
+    let leader = cores.leader().expect("somebody leads");
+    let state = cores.replica(leader).state();
+    let (applied, config_index) = (state.applied_index, state.config_index());
+    assert!(config_index > 0);
+    let request = WatchRequest {
+        incarnation: 77,
+        ..Cores::pull_of(NODE, applied)
+    };
+    cores.pull_from(request);
+    cores.run(5);
+    let batch = cores.batches(NODE).pop().expect("a batch");
+    assert_eq!((batch.incarnation, batch.follows), (77, applied));
+    assert_eq!(batch.config_index, config_index);
+}
+
+#[test]
+fn what_was_sent_to_an_earlier_process_is_not_in_flight_to_its_successor() {
+    let mut cores = Cores::start(Limits::default());
+    assert!(cores.until(5000, |cores| cores.leader().is_some()));
+    cores.change(10);
+    cores.pull_from(Cores::pull_of(NODE, 0));
+    cores.run(3000);
+    let leader = cores.leader().expect("somebody leads");
+    let applied = cores.replica(leader).state().applied_index;
+    let with_entries = |cores: &Cores| {
+        let batches = cores.batches(NODE);
+        let of_change = batches.iter().filter(|batch| batch.follows == applied);
+        of_change.filter(|batch| !batch.entries.is_empty()).count()
+    };
+    let ask = |cores: &mut Cores, incarnation: u64| {
+        let request = WatchRequest {
+            incarnation,
+            ..Cores::pull_of(NODE, applied)
+        };
+        cores.pull_from(request);
+        cores.run(5);
+        with_entries(cores)
+    };
+    ask(&mut cores, 1);
+    let before = with_entries(&cores);
+    cores.change(200_000);
+    let sent = ask(&mut cores, 1);
+    assert!(sent > before);
+
+    assert_eq!(ask(&mut cores, 1), sent, "it is on its way");
+    assert!(ask(&mut cores, 2) > sent, "the successor has got nothing");
+}
--- a/landingdrift/tests/zone_offers.rs
+++ b/landingdrift/tests/zone_offers.rs
@@ -47,6 +47,9 @@
         replicas: vec![REPLICA.into()],
         light: false,
         reached: harness.state.applied_index,
+        incarnation: 0,
+        follows: 0,
+        config_index: 0,
     };
     let now = harness.now();
     let effects = harness.node.step(
