--- a/landingdrift/src/settings/bounds.rs
+++ b/landingdrift/src/settings/bounds.rs
@@ -81,9 +81,9 @@
         self.outage_ms / 8
     }
 
-    /// How old a node's watch may be while it answers callers from it.
+    /// How old a node's watch may be while it answers callers from it: it shows cancels and configurations in time.
     pub fn fresh(&self) -> u64 {
-        self.cancel_ms / 3
+        (self.cancel_ms / 3).min(self.config_ms * 2 / 3)
     }
 
     /// How old the watch of a node may be while it acts as a zone scheduler: gives orders to workers and renews their
