A worker is gone by proof, not because another one is heard at its address

Seen: the only heartbeat of a dead worker comes seconds late, while its successor at the same address runs tasks. All that the living one ran was started elsewhere at once: up to 16 tasks ran twice.

Cause: update_worker took a worker that it did not know for the proof that every other one at its address is gone. The order in which two are first heard isn't the order in which they lived.

Change: what ran at the address ends only when a worker there reports an attempt that was placed after the other one was known: it has lived after the other began, and two don't live there at once. Without such a report the lease decides. Late, repeated and reordered heartbeats prove nothing more than what they report. Nothing new is stored.

The price: where nothing is placed on the successor, what its predecessor ran is freed when its lease has run out and not at once.

--- a/landingdrift/src/state/apply/workers.rs
+++ b/landingdrift/src/state/apply/workers.rs
@@ -45,7 +45,6 @@
     /// A worker is new, or what it says of itself has changed.
     pub(super) fn update_worker(&mut self, info: &WorkerInfo, zone_epoch: u64) -> ApplyResult {
         self.ensure_zone_epoch(&info.zone, zone_epoch)?;
-        self.displace(info);
         let new_worker = Worker {
             since: self.at,
             ..Worker::default()
@@ -89,17 +88,45 @@
         self.request_stops(to_stop);
     }
 
-    /// Whatever stood at the worker's address before it is gone, and all that ran there.
-    fn displace(&mut self, info: &WorkerInfo) {
-        if info.address.is_empty() || self.workers.contains_key(&info.worker) {
+    /// Ends what the predecessors of a worker at its address ran, where what it reports proves that they are gone.
+    ///
+    /// Two workers at one address don't live at once, but the order in which they were first heard isn't that in which they
+    /// lived: a heartbeat can be long on its way. A worker that reports an attempt has lived after the attempt was placed; so
+    /// a worker that was known before that lived earlier.
+    fn displace_predecessors(
+        &mut self,
+        worker: ReportingWorker,
+        running: &[u64],
+        ends: &[EndReport],
+    ) {
+        let Some(known) = self.workers.get(worker.name) else {
             return;
+        };
+        let address = known.info.address.clone();
+        let Some(alive_after) = self.last_placement(worker.name, running, ends) else {
+            return;
+        };
+        let others = self.workers.iter().filter(|(name, other)| {
+            let is_predecessor = other.info.address == address && other.since < alive_after;
+            is_predecessor && *name != worker.name && !other.attempts.is_empty()
+        });
+        let displaced: Vec<String> = others.map(|(name, _)| name.clone()).collect();
+        for name in displaced.iter().filter(|_| !address.is_empty()) {
+            self.remove_displaced(name);
         }
-        let others = self.workers.iter();
-        let displaced = others.filter(|(_, worker)| worker.info.address == info.address);
-        let displaced: Vec<String> = displaced.map(|(name, _)| name.clone()).collect();
-        for name in displaced {
-            self.remove_displaced(&name);
-        }
+    }
+
+    /// When the newest of the attempts was placed that a worker reports as received.
+    fn last_placement(&self, worker: &str, running: &[u64], ends: &[EndReport]) -> Option<u64> {
+        let received = ends
+            .iter()
+            .filter(|end| end.outcome != Outcome::NeverStarted);
+        let reported = running.iter().copied().chain(received.map(|end| end.no));
+        let own = reported.filter_map(|no| {
+            let (_, _, attempt) = self.attempt(no)?;
+            (attempt.worker == worker).then_some(attempt.ordered)
+        });
+        own.max()
     }
 
     /// Nothing of what a worker ran runs any more, and it gets nothing new until it is heard again.
@@ -207,6 +234,7 @@
         running: &[u64],
         ends: &[EndReport],
     ) -> ApplyResult {
+        self.displace_predecessors(worker, running, ends);
         // That something runs may be told late: after its worker was lost or started anew it says nothing.
         let known = self.workers.get(worker.name);
         let is_current = known.is_some_and(|w| !w.lost && w.info.incarnation == worker.incarnation);
