A gang that can't be placed beside long-running tasks keeps no worker from other jobs

Seen: a lasting job on all workers, a gang that fits on an empty worker only; 20 of 20 small jobs never started. Cause: claims were made by what a worker has when it is empty, whatever runs there and however long. Class: waiting for what never comes. Change: a claim counts on the room that comes free by itself, that is without what long-running tasks have; a gang that doesn't fit there claims nothing, and the next oldest is looked at. A gang that fits is kept room for as before, so the bound on its wait is unchanged: the longest run on the claimed workers.

--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -60,29 +60,51 @@
     !members.is_empty() && members.iter().all(may_start)
 }
 
-/// The one gang that other jobs make way for.
+/// The one gang that other jobs make way for: the oldest that fits once all has ended that ends by itself.
 ///
 /// Every node derives the same one from the same cluster state, so that no two gangs wait for each other.
 pub fn claim(state: &ClusterState, at: u64, patience: u64) -> Option<Claim> {
-    let mut oldest: Option<WaitingGang> = None;
-    for job in state.open.iter().filter_map(|id| state.jobs.get(id)) {
-        let Some(gang) = waiting_gang(state, at, patience, job) else {
-            continue;
-        };
-        let is_older = oldest.as_ref().is_none_or(|oldest| {
-            (gang.waits_since, &gang.job.spec.id) < (oldest.waits_since, &oldest.job.spec.id)
-        });
-        if is_older {
-            oldest = Some(gang);
-        }
+    let open = state.open.iter().filter_map(|id| state.jobs.get(id));
+    let waiting = open.filter_map(|job| waiting_gang(state, at, patience, job));
+    let mut waiting: Vec<WaitingGang> = waiting.collect();
+    if waiting.is_empty() {
+        return None;
     }
-    let WaitingGang { job, leader, .. } = oldest?;
-    Some(Claim {
-        job: job.spec.id.clone(),
-        workers: claimed_workers(state, job, leader)?,
+    waiting.sort_by_key(|gang| (gang.waits_since, &gang.job.spec.id));
+    let lasting = LastingUse::new(state);
+    waiting.into_iter().find_map(|gang| {
+        let workers = claimed_workers(state, &lasting, gang.job, gang.leader)?;
+        let job = gang.job.spec.id.clone();
+        Some(Claim { job, workers })
     })
 }
 
+/// The resources on each worker that long-running tasks have: waiting for those is in vain.
+struct LastingUse<'a>(BTreeMap<&'a str, Resources>);
+
+impl<'a> LastingUse<'a> {
+    fn new(state: &'a ClusterState) -> Self {
+        let mut by_worker: BTreeMap<&str, Resources> = BTreeMap::new();
+        for (attempt_no, (_, task)) in &state.live {
+            let Some((job, _, attempt)) = state.attempt(*attempt_no) else {
+                continue;
+            };
+            let spec = job.of(*task as usize);
+            if spec.long_running {
+                let used = by_worker.entry(&attempt.worker).or_default();
+                *used = used.plus(spec.needs());
+            }
+        }
+        Self(by_worker)
+    }
+
+    /// The resources of a worker that come free by themselves.
+    fn left(&self, name: &str, worker: &Worker) -> Resources {
+        let used = self.0.get(name).copied().unwrap_or_default();
+        worker.info.total_resources().less(used)
+    }
+}
+
 /// A job's first gang that has waited for longer than `patience`.
 fn waiting_gang<'a>(
     state: &ClusterState,
@@ -108,8 +130,13 @@
     None
 }
 
-/// The workers that a gang fits on when they are empty; none where there are not enough.
-fn claimed_workers(state: &ClusterState, job: &Job, leader: u32) -> Option<BTreeSet<String>> {
+/// The workers that a gang fits on beside what lasts there; none where there are not enough.
+fn claimed_workers(
+    state: &ClusterState,
+    lasting: &LastingUse,
+    job: &Job,
+    leader: u32,
+) -> Option<BTreeSet<String>> {
     let mut claimed: BTreeMap<&String, ClaimedWorker> = BTreeMap::new();
     for member in largest_members_first(job, leader) {
         let spec = job.of(member as usize);
@@ -129,7 +156,7 @@
                 let unclaimed = state.workers.iter().filter(|(name, worker)| {
                     !claimed.contains_key(name)
                         && is_eligible(name, worker)
-                        && worker.info.total_resources().holds(spec.needs())
+                        && lasting.left(name, worker).holds(spec.needs())
                 });
                 let largest =
                     unclaimed.max_by_key(|(name, worker)| (worker.info.cpu, Reverse(*name)));
@@ -137,7 +164,7 @@
             }
         };
         let worker = claimed.entry(chosen).or_insert_with(|| ClaimedWorker {
-            free: state.workers[chosen].info.total_resources(),
+            free: lasting.left(chosen, &state.workers[chosen]),
             members: 0,
         });
         worker.free = worker.free.less(spec.needs());
