A worker on probation proves itself beside a long-running task

Seen: tasks of one worker stand still for 5.5 s; a lasting task runs there. The worker gets nothing again: 11 of 13 jobs never ran. Cause: one attempt at a time until three have succeeded, and an attempt that lasts never ends. Change: attempts that last don't count towards the one; a long-running task itself still goes to an empty worker only. Elsewhere: a worker on probation that gets long-running tasks alone never leaves it; it isn't kept from anything by that but from a second such task.

--- a/landingdrift/src/node/zone_scheduler/offers.rs
+++ b/landingdrift/src/node/zone_scheduler/offers.rs
@@ -70,9 +70,9 @@
             return Resources::default();
         };
         let takes_work = !known.lost && !known.info.leaving && self.state.open(zone, worker);
-        let is_empty = known.attempts.is_empty() && worker_state.promises.is_empty();
-        // A worker on probation runs one task at a time.
-        let is_on_trial = known.probation > 0 && !is_empty;
+        let is_busy = !worker_state.promises.is_empty() || self.state.has_ending_attempts(known);
+        // A worker on probation runs one task at a time, beside long-running ones.
+        let is_on_trial = known.probation > 0 && is_busy;
         if !takes_work || is_on_trial {
             return Resources::default();
         }
--- a/landingdrift/src/state/apply/placement_rules.rs
+++ b/landingdrift/src/state/apply/placement_rules.rs
@@ -91,14 +91,25 @@
         self.ensure_usable(worker, placement)?;
         let spec = job.of(placement.task as usize);
         ensure_served(worker, spec)?;
-        let is_on_trial = worker.probation > 0 && !worker.attempts.is_empty();
-        ensure(!is_on_trial, unsuitable("on probation, one at a time"))?;
+        let is_free = self.is_free_for_trial(worker, spec);
+        let is_trusted = worker.probation == 0 || is_free;
+        ensure(is_trusted, unsuitable("on probation, one at a time"))?;
         let mut live = task.live();
         let is_there = live.any(|attempt| attempt.worker == placement.worker);
         ensure(!is_there, Rejection::AlreadyRunning)?;
         ensure_apart(job, placement, 0)
     }
 
+    /// Whether a worker on probation may get a task. It gets one at a time, beside long-running ones: these never end, so that
+    /// they prove nothing and are no reason to wait.
+    fn is_free_for_trial(&self, worker: &Worker, spec: &TaskSpec) -> bool {
+        if spec.long_running {
+            worker.attempts.is_empty()
+        } else {
+            !self.has_ending_attempts(worker)
+        }
+    }
+
     /// Whether a worker gets anything new at all.
     fn ensure_usable(&self, worker: &Worker, placement: &Placement) -> Result<(), Rejection> {
         let info = &worker.info;
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -190,6 +190,21 @@
         self.leases.get(lease)
     }
 
+    /// Whether a live attempt is of a task that runs until its job is cancelled.
+    pub fn is_long_running(&self, attempt_no: u64) -> bool {
+        let Some((job, task)) = self.live.get(&attempt_no) else {
+            return false;
+        };
+        let job = self.jobs.get(job);
+        job.is_some_and(|job| job.of(*task as usize).long_running)
+    }
+
+    /// Whether a worker has attempts that will end: one on probation proves itself by those.
+    pub fn has_ending_attempts(&self, worker: &Worker) -> bool {
+        let mut attempts = worker.attempts.iter();
+        attempts.any(|attempt_no| !self.is_long_running(*attempt_no))
+    }
+
     /// A task by its job and number.
     pub fn task(&self, job: &str, task_no: u32) -> Option<(&Job, &Task)> {
         let job = self.jobs.get(job)?;
