Start orders to a worker fit into a response that it takes

Seen: 1,200 starts with payloads of 4,000 bytes came due at once; the response had over 4 MiB, which acknowledges nothing, again at every heartbeat; nothing started there. Cause: no bound on the orders in one response. Class: a message without a bound in bytes. Change: 1 MiB of start orders and 10,000 stops in a response, the oldest first; the rest follows with the next heartbeat.

--- a/landingdrift/src/node/zone_scheduler/orders.rs
+++ b/landingdrift/src/node/zone_scheduler/orders.rs
@@ -7,16 +7,39 @@
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 
+/// The most bytes of start orders in one response: workers take no response of more than 4 MiB. What does not fit follows with
+/// the next heartbeat.
+const MAX_START_BYTES: usize = 1 << 20;
+/// The most stop orders in one response.
+const MAX_STOPS: usize = 10_000;
+
 /// What a worker is told to start and to stop.
 #[derive(Default)]
 struct RunOrders {
     starts: Vec<Value>,
+    /// The bytes of the start orders.
+    start_bytes: usize,
     /// Numbers of the attempts to stop.
     stops: BTreeSet<u64>,
     /// Names of the runs to stop, for workers that identify runs by their names.
     stops_by_name: Vec<Value>,
 }
 
+impl RunOrders {
+    /// Adds a start order unless there are too many bytes of them already; a single one may be larger.
+    fn add_start(&mut self, order: Value) {
+        let bytes = order.to_string().len();
+        if self.starts.is_empty() || self.start_bytes + bytes <= MAX_START_BYTES {
+            self.start_bytes += bytes;
+            self.starts.push(order);
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.start_bytes >= MAX_START_BYTES
+    }
+}
+
 impl Node {
     /// Start and stop orders, derived from the cluster state; repeated until heartbeats confirm them.
     pub(super) fn orders_response(&mut self, heartbeat: &Heartbeat, epoch: u64) -> Response {
@@ -66,6 +89,9 @@
             let spec = job.of(index);
             let is_reported = reported.contains(number);
             let must_stop = attempt.stop || (attempt.state == AttemptState::Unsure && !is_reported);
+            if must_stop && orders.stops.len() >= MAX_STOPS {
+                continue;
+            }
             if must_stop {
                 orders.stops.insert(*number);
                 if heartbeat.uses_run_names {
@@ -77,9 +103,9 @@
             let unstarted = attempt.state == AttemptState::Ordered && !is_reported;
             let wanted = !job.cancel && task.state == TaskState::Waiting;
             let fits = info.serves(spec) && free.holds(spec.needs());
-            if unstarted && wanted && takes_work && fits {
+            if unstarted && wanted && takes_work && fits && !orders.is_full() {
                 free = free.less(spec.needs());
-                orders.starts.push(start_order(job, index, attempt));
+                orders.add_start(start_order(job, index, attempt));
             }
         }
         orders
--- /dev/null
+++ b/landingdrift/tests/start_orders.rs
@@ -0,0 +1,119 @@
+//! Start orders: a response stays small enough for its worker, and what does not fit follows.
+
+mod node_harness;
+
+use landingdrift::node::{Heartbeat, RunningAttempt};
+use landingdrift::sans_io::{Effect, Msg, Part, Request};
+use landingdrift::state::{Command, JobSpec, Placement, RunName, StepSpec, TaskSpec, WorkerInfo};
+use node_harness::{info, response_and_proposals, NodeHarness};
+use serde_json::Value;
+
+const TASKS: u32 = 1500;
+/// The longest payload of the users' platform, in bytes.
+const PAYLOAD_BYTES: usize = 4000;
+/// A worker takes no response of more bytes.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
+fn large_worker() -> WorkerInfo {
+    WorkerInfo {
+        cpu: TASKS,
+        ..info()
+    }
+}
+
+/// Accepts a job of many tasks with a large payload, and places all on one worker.
+fn place_many(harness: &mut NodeHarness) {
+    harness.append(Command::UpdateConfig {
+        change: "room".into(),
+        base: 1,
+        patch: true,
+        number: 0,
+        value: serde_json::json!({"services": {"s": {"taskRoom": 9999, "gangRoom": 9999}}}),
+    });
+    harness.append(Command::UpdateWorker {
+        info: large_worker(),
+        zone_epoch: 1,
+    });
+    let seen = harness.state.applied_index;
+    let step = StepSpec {
+        count: TASKS,
+        task: TaskSpec {
+            service: "s".into(),
+            cpu: 1,
+            ..TaskSpec::default()
+        },
+        ..StepSpec::default()
+    };
+    harness.append(Command::AcceptJob {
+        spec: JobSpec {
+            id: "j".into(),
+            queue: "q".into(),
+            steps: vec![step],
+            payload: "x".repeat(PAYLOAD_BYTES),
+            ..JobSpec::default()
+        },
+        hash: 1,
+        seen,
+    });
+    let placement = |task| Placement {
+        task,
+        worker: "w".into(),
+        incarnation: 1,
+        zone_epoch: 1,
+        copy: false,
+    };
+    harness.append(Command::StartAttempts {
+        job: "j".into(),
+        owner_epoch: 2,
+        placements: (0..TASKS).map(placement).collect(),
+    });
+    harness.follow();
+}
+
+fn heartbeat(harness: &mut NodeHarness, sequence: u64, running: &[RunName]) -> Value {
+    let running = running.iter().map(|name| RunningAttempt {
+        name: Some(name.clone()),
+        ..RunningAttempt::default()
+    });
+    let heartbeat = Heartbeat {
+        info: large_worker(),
+        running: running.collect(),
+        sequence,
+        uses_run_names: true,
+        ..Heartbeat::default()
+    };
+    harness.call += 1;
+    let request = Request {
+        method: "POST".into(),
+        path: "/v1/beats".into(),
+        body: serde_json::to_vec(&heartbeat).expect("JSON"),
+        ..Request::default()
+    };
+    let now = harness.now();
+    let effects: Vec<Effect> = harness.node.step(now, Msg::Call(harness.call, request));
+    response_and_proposals(effects).0.expect("an answer").body
+}
+
+#[test]
+fn start_orders_that_do_not_fit_into_one_response_follow_in_the_next() {
+    let mut harness = NodeHarness::new();
+    place_many(&mut harness);
+    let mut running: Vec<RunName> = Vec::new();
+    for sequence in 1..20 {
+        let body = heartbeat(&mut harness, sequence, &running);
+        assert!(
+            body.to_string().len() < MAX_RESPONSE_BYTES,
+            "{}",
+            body.to_string().len()
+        );
+        for start in body["starts"].as_array().expect("a list") {
+            running.push(RunName {
+                job: "j".into(),
+                task: start["task"].as_str().expect("a name").into(),
+                run: 1,
+            });
+        }
+    }
+    assert_eq!(running.len(), TASKS as usize, "none is left");
+    assert_eq!(running[0].task, "0.0.0", "the oldest go first");
+}
