A job that is placed and has not begun counts as waiting

Seen: jobs placed on a worker that had crashed were left out of the count: 13 jobs accepted over 5 s before, 'waiting' 0. Cause: the count went by the job's state, which is Running from the first placement on. Change: it goes by what workers have said: a task was running, or has ended by itself.

--- a/landingdrift/src/node/calls/routed_jobs.rs
+++ b/landingdrift/src/node/calls/routed_jobs.rs
@@ -4,7 +4,7 @@
 use crate::config::{is_same_host, Queue};
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
-use crate::state::{JobSpec, JobState};
+use crate::state::JobSpec;
 use serde_json::json;
 
 /// The prefix of these calls; the host and path follow.
@@ -78,12 +78,12 @@
         self.forward_repeatable(now, origin, &by_id);
     }
 
-    /// How many jobs of a queue have not started.
+    /// How many jobs of a queue have been accepted of which no task has begun, whether they are placed or not.
     fn waiting(&self, queue: &str) -> usize {
         let open = self.state.open.iter();
         let jobs = open.filter_map(|id| self.state.jobs.get(id));
-        jobs.filter(|job| job.spec.queue == queue && job.state == JobState::Waiting)
-            .count()
+        let of_queue = jobs.filter(|job| job.spec.queue == queue);
+        of_queue.filter(|job| !job.has_begun()).count()
     }
 }
 
--- a/landingdrift/src/state/job/accepted.rs
+++ b/landingdrift/src/state/job/accepted.rs
@@ -90,7 +90,24 @@
     pub done: Vec<u32>,
 }
 
+impl Attempt {
+    /// Whether the worker has begun with it, as far as is known.
+    fn has_begun(&self) -> bool {
+        let by_state = matches!(
+            self.state,
+            AttemptState::Running | AttemptState::Succeeded | AttemptState::Failed
+        );
+        by_state || self.started > 0 || self.ran_ms > 0
+    }
+}
+
 impl Job {
+    /// Whether a worker has begun with one of its tasks.
+    pub fn has_begun(&self) -> bool {
+        let mut attempts = self.tasks.iter().flat_map(|task| &task.attempts);
+        attempts.any(Attempt::has_begun)
+    }
+
     /// A job as it is accepted, from a spec that was checked; `waits` are the dependencies of its single tasks.
     pub fn new(spec: JobSpec, waits: Vec<Vec<u32>>) -> Self {
         let times = spec.times.max(1);
--- a/landingdrift/tests/routed_calls.rs
+++ b/landingdrift/tests/routed_calls.rs
@@ -2,13 +2,13 @@
 
 mod node_harness;
 
-use landingdrift::sans_io::{Effect, Msg, Part, Request};
+use landingdrift::sans_io::{Effect, Msg, Part, Request, Response};
 use landingdrift::state::Command;
 use node_harness::NodeHarness;
 use serde_json::json;
 
-/// The status of the answer to a question for a queue's count.
-fn status(harness: &mut NodeHarness, host: &str) -> u16 {
+/// The answer to a question for a queue's count.
+fn ask_count(harness: &mut NodeHarness, host: &str) -> Response {
     harness.call += 1;
     let request = Request {
         method: "GET".into(),
@@ -17,28 +17,59 @@
     };
     let now = harness.now();
     let effects = harness.node.step(now, Msg::Call(harness.call, request));
-    let statuses = effects.iter().filter_map(|effect| match effect {
-        Effect::Answer(_, response) => Some(response.status),
+    let answers = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Answer(_, response) => Some(response),
         _ => None,
     });
-    statuses.last().expect("an answer")
+    answers.last().expect("an answer")
+}
+
+/// The queue gets a host and a prefix.
+fn route(harness: &mut NodeHarness, host: &str) {
+    harness.append(Command::UpdateConfig {
+        change: "routes".into(),
+        base: 1,
+        patch: true,
+        number: 0,
+        value: json!({"queues": {"q": {"service": "s", "host": host, "prefix": "/p/"}}}),
+    });
+    harness.follow();
 }
 
 #[test]
 fn a_queue_is_served_however_its_host_is_spelt() {
     for declared in ["host.example", "Host.Example", "host.example:80"] {
         let mut harness = NodeHarness::new();
-        harness.append(Command::UpdateConfig {
-            change: "routes".into(),
-            base: 1,
-            patch: true,
-            number: 0,
-            value: json!({"queues": {"q": {"service": "s", "host": declared, "prefix": "/p/"}}}),
-        });
-        harness.follow();
+        route(&mut harness, declared);
         for called in ["host.example", "HOST.example", "host.example:8161"] {
-            assert_eq!(status(&mut harness, called), 200, "{declared} by {called}");
+            let answer = ask_count(&mut harness, called);
+            assert_eq!(answer.status, 200, "{declared} by {called}");
         }
-        assert_eq!(status(&mut harness, "other.example"), 404);
+        assert_eq!(ask_count(&mut harness, "other.example").status, 404);
     }
 }
+
+#[test]
+fn a_job_that_is_placed_and_has_not_begun_is_counted_as_waiting() {
+    let mut harness = NodeHarness::new();
+    route(&mut harness, "host.example");
+    let waiting = |harness: &mut NodeHarness| {
+        let answer = ask_count(harness, "host.example");
+        answer.body["waiting"].as_u64().expect("a count")
+    };
+    harness.append_started_job();
+    harness.follow();
+    assert_eq!(
+        waiting(&mut harness),
+        1,
+        "the worker has not said that it runs"
+    );
+    harness.append(Command::ReportAttempts {
+        worker: "w".into(),
+        incarnation: 1,
+        running: vec![1],
+        ends: vec![],
+    });
+    harness.follow();
+    assert_eq!(waiting(&mut harness), 0);
+}
