Work away from its data does not blame its worker

Seen: after the loss of a rack its work runs on others, three times as long; the sound workers there were taken for slow, their runs called back, and they got one task at a time: 3 to 9 of 34 jobs with nothing running. Cause: a worker is judged by the rate that a task's estimate promises, and the estimate holds near the data only. Class: judging by a measure that doesn't apply. Change: runs away from their data, and gangs that belong on one rack and are spread over several, say nothing of how fast a worker is, and aren't moved for slowness. One that makes no progress at all is stalled wherever it runs.

--- a/landingdrift/src/node/zone_scheduler/stragglers.rs
+++ b/landingdrift/src/node/zone_scheduler/stragglers.rs
@@ -109,6 +109,8 @@
     pub checkpoints: bool,
     /// It may be waiting for the other members of its gang.
     pub awaits_gang: bool,
+    /// It is away from its data, or its gang is spread over racks: its estimate holds near them only.
+    pub is_remote: bool,
 }
 
 /// For each run of a worker, why it should be rescheduled, if it should.
@@ -134,14 +136,16 @@
     }
     let conclusive: Vec<&ObservedRun> = runs.iter().filter(|run| run.is_conclusive()).collect();
     let stalled = all_stalled(&conclusive, now_ms, patience_ms);
-    let slow = is_worker_slow(&conclusive, now_ms, patience_ms);
+    let mut local = conclusive;
+    local.retain(|run| !run.is_remote);
+    let slow = is_worker_slow(&local, now_ms, patience_ms);
     runs.iter()
         .map(|run| {
             if !run.is_conclusive() {
                 None
             } else if stalled {
                 Some(RescheduleReason::Stalled)
-            } else if slow && run.should_move(now_ms, patience_ms) {
+            } else if slow && !run.is_remote && run.should_move(now_ms, patience_ms) {
                 Some(RescheduleReason::Slow)
             } else {
                 None
@@ -253,10 +257,36 @@
         long_running: spec.long_running,
         checkpoints: spec.checkpoints,
         awaits_gang: job.in_gang(task) && no_progress && just_started,
+        is_remote: is_remote(state, job, task, attempt),
         progress,
     })
 }
 
+/// Whether an attempt runs where its estimate does not hold: away from its data, or in a gang that belongs on one rack and
+/// is spread over several.
+fn is_remote(state: &ClusterState, job: &Job, task: usize, attempt_no: u64) -> bool {
+    let rack_of = |attempt: &Attempt| {
+        let worker = state.workers.get(&attempt.worker);
+        worker.map_or("", |worker| worker.info.rack.as_str())
+    };
+    let Some((_, _, attempt)) = state.attempt(attempt_no) else {
+        return false;
+    };
+    let spec = job.of(task);
+    let near = spec.near.as_str();
+    let rack = rack_of(attempt);
+    if !near.is_empty() && near != rack && near != attempt.worker {
+        return true;
+    }
+    let members = if spec.same_rack {
+        job.gang(task)
+    } else {
+        Vec::new()
+    };
+    let mut live = members.iter().flat_map(|member| job.tasks[*member].live());
+    live.any(|member| rack_of(member) != rack)
+}
+
 /// The attempts of one worker that are to be rescheduled.
 pub(super) struct Stragglers {
     pub attempts: Vec<u64>,
--- a/landingdrift/tests/stragglers.rs
+++ b/landingdrift/tests/stragglers.rs
@@ -21,6 +21,7 @@
         long_running: false,
         checkpoints: false,
         awaits_gang: false,
+        is_remote: false,
     }
 }
 
@@ -151,3 +152,28 @@
         [Some(RescheduleReason::WorkerLeaving)]
     );
 }
+
+#[test]
+fn work_away_from_its_data_does_not_blame_its_worker() {
+    // At a third of the estimated rate, as far from its data as it takes three times as long.
+    let remote = || ObservedRun {
+        is_remote: true,
+        ..run(&steps(8, 30))
+    };
+    assert_eq!(
+        reasons(&[remote(), remote(), remote()], 2900, None),
+        [None; 3]
+    );
+    // Beside runs that are near their data and as slow, these are moved.
+    let near = || run(&steps(2, 30));
+    let mixed = reasons(&[near(), near(), near(), remote()], 2900, None);
+    assert_eq!(mixed[3], None);
+    assert_eq!(mixed[..3], [Some(RescheduleReason::Slow); 3]);
+    // What makes no progress at all is stalled wherever it runs.
+    let stalled = || ObservedRun {
+        is_remote: true,
+        ..run(&[(0, 0), (100, 10)])
+    };
+    let all = reasons(&[stalled(), stalled()], 9000, None);
+    assert_eq!(all, [Some(RescheduleReason::Stalled); 2]);
+}
