The check of a configuration in one function an item, with names

No behaviour is changed. Two error texts named a page that was renamed: docs/operators/configuration.md.

--- a/landingdrift/src/config/check.rs
+++ b/landingdrift/src/config/check.rs
@@ -1,6 +1,19 @@
-use super::{canonical_host, ClusterConfig};
+use super::{canonical_host, ClusterConfig, Queue, Service, Zone};
+use std::collections::BTreeMap;
 use std::fmt;
 
+/// The most characters of a name.
+const MAX_NAME_CHARACTERS: usize = 64;
+const NAME_REMEDY: &str = "use 1 to 64 letters, digits, '-', '_' or '.' for the name";
+/// The most attempts of a task.
+const MAX_ATTEMPTS: u32 = 100;
+/// The highest priority.
+const MAX_PRIORITY: u32 = 100;
+/// The shortest window and the shortest bound on unsure attempts, in milliseconds.
+const MIN_WINDOW_MS: u64 = 1000;
+/// The states of a zone; empty is the first.
+const ZONE_STATES: [&str; 4] = ["", "serving", "draining", "evacuated"];
+
 /// What is wrong with a declared configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ConfigError {
@@ -34,7 +47,7 @@
         match self {
             Self::Shape { path, why } => write!(
                 f,
-                "{path}: {why}; see docs/operators/desired-state.md for the fields"
+                "{path}: {why}; see docs/operators/configuration.md for the fields"
             ),
             Self::Value { path, remedy } => write!(f, "{path}: {remedy}"),
         }
@@ -44,106 +57,106 @@
 /// Reads a configuration from JSON, refusing unknown and wrong fields.
 pub fn read(value: &serde_json::Value) -> Result<ClusterConfig, ConfigError> {
     serde_path_to_error::deserialize(value)
-        .map_err(|e| ConfigError::Shape {
-            path: e.path().to_string(),
-            why: e.inner().to_string(),
+        .map_err(|error| ConfigError::Shape {
+            path: error.path().to_string(),
+            why: error.inner().to_string(),
         })
-        .and_then(|d| check(&d).map(|()| d))
+        .and_then(|config| check(&config).map(|()| config))
 }
 
 /// Checks the values of a configuration.
-pub fn check(d: &ClusterConfig) -> Result<(), ConfigError> {
-    let ensure = |ok: bool, path: String, remedy: &str| {
-        ok.then_some(()).ok_or(ConfigError::Value {
-            path,
-            remedy: remedy.into(),
-        })
-    };
-    let name_ok = |n: &str| {
-        !n.is_empty()
-            && n.len() <= 64
-            && n.chars()
-                .all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
-    };
-    for (name, q) in &d.queues {
-        let at = |f: &str| format!("queues.{name}.{f}");
-        ensure(
-            name_ok(name),
-            format!("queues.{name}"),
-            "use 1 to 64 letters, digits, '-', '_' or '.' for the name",
-        )?;
-        ensure(
-            (1..=100).contains(&q.max_attempts),
-            at("tries"),
-            "give a number from 1 to 100",
-        )?;
-        ensure(q.quota >= 1, at("quota"), "give at least 1")?;
-        ensure(
-            q.failure_allowance_percent <= 100,
-            at("defectAllowancePercent"),
-            "give 0 to 100",
-        )?;
-        ensure(
-            q.speculation_percent <= 100,
-            at("speculationPercent"),
-            "give 0 to 100",
-        )?;
-        ensure(q.priority <= 100, at("priority"), "give 0 to 100")?;
-        ensure(q.window_ms >= 1000, at("windowMs"), "give at least 1000")?;
-        ensure(
-            q.unsure_bound_ms >= 1000,
-            at("unsureBoundMs"),
-            "give at least 1000",
-        )?;
+pub fn check(config: &ClusterConfig) -> Result<(), ConfigError> {
+    for (name, queue) in &config.queues {
+        check_queue(name, queue)?;
+    }
+    check_places(config)?;
+    for (name, service) in &config.services {
+        check_service(name, service)?;
     }
-    let mut places = std::collections::BTreeMap::new();
-    for (name, q) in d.queues.iter().filter(|(_, q)| !q.prefix.is_empty()) {
-        let at = |f: &str| format!("queues.{name}.{f}");
-        let other = places.insert((canonical_host(&q.host), &q.prefix), name);
-        ensure(
-            other.is_none(),
-            at("prefix"),
-            "another queue has the same host and prefix: give one of them another",
-        )?;
-        ensure(
-            q.prefix.starts_with('/'),
-            at("prefix"),
-            "begin the prefix with '/'",
-        )?;
-        ensure(
-            d.services.contains_key(&q.service),
-            at("service"),
-            "declare the service, or name one that is declared",
-        )?;
+    for (name, zone) in &config.zones {
+        check_zone(name, zone)?;
+    }
+    Ok(())
+}
+
+fn ensure(holds: bool, path: &str, remedy: &str) -> Result<(), ConfigError> {
+    if holds {
+        return Ok(());
+    }
+    Err(ConfigError::Value {
+        path: path.into(),
+        remedy: remedy.into(),
+    })
+}
+
+/// The path of an item and the checks of its fields.
+struct Item {
+    path: String,
+}
+
+impl Item {
+    /// An item of a kind, whose name is checked.
+    fn named(kind: &str, name: &str) -> Result<Self, ConfigError> {
+        let path = format!("{kind}.{name}");
+        let is_usual = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        let is_short = (1..=MAX_NAME_CHARACTERS).contains(&name.len());
+        ensure(is_short && name.chars().all(is_usual), &path, NAME_REMEDY)?;
+        Ok(Self { path })
     }
-    for (name, s) in &d.services {
-        ensure(
-            name_ok(name),
-            format!("services.{name}"),
-            "use 1 to 64 letters, digits, '-', '_' or '.' for the name",
-        )?;
-        ensure(
-            s.task_cpu >= 1,
-            format!("services.{name}.taskRoom"),
-            "give at least 1",
-        )?;
-        ensure(
-            s.gang_cpu >= s.task_cpu,
-            format!("services.{name}.gangRoom"),
-            "give at least taskRoom",
-        )?;
+
+    fn ensure(&self, holds: bool, field: &str, remedy: &str) -> Result<(), ConfigError> {
+        ensure(holds, &format!("{}.{field}", self.path), remedy)
     }
-    for (name, z) in &d.zones {
-        ensure(
-            name_ok(name),
-            format!("zones.{name}"),
-            "use 1 to 64 letters, digits, '-', '_' or '.' for the name",
-        )?;
-        ensure(
-            ["", "serving", "draining", "evacuated"].contains(&z.state.as_str()),
-            format!("zones.{name}.state"),
-            "give 'serving', 'draining' or 'evacuated'",
-        )?;
+}
+
+fn check_queue(name: &str, queue: &Queue) -> Result<(), ConfigError> {
+    let item = Item::named("queues", name)?;
+    let attempts = (1..=MAX_ATTEMPTS).contains(&queue.max_attempts);
+    item.ensure(attempts, "tries", "give a number from 1 to 100")?;
+    item.ensure(queue.quota >= 1, "quota", "give at least 1")?;
+    let percent = "give 0 to 100";
+    let allowance = queue.failure_allowance_percent <= 100;
+    item.ensure(allowance, "defectAllowancePercent", percent)?;
+    let speculation = queue.speculation_percent <= 100;
+    item.ensure(speculation, "speculationPercent", percent)?;
+    item.ensure(queue.priority <= MAX_PRIORITY, "priority", percent)?;
+    let at_least = "give at least 1000";
+    item.ensure(queue.window_ms >= MIN_WINDOW_MS, "windowMs", at_least)?;
+    let unsure_bound = queue.unsure_bound_ms >= MIN_WINDOW_MS;
+    item.ensure(unsure_bound, "unsureBoundMs", at_least)
+}
+
+/// No two queues have the same host and prefix, and each that has a prefix has a service.
+fn check_places(config: &ClusterConfig) -> Result<(), ConfigError> {
+    let mut places = BTreeMap::new();
+    for (name, queue) in &config.queues {
+        if queue.prefix.is_empty() {
+            continue;
+        }
+        let item = Item::named("queues", name)?;
+        let place = (canonical_host(&queue.host), &queue.prefix);
+        let is_own = places.insert(place, name).is_none();
+        let same = "another queue has the same host and prefix: give one of them another";
+        item.ensure(is_own, "prefix", same)?;
+        let has_slash = queue.prefix.starts_with('/');
+        item.ensure(has_slash, "prefix", "begin the prefix with '/'")?;
+        let is_known = config.services.contains_key(&queue.service);
+        let unknown = "declare the service, or name one that is declared";
+        item.ensure(is_known, "service", unknown)?;
     }
     Ok(())
 }
+
+fn check_service(name: &str, service: &Service) -> Result<(), ConfigError> {
+    let item = Item::named("services", name)?;
+    item.ensure(service.task_cpu >= 1, "taskRoom", "give at least 1")?;
+    let holds_task = service.gang_cpu >= service.task_cpu;
+    item.ensure(holds_task, "gangRoom", "give at least taskRoom")
+}
+
+fn check_zone(name: &str, zone: &Zone) -> Result<(), ConfigError> {
+    let item = Item::named("zones", name)?;
+    let is_known = ZONE_STATES.contains(&zone.state.as_str());
+    let remedy = "give 'serving', 'draining' or 'evacuated'";
+    item.ensure(is_known, "state", remedy)
+}
--- a/landingdrift/src/node/calls/config.rs
+++ b/landingdrift/src/node/calls/config.rs
@@ -50,7 +50,7 @@
     let value: Value = serde_json::from_slice(body)
         .map_err(|error| wrong(format!("the body is no JSON ({error}): correct it")))?;
     if !value.is_object() {
-        let why = "the body must be a JSON object: docs/operators/desired-state.md shows one";
+        let why = "the body must be a JSON object: docs/operators/configuration.md shows one";
         return Err(wrong(why.into()));
     }
     Ok(value)
--- a/landingdrift/tests/routed_calls.rs
+++ b/landingdrift/tests/routed_calls.rs
@@ -17,11 +17,11 @@
     };
     let now = harness.now();
     let effects = harness.node.step(now, Msg::Call(harness.call, request));
-    let answers = effects.into_iter().filter_map(|effect| match effect {
+    let mut answers = effects.into_iter().filter_map(|effect| match effect {
         Effect::Answer(_, response) => Some(response),
         _ => None,
     });
-    answers.last().expect("an answer")
+    answers.next_back().expect("an answer")
 }
 
 /// The queue gets a host and a prefix.
--- a/landingdrift/tests/watch_identity.rs
+++ b/landingdrift/tests/watch_identity.rs
@@ -54,11 +54,11 @@
 fn next_request(harness: &mut NodeHarness) -> WatchRequest {
     harness.elapsed_ms += REQUEST_INTERVAL_MS;
     let effects = harness.node.step(harness.now(), Msg::Tick);
-    let requests = effects.into_iter().filter_map(|effect| match effect {
+    let mut requests = effects.into_iter().filter_map(|effect| match effect {
         Effect::Send(_, Body::WatchRequest(request)) => Some(*request),
         _ => None,
     });
-    requests.last().expect("a request")
+    requests.next_back().expect("a request")
 }
 
 fn patch(base: u64, value: serde_json::Value) -> Command {
