A count is not answered by an older configuration than the node has that was asked

Cause: a node with a light copy finds the route in its own configuration and has another node answer the count, by host and path. So a node that has served a new route refuses it afterwards. Reads of jobs are forwarded by their id for just this reason; counts were not. Class: an answer by whoever is asked, at any age.

Change: a call that is forwarded by host and path names the version of the configuration that the forwarding node has; a node with an older one says 503, and the next is asked.

--- a/landingdrift/src/node/calls/routed_jobs.rs
+++ b/landingdrift/src/node/calls/routed_jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs that are submitted by host and path: they go to the queue with that host and the longest matching prefix.
 
-use super::{Origin, ReadQuery};
+use super::{param, Origin, ReadQuery};
 use crate::config::{is_same_host, Queue};
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
@@ -9,6 +9,8 @@
 
 /// The prefix of these calls; the host and path follow.
 const ROUTED_PREFIX: &str = "/v1/at/";
+/// The parameter of a forwarded call that names the version of the configuration which the forwarding node has.
+const VERSION_PARAMETER: &str = "config";
 
 impl Node {
     /// The queue that a host and path belong to, with its name: the one of the longest prefix.
@@ -30,12 +32,15 @@
         let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
         if !self.fresh(now) || self.state.version == 0 {
             if request.method == "GET" {
-                return self.forward_repeatable(now, origin, request);
+                return self.forward_by_path(now, origin, request);
             }
             self.note_call_without_copy();
             let response = Response::error(503, "notReady", "this node has no configuration that is new enough, and took nothing: come back later, or go to another node");
             return self.reply(&origin, response.retry(self.settings.bounds.back()));
         }
+        if self.is_behind_forwarder(request) {
+            return self.forward_repeatable(now, origin, request);
+        }
         let Some((queue_name, queue)) = self.routed(host, path) else {
             let response = Response::error(
                 404,
@@ -72,12 +77,29 @@
     /// configuration yet by which this one found the queue.
     fn forward_routed_read(&mut self, now: Now, origin: Origin, request: &Request, id: &str) {
         if id.is_empty() {
-            return self.forward_repeatable(now, origin, request);
+            return self.forward_by_path(now, origin, request);
         }
         let by_id = ReadQuery::Job { id: id.into() }.to_request();
         self.forward_repeatable(now, origin, &by_id);
     }
 
+    /// Has another node answer a read by host and path, by no older configuration than this node has: a caller who has seen
+    /// a configuration in force here is not answered by the one before.
+    fn forward_by_path(&mut self, now: Now, origin: Origin, request: &Request) {
+        let request = Request {
+            query: format!("{VERSION_PARAMETER}={}", self.state.version),
+            ..request.clone()
+        };
+        self.forward_repeatable(now, origin, &request);
+    }
+
+    /// Whether the node that has forwarded a call has a newer configuration than this one.
+    fn is_behind_forwarder(&self, request: &Request) -> bool {
+        let version = param(&request.query, VERSION_PARAMETER);
+        let version = version.and_then(|version| version.parse::<u64>().ok());
+        version.is_some_and(|version| version > self.state.version)
+    }
+
     /// How many jobs of a queue have been accepted of which no task has begun, whether they are placed or not.
     fn waiting(&self, queue: &str) -> usize {
         let open = self.state.open.iter();
--- a/landingdrift/tests/forwarded_reads.rs
+++ b/landingdrift/tests/forwarded_reads.rs
@@ -270,3 +270,45 @@
     // A tenth of the calls, one a second, and what was saved up.
     assert!(forwards < calls + calls / 10 + 11 + 10 + 1, "{forwards}");
 }
+
+/// A route is added.
+fn add_route(harness: &mut NodeHarness) {
+    harness.append(Command::UpdateConfig {
+        change: "route".into(),
+        base: 1,
+        patch: true,
+        number: 0,
+        value: json!({"queues": {"q": {"service": "s", "host": "host.example", "prefix": "/p/"}}}),
+    });
+}
+
+/// The status of the response to a forwarded call.
+fn forward_status(harness: &mut NodeHarness, request: &ForwardRequest) -> u16 {
+    let body = Body::ForwardRequest(Box::new(request.clone()));
+    let effects = harness
+        .node
+        .step(harness.now(), Msg::Wire(HOLDERS[2].into(), body));
+    let responses = effects.iter().filter_map(|effect| match effect {
+        Effect::Send(_, Body::ForwardResponse(response)) => Some(response.status),
+        _ => None,
+    });
+    responses.max().expect("a response")
+}
+
+#[test]
+fn a_count_at_a_route_that_was_added_is_not_refused_by_a_node_that_does_not_have_it_yet() {
+    let mut asked = light_node();
+    add_route(&mut asked);
+    asked.follow_light();
+    let (_, request) = forwarded(&ask(&mut asked, "/v1/at/host.example/p/"))
+        .first()
+        .expect("a light copy can't count")
+        .clone();
+    let mut other = NodeHarness::new();
+    other.follow();
+    let status = forward_status(&mut other, &request);
+    assert_eq!(status, 503, "the next one is asked");
+    add_route(&mut other);
+    other.follow();
+    assert_eq!(forward_status(&mut other, &request), 200);
+}
