A caller answered by a newer configuration is not answered by an older one afterwards

Callers see: a count at a small node is answered by another node, by a newer configuration than the small one's own copy has (200 at a new route, 404 at a dropped one).

Cause: answers of several nodes at different ages under one address, without a session that they have in common.

Change: a response to a forwarded call names the configuration of the node that gave it. Until the own copy has that version, or is newer than the answer, calls by host and path are forwarded as by a node without a fresh copy, and name that version; what changes something is answered with 503. One more field on the wire, which older builds leave out.

Test: a_node_whose_caller_was_answered_by_a_newer_configuration_does_not_go_back_to_its_own; it failed before ("config=2", not 3).

--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -198,6 +198,13 @@
         self.send_forward(call, 0, to, request);
     }
 
+    /// The path of a repeatable call that was forwarded.
+    fn forwarded_path(&self, call: u64) -> Option<String> {
+        let open_call = self.calls.open.get(&call)?;
+        let forward = open_call.forward.as_ref()?;
+        Some(forward.path().to_string())
+    }
+
     pub(in crate::node) fn on_forward_request(
         &mut self,
         now: Now,
@@ -231,7 +238,12 @@
         match is_repeatable {
             None => self.count("responses_unexpected", 1),
             Some(true) if forwarded.status == 503 => self.advance_forward(now, call),
-            Some(_) => self.finish(call, response_of(forwarded)),
+            Some(_) => {
+                if let Some(path) = self.forwarded_path(call) {
+                    self.note_answered_version(now, &path, forwarded.config_version);
+                }
+                self.finish(call, response_of(forwarded));
+            }
         }
     }
 }
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -3,8 +3,10 @@
 //! - `jobs`, `routed_jobs`, `config`, `heartbeats` and `status` serve the routes,
 //! - `read` answers reads that must not be stale,
 //! - `forward` passes calls to other nodes, which `forward_targets` picks,
+//! - `answered_version` keeps a caller from being answered by an older configuration than before,
 //! - `unanswered` notes the calls that end without an answer.
 
+mod answered_version;
 mod config;
 mod forward;
 mod forward_targets;
@@ -21,6 +23,7 @@
 use crate::sans_io::{Effect, Now, Part, Request, Response};
 use crate::state::{ApplyResult, Command, Rejection};
 use crate::wire::{Body, ForwardResponse, NodeProgress, RequestToken};
+use answered_version::AnsweredVersion;
 use forward::RepeatedForward;
 use forward_targets::SilentNodes;
 use read::ReadQuery;
@@ -103,6 +106,7 @@
     open: BTreeMap<u64, OpenCall>,
     silent_nodes: SilentNodes,
     retry_budget: RetryBudget,
+    answered_version: AnsweredVersion,
     /// When the next call without an answer may be logged, in monotonic milliseconds.
     next_unanswered_line: u64,
 }
@@ -244,6 +248,7 @@
                     retry_ms: response.retry_ms,
                     body: serde_json::to_vec(&response.body).unwrap_or_default(),
                     by,
+                    config_version: self.state.version,
                 };
                 self.send(to, Body::ForwardResponse(Box::new(forwarded)));
             }
--- a/landingdrift/src/node/calls/routed_jobs.rs
+++ b/landingdrift/src/node/calls/routed_jobs.rs
@@ -12,6 +12,11 @@
 /// The parameter of a forwarded call that names the version of the configuration which the forwarding node has.
 const VERSION_PARAMETER: &str = "config";
 
+/// Whether a call is one by host and path.
+pub(super) fn is_routed(path: &str) -> bool {
+    path.starts_with(ROUTED_PREFIX)
+}
+
 impl Node {
     /// The queue that a host and path belong to, with its name: the one of the longest prefix.
     fn routed(&self, host: &str, path: &str) -> Option<(&str, &Queue)> {
@@ -30,7 +35,7 @@
     pub(super) fn on_routed(&mut self, now: Now, origin: Origin, request: &Request) {
         let rest = request.path.strip_prefix(ROUTED_PREFIX).unwrap_or_default();
         let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
-        if !self.fresh(now) || self.state.version == 0 {
+        if !self.fresh(now) || self.state.version == 0 || self.is_behind_answers() {
             if request.method == "GET" {
                 return self.forward_by_path(now, origin, request);
             }
@@ -83,11 +88,11 @@
         self.forward_repeatable(now, origin, &by_id);
     }
 
-    /// Has another node answer a read by host and path, by no older configuration than this node has: a caller who has seen
-    /// a configuration in force here is not answered by the one before.
+    /// Has another node answer a read by host and path, by no older configuration than callers of this node were answered
+    /// by.
     fn forward_by_path(&mut self, now: Now, origin: Origin, request: &Request) {
         let request = Request {
-            query: format!("{VERSION_PARAMETER}={}", self.state.version),
+            query: format!("{VERSION_PARAMETER}={}", self.oldest_version_to_answer_by()),
             ..request.clone()
         };
         self.forward_repeatable(now, origin, &request);
--- a/landingdrift/tests/forwarded_reads.rs
+++ b/landingdrift/tests/forwarded_reads.rs
@@ -77,6 +77,17 @@
     from: &str,
     request: &ForwardRequest,
     status: u16,
+) -> Vec<Effect> {
+    respond_by_version(harness, from, request, status, 0)
+}
+
+/// The same, by a version of the configuration.
+fn respond_by_version(
+    harness: &mut NodeHarness,
+    from: &str,
+    request: &ForwardRequest,
+    status: u16,
+    config_version: u64,
 ) -> Vec<Effect> {
     let response = ForwardResponse {
         token: request.token,
@@ -84,6 +95,7 @@
         retry_ms: 0,
         body: serde_json::to_vec(&json!({"state": "running", "error": "busy"})).expect("JSON"),
         by: from.into(),
+        config_version,
     };
     let now = harness.now();
     let body = Body::ForwardResponse(Box::new(response));
@@ -312,3 +324,43 @@
     other.follow();
     assert_eq!(forward_status(&mut other, &request), 200);
 }
+
+/// Hands a job in by host and path.
+fn submit(harness: &mut NodeHarness, path: &str) -> Vec<Effect> {
+    let request = Request {
+        method: "POST".into(),
+        path: path.into(),
+        body: json!({"steps": [{"tasks": 1}]}).to_string().into_bytes(),
+        ..Request::default()
+    };
+    let now = harness.now();
+    harness.node.step(now, Msg::Call(CALL, request))
+}
+
+#[test]
+fn a_node_whose_caller_was_answered_by_a_newer_configuration_does_not_go_back_to_its_own() {
+    let mut harness = light_node();
+    add_route(&mut harness);
+    harness.follow_light();
+    let version = harness.node.state().version;
+    let (to, request) = forwarded(&ask(&mut harness, "/v1/at/host.example/p/"))
+        .first()
+        .expect("a light copy can't count")
+        .clone();
+    let effects = respond_by_version(&mut harness, &to, &request, 404, version + 1);
+    assert_eq!(answer(&effects).map(|response| response.status), Some(404));
+    // The route was removed there: here it still is.
+    let again = forwarded(&ask(&mut harness, "/v1/at/host.example/p/"));
+    assert_eq!(again[0].1.query, format!("config={}", version + 1));
+    let never_there = ask(&mut harness, "/v1/at/host.example/other/");
+    assert_eq!(answer(&never_there), None, "it may be there by now");
+    let submitted = submit(&mut harness, "/v1/at/host.example/p/1");
+    let status = answer(&submitted).map(|response| response.status);
+    assert_eq!(status, Some(503), "it was not taken");
+    // A copy that is as new as that answer decides again.
+    harness.elapsed_ms += 20;
+    harness.follow_light();
+    let never_there = ask(&mut harness, "/v1/at/host.example/other/");
+    let status = answer(&never_there).map(|response| response.status);
+    assert_eq!(status, Some(404));
+}
--- a/landingdrift/tests/responses.rs
+++ b/landingdrift/tests/responses.rs
@@ -132,6 +132,7 @@
         retry_ms: 0,
         body: b"{\"starts\": []}".to_vec(),
         by: String::new(),
+        config_version: 0,
     }))
 }
 
--- a/landingdrift/tests/stored/messages.rs
+++ b/landingdrift/tests/stored/messages.rs
@@ -275,6 +275,7 @@
         retry_ms: 1,
         body: vec![2],
         by: "n".into(),
+        config_version: 0,
     };
     vec![
         Body::ProposeRequest(Box::new(propose)),
--- a/landingdrift/tests/traffic.rs
+++ b/landingdrift/tests/traffic.rs
@@ -48,6 +48,7 @@
         retry_ms: 0,
         body: vec![7; bytes],
         by: String::new(),
+        config_version: 0,
     }))
 }
 
--- a/landingdrift/tests/worker_proxy.rs
+++ b/landingdrift/tests/worker_proxy.rs
@@ -54,6 +54,7 @@
         retry_ms: 0,
         body: json!({"beatMs": 150}).to_string().into_bytes(),
         by: by.into(),
+        config_version: 0,
     };
     Msg::Wire(from.into(), Body::ForwardResponse(Box::new(response)))
 }
