Jobs are accepted as far as there is memory for them

Callers see: some 98 recurring jobs of 14,400 tasks are accepted within three seconds, every replica goes over its 260 MB, is killed, loads the same state and is killed again.

Cause: what is accepted was bounded in jobs (20,000) and in tasks of a job (20,000), not in memory; nodes with a light copy did not even count the open jobs, as they have none of them. Class: an admission limit in another unit than what runs out.

Change: the leader counts the bytes of all jobs in the state, unfinished and retained, each task with one attempt and each retry, and of those that are appended and not yet applied. A job that would take over a quarter of what is left is not appended; the node answers 503 with a time to return, unless an earlier copy of the proposal may be in the log (then the outcome is unknown, as before).

Not in apply: machines may differ, and what is in the log has to be applied alike. After a change of leader the count is that of the new leader's state; entries of the old leader that are not applied yet are not in it for a moment.

Left: runs of a recurring job are still made when it is accepted; docs/ROADMAP.md.

--- a/landingdrift/src/consensus/client_requests.rs
+++ b/landingdrift/src/consensus/client_requests.rs
@@ -1,5 +1,6 @@
 //! What nodes ask of the leader: to propose a command, and for the index to read at.
 
+use super::job_admission::submitted_job;
 use super::{Replica, Role};
 use crate::sans_io::Now;
 use crate::state::Command;
@@ -12,6 +13,9 @@
 /// The outcome of a proposal on the wire: it was not taken and never will be.
 const OUTCOME_NOT_TAKEN: u8 = 1;
 
+/// The outcome of a proposal on the wire: it was not taken, as there is no memory for it.
+const OUTCOME_NO_CAPACITY: u8 = 2;
+
 /// Who is to be answered once a proposal is applied.
 #[derive(Clone, Debug)]
 pub(super) struct PendingProposal {
@@ -49,18 +53,21 @@
             && !self.is_transferring_leadership(now)
             && self.accepts_proposals(now);
         if !accepts {
-            let response = ProposeResponse {
-                token: request.token,
-                outcome: OUTCOME_NOT_TAKEN,
-                log_index: 0,
-                leader: self.leader_hint(),
-                response: Vec::new(),
-            };
-            self.send(from, Body::ProposeResponse(Box::new(response)));
-            return;
+            return self.decline_proposal(from, request.token, OUTCOME_NOT_TAKEN);
+        }
+        let job = submitted_job(&request.command);
+        if job
+            .as_ref()
+            .is_some_and(|job| !self.has_capacity_for(now, job))
+        {
+            self.count("jobs_without_capacity", 1);
+            return self.decline_proposal(from, request.token, OUTCOME_NO_CAPACITY);
         }
         self.count("proposals", 1);
         let index = self.append_bytes(now, request.command);
+        if let Some(job) = job {
+            self.job_admission.note_appended(index, job.memory_bytes());
+        }
         let pending = PendingProposal {
             from: from.into(),
             token: request.token,
@@ -69,6 +76,18 @@
         self.leadership.round_requested = true;
     }
 
+    /// Answers a proposal that was not appended.
+    fn decline_proposal(&mut self, from: &str, token: RequestToken, outcome: u8) {
+        let response = ProposeResponse {
+            token,
+            outcome,
+            log_index: 0,
+            leader: self.leader_hint(),
+            response: Vec::new(),
+        };
+        self.send(from, Body::ProposeResponse(Box::new(response)));
+    }
+
     /// Applies what is committed, and answers the proposals among it.
     pub(super) fn apply_committed(&mut self) {
         while self.state.applied_index < self.log.commit_index {
--- a/landingdrift/src/consensus/mod.rs
+++ b/landingdrift/src/consensus/mod.rs
@@ -16,6 +16,7 @@
 //! | `membership`, `membership_state` | who is a member, who votes, and the changes of that |
 //! | `lease_assignment`, `node_registry` | which nodes are alive, and which leases they hold |
 //! | `watch`, `watch_snapshots`, `client_requests` | what nodes ask of the leader |
+//! | `job_admission` | which submitted jobs there is memory for |
 //! | `clock` | the time that all agree on |
 //! | `shutdown`, `status`, `inspect` | orderly shutdown; HTTP status and counters; access for tests |
 
@@ -25,6 +26,7 @@
 mod disk_health;
 mod election;
 mod inspect;
+mod job_admission;
 mod leadership;
 mod lease_assignment;
 mod log;
@@ -126,6 +128,7 @@
     membership: membership_state::MembershipState,
     leadership: leadership::Leadership,
     watch: watch::Watch,
+    job_admission: job_admission::JobAdmission,
     pending_acknowledgement: Option<append::PendingAcknowledgement>,
     clock: ClusterClock,
     peer_sampler: PeerSampler,
@@ -176,6 +179,7 @@
             election: election::Election::new(now, settings.bounds.election()),
             leadership: leadership::Leadership::default(),
             watch: watch::Watch::default(),
+            job_admission: job_admission::JobAdmission::default(),
             pending_acknowledgement: None,
             clock: ClusterClock::default(),
             peer_sampler,
--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -139,6 +139,10 @@
                 let pause = OVER_QUOTA_PAUSES * self.settings.bounds.back();
                 Response::error(429, "overQuota", why).retry(pause)
             }
+            Rejection::InsufficientCapacity => {
+                let pause = FULL_PAUSES * self.settings.bounds.back();
+                Response::error(503, "full", why).retry(pause)
+            }
             Rejection::Invalid { path, .. } if path == "queue" => {
                 Response::error(404, "noSuchQueue", why)
             }
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -3,11 +3,13 @@
 use super::calls::ProposedCall;
 use super::Node;
 use crate::sans_io::{transfer_ms, Now, Response};
-use crate::state::{unpack_apply_result, ApplyResult, Command, Order, ProposalId};
+use crate::state::{unpack_apply_result, ApplyResult, Command, Order, ProposalId, Rejection};
 use crate::wire::{Body, ProposeRequest, ProposeResponse, RequestToken};
 
 /// The `outcome` of a `ProposeResponse` by which a replica says that it does not lead and has appended nothing.
 const NOT_LEADER: u8 = 1;
+/// The `outcome` by which the leader says that it has no memory for the job and has appended nothing.
+const NO_CAPACITY: u8 = 2;
 /// A proposal is sent on to a named leader at once only for its first attempts: replicas that disagree on who leads
 /// would pass it round for ever otherwise.
 const MAX_REDIRECTS: usize = 7;
@@ -257,6 +259,10 @@
             let leader_hint = Some(leader).filter(|leader| !leader.is_empty() && leader != from);
             return self.on_proposal_rejected(now, number, index, leader_hint);
         }
+        if response.outcome == NO_CAPACITY {
+            attempt.outcome = AttemptOutcome::Rejected;
+            return self.on_no_capacity(number);
+        }
         let Some(result) = unpack_apply_result(&response.response) else {
             // The attempt stays unanswered, and in the end the caller is told that the outcome is unknown.
             return self.count("responses_unreadable", 1);
@@ -266,6 +272,19 @@
         }
     }
 
+    /// The leader has no memory for a job. It was not taken, unless an earlier attempt may have been appended: then the
+    /// outcome of that one counts.
+    fn on_no_capacity(&mut self, number: u64) {
+        let proposal = self.proposals.get(&number);
+        if proposal.is_none_or(Proposal::may_be_appended) {
+            return;
+        }
+        if let Some(proposal) = self.proposals.remove(&number) {
+            let result = Err(Rejection::InsufficientCapacity);
+            self.on_applied(number, proposal.purpose, 0, result);
+        }
+    }
+
     /// The cluster state has applied a command that this node proposed, or has rejected it.
     fn on_applied(&mut self, number: u64, purpose: Purpose, log_index: u64, result: ApplyResult) {
         match purpose {
--- a/landingdrift/src/settings/check.rs
+++ b/landingdrift/src/settings/check.rs
@@ -8,6 +8,8 @@
 const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The most replicas that vote: each entry is sent to all of them.
 const MAX_VOTERS: u32 = 15;
+/// The least memory for jobs, in bytes.
+const MIN_JOBS_MEMORY_BYTES: u64 = 1 << 20;
 /// The shortest bound, in milliseconds: parts tick every hundredth of one.
 const MIN_BOUND_MS: u64 = 400;
 
@@ -169,6 +171,11 @@
         "give 1024 to 33554432",
     )?;
     ensure(limits.open_jobs >= 1, "limits.open_jobs", "give at least 1")?;
+    ensure(
+        limits.jobs_memory_bytes >= MIN_JOBS_MEMORY_BYTES,
+        "limits.jobs_memory_bytes",
+        "give at least 1048576",
+    )?;
     ensure(limits.calls >= 1, "limits.calls", "give at least 1")?;
     ensure(
         limits.retain_ms >= bounds.state_ms,
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -21,6 +21,9 @@
     pub config_bytes: u64,
     /// The most unfinished jobs in the cluster.
     pub open_jobs: u64,
+    /// How many bytes of memory the jobs may take in one copy of the cluster state, unfinished and retained; a process has
+    /// up to two copies.
+    pub jobs_memory_bytes: u64,
     /// The most calls that one node works on at once.
     pub calls: u64,
     /// How long a finished job is kept in full, in milliseconds.
@@ -42,6 +45,7 @@
             job_bytes: 1 << 20,
             config_bytes: 4 << 20,
             open_jobs: 20_000,
+            jobs_memory_bytes: 512 << 20,
             calls: 2000,
             retain_ms: 600_000,
             identity_ms: 86_400_000,
--- a/landingdrift/src/state/command.rs
+++ b/landingdrift/src/state/command.rs
@@ -206,6 +206,7 @@
 mod kind {
     pub const TERM_STARTED: u32 = 0;
     pub const UPDATE_CONFIG: u32 = 1;
+    pub const ACCEPT_JOB: u32 = 2;
     pub const SET_EVACUATION: u32 = 10;
     pub const GRANT_LEASE: u32 = 12;
     pub const REMOVE_REPLICA: u32 = 17;
@@ -256,6 +257,11 @@
         }
     }
 
+    /// Whether an entry submits a job. It is not read beyond its kind.
+    pub fn submits_job(bytes: &[u8]) -> bool {
+        matches!(take_kind(bytes), Some((kind::ACCEPT_JOB, _)))
+    }
+
     /// Whether copies of this command must take effect at most once.
     pub fn is_order(&self) -> bool {
         matches!(
--- /dev/null
+++ b/landingdrift/src/state/memory.rs
@@ -0,0 +1,81 @@
+//! How many bytes of memory jobs take in one copy of the cluster state, by a bound that holds on 64-bit machines.
+
+use super::{Attempt, ClusterState, Job, JobSpec, StepSpec, Task, TaskSpec};
+use std::mem::size_of;
+
+/// The texts of an attempt or a small item with their overhead, in bytes: the name of a worker, a checkpoint.
+const TEXT_BYTES: u64 = 96;
+
+/// An attempt.
+const ATTEMPT_BYTES: u64 = size_of::<Attempt>() as u64 + TEXT_BYTES;
+
+/// A task with its first attempt: it gets one sooner or later.
+const TASK_BYTES: u64 = size_of::<Task>() as u64 + ATTEMPT_BYTES;
+
+fn text_bytes<'a>(texts: impl IntoIterator<Item = &'a String>) -> u64 {
+    texts
+        .into_iter()
+        .map(|text| (size_of::<String>() + text.len()) as u64)
+        .sum()
+}
+
+impl TaskSpec {
+    fn memory_bytes(&self) -> u64 {
+        let payload = match &self.payload {
+            serde_json::Value::Null => 0,
+            payload => payload.to_string().len() as u64,
+        };
+        let names = [&self.name, &self.service, &self.gang, &self.near];
+        size_of::<Self>() as u64
+            + text_bytes(names)
+            + text_bytes(&self.labels)
+            + text_bytes(&self.depends_on)
+            + payload
+    }
+}
+
+impl StepSpec {
+    fn memory_bytes(&self) -> u64 {
+        let dependencies = (self.depends_on.len() * size_of::<u32>()) as u64;
+        size_of::<Self>() as u64 + dependencies + self.task.memory_bytes()
+    }
+}
+
+impl JobSpec {
+    /// How many tasks the job has over all its times.
+    pub fn task_count(&self) -> u64 {
+        let per_time: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let of_steps = per_time.saturating_mul(u64::from(self.times.max(1)));
+        of_steps.saturating_add(self.tasks.len() as u64)
+    }
+
+    fn spec_bytes(&self) -> u64 {
+        let tasks: u64 = self.tasks.iter().map(TaskSpec::memory_bytes).sum();
+        let steps: u64 = self.steps.iter().map(StepSpec::memory_bytes).sum();
+        text_bytes([&self.id, &self.queue, &self.payload]) + tasks + steps
+    }
+
+    /// How many bytes the job takes once it is accepted, with one attempt of each task.
+    pub fn memory_bytes(&self) -> u64 {
+        let tasks = self.task_count().saturating_mul(TASK_BYTES);
+        (size_of::<Job>() as u64 + TEXT_BYTES)
+            .saturating_add(self.spec_bytes())
+            .saturating_add(tasks)
+    }
+}
+
+impl Job {
+    /// How many bytes the job takes, with one attempt of each task at least.
+    pub fn memory_bytes(&self) -> u64 {
+        let retries = |task: &Task| task.attempts.len().saturating_sub(1) as u64;
+        let retries: u64 = self.tasks.iter().map(retries).sum();
+        self.spec.memory_bytes() + retries * ATTEMPT_BYTES
+    }
+}
+
+impl ClusterState {
+    /// How many bytes all jobs take, unfinished and retained.
+    pub fn job_bytes(&self) -> u64 {
+        self.jobs.values().map(Job::memory_bytes).sum()
+    }
+}
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -12,6 +12,7 @@
 
 mod apply;
 mod members;
+mod memory;
 mod rejection;
 mod report;
 mod retained;
--- a/landingdrift/src/state/rejection.rs
+++ b/landingdrift/src/state/rejection.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Why the cluster state has rejected an entry. The messages name the remedy.
+/// Why the cluster state has rejected an entry, or the leader did not append one. The messages name the remedy. Variants are
+/// packed by their position: new ones go to the end.
 #[derive(Clone, Debug, PartialEq, Error, Serialize, Deserialize)]
 pub enum Rejection {
     /// The base version of a change is not the current one any more.
@@ -95,4 +96,7 @@
     #[error("the queue's speculation budget is in use: wait")]
     #[serde(rename = "Budget")]
     SpeculationBudgetExhausted,
+    /// The replicas have no memory for one more job, or for one as large.
+    #[error("the system has no memory for this job beside those that it holds: come back later, or split it")]
+    InsufficientCapacity,
 }
--- a/landingdrift/tests/replicas/mod.rs
+++ b/landingdrift/tests/replicas/mod.rs
@@ -225,8 +225,7 @@
 
     /// Proposes a change that adds a note of so many bytes; its token.
     pub fn propose(&mut self, i: usize, bytes: usize) -> u64 {
-        self.next += 1;
-        let token = self.next;
+        let token = self.next + 1;
         let command = Command::UpdateConfig {
             change: format!("c{token}"),
             base: self.version(i),
@@ -234,6 +233,13 @@
             number: 0,
             value: json!({"notes": {(format!("n{token}")): noise(token, bytes)}}),
         };
+        self.propose_command(i, &command)
+    }
+
+    /// Proposes a command; its token.
+    pub fn propose_command(&mut self, i: usize, command: &Command) -> u64 {
+        self.next += 1;
+        let token = self.next;
         let propose = ProposeRequest {
             token: request(token),
             command: command.pack(),
--- a/landingdrift/tests/stored/mod.rs
+++ b/landingdrift/tests/stored/mod.rs
@@ -259,6 +259,7 @@
         job_bytes: 100_001,
         config_bytes: 200_002,
         open_jobs: 303,
+        jobs_memory_bytes: Limits::default().jobs_memory_bytes,
         calls: 404,
         retain_ms: 500_005,
         identity_ms: 600_006,
--- a/landingdrift/tests/stored/variants.rs
+++ b/landingdrift/tests/stored/variants.rs
@@ -155,5 +155,7 @@
         Rejection::UnsuitableWorker { .. } => 16,
         Rejection::GangIncomplete => 17,
         Rejection::SpeculationBudgetExhausted => 18,
+        // Never an entry's: the leader says it instead of appending one.
+        Rejection::InsufficientCapacity => 19,
     }
 }
