A route's number of attempts is taken as it is, or refused

Cause: landingdrift's own limit of 100 was kept by the translation with a minimum and no word. Change: the limit is 1,000,000, and what is above it is refused.

--- a/landingdrift/src/config/check.rs
+++ b/landingdrift/src/config/check.rs
@@ -6,7 +6,7 @@
 const MAX_NAME_CHARACTERS: usize = 64;
 const NAME_REMEDY: &str = "use 1 to 64 letters, digits, '-', '_' or '.' for the name";
 /// The most attempts of a task.
-const MAX_ATTEMPTS: u32 = 100;
+const MAX_ATTEMPTS: u32 = 1_000_000;
 /// The highest priority.
 const MAX_PRIORITY: u32 = 100;
 /// The shortest window and the shortest bound on unsure attempts, in milliseconds.
@@ -112,7 +112,7 @@
 fn check_queue(name: &str, queue: &Queue) -> Result<(), ConfigError> {
     let item = Item::named("queues", name)?;
     let attempts = (1..=MAX_ATTEMPTS).contains(&queue.max_attempts);
-    item.ensure(attempts, "tries", "give a number from 1 to 100")?;
+    item.ensure(attempts, "tries", "give a number from 1 to 1000000")?;
     item.ensure(queue.quota >= 1, "quota", "give at least 1")?;
     let percent = "give 0 to 100";
     let allowance = queue.failure_allowance_percent <= 100;
