--- a/landingdrift/src/state/job/check.rs
+++ b/landingdrift/src/state/job/check.rs
@@ -1,7 +1,9 @@
 //! Checks of a job before it is accepted: its shape, and whether the configuration lets it run.
 
-use super::{JobSpec, TaskSpec};
+use super::{JobSpec, StepSpec, TaskSpec};
+use crate::config::{ClusterConfig, Service};
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// The most tasks that one job may have.
 pub const TASKS_MOST: usize = 2000;
@@ -9,6 +11,10 @@
 /// The most tasks that the steps of a job may have over all times.
 pub const STEP_TASKS_MOST: u64 = 20_000;
 
+/// The most characters of the name of a job or a task.
+const MAX_NAME_CHARACTERS: usize = 128;
+const NAME_REMEDY: &str = "use 1 to 128 letters, digits, '-', '_', '.' or ':'";
+
 /// Why a job can't be taken as it is.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SpecError {
@@ -18,48 +24,65 @@
     pub remedy: String,
 }
 
-impl std::fmt::Display for SpecError {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+impl fmt::Display for SpecError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{}: {}", self.path, self.remedy)
     }
 }
 
-/// A error at a field, and what to do about it.
-fn error(path: String, remedy: impl Into<String>) -> SpecError {
+/// An error about a field, unless a condition holds.
+fn ensure(
+    holds: bool,
+    path: impl Into<String>,
+    remedy: impl Into<String>,
+) -> Result<(), SpecError> {
+    if holds {
+        return Ok(());
+    }
+    Err(error(path, remedy))
+}
+
+fn error(path: impl Into<String>, remedy: impl Into<String>) -> SpecError {
     SpecError {
-        path,
+        path: path.into(),
         remedy: remedy.into(),
     }
 }
 
+/// What tasks of one kind ask for.
+struct TaskKind<'a> {
+    /// Where it stands in the job.
+    path: String,
+    task: &'a TaskSpec,
+    /// How many of its tasks are one gang.
+    gang_size: u32,
+}
+
 impl JobSpec {
     /// Reads a job, naming the field at fault.
     pub fn read(body: &[u8]) -> Result<Self, SpecError> {
-        let de = &mut serde_json::Deserializer::from_slice(body);
-        serde_path_to_error::deserialize(de).map_err(|e| SpecError {
-            path: e.path().to_string(),
-            remedy: e.inner().to_string(),
-        })
+        let json = &mut serde_json::Deserializer::from_slice(body);
+        serde_path_to_error::deserialize(json)
+            .map_err(|fault| error(fault.path().to_string(), fault.inner().to_string()))
     }
 
-    /// Checks the shape of the job: names, steps, cycles, gangs.
+    /// Checks the shape of the job: names, steps, cycles, gangs. Returns the numbers of the tasks that each single task waits
+    /// for.
     pub fn check(&self) -> Result<Vec<Vec<u32>>, SpecError> {
-        name_ok(&self.id).then_some(()).ok_or_else(|| {
-            error(
-                "id".into(),
-                "use 1 to 128 letters, digits, '-', '_', '.' or ':'",
-            )
-        })?;
+        ensure(is_name(&self.id), "id", NAME_REMEDY)?;
         if !self.steps.is_empty() {
-            return self.check_steps().map(|()| Vec::new());
+            self.check_steps()?;
+            return Ok(Vec::new());
         }
-        (1..=TASKS_MOST)
-            .contains(&self.tasks.len())
-            .then_some(())
-            .ok_or_else(|| error("tasks".into(), "give 1 to 2000 tasks; split a larger job"))?;
+        let is_allowed = (1..=TASKS_MOST).contains(&self.tasks.len());
+        ensure(
+            is_allowed,
+            "tasks",
+            "give 1 to 2000 tasks; split a larger job",
+        )?;
         let by_name = self.check_tasks()?;
         let waits = self.dependencies(&by_name)?;
-        self.check_cycle(&waits)?;
+        check_cycle(&waits)?;
         self.check_gangs(&waits)?;
         Ok(waits)
     }
@@ -67,24 +90,14 @@
     /// Checks the single tasks one by one, and gives their numbers by their names.
     fn check_tasks(&self) -> Result<BTreeMap<&str, u32>, SpecError> {
         let mut by_name = BTreeMap::new();
-        for (i, t) in self.tasks.iter().enumerate() {
-            name_ok(&t.name).then_some(()).ok_or_else(|| {
-                error(
-                    format!("tasks[{i}].name"),
-                    "use 1 to 128 letters, digits, '-', '_', '.' or ':'",
-                )
-            })?;
-            by_name
-                .insert(t.name.as_str(), i as u32)
-                .map_or(Ok(()), |_| {
-                    Err(error(
-                        format!("tasks[{i}].name"),
-                        "give every task of a job a name of its own",
-                    ))
-                })?;
-            (t.cpu >= 1)
-                .then_some(())
-                .ok_or_else(|| error(format!("tasks[{i}].room"), "give at least 1"))?;
+        for (number, task) in self.tasks.iter().enumerate() {
+            let path = format!("tasks[{number}].name");
+            ensure(is_name(&task.name), &path, NAME_REMEDY)?;
+            let same_name = by_name.insert(task.name.as_str(), number as u32);
+            let remedy = "give every task of a job a name of its own";
+            ensure(same_name.is_none(), &path, remedy)?;
+            let path = format!("tasks[{number}].room");
+            ensure(task.cpu >= 1, path, "give at least 1")?;
         }
         Ok(by_name)
     }
@@ -92,186 +105,198 @@
     /// The numbers of the tasks that each task waits for.
     fn dependencies(&self, by_name: &BTreeMap<&str, u32>) -> Result<Vec<Vec<u32>>, SpecError> {
         let mut waits = Vec::new();
-        for (i, t) in self.tasks.iter().enumerate() {
-            let of: Result<Vec<u32>, _> = t
-                .depends_on
-                .iter()
-                .map(|d| {
-                    by_name.get(d.as_str()).copied().ok_or_else(|| {
-                        error(
-                            format!("tasks[{i}].dependsOn"),
-                            format!("'{d}' is no task of this job: correct the name"),
-                        )
-                    })
-                })
-                .collect();
-            waits.push(of?);
+        for (number, task) in self.tasks.iter().enumerate() {
+            let mut of_task = Vec::new();
+            for name in &task.depends_on {
+                let dependency = by_name.get(name.as_str()).ok_or_else(|| {
+                    let path = format!("tasks[{number}].dependsOn");
+                    error(
+                        path,
+                        format!("'{name}' is no task of this job: correct the name"),
+                    )
+                })?;
+                of_task.push(*dependency);
+            }
+            waits.push(of_task);
         }
         Ok(waits)
     }
 
     /// Checks the steps: how many tasks, and what each depends on.
     fn check_steps(&self) -> Result<(), SpecError> {
-        self.tasks
-            .is_empty()
-            .then_some(())
-            .ok_or_else(|| error("tasks".into(), "give single tasks or steps, not both"))?;
-        let round: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
-        let all = round.saturating_mul(u64::from(self.times.max(1)));
-        (1..=STEP_TASKS_MOST)
-            .contains(&all)
-            .then_some(())
-            .ok_or_else(|| {
-                error(
-                    "steps".into(),
-                    "give 1 to 20000 tasks over all times; split a larger job",
-                )
-            })?;
-        for (i, s) in self.steps.iter().enumerate() {
-            (s.count >= 1)
-                .then_some(())
-                .ok_or_else(|| error(format!("steps[{i}].count"), "give at least 1"))?;
-            s.depends_on
-                .iter()
-                .all(|d| (*d as usize) < i)
-                .then_some(())
-                .ok_or_else(|| {
-                    error(
-                        format!("steps[{i}].dependsOn"),
-                        "name earlier steps by their numbers, counted from 0",
-                    )
-                })?;
-            let own = s.task.gang.is_empty() && s.task.depends_on.is_empty();
-            own.then_some(()).ok_or_else(|| {
-                error(
-                    format!("steps[{i}].task"),
-                    "give the step, not its task, 'gang' and 'dependsOn'",
-                )
-            })?;
+        let remedy = "give single tasks or steps, not both";
+        ensure(self.tasks.is_empty(), "tasks", remedy)?;
+        let is_allowed = (1..=STEP_TASKS_MOST).contains(&self.task_count());
+        let remedy = "give 1 to 20000 tasks over all times; split a larger job";
+        ensure(is_allowed, "steps", remedy)?;
+        for (number, step) in self.steps.iter().enumerate() {
+            step.check(number)?;
         }
         Ok(())
     }
 
-    /// What its tasks ask for, each kind once, with where it stands and how many of them are one gang.
-    fn kinds(&self) -> Vec<(String, &TaskSpec, u32)> {
-        let single = self.tasks.iter().enumerate();
-        let steps = self.steps.iter().enumerate();
-        single
-            .map(|(i, t)| (format!("tasks[{i}]"), t, 1))
-            .chain(steps.map(|(i, s)| {
-                let gang = if s.gang { s.count } else { 1 };
-                (format!("steps[{i}].task"), &s.task, gang)
-            }))
-            .collect()
-    }
-
-    /// Checks that no task waits for itself over others.
-    fn check_cycle(&self, waits: &[Vec<u32>]) -> Result<(), SpecError> {
-        let mut left: Vec<usize> = waits.iter().map(Vec::len).collect();
-        let mut next: Vec<Vec<usize>> = vec![Vec::new(); waits.len()];
-        for (i, of) in waits.iter().enumerate() {
-            of.iter().for_each(|d| next[*d as usize].push(i));
+    /// What its tasks ask for, each kind once.
+    fn task_kinds(&self) -> Vec<TaskKind<'_>> {
+        let mut kinds = Vec::new();
+        for (number, task) in self.tasks.iter().enumerate() {
+            kinds.push(TaskKind {
+                path: format!("tasks[{number}]"),
+                task,
+                gang_size: 1,
+            });
         }
-        let mut ready: Vec<usize> = (0..left.len()).filter(|i| left[*i] == 0).collect();
-        let mut seen = 0;
-        while let Some(i) = ready.pop() {
-            seen += 1;
-            for n in &next[i] {
-                left[*n] -= 1;
-                if left[*n] == 0 {
-                    ready.push(*n);
-                }
-            }
+        for (number, step) in self.steps.iter().enumerate() {
+            kinds.push(TaskKind {
+                path: format!("steps[{number}].task"),
+                task: &step.task,
+                gang_size: if step.gang { step.count } else { 1 },
+            });
         }
-        (seen == waits.len())
-            .then_some(())
-            .ok_or_else(|| SpecError {
-                path: "tasks".into(),
-                remedy: "the steps depend on each other in a circle: remove one dependsOn".into(),
-            })
+        kinds
     }
 
-    /// Checks that no member of a gang waits for another.
+    /// Checks that no member of a gang waits for another, directly or not: members start together.
     fn check_gangs(&self, waits: &[Vec<u32>]) -> Result<(), SpecError> {
-        // Members start together, so none may wait, directly or not, for another of its gang.
-        for (i, t) in self
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, t)| !t.gang.is_empty())
-        {
-            let mut todo = waits[i].clone();
-            let mut seen = vec![false; waits.len()];
-            while let Some(d) = todo.pop().map(|d| d as usize) {
-                (self.tasks[d].gang != t.gang).then_some(()).ok_or_else(|| SpecError {
-                    path: format!("tasks[{i}].dependsOn"),
-                    remedy: format!("a member of gang '{}' can't wait for another member: remove the dependsOn or the gang", t.gang),
-                })?;
-                if !std::mem::replace(&mut seen[d], true) {
-                    todo.extend(&waits[d]);
-                }
+        for (number, task) in self.tasks.iter().enumerate() {
+            if task.gang.is_empty() {
+                continue;
+            }
+            for dependency in all_dependencies(number, waits) {
+                let gang = &task.gang;
+                let path = format!("tasks[{number}].dependsOn");
+                let remedy = format!("a member of gang '{gang}' can't wait for another member: remove the dependsOn or the gang");
+                ensure(self.tasks[dependency].gang != *gang, path, remedy)?;
             }
         }
         Ok(())
     }
 
     /// Checks that the configuration lets the job run at all.
-    pub fn satisfiable(&self, config: &crate::config::ClusterConfig) -> Result<(), SpecError> {
-        config.queues.get(&self.queue).map(|_| ()).ok_or_else(|| {
+    pub fn satisfiable(&self, config: &ClusterConfig) -> Result<(), SpecError> {
+        let queue = &self.queue;
+        let remedy = format!("no queue is called '{queue}': create it or name another");
+        ensure(config.queues.contains_key(queue), "queue", remedy)?;
+        let mut gang_cpu: BTreeMap<(String, &str), u32> = BTreeMap::new();
+        for kind in self.task_kinds() {
+            let service = kind.service(config)?;
+            kind.check_task(service)?;
+            if let Some(gang) = kind.gang() {
+                let cpu = gang_cpu.entry((gang, &kind.task.service)).or_default();
+                *cpu = cpu.saturating_add(kind.task.cpu.saturating_mul(kind.gang_size));
+                kind.check_gang(*cpu, service)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl StepSpec {
+    /// Checks the step with a number.
+    fn check(&self, number: usize) -> Result<(), SpecError> {
+        let path = |field: &str| format!("steps[{number}].{field}");
+        ensure(self.count >= 1, path("count"), "give at least 1")?;
+        let mut dependencies = self.depends_on.iter();
+        let are_earlier = dependencies.all(|step| (*step as usize) < number);
+        let remedy = "name earlier steps by their numbers, counted from 0";
+        ensure(are_earlier, path("dependsOn"), remedy)?;
+        let has_neither = self.task.gang.is_empty() && self.task.depends_on.is_empty();
+        let remedy = "give the step, not its task, 'gang' and 'dependsOn'";
+        ensure(has_neither, path("task"), remedy)
+    }
+}
+
+impl TaskKind<'_> {
+    /// The service whose workers run it.
+    fn service<'a>(&self, config: &'a ClusterConfig) -> Result<&'a Service, SpecError> {
+        let name = &self.task.service;
+        config.services.get(name).ok_or_else(|| {
+            let path = format!("{}.service", self.path);
             error(
-                "queue".into(),
-                format!(
-                    "no queue is called '{}': create it or name another",
-                    self.queue
-                ),
+                path,
+                format!("no service is called '{name}': declare it or name another"),
             )
-        })?;
-        let mut gangs: BTreeMap<(String, &str), u32> = BTreeMap::new();
-        for (at, t, together) in self.kinds() {
-            let s = config.services.get(&t.service).ok_or_else(|| {
-                error(
-                    format!("{at}.service"),
-                    format!(
-                        "no service is called '{}': declare it or name another",
-                        t.service
-                    ),
-                )
-            })?;
-            t.labels.iter().find(|l| !s.any_label && !s.labels.contains(l)).map_or(Ok(()), |l| {
-                Err(error(
-                    format!("{at}.labels"),
-                    format!("service '{}' has no workers with label '{l}': declare it or leave it out", t.service),
-                ))
-            })?;
-            (t.cpu <= s.task_cpu).then_some(()).ok_or_else(|| {
-                error(
-                    format!("{at}.room"),
-                    format!(
-                        "service '{}' gives a task at most {}: ask for less",
-                        t.service, s.task_cpu
-                    ),
-                )
-            })?;
-            if !t.gang.is_empty() || together > 1 {
-                let name = if together > 1 { &at } else { &t.gang };
-                let sum = gangs.entry((name.clone(), &t.service)).or_default();
-                *sum = sum.saturating_add(t.cpu.saturating_mul(together));
-                (*sum <= s.gang_cpu).then_some(()).ok_or_else(|| {
-                    error(
-                        format!("{at}.gang"),
-                        format!("gang '{name}' needs more than the {} that service '{}' gives a gang: make it smaller", s.gang_cpu, t.service),
-                    )
-                })?;
+        })
+    }
+
+    /// Checks that a single worker can run one of its tasks.
+    fn check_task(&self, service: &Service) -> Result<(), SpecError> {
+        let name = &self.task.service;
+        for label in &self.task.labels {
+            let is_declared = service.any_label || service.labels.contains(label);
+            let path = format!("{}.labels", self.path);
+            let remedy = format!(
+                "service '{name}' has no workers with label '{label}': declare it or leave it out"
+            );
+            ensure(is_declared, path, remedy)?;
+        }
+        let most = service.task_cpu;
+        let path = format!("{}.room", self.path);
+        let remedy = format!("service '{name}' gives a task at most {most}: ask for less");
+        ensure(self.task.cpu <= most, path, remedy)
+    }
+
+    /// The gang that its tasks belong to; none for single tasks.
+    fn gang(&self) -> Option<String> {
+        if self.gang_size > 1 {
+            return Some(self.path.clone());
+        }
+        Some(self.task.gang.clone()).filter(|gang| !gang.is_empty())
+    }
+
+    /// Checks that a service gives a gang the processors that it asks for.
+    fn check_gang(&self, cpu: u32, service: &Service) -> Result<(), SpecError> {
+        let gang = self.gang().unwrap_or_default();
+        let (most, name) = (service.gang_cpu, &self.task.service);
+        let path = format!("{}.gang", self.path);
+        let remedy = format!(
+            "gang '{gang}' needs more than the {most} that service '{name}' gives a gang: make it smaller"
+        );
+        ensure(cpu <= most, path, remedy)
+    }
+}
+
+/// Checks that no task waits for itself over others.
+fn check_cycle(waits: &[Vec<u32>]) -> Result<(), SpecError> {
+    let mut unmet: Vec<usize> = waits.iter().map(Vec::len).collect();
+    let mut dependents: Vec<Vec<usize>> = vec![Vec::new(); waits.len()];
+    for (task, dependencies) in waits.iter().enumerate() {
+        for dependency in dependencies {
+            dependents[*dependency as usize].push(task);
+        }
+    }
+    let mut ready: Vec<usize> = (0..unmet.len()).filter(|task| unmet[*task] == 0).collect();
+    let mut reached = 0;
+    while let Some(task) = ready.pop() {
+        reached += 1;
+        for dependent in &dependents[task] {
+            unmet[*dependent] -= 1;
+            if unmet[*dependent] == 0 {
+                ready.push(*dependent);
             }
         }
-        Ok(())
     }
+    let remedy = "the steps depend on each other in a circle: remove one dependsOn";
+    ensure(reached == waits.len(), "tasks", remedy)
+}
+
+/// All tasks that a task waits for, directly or not.
+fn all_dependencies(task: usize, waits: &[Vec<u32>]) -> Vec<usize> {
+    let mut to_visit = waits[task].clone();
+    let mut is_visited = vec![false; waits.len()];
+    let mut dependencies = Vec::new();
+    while let Some(dependency) = to_visit.pop() {
+        let dependency = dependency as usize;
+        if std::mem::replace(&mut is_visited[dependency], true) {
+            continue;
+        }
+        dependencies.push(dependency);
+        to_visit.extend(&waits[dependency]);
+    }
+    dependencies
 }
 
 /// Whether a name of a job or a task is allowed.
-fn name_ok(n: &str) -> bool {
-    !n.is_empty()
-        && n.len() <= 128
-        && n.chars()
-            .all(|c| c.is_ascii_alphanumeric() || "-_.:".contains(c))
+fn is_name(name: &str) -> bool {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    !name.is_empty() && name.len() <= MAX_NAME_CHARACTERS && name.chars().all(is_allowed)
 }
