A large configuration is not read through a node with a narrow link

Callers see: reads of the configuration that aren't answered within the second that a caller waits, for four seconds on end, though nothing is wrong anywhere.

Cause, by a scratch copy that logs reads (trial): the configuration has 1,000 routes, 455,540 bytes as landingdrift's JSON. Eight of fourteen nodes have links of 2 Mbit/s, a quarter of a megabyte a second. Such a node makes the answer within 0.1 to 0.2 s, and sends it for over a second; the caller hangs up and asks another node, a second later each time: 34.007, 35.062, 36.219 and 37.451 s. Class: an answer whose size nobody compares with the time in which it has to arrive.

Change: a node with a light copy sends a caller whose answer would take over 250 ms on the narrowest link to a node with a full copy, with status 307, which callers of these calls follow. The project's own client follows it for reads. Small configurations are answered as before.

Tests: redirected_reads.rs (the first failed before: no answer at once), control_client.rs, translation.rs of the platform.

--- a/landingdrift/src/daemon/traffic/http/http_adapter.rs
+++ b/landingdrift/src/daemon/traffic/http/http_adapter.rs
@@ -85,6 +85,9 @@
         let seconds = retry_ms.div_ceil(1000);
         headers.push(("Retry-After".into(), seconds.to_string()));
     }
+    if !response.location.is_empty() {
+        headers.push(("Location".into(), format!("http://{}", response.location)));
+    }
     headers.push(("Content-Type".into(), content_type.into()));
     HttpResponse {
         status: response.status,
--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -271,5 +271,6 @@
         retry_ms: forwarded.retry_ms,
         body: serde_json::from_slice(&forwarded.body).unwrap_or(Value::Null),
         by: forwarded.by,
+        location: String::new(),
     }
 }
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -205,7 +205,7 @@
             ("POST", ["v1", "jobs", id, "tasks", task, "resolve"]) => {
                 self.resolve(now, origin, id, task, &request.body)
             }
-            ("GET", ["v1", "desired"]) => self.read(now, origin, ReadQuery::ClusterConfig),
+            ("GET", ["v1", "desired"]) => self.read_config(now, origin),
             ("PUT", ["v1", "desired"]) => self.configure(now, origin, &request, false),
             ("PATCH", ["v1", "desired"]) => self.configure(now, origin, &request, true),
             ("GET", ["v1", "changes", id]) => {
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -2,13 +2,17 @@
 
 use super::{CallState, OpenCall, Origin};
 use crate::node::Node;
-use crate::sans_io::{Now, Request, Response};
+use crate::sans_io::{transfer_ms, Now, Request, Response};
 use crate::wire::{Body, NodeProgress, ReadIndexRequest, ReadIndexResponse};
+use prost::Message;
 use serde_json::json;
 
 /// A replica that has not answered after so many heartbeats is asked again, or another is.
 const RETRY_HEARTBEATS: u64 = 5;
 
+/// An answer that takes longer than this on the narrowest link is left to a node with a wider one, in milliseconds.
+const MAX_ANSWER_MS: u64 = 250;
+
 /// What a call reads once this node has caught up to the read index.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum ReadQuery {
@@ -113,6 +117,32 @@
 }
 
 impl Node {
+    /// Answers a read of the whole configuration. Where it is large and this node has a narrow link, the caller is sent to a
+    /// node with a full copy: callers give up on an answer that takes long to arrive.
+    pub(super) fn read_config(&mut self, now: Now, origin: Origin) {
+        let bytes = self.state.config.encoded_len() as u64;
+        let is_slow = self.light && transfer_ms(bytes) > MAX_ANSWER_MS;
+        let is_local = matches!(origin, Origin::Local(_));
+        let other = if is_slow && is_local {
+            self.address_of_full_copy(now)
+        } else {
+            None
+        };
+        let Some(address) = other else {
+            return self.read(now, origin, ReadQuery::ClusterConfig);
+        };
+        self.count("reads_redirected", 1);
+        let path = ReadQuery::ClusterConfig.to_request().path;
+        self.reply(&origin, Response::redirect(&address, &path));
+    }
+
+    /// The address for HTTP of a node that probably has a full copy of the cluster state; none if none is known.
+    fn address_of_full_copy(&mut self, now: Now) -> Option<String> {
+        let node = self.pick_forward_target(now, &[])?;
+        let member = self.state.nodes.get(&node)?;
+        Some(member.http.clone()).filter(|address| !address.is_empty())
+    }
+
     /// Answers a call with what the cluster state has, or something newer, at the time of the call.
     pub(super) fn read(&mut self, now: Now, origin: Origin, query: ReadQuery) {
         let request = query.to_request();
--- a/landingdrift/src/operator/client.rs
+++ b/landingdrift/src/operator/client.rs
@@ -2,13 +2,16 @@
 
 use crate::worker_proxy::may_repeat;
 use reqwest::blocking::{Client, RequestBuilder, Response};
-use reqwest::{redirect, retry, Method};
+use reqwest::header::LOCATION;
+use reqwest::{redirect, retry, Method, StatusCode};
 use serde_json::Value;
 use std::fmt;
 use std::time::{Duration, Instant};
 
 /// How long one request may take.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a read follows a redirect.
+const MAX_REDIRECTS: usize = 2;
 /// The pause before the nodes are called again, unless one says otherwise.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -119,7 +122,7 @@
         loop {
             let mut pause = DEFAULT_PAUSE;
             for at in &self.at {
-                match outcome(self.request(&method, at, path, body).send()) {
+                match outcome(self.send(&method, at, path, body)) {
                     Outcome::Done(body) => return Ok(body),
                     Outcome::Refused { status, body } => {
                         return Err(ClientError::Refused { status, body })
@@ -148,6 +151,28 @@
         }
     }
 
+    /// Sends a request to a node. A read that it sends elsewhere is sent there, up to a limit.
+    fn send(
+        &self,
+        method: &Method,
+        at: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> reqwest::Result<Response> {
+        let mut response = self.request(method, at, path, body).send()?;
+        for _ in 0..MAX_REDIRECTS {
+            let location = response.headers().get(LOCATION);
+            let location = location.and_then(|location| location.to_str().ok());
+            let is_redirect = response.status() == StatusCode::TEMPORARY_REDIRECT;
+            let Some(location) = location.filter(|_| is_redirect && *method == Method::GET) else {
+                break;
+            };
+            let location = location.to_string();
+            response = self.client.get(location).send()?;
+        }
+        Ok(response)
+    }
+
     fn request(
         &self,
         method: &Method,
--- a/landingdrift/src/sans_io/mod.rs
+++ b/landingdrift/src/sans_io/mod.rs
@@ -42,6 +42,8 @@
     pub body: Value,
     /// The node that gave it, where another passed it on.
     pub by: String,
+    /// With status 307, where to call instead, as `ADDRESS/PATH`; empty otherwise.
+    pub location: String,
 }
 
 impl Response {
@@ -60,6 +62,15 @@
             serde_json::json!({"error": kind, "message": message.into()}),
         )
     }
+    /// Sends the caller to another address for the same path.
+    pub fn redirect(address: &str, path: &str) -> Self {
+        Self {
+            status: 307,
+            body: serde_json::json!({"at": address}),
+            location: format!("{address}{path}"),
+            ..Self::default()
+        }
+    }
     /// The same response, telling the caller when to come back.
     pub fn retry(mut self, ms: u64) -> Self {
         self.retry_ms = ms;
--- a/landingdrift/tests/control_client.rs
+++ b/landingdrift/tests/control_client.rs
@@ -127,3 +127,36 @@
         assert_eq!(arrived, 2);
     }
 }
+
+/// A server that gives one answer to every request.
+fn server_that_answers(answer: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let at = listener.local_addr().expect("bound").to_string();
+    std::thread::spawn(move || {
+        for mut connection in listener.incoming().flatten() {
+            read_head(&mut connection, usize::MAX);
+            connection.write_all(answer.as_bytes()).expect("written");
+        }
+    });
+    at
+}
+
+fn server_that_redirects(to: &str) -> String {
+    let head =
+        "HTTP/1.1 307 Temporary Redirect\r\nContent-Type: application/json\r\nContent-Length: 2";
+    server_that_answers(format!(
+        "{head}\r\nLocation: http://{to}/v1/desired\r\n\r\n{{}}"
+    ))
+}
+
+#[test]
+fn a_read_follows_a_redirect_and_an_order_does_not() {
+    let answering = server_that_answers(ANSWER.into());
+    let redirecting = server_that_redirects(&answering);
+    let client = ControlClient::new(vec![redirecting], Duration::from_secs(5)).expect("made");
+    let read = client.call("GET", "/v1/desired", None);
+    assert_eq!(read.expect("answered"), json!({"done": 1}));
+    let order = client.call("DELETE", "/v1/jobs/j", None);
+    let is_refused = matches!(order, Err(ClientError::Refused { status: 307, .. }));
+    assert!(is_refused, "{order:?}");
+}
--- /dev/null
+++ b/landingdrift/tests/redirected_reads.rs
@@ -0,0 +1,77 @@
+//! A large configuration is not read through a node with a narrow link: callers give up before it has arrived.
+
+mod node_harness;
+
+use landingdrift::sans_io::{Effect, Msg, Part, Request, Response};
+use landingdrift::state::Command;
+use node_harness::NodeHarness;
+use serde_json::json;
+
+const CALL: u64 = 1000;
+const FULL_COPY: &str = "10.0.0.3:1";
+const FULL_COPY_HTTP: &str = "10.0.0.3:80";
+const LARGE_BYTES: usize = 300_000;
+
+/// A node beside one with a full copy, which holds a lease; the configuration has a note of so many bytes.
+fn harness(note_bytes: usize) -> NodeHarness {
+    let mut harness = NodeHarness::new();
+    harness.append(Command::RegisterNode {
+        node: FULL_COPY.into(),
+        zone: "z".into(),
+        http: FULL_COPY_HTTP.into(),
+    });
+    for lease in ["cell/z", "queue/q"] {
+        let from_epoch = harness.state.leases[lease].epoch;
+        harness.append(Command::GrantLease {
+            lease: lease.into(),
+            holder: FULL_COPY.into(),
+            from_epoch,
+        });
+    }
+    harness.append(Command::UpdateConfig {
+        change: "large".into(),
+        base: 1,
+        patch: true,
+        number: 0,
+        value: json!({"notes": {"n": "x".repeat(note_bytes)}}),
+    });
+    harness
+}
+
+/// Reads the configuration; the answer, if it comes at once.
+fn read(harness: &mut NodeHarness) -> Option<Response> {
+    let request = Request {
+        method: "GET".into(),
+        path: "/v1/desired".into(),
+        ..Request::default()
+    };
+    let now = harness.now();
+    let effects = harness.node.step(now, Msg::Call(CALL, request));
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Answer(CALL, response) => Some(response),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_large_configuration_is_not_read_through_a_narrow_link() {
+    let mut harness = harness(LARGE_BYTES);
+    harness.follow_light();
+    let response = read(&mut harness).expect("an answer at once");
+    assert_eq!(response.status, 307);
+    assert_eq!(response.location, format!("{FULL_COPY_HTTP}/v1/desired"));
+}
+
+#[test]
+fn a_small_configuration_is_read_anywhere() {
+    let mut harness = harness(1000);
+    harness.follow_light();
+    assert_eq!(read(&mut harness), None, "it is read at this node");
+}
+
+#[test]
+fn a_node_with_a_full_copy_answers_itself() {
+    let mut harness = harness(LARGE_BYTES);
+    harness.follow();
+    assert_eq!(read(&mut harness), None, "it is read at this node");
+}
