A read of the configuration is redirected to lease holders only

Cause, by reading: where all lease holders were silent lately, the node picked any node that is alive, which may have a light copy as well and send the caller on; callers follow two redirects. Change: other holders of leases that are alive and were not silent; without one the node answers itself. Test: a_read_is_not_sent_to_a_node_that_may_have_a_light_copy (no run of it on the code before).

--- a/landingdrift/src/node/calls/forward_targets.rs
+++ b/landingdrift/src/node/calls/forward_targets.rs
@@ -3,7 +3,7 @@
 use super::forward::ForwardAttempt;
 use crate::node::Node;
 use crate::sans_io::Now;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The nodes that did not answer a forwarded call in time, until they are trusted again.
 #[derive(Default)]
@@ -49,6 +49,23 @@
         self.rng.pick(&fallback).cloned()
     }
 
+    /// The address for HTTP of another node that has a full copy of the cluster state, as it holds leases, and was not silent
+    /// lately; none if none is known.
+    pub(super) fn pick_full_copy(&mut self, now: Now) -> Option<String> {
+        let mut addresses = BTreeSet::new();
+        for lease in self.state.leases.values() {
+            let holder = lease.holder.as_str();
+            let member = self.state.nodes.get(holder);
+            let is_silent = self.calls.silent_nodes.contains(holder, now);
+            let can_answer = holder != self.name && !is_silent;
+            let alive = member.filter(|member| member.alive && can_answer);
+            addresses.extend(alive.map(|member| member.http.clone()));
+        }
+        addresses.remove("");
+        let addresses: Vec<String> = addresses.into_iter().collect();
+        self.rng.pick(&addresses).cloned()
+    }
+
     /// The nodes that may answer, the likeliest group first.
     fn forward_target_groups(&self) -> [Vec<String>; 4] {
         let leases = self.state.leases.values();
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -124,7 +124,7 @@
         let is_slow = self.light && transfer_ms(bytes) > MAX_ANSWER_MS;
         let is_local = matches!(origin, Origin::Local(_));
         let other = if is_slow && is_local {
-            self.address_of_full_copy(now)
+            self.pick_full_copy(now)
         } else {
             None
         };
@@ -136,13 +136,6 @@
         self.reply(&origin, Response::redirect(&address, &path));
     }
 
-    /// The address for HTTP of a node that probably has a full copy of the cluster state; none if none is known.
-    fn address_of_full_copy(&mut self, now: Now) -> Option<String> {
-        let node = self.pick_forward_target(now, &[])?;
-        let member = self.state.nodes.get(&node)?;
-        Some(member.http.clone()).filter(|address| !address.is_empty())
-    }
-
     /// Answers a call with what the cluster state has, or something newer, at the time of the call.
     pub(super) fn read(&mut self, now: Now, origin: Origin, query: ReadQuery) {
         let request = query.to_request();
--- a/landingdrift/tests/redirected_reads.rs
+++ b/landingdrift/tests/redirected_reads.rs
@@ -75,3 +75,18 @@
     harness.follow();
     assert_eq!(read(&mut harness), None, "it is read at this node");
 }
+
+#[test]
+fn a_read_is_not_sent_to_a_node_that_may_have_a_light_copy() {
+    let mut harness = harness(LARGE_BYTES);
+    for lease in ["cell/z", "queue/q"] {
+        let from_epoch = harness.state.leases[lease].epoch;
+        harness.append(Command::GrantLease {
+            lease: lease.into(),
+            holder: node_harness::NODE.into(),
+            from_epoch,
+        });
+    }
+    harness.follow_light();
+    assert_eq!(read(&mut harness), None, "it is read at this node");
+}
