Simulator: answers pass the links of machines, and operators give up on a read after a second

Cause of the gap: links held back messages between processes, answers to callers went by them; the operator waited for three seconds, and nothing was said where no node answered it.

Histories of scenarios with narrow links differ from before; those of others change where an operator's read took over a second.

--- a/testkit/src/fakes/operator.rs
+++ b/testkit/src/fakes/operator.rs
@@ -6,8 +6,12 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
 
-/// A call is made again when it has no answer for so long, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 3000;
+/// A change is asked for again when it has no answer for so long, in milliseconds.
+const CHANGE_TIMEOUT_MS: u64 = 3000;
+/// A read is made at another node when it has no answer for so long, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 1000;
+/// A read that no node has answered for so long is noted, in milliseconds.
+const READ_WITHIN_MS: u64 = 4000;
 /// The longest pause after an answer, in milliseconds.
 const MAX_PAUSE_MS: u64 = 500;
 
@@ -15,7 +19,27 @@
 #[derive(Clone, Debug)]
 enum Order {
     Apply(Change),
-    Read,
+    Read(Read),
+}
+
+impl Order {
+    fn timeout_ms(&self) -> u64 {
+        match self {
+            Self::Apply(_) => CHANGE_TIMEOUT_MS,
+            Self::Read(_) => READ_TIMEOUT_MS,
+        }
+    }
+}
+
+/// A read of the configuration, at one node after the other until one answers.
+#[derive(Clone, Debug, Default)]
+struct Read {
+    /// When the first node was asked.
+    since_ms: Option<u64>,
+    /// The node that another one named.
+    redirected_to: Option<String>,
+    /// It was noted that no answer has come in time.
+    is_noted: bool,
 }
 
 /// A change of the configuration.
@@ -102,7 +126,7 @@
 
     /// Reads the configuration.
     pub fn read(&mut self) {
-        self.orders.push_back(Order::Read);
+        self.orders.push_back(Order::Read(Read::default()));
     }
 
     /// Whether nothing is left to be done.
@@ -118,10 +142,10 @@
     /// Time has passed: makes the next call.
     pub fn tick(&mut self, now: u64) -> Vec<Output> {
         if let Some(open) = &self.open_call {
-            if now < open.sent_ms + CALL_TIMEOUT_MS {
+            if now < open.sent_ms + open.order.timeout_ms() {
                 return Vec::new();
             }
-            // The answer is missing: the same change is asked for again, under the same identity.
+            // The answer is missing: the same is asked for again, a change under the same identity.
             self.orders.push_front(open.order.clone());
             self.open_call = None;
         }
@@ -134,8 +158,13 @@
         self.last_call += 1;
         let call = self.last_call;
         let mut outputs = Vec::new();
+        let mut named_node = None;
         let (order, request) = match order {
-            Order::Read => (Order::Read, request("GET", "/v1/desired", "", None)),
+            Order::Read(mut read) => {
+                named_node = read.redirected_to.take();
+                outputs.extend(note_unanswered(now, &mut read));
+                (Order::Read(read), request("GET", "/v1/desired", "", None))
+            }
             Order::Apply(change) => {
                 let change = self.with_base_and_mark(change);
                 outputs.push(Output::Event(Event::ConfigRequested {
@@ -151,7 +180,7 @@
             sent_ms: now,
             order,
         });
-        let Some(to) = self.rng.pick(&self.nodes).cloned() else {
+        let Some(to) = named_node.or_else(|| self.rng.pick(&self.nodes).cloned()) else {
             return Vec::new();
         };
         outputs.push(Output::Call { to, call, request });
@@ -172,7 +201,11 @@
         };
         self.next_call_ms = now + response.retry_ms.min(MAX_PAUSE_MS);
         match open.order {
-            Order::Read if response.status == 200 => self.read_answered(open.sent_ms, response),
+            Order::Read(_) if response.status == 200 => self.read_answered(open.sent_ms, response),
+            Order::Read(read) if response.status == 307 => {
+                self.follow(read, response);
+                Vec::new()
+            }
             Order::Apply(change) if response.status != 503 => self.apply_answered(change, response),
             order => {
                 self.orders.push_front(order);
@@ -181,6 +214,15 @@
         }
     }
 
+    /// Has a read made next at the node that another one has named.
+    fn follow(&mut self, read: Read, response: &Response) {
+        let address = response.location.split('/').next();
+        self.orders.push_front(Order::Read(Read {
+            redirected_to: address.map(String::from),
+            ..read
+        }));
+    }
+
     fn read_answered(&mut self, requested_ms: u64, response: &Response) -> Vec<Output> {
         let body = &response.body;
         self.version = body["version"].as_u64().unwrap_or(0);
@@ -214,6 +256,16 @@
     }
 }
 
+/// Notes a read that is made at a time, and for the first time that it has had no answer for too long.
+fn note_unanswered(now: u64, read: &mut Read) -> Option<Output> {
+    let since_ms = *read.since_ms.get_or_insert(now);
+    let is_late = now >= since_ms + READ_WITHIN_MS;
+    if !is_late || std::mem::replace(&mut read.is_noted, true) {
+        return None;
+    }
+    Some(Output::Event(Event::ConfigReadUnanswered { since_ms }))
+}
+
 fn apply_request(change: &Change) -> Request {
     let method = if change.is_patch { "PATCH" } else { "PUT" };
     let base = change.base.unwrap_or(0);
--- a/testkit/src/history.rs
+++ b/testkit/src/history.rs
@@ -107,6 +107,11 @@
         /// When it was asked for, in milliseconds.
         requested_ms: u64,
     },
+    /// No node has answered an operator's read of the configuration in time.
+    ConfigReadUnanswered {
+        /// When the first node was asked, in milliseconds.
+        since_ms: u64,
+    },
     /// What a node has in force, and whether it says that it is ready.
     NodeVersion {
         node: String,
--- a/testkit/src/scenario/fault.rs
+++ b/testkit/src/scenario/fault.rs
@@ -60,7 +60,7 @@
     Storm,
     /// Two operators change the same version.
     Rivals,
-    /// A large configuration.
+    /// A large configuration of `amount` notes, the usual number where it is 0.
     LargeConfig,
     /// A zone gets no new work; its runs go on.
     Drain,
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -223,7 +223,7 @@
             Wrong => self.offer_invalid_jobs(),
             Storm => self.change_often(),
             Rivals => self.change_as_rivals(),
-            LargeConfig => self.apply_large_configuration(),
+            LargeConfig => self.apply_large_configuration(fault.amount),
             HugeConfig => self.apply_huge_configuration(),
             Drain => self.set_zone(target, "draining"),
             Evacuate => self.set_zone(target, "evacuated"),
--- a/testkit/src/simulator/faults/load.rs
+++ b/testkit/src/simulator/faults/load.rs
@@ -105,9 +105,15 @@
         self.operators[1].race(base, json!({"notes": {"rival": "b"}}));
     }
 
-    pub(super) fn apply_large_configuration(&mut self) {
+    /// Applies a large configuration of so many notes; 0 stands for the usual number.
+    pub(super) fn apply_large_configuration(&mut self, amount: u64) {
         let text = json!("x".repeat(LARGE_NOTE_BYTES));
-        self.set_notes("n", LARGE_NOTES, &text);
+        let count = if amount > 0 {
+            amount as usize
+        } else {
+            LARGE_NOTES
+        };
+        self.set_notes("n", count, &text);
     }
 
     pub(super) fn apply_huge_configuration(&mut self) {
--- a/testkit/src/simulator/world/link.rs
+++ b/testkit/src/simulator/world/link.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Whether the link may be the bottleneck.
+    pub fn is_limited(&self) -> bool {
+        self.bytes_per_ms > 0
+    }
+
     /// Sends bytes at a time; returns when the last one has left, or nothing where too much waits already.
     pub fn send(&mut self, at_ms: u64, bytes: u64) -> Option<u64> {
         self.outgoing.pass(at_ms, bytes, self.bytes_per_ms)
--- a/testkit/src/simulator/world/links.rs
+++ b/testkit/src/simulator/world/links.rs
@@ -145,7 +145,10 @@
         if lost_percent > 0 && self.rng.below(100) < lost_percent {
             return;
         }
-        let latency_ms = self.latency_ms(from);
+        let Some(sent_ms) = self.pass_answer(from, &response) else {
+            return;
+        };
+        let latency_ms = sent_ms.saturating_sub(self.now) + self.latency_ms(from);
         let answer = Action::Answer {
             caller: open.caller,
             call: open.call,
@@ -154,6 +157,16 @@
         self.schedule_in(latency_ms, answer);
     }
 
+    /// When an answer has left the machine of a process, given the bandwidth of its link; none where too much waits already.
+    fn pass_answer(&mut self, from: usize, response: &Response) -> Option<u64> {
+        let now = self.now;
+        let link = &mut self.processes[from].machine.link;
+        if !link.is_limited() {
+            return Some(now);
+        }
+        link.send(now, response.body.to_string().len() as u64)
+    }
+
     fn process_up_at(&self, address: &str) -> Option<usize> {
         let process = self.by_address.get(address).copied();
         process.filter(|process| self.processes[*process].is_up())
