A small node without a copy lets readers of the configuration go on at once

Change: a small node without a copy refuses such a read at once (503, without a time to come back: another node may be asked), also one that another node forwarded. Nodes with more of a processor wait for their copy as before. The bound for small nodes stands once, in settings.

Test: a_small_node_without_a_copy_lets_readers_go_on_at_once; failed before (no answer at once).

--- a/landingdrift/src/consensus/lease_assignment.rs
+++ b/landingdrift/src/consensus/lease_assignment.rs
@@ -6,8 +6,8 @@
 use crate::state::{queue_lease, zone_lease, Command};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Nodes with less than so many thousandths of a core hold leases only where there is nobody else.
-pub(super) const SMALL_NODE_SHARE: u64 = 100;
+/// Small nodes hold leases only where there is nobody else; in thousandths of a core.
+pub(super) const SMALL_NODE_SHARE: u64 = crate::settings::SMALL_NODE_SHARE as u64;
 /// The share of a node that has not said its own, in thousandths of a core.
 const DEFAULT_SHARE: u64 = 1000;
 /// A node beside a replica counts for its share divided by this: one loss should not hit both.
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -3,6 +3,7 @@
 use super::{CallState, OpenCall, Origin};
 use crate::node::Node;
 use crate::sans_io::{transfer_ms, Now, Request, Response};
+use crate::settings::SMALL_NODE_SHARE;
 use crate::wire::{Body, NodeProgress, ReadIndexRequest, ReadIndexResponse};
 use prost::Message;
 use serde_json::json;
@@ -118,8 +119,15 @@
 
 impl Node {
     /// Answers a read of the whole configuration. Where it is large and this node has a narrow link, the caller is sent to a
-    /// node with a full copy: callers give up on an answer that takes long to arrive.
+    /// node with a full copy: callers give up on an answer that takes long to arrive. A small node without a copy knows neither
+    /// how large it is nor who has it.
     pub(super) fn read_config(&mut self, now: Now, origin: Origin) {
+        if !self.watch.has_snapshot && self.settings.share < SMALL_NODE_SHARE {
+            self.note_call_without_copy();
+            // Without a time to come back: another node may be asked at once.
+            let why = "this node has no configuration yet: go to another node";
+            return self.reply(&origin, Response::error(503, "notReady", why));
+        }
         let bytes = self.state.config.encoded_len() as u64;
         let is_slow = self.light && transfer_ms(bytes) > MAX_ANSWER_MS;
         let is_local = matches!(origin, Origin::Local(_));
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -10,6 +10,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A node with less than so many thousandths of a core is small: it follows a light copy of the cluster state, and its link is
+/// taken for narrow.
+pub const SMALL_NODE_SHARE: u32 = 100;
+
 /// Limits on what a cluster stores and accepts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/landingdrift/tests/redirected_reads.rs
+++ b/landingdrift/tests/redirected_reads.rs
@@ -2,9 +2,11 @@
 
 mod node_harness;
 
-use landingdrift::sans_io::{Effect, Msg, Part, Request, Response};
+use landingdrift::node::Node;
+use landingdrift::sans_io::{Effect, Msg, Now, Part, Request, Response};
+use landingdrift::settings::Settings;
 use landingdrift::state::Command;
-use node_harness::NodeHarness;
+use node_harness::{NodeHarness, REPLICA};
 use serde_json::json;
 
 const CALL: u64 = 1000;
@@ -90,3 +92,18 @@
     harness.follow_light();
     assert_eq!(read(&mut harness), None, "it is read at this node");
 }
+
+#[test]
+fn a_small_node_without_a_copy_lets_readers_go_on_at_once() {
+    let settings = Settings {
+        listen: node_harness::NODE.into(),
+        seeds: vec![REPLICA.into()],
+        share: 56,
+        ..Settings::default()
+    };
+    let mut harness = harness(LARGE_BYTES);
+    harness.node = Node::new(settings, Now { mono: 1, wall: 1 }, 1);
+    let response = read(&mut harness).expect("an answer at once");
+    assert_eq!(response.status, 503);
+    assert_eq!(response.retry_ms, 0, "another node may be asked at once");
+}
