--- a/testkit/src/measure/capacity/table.rs
+++ b/testkit/src/measure/capacity/table.rs
@@ -8,6 +8,12 @@
 use super::target::{Target, TARGET};
 use landingdrift::settings::Settings;
 
+/// The least number of starts a second that anything is divided by.
+const MIN_STARTS: f64 = 1e-9;
+
+/// So many microseconds a second are one percent of a core.
+const MICROSECONDS_PER_PERCENT: f64 = 1e4;
+
 /// A figure of a role: its name with the unit, and how it is read.
 type Figure = (&'static str, fn(&Tally) -> f64);
 
@@ -25,16 +31,16 @@
 ];
 
 /// The terms that a role's cost may depend on.
-fn terms(d: Role, workers: f64, nodes: f64, starts: f64) -> Vec<f64> {
-    if d.is_replica() {
+fn terms(role: Role, workers: f64, nodes: f64, starts: f64) -> Vec<f64> {
+    if role.is_replica() {
         vec![1.0, workers, nodes, starts, nodes * starts]
     } else {
         vec![1.0, workers, workers / nodes, starts, workers * starts]
     }
 }
 
-fn term_names(d: Role) -> [&'static str; 5] {
-    if d.is_replica() {
+fn term_names(role: Role) -> [&'static str; 5] {
+    if role.is_replica() {
         [
             "fixed",
             "a worker",
@@ -54,16 +60,16 @@
 }
 
 /// A number with about three digits.
-fn short(x: f64) -> String {
-    let a = x.abs();
-    if a == 0.0 {
+fn short(number: f64) -> String {
+    let size = number.abs();
+    if size == 0.0 {
         "0".into()
-    } else if a >= 100.0 {
-        format!("{x:.0}")
-    } else if a >= 1.0 {
-        format!("{x:.1}")
+    } else if size >= 100.0 {
+        format!("{number:.0}")
+    } else if size >= 1.0 {
+        format!("{number:.1}")
     } else {
-        format!("{x:.2e}")
+        format!("{number:.2e}")
     }
 }
 
@@ -73,7 +79,8 @@
 
 fn head(cells: &[&str]) -> String {
     let rule: Vec<String> = cells.iter().map(|_| "---".to_string()).collect();
-    row(&cells.iter().map(|c| (*c).to_string()).collect::<Vec<_>>()) + &row(&rule)
+    let names: Vec<String> = cells.iter().map(|cell| (*cell).to_string()).collect();
+    row(&names) + &row(&rule)
 }
 
 fn verdict(holds: bool) -> &'static str {
@@ -100,16 +107,16 @@
         "`step`, µs",
         "`pack`, `unpack`, µs",
     ]);
-    for r in runs {
-        for (d, role) in &r.roles {
-            let t = &role.tally;
+    for run in runs {
+        for (role, of_role) in &run.roles {
             let cells = [
-                format!("{}, {}", r.size.workers, r.size.nodes),
-                format!("{:.1}", r.starts),
-                d.name().to_string(),
-                role.processes.to_string(),
+                format!("{}, {}", run.size.workers, run.size.nodes),
+                format!("{:.1}", run.starts),
+                role.name().to_string(),
+                of_role.processes.to_string(),
             ];
-            let figures = FIGURES.iter().map(|(_, f)| short(f(t)));
+            let figures = FIGURES.iter();
+            let figures = figures.map(|(_, figure)| short(figure(&of_role.tally)));
             out += &row(&cells.into_iter().chain(figures).collect::<Vec<_>>());
         }
     }
@@ -131,21 +138,21 @@
         "`step`, ratio to the reference",
         "reference, µs",
     ]);
-    for r in runs {
-        for (d, role) in &r.roles {
-            let t = role.tally.per(r.starts.max(1e-9));
+    for run in runs {
+        for (role, of_role) in &run.roles {
+            let per_start = of_role.tally.per(run.starts.max(MIN_STARTS));
             out += &row(&[
-                format!("{}, {}", r.size.workers, r.size.nodes),
-                format!("{:.1}", r.starts),
-                d.name().to_string(),
-                short(t.messages_in),
-                short(t.messages_out),
-                short(t.bytes_in),
-                short(t.bytes_out),
-                short(t.log_bytes),
-                short(t.step / 1000.0),
-                short(t.step / r.reference),
-                short(r.reference / 1000.0),
+                format!("{}, {}", run.size.workers, run.size.nodes),
+                format!("{:.1}", run.starts),
+                role.name().to_string(),
+                short(per_start.messages_in),
+                short(per_start.messages_out),
+                short(per_start.bytes_in),
+                short(per_start.bytes_out),
+                short(per_start.log_bytes),
+                short(per_start.step / 1000.0),
+                short(per_start.step / run.reference),
+                short(run.reference / 1000.0),
             ]);
         }
     }
@@ -161,25 +168,34 @@
 }
 
 /// Bytes a worker, a task kept, a running task, and the fixed rest.
-fn parts(s: &State) -> [f64; 4] {
+fn parts(state: &State) -> [f64; 4] {
+    let State {
+        of_workers,
+        of_jobs,
+        of_running,
+        bytes,
+        ..
+    } = state;
     [
-        s.of_workers / s.workers.max(1.0),
-        s.of_jobs / s.tasks.max(1.0),
-        s.of_running / s.running.max(1.0),
-        s.bytes - s.of_workers - s.of_jobs - s.of_running,
+        of_workers / state.workers.max(1.0),
+        of_jobs / state.tasks.max(1.0),
+        of_running / state.running.max(1.0),
+        bytes - of_workers - of_jobs - of_running,
     ]
 }
 
-fn peak(runs: &[Run], t: &Target, memory_of_a_byte: f64) -> Peak {
-    let kept = Settings::default().limits.retain_ms as f64 / 1000.0 + t.running / t.starts;
-    let jobs = (t.starts / TASKS as f64 * kept).min(t.jobs_a_day);
-    let sum = |f: fn(&Run) -> f64| runs.iter().map(f).sum::<f64>();
+fn peak(runs: &[Run], target: &Target, memory_of_a_byte: f64) -> Peak {
+    let retained_s = Settings::default().limits.retain_ms as f64 / 1000.0;
+    let kept_s = retained_s + target.running / target.starts;
+    let jobs = (target.starts / TASKS as f64 * kept_s).min(target.jobs_a_day);
+    let sum = |figure: fn(&Run) -> f64| runs.iter().map(figure).sum::<f64>();
     // By the largest run; all of them are shown.
-    let bytes = runs.last().map_or(0.0, |r| {
-        let [worker, task, running, fixed] = parts(&r.state);
-        fixed + worker * t.workers + task * jobs * TASKS as f64 + running * t.running
+    let bytes = runs.last().map_or(0.0, |run| {
+        let [worker, task, running, fixed] = parts(&run.state);
+        let tasks = jobs * TASKS as f64;
+        fixed + worker * target.workers + task * tasks + running * target.running
     });
-    let pack = sum(|r| r.state.pack / r.reference) / sum(|r| r.state.bytes).max(1.0);
+    let pack = sum(|run| run.state.pack / run.reference) / sum(|run| run.state.bytes).max(1.0);
     Peak {
         jobs,
         bytes,
@@ -188,7 +204,7 @@
     }
 }
 
-fn state(runs: &[Run], s: &Peak) -> String {
+fn state(runs: &[Run], peak: &Peak) -> String {
     let mut out = String::from("\n### State\n\nBytes of `ClusterState::pack` at the end of each run. Of jobs, workers, running tasks: what is missing when they are left out; a running task stands in its job and its worker as well.\n\n");
     out += &head(&[
         "workers, nodes",
@@ -202,59 +218,69 @@
         "a running task",
         "rest, KB",
     ]);
-    for r in runs {
-        let x = &r.state;
-        let [worker, task, running, fixed] = parts(x);
+    for run in runs {
+        let state = &run.state;
+        let [worker, task, running, fixed] = parts(state);
         out += &row(&[
-            format!("{}, {}", r.size.workers, r.size.nodes),
-            short(x.jobs),
-            short(x.tasks),
-            short(x.running),
-            short(x.bytes / 1000.0),
-            short(x.of_jobs / x.jobs.max(1.0)),
+            format!("{}, {}", run.size.workers, run.size.nodes),
+            short(state.jobs),
+            short(state.tasks),
+            short(state.running),
+            short(state.bytes / 1000.0),
+            short(state.of_jobs / state.jobs.max(1.0)),
             short(task),
             short(worker),
             short(running),
             short(fixed / 1000.0),
         ]);
     }
-    out + &format!("\nAt the target {:.0} jobs are kept (peak rate over `limits.retain_ms`, {TASKS} tasks a job): {:.1} MB packed, {:.0} MB resident for one copy ({:.2} resident bytes a packed byte, measured in a process of its own). A snapshot of it takes {:.0} ms of processor time in one step. Tombstones of the day's jobs are not counted.\n", s.jobs, s.bytes / 1e6, s.memory / 1e6, s.memory / s.bytes.max(1.0), s.pack_ns / 1e6)
+    out + &format!("\nAt the target {:.0} jobs are kept (peak rate over `limits.retain_ms`, {TASKS} tasks a job): {:.1} MB packed, {:.0} MB resident for one copy ({:.2} resident bytes a packed byte, measured in a process of its own). A snapshot of it takes {:.0} ms of processor time in one step. Tombstones of the day's jobs are not counted.\n", peak.jobs, peak.bytes / 1e6, peak.memory / 1e6, peak.memory / peak.bytes.max(1.0), peak.pack_ns / 1e6)
 }
 
 /// The reference's time in the quietest run: processor time is fitted as the ratio to the reference of the same run.
 fn quietest_reference(runs: &[Run]) -> f64 {
-    runs.iter().map(|r| r.reference).fold(f64::MAX, f64::min)
+    let references = runs.iter().map(|run| run.reference);
+    references.fold(f64::MAX, f64::min)
 }
 
 /// Fits of all figures of a role, in the order of `FIGURES`.
-fn fits(runs: &[Run], d: Role) -> Option<Vec<Fit>> {
-    let of: Vec<(&Run, &Tally)> = runs
-        .iter()
-        .filter_map(|r| r.roles.get(&d).map(|role| (r, &role.tally)))
-        .collect();
-    let x: Vec<Vec<f64>> = of
-        .iter()
-        .map(|(r, _)| terms(d, r.size.workers as f64, r.size.nodes as f64, r.starts))
-        .collect();
-    let y = |name: &str, f: fn(&Tally) -> f64| -> Vec<f64> {
-        let paired = |r: &Run| {
-            if name.starts_with("processor") {
-                quietest_reference(runs) / r.reference
+fn fits(runs: &[Run], role: Role) -> Option<Vec<Fit>> {
+    let mut points = Vec::new();
+    let mut tallies: Vec<(&Run, &Tally)> = Vec::new();
+    for run in runs {
+        let Some(of_role) = run.roles.get(&role) else {
+            continue;
+        };
+        let size = &run.size;
+        points.push(terms(
+            role,
+            size.workers as f64,
+            size.nodes as f64,
+            run.starts,
+        ));
+        tallies.push((run, &of_role.tally));
+    }
+    if tallies.is_empty() {
+        return None;
+    }
+    let quietest = quietest_reference(runs);
+    let mut fits = Vec::new();
+    for (name, figure) in FIGURES {
+        let is_paired = name.starts_with("processor");
+        let measured = tallies.iter().map(|(run, tally)| {
+            let paired = if is_paired {
+                quietest / run.reference
             } else {
                 1.0
-            }
-        };
-        of.iter().map(|(r, t)| f(t) * paired(r)).collect()
-    };
-    (!of.is_empty()).then(|| {
-        FIGURES
-            .iter()
-            .map(|(name, f)| fit(&x, &y(name, *f)))
-            .collect()
-    })
+            };
+            figure(tally) * paired
+        });
+        fits.push(fit(&points, &measured.collect::<Vec<f64>>()));
+    }
+    Some(fits)
 }
 
-fn slopes(all: &[(Role, Vec<Fit>)], t: &Target) -> String {
+fn slopes(all: &[(Role, Vec<Fit>)], target: &Target) -> String {
     let mut out = String::from("\n### Slopes and what they predict\n\nLeast squares of the relative errors, slopes not below 0; processor time as the ratio to the reference of the same run, shown at the reference's time in the quietest one. Residual: root of the mean square of the relative errors. Left out: the relative error at the largest size when the fit doesn't know it. At the target: 600 workers, 602 nodes, 270 starts/s.\n\n");
     out += &head(&[
         "role",
@@ -264,48 +290,52 @@
         "left out, %",
         "at the target",
     ]);
-    for (d, fits) in all {
-        let at = terms(*d, t.workers, t.nodes, t.starts);
-        for ((name, _), f) in FIGURES.iter().zip(fits) {
+    for (role, fits) in all {
+        let at_target = terms(*role, target.workers, target.nodes, target.starts);
+        for ((name, _), fit) in FIGURES.iter().zip(fits) {
             // Where fakes call is drawn at random, not decided by the product.
-            if f.slopes.iter().all(|s| *s == 0.0) || name.starts_with("calls") {
+            if fit.slopes.iter().all(|slope| *slope == 0.0) || name.starts_with("calls") {
                 continue;
             }
-            let parts: Vec<String> = f
-                .slopes
-                .iter()
-                .zip(term_names(*d))
-                .filter(|(s, _)| **s > 0.0)
-                .map(|(s, n)| format!("{} {n}", short(*s)))
+            let terms = fit.slopes.iter().zip(term_names(*role));
+            let terms = terms.filter(|(slope, _)| **slope > 0.0);
+            let parts: Vec<String> = terms
+                .map(|(slope, term)| format!("{} {term}", short(*slope)))
                 .collect();
             out += &row(&[
-                d.name().to_string(),
+                role.name().to_string(),
                 (*name).to_string(),
                 parts.join(" + "),
-                format!("{:.1}", 100.0 * f.residual),
-                format!("{:+.1}", 100.0 * f.missed),
-                short(f.at(&at)),
+                format!("{:.1}", 100.0 * fit.residual),
+                format!("{:+.1}", 100.0 * fit.missed),
+                short(fit.at(&at_target)),
             ]);
         }
     }
     out
 }
 
-fn against_bounds(all: &[(Role, Vec<Fit>)], s: &Peak, t: &Target) -> String {
+fn against_bounds(all: &[(Role, Vec<Fit>)], peak: &Peak, target: &Target) -> String {
     let mut out = String::from("\n### Against the bounds\n\nBytes in and out together; `step`, `pack` and `unpack` together, without sockets, disk and HTTP; memory of one copy of the state alone.\n\n");
     out += &head(&["role", "4.1 % of a core", "", "6 KB/s", "", "256 MB", ""]);
-    for (d, fits) in all {
-        let at = terms(*d, t.workers, t.nodes, t.starts);
-        let v: Vec<f64> = fits.iter().map(|f| f.at(&at)).collect();
-        let (percent, bytes) = ((v[6] + v[7]) / 1e4, v[2] + v[3]);
+    for (role, fits) in all {
+        let at_target = terms(*role, target.workers, target.nodes, target.starts);
+        let sum_of = |prefix: &str, suffix: &str| -> f64 {
+            let figures = FIGURES.iter().zip(fits);
+            let figures =
+                figures.filter(|((name, _), _)| name.starts_with(prefix) && name.ends_with(suffix));
+            figures.map(|(_, fit)| fit.at(&at_target)).sum()
+        };
+        let percent = sum_of("processor", "µs a second") / MICROSECONDS_PER_PERCENT;
+        let bytes = sum_of("bytes", "a second");
         out += &row(&[
-            d.name().to_string(),
+            role.name().to_string(),
             format!("{percent:.2} %"),
-            verdict(percent <= t.core_percent).into(),
+            verdict(percent <= target.core_percent).into(),
             format!("{:.1} KB/s", bytes / 1000.0),
-            verdict(bytes <= t.bytes).into(),
-            format!("{:.0} MB", s.memory / 1e6),
-            verdict(s.memory <= t.memory).into(),
+            verdict(bytes <= target.bytes).into(),
+            format!("{:.0} MB", peak.memory / 1e6),
+            verdict(peak.memory <= target.memory).into(),
         ]);
     }
     out
@@ -313,14 +343,14 @@
 
 /// All tables, as Markdown; how many bytes a packed byte takes in memory is measured elsewhere.
 pub fn report(runs: &[Run], memory_of_a_byte: f64) -> String {
-    let s = peak(runs, &TARGET, memory_of_a_byte);
-    let all: Vec<(Role, Vec<Fit>)> = Role::ALL
-        .iter()
-        .filter_map(|d| fits(runs, *d).map(|f| (*d, f)))
+    let peak = peak(runs, &TARGET, memory_of_a_byte);
+    let roles = Role::ALL.iter();
+    let all: Vec<(Role, Vec<Fit>)> = roles
+        .filter_map(|role| fits(runs, *role).map(|fits| (*role, fits)))
         .collect();
     measured(runs)
         + &a_start(runs)
-        + &state(runs, &s)
+        + &state(runs, &peak)
         + &slopes(&all, &TARGET)
-        + &against_bounds(&all, &s, &TARGET)
+        + &against_bounds(&all, &peak, &TARGET)
 }
