--- a/landingdrift/tests/gang_claims.rs
+++ b/landingdrift/tests/gang_claims.rs
@@ -4,7 +4,7 @@
 
 use landingdrift::node::{Heartbeat, RunningAttempt};
 use landingdrift::sans_io::{Msg, Part, Request};
-use landingdrift::state::{Command, JobSpec, Placement, RunName, StepSpec, TaskSpec};
+use landingdrift::state::{Command, JobSpec, RunName, StepSpec, TaskSpec};
 use node_harness::{info, NodeHarness};
 
 /// The interval of ticks and heartbeats, in milliseconds.
@@ -79,18 +79,7 @@
 fn a_gang_that_fits_beside_no_long_running_task_keeps_no_worker_from_other_jobs() {
     let mut harness = NodeHarness::new();
     accept(&mut harness, "lasting", 1, false, true);
-    let zone_epoch = harness.state.leases["cell/z"].epoch;
-    harness.append(Command::StartAttempts {
-        job: "lasting".into(),
-        owner_epoch: 2,
-        placements: vec![Placement {
-            task: 0,
-            worker: "w".into(),
-            incarnation: 1,
-            zone_epoch,
-            copy: false,
-        }],
-    });
+    harness.append_start("lasting");
     harness.follow();
     // It needs the whole worker.
     accept(&mut harness, "gang", 4, true, false);
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -225,10 +225,15 @@
 
     /// Appends a job of one task and its start on the worker, under the present epoch of the zone's lease.
     pub fn append_started_job(&mut self) {
-        let zone_epoch = self.state.leases["cell/z"].epoch;
         self.accept("j", 1);
+        self.append_start("j");
+    }
+
+    /// Appends the start of a job's first task on the worker, under the present epoch of the zone's lease.
+    pub fn append_start(&mut self, job: &str) {
+        let zone_epoch = self.state.leases["cell/z"].epoch;
         self.append(Command::StartAttempts {
-            job: "j".into(),
+            job: job.into(),
             owner_epoch: 2,
             placements: vec![Placement {
                 task: 0,
--- a/landingdrift/tests/replicas/mod.rs
+++ b/landingdrift/tests/replicas/mod.rs
@@ -319,6 +319,19 @@
         }
     }
 
+    /// Replicas that a node has asked for the first time, after a change; the index that the leader has applied. The node is
+    /// registered, and what that gives cause for is settled.
+    pub fn start_followed() -> (Self, u64) {
+        let mut cores = Self::start(Limits::default());
+        assert!(cores.until(5000, |cores| cores.leader().is_some()));
+        cores.change(10);
+        cores.pull_from(Self::pull_of(NODE, 0));
+        cores.run(3000);
+        let leader = cores.leader().expect("somebody leads");
+        let applied = cores.replica(leader).state().applied_index;
+        (cores, applied)
+    }
+
     pub fn batches(&self, node: &str) -> Vec<WatchBatch> {
         let of = self.outside.iter().filter(|c| c.to == node);
         of.filter_map(|c| match &c.body {
--- a/landingdrift/tests/watch_flow.rs
+++ b/landingdrift/tests/watch_flow.rs
@@ -4,7 +4,6 @@
 mod replicas;
 
 use landingdrift::sans_io::{Effect, Msg, Part};
-use landingdrift::settings::Limits;
 use landingdrift::state::Command;
 use landingdrift::wire::{Body, WatchBatch, WatchRequest, WatchSnapshotChunk};
 use node_harness::{NodeHarness, REPLICA};
@@ -14,14 +13,7 @@
 
 /// Three replicas that a node follows, and the index that it has applied.
 fn followed() -> (Cores, u64) {
-    let mut cores = Cores::start(Limits::default());
-    assert!(cores.until(5000, |cores| cores.leader().is_some()));
-    cores.change(10);
-    // The node is registered, and what that gives cause for is settled.
-    cores.pull_from(Cores::pull_of(NODE, 0));
-    cores.run(3000);
-    let leader = cores.leader().expect("somebody leads");
-    let applied = cores.replica(leader).state().applied_index;
+    let (mut cores, applied) = Cores::start_followed();
     cores.pull_from(Cores::pull_of(NODE, applied));
     (cores, applied)
 }
--- a/landingdrift/tests/watch_identity.rs
+++ b/landingdrift/tests/watch_identity.rs
@@ -189,13 +189,7 @@
 
 #[test]
 fn what_was_sent_to_an_earlier_process_is_not_in_flight_to_its_successor() {
-    let mut cores = Cores::start(Limits::default());
-    assert!(cores.until(5000, |cores| cores.leader().is_some()));
-    cores.change(10);
-    cores.pull_from(Cores::pull_of(NODE, 0));
-    cores.run(3000);
-    let leader = cores.leader().expect("somebody leads");
-    let applied = cores.replica(leader).state().applied_index;
+    let (mut cores, applied) = Cores::start_followed();
     let with_entries = |cores: &Cores| {
         let batches = cores.batches(NODE);
         let of_change = batches.iter().filter(|batch| batch.follows == applied);
