--- a/landingdrift/tests/control_client.rs
+++ b/landingdrift/tests/control_client.rs
@@ -26,17 +26,19 @@
     requests: Arc<AtomicUsize>,
 }
 
-fn reset(c: &TcpStream) {
+fn reset(connection: &TcpStream) {
     let linger = Some(Duration::ZERO);
-    socket2::SockRef::from(c).set_linger(linger).expect("set");
+    socket2::SockRef::from(connection)
+        .set_linger(linger)
+        .expect("set");
 }
 
 /// Reads up to so many bytes, or to the end of the request's head; empty at the end of the connection.
-fn read_head(c: &mut TcpStream, most: usize) -> Vec<u8> {
+fn read_head(connection: &mut TcpStream, most: usize) -> Vec<u8> {
     let mut head = Vec::new();
     let mut byte = [0];
     while head.len() < most && !head.ends_with(b"\r\n\r\n") {
-        match c.read(&mut byte) {
+        match connection.read(&mut byte) {
             Ok(1) => head.push(byte[0]),
             _ => break,
         }
@@ -45,7 +47,7 @@
 }
 
 /// Serves a connection until it ends; a new one begins a request, and so does whatever comes on one that was kept.
-fn serve(mut c: TcpStream, broken: Break, requests: &AtomicUsize) {
+fn serve(mut connection: TcpStream, broken: Break, requests: &AtomicUsize) {
     let mut head = Vec::new();
     loop {
         let second = requests.fetch_add(1, Ordering::SeqCst) == 1;
@@ -54,17 +56,17 @@
             _ => usize::MAX,
         };
         // A reset before anything was sent would be a failure to connect, after which any call may go elsewhere.
-        c.peek(&mut [0]).expect("a request begins");
-        head.extend(read_head(&mut c, most.saturating_sub(head.len())));
+        connection.peek(&mut [0]).expect("a request begins");
+        head.extend(read_head(&mut connection, most.saturating_sub(head.len())));
         match broken {
-            Break::Request(_) if second => return reset(&c),
+            Break::Request(_) if second => return reset(&connection),
             Break::Answer(most) if second => {
-                let _ = c.write_all(&ANSWER.as_bytes()[..most]);
-                return reset(&c);
+                let _ = connection.write_all(&ANSWER.as_bytes()[..most]);
+                return reset(&connection);
             }
-            _ => c.write_all(ANSWER.as_bytes()).expect("written"),
+            _ => connection.write_all(ANSWER.as_bytes()).expect("written"),
         }
-        head = read_head(&mut c, 1);
+        head = read_head(&mut connection, 1);
         if head.is_empty() {
             return;
         }
@@ -77,9 +79,9 @@
     let requests = Arc::new(AtomicUsize::new(0));
     let counted = requests.clone();
     std::thread::spawn(move || {
-        for c in listener.incoming().flatten() {
+        for connection in listener.incoming().flatten() {
             let counted = counted.clone();
-            std::thread::spawn(move || serve(c, broken, &counted));
+            std::thread::spawn(move || serve(connection, broken, &counted));
         }
     });
     StandIn { at, requests }
@@ -87,11 +89,12 @@
 
 /// A GET, so that a connection could be kept, then the call; what came of it, and how often it arrived.
 fn call(broken: Break, method: &str, path: &str) -> (Result<Value, ClientError>, usize) {
-    let s = stand_in(broken);
-    let client = ControlClient::new(vec![s.at.clone()], Duration::from_secs(5)).expect("made");
+    let stand_in = stand_in(broken);
+    let client =
+        ControlClient::new(vec![stand_in.at.clone()], Duration::from_secs(5)).expect("made");
     client.call("GET", "/v1/status", None).expect("answered");
     let done = client.call(method, path, None);
-    (done, s.requests.load(Ordering::SeqCst) - 1)
+    (done, stand_in.requests.load(Ordering::SeqCst) - 1)
 }
 
 /// Every place at which a connection may break, before the request is whole and after.
@@ -104,12 +107,12 @@
 
 #[test]
 fn a_call_that_may_not_be_repeated_arrives_once_wherever_its_connection_breaks() {
-    for (i, broken) in breaks().into_iter().enumerate() {
+    for (number, broken) in breaks().into_iter().enumerate() {
         let (done, arrived) = call(broken, "DELETE", "/v1/jobs/j");
-        assert_eq!(arrived, 1, "break {i}: it was sent again");
+        assert_eq!(arrived, 1, "break {number}: it was sent again");
         assert!(
             matches!(done, Err(ClientError::Unsure { .. })),
-            "break {i}: {done:?}"
+            "break {number}: {done:?}"
         );
     }
 }
