Simulator: a message over a narrow link waits for it once

Change: a message passes the links first, and is put behind the one before it afterwards.

No check is changed.

--- a/testkit/src/simulator/world/links.rs
+++ b/testkit/src/simulator/world/links.rs
@@ -40,7 +40,7 @@
         let arrival = if is_flaky {
             self.flaky_arrival(latency_ms)
         } else {
-            Some(self.arrival_in_order(from, to, latency_ms))
+            Some(self.now + latency_ms)
         };
         let Some(at_ms) = arrival else { return };
         self.messages += 1;
@@ -55,6 +55,7 @@
             return;
         };
         if !is_flaky {
+            // One connection keeps its order, however slow the link is.
             let last = self.arrivals.entry((from, to)).or_default();
             at_ms = at_ms.max(*last);
             *last = at_ms;
@@ -87,13 +88,6 @@
         Some(self.now + latency_ms + late_ms)
     }
 
-    /// One connection keeps its order, however slow the link is.
-    fn arrival_in_order(&mut self, from: usize, to: usize, latency_ms: u64) -> u64 {
-        let last = self.arrivals.entry((from, to)).or_default();
-        *last = (self.now + latency_ms).max(*last);
-        *last
-    }
-
     fn schedule_delivery(&mut self, at_ms: u64, from: usize, to: usize, frame: Vec<u8>) {
         let delivery = Action::Deliver {
             to,
