Work that was added to hot paths goes; what stood twice stands once

Work in the wrong place: - The check of a job made path and remedy of each error before it knew whether there is one, for members of gangs by the number of all their dependencies: they are made when needed. - Whether a worker has attempts that end was looked up for each placement and each offer: only for workers on probation. - The attempts of long-running tasks were found by looking up all live ones twice; the straggler check looked its attempt up again. - The bytes of a start order, and of a payload when jobs are counted, were found by building the JSON: it is counted (pack::json_bytes). - A forwarded answer copied the path of its call. A submitted job's bytes were counted twice; those of a known job no longer count for a second.

Twice: the outcomes of proposals (wire), the share of a small node (settings), the path of the configuration.

--- a/landingdrift/src/consensus/client_requests.rs
+++ b/landingdrift/src/consensus/client_requests.rs
@@ -6,16 +6,9 @@
 use crate::state::Command;
 use crate::wire::{
     Body, NodeProgress, ProposeRequest, ProposeResponse, ReadIndexResponse, RequestToken,
+    PROPOSAL_APPLIED, PROPOSAL_NOT_TAKEN, PROPOSAL_NO_CAPACITY,
 };
 
-/// The outcome of a proposal on the wire: it was applied, and `response` says with which result.
-const OUTCOME_APPLIED: u8 = 0;
-/// The outcome of a proposal on the wire: it was not taken and never will be.
-const OUTCOME_NOT_TAKEN: u8 = 1;
-
-/// The outcome of a proposal on the wire: it was not taken, as there is no memory for it.
-const OUTCOME_NO_CAPACITY: u8 = 2;
-
 /// Who is to be answered once a proposal is applied.
 #[derive(Clone, Debug)]
 pub(super) struct PendingProposal {
@@ -53,20 +46,20 @@
             && !self.is_transferring_leadership(now)
             && self.accepts_proposals(now);
         if !accepts {
-            return self.decline_proposal(from, request.token, OUTCOME_NOT_TAKEN);
+            return self.decline_proposal(from, request.token, PROPOSAL_NOT_TAKEN);
         }
-        let job = submitted_job(&request.command);
-        if job
-            .as_ref()
-            .is_some_and(|job| !self.has_capacity_for(now, job))
-        {
-            self.count("jobs_without_capacity", 1);
-            return self.decline_proposal(from, request.token, OUTCOME_NO_CAPACITY);
+        let mut job_bytes = 0;
+        if let Some(job) = submitted_job(&request.command) {
+            let Some(bytes) = self.bytes_for_job(now, &job) else {
+                self.count("jobs_without_capacity", 1);
+                return self.decline_proposal(from, request.token, PROPOSAL_NO_CAPACITY);
+            };
+            job_bytes = bytes;
         }
         self.count("proposals", 1);
         let index = self.append_bytes(now, request.command);
-        if let Some(job) = job {
-            self.job_admission.note_appended(index, job.memory_bytes());
+        if job_bytes > 0 {
+            self.job_admission.note_appended(index, job_bytes);
         }
         let pending = PendingProposal {
             from: from.into(),
@@ -104,7 +97,7 @@
             if let Some(pending) = self.leadership.pending_proposals.remove(&index) {
                 let response = ProposeResponse {
                     token: pending.token,
-                    outcome: OUTCOME_APPLIED,
+                    outcome: PROPOSAL_APPLIED,
                     log_index: index,
                     leader: self.name.clone(),
                     response: crate::state::pack_apply_result(&result),
--- a/landingdrift/src/consensus/job_admission.rs
+++ b/landingdrift/src/consensus/job_admission.rs
@@ -3,7 +3,6 @@
 use super::Replica;
 use crate::sans_io::Now;
 use crate::state::{ClusterState, Command, JobSpec};
-use std::collections::VecDeque;
 
 /// The memory of the jobs is counted anew after this time, in milliseconds: retries add to it, and jobs are dropped.
 const RECOUNT_MS: u64 = 1000;
@@ -19,7 +18,7 @@
     /// When they are counted next, in monotonic milliseconds.
     recount_at: u64,
     /// The jobs that were appended and not yet applied when they were counted: index and bytes.
-    appended: VecDeque<(u64, u64)>,
+    appended: Vec<(u64, u64)>,
 }
 
 impl JobAdmission {
@@ -37,15 +36,15 @@
 
     /// Notes that a job was appended at an index.
     pub(super) fn note_appended(&mut self, index: u64, bytes: u64) {
-        self.appended.push_back((index, bytes));
+        self.appended.push((index, bytes));
     }
 }
 
 impl Replica {
-    /// Whether there is memory for a job, or it is known and takes no more.
-    pub(super) fn has_capacity_for(&mut self, now: Now, job: &JobSpec) -> bool {
+    /// How many bytes of memory a job takes, if there are as many; one that is known takes no more.
+    pub(super) fn bytes_for_job(&mut self, now: Now, job: &JobSpec) -> Option<u64> {
         if self.state.jobs.contains_key(&job.id) || self.state.tombstones.contains_key(&job.id) {
-            return true;
+            return Some(0);
         }
         if now.mono >= self.job_admission.recount_at {
             self.job_admission.recount(now, &self.state);
@@ -55,7 +54,8 @@
             .jobs_memory_bytes
             .saturating_sub(self.job_admission.bytes());
         let has_place = (self.state.open.len() as u64) < limits.open_jobs;
-        has_place && job.memory_bytes() <= left / LARGEST_JOB_DIVISOR
+        let bytes = job.memory_bytes();
+        (has_place && bytes <= left / LARGEST_JOB_DIVISOR).then_some(bytes)
     }
 }
 
--- a/landingdrift/src/consensus/lease_assignment.rs
+++ b/landingdrift/src/consensus/lease_assignment.rs
@@ -3,11 +3,10 @@
 
 use super::Replica;
 use crate::sans_io::{fnv1a, Now};
+use crate::settings::SMALL_NODE_SHARE;
 use crate::state::{queue_lease, zone_lease, Command};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Small nodes hold leases only where there is nobody else; in thousandths of a core.
-pub(super) const SMALL_NODE_SHARE: u64 = crate::settings::SMALL_NODE_SHARE as u64;
 /// The share of a node that has not said its own, in thousandths of a core.
 const DEFAULT_SHARE: u64 = 1000;
 /// A node beside a replica counts for its share divided by this: one loss should not hit both.
@@ -222,7 +221,7 @@
             share
         };
         PlacementCost {
-            class: 2 * u32::from(is_away) + u32::from(share < SMALL_NODE_SHARE),
+            class: 2 * u32::from(is_away) + u32::from(share < u64::from(SMALL_NODE_SHARE)),
             weight: (load as u64 * LEASE_WEIGHT) / usable_share.max(1),
             tie_break: fnv1a(node.as_bytes()),
         }
--- a/landingdrift/src/consensus/watch.rs
+++ b/landingdrift/src/consensus/watch.rs
@@ -4,11 +4,11 @@
 //! are sent new entries as soon as they are committed, without asking.
 
 use super::clock::ClockReading;
-use super::lease_assignment::SMALL_NODE_SHARE;
 use super::watch_flow::{LinkRate, Unacknowledged};
 use super::watch_snapshots::{SentChunk, WatchSnapshots};
 use super::{Replica, Role};
 use crate::sans_io::Now;
+use crate::settings::SMALL_NODE_SHARE;
 use crate::state::Command;
 use crate::wire::{Body, Entry, WatchBatch, WatchRequest};
 use std::collections::{BTreeMap, BTreeSet};
@@ -238,7 +238,7 @@
 
     /// Whether a node is to follow a light copy: it has too little of a processor for leases, and others have enough.
     fn should_follow_light_copy(&self, now: Now, request: &WatchRequest) -> bool {
-        let is_small = |share: u32| u64::from(share) < SMALL_NODE_SHARE;
+        let is_small = |share: u32| share < SMALL_NODE_SHARE;
         let expected_until =
             self.leadership.since + NODES_EXPECTED_NODE_TIMEOUTS * self.settings.bounds.node_lost();
         let mut watchers = self.watch.watchers.values();
--- a/landingdrift/src/node/calls/answered_version.rs
+++ b/landingdrift/src/node/calls/answered_version.rs
@@ -2,6 +2,7 @@
 //! afterwards.
 
 use super::routed_jobs::is_routed;
+use super::CONFIG_PATH;
 use crate::node::Node;
 use crate::sans_io::Now;
 
@@ -15,15 +16,17 @@
 
 /// Whether the answer to a call follows from the configuration.
 fn follows_from_config(path: &str) -> bool {
-    is_routed(path) || path == "/v1/desired"
+    is_routed(path) || path == CONFIG_PATH
 }
 
 impl Node {
-    /// Another node has answered a call by its version of the configuration.
-    pub(super) fn note_answered_version(&mut self, now: Now, path: &str, version: u64) {
-        let answered = &mut self.calls.answered_version;
-        if follows_from_config(path) && version > answered.version {
-            *answered = AnsweredVersion {
+    /// Another node has answered a call that was forwarded to it, by its version of the configuration.
+    pub(super) fn note_answered_version(&mut self, now: Now, call: u64, version: u64) {
+        let open_call = self.calls.open.get(&call);
+        let forward = open_call.and_then(|open_call| open_call.forward.as_ref());
+        let is_by_config = forward.is_some_and(|forward| follows_from_config(forward.path()));
+        if is_by_config && version > self.calls.answered_version.version {
+            self.calls.answered_version = AnsweredVersion {
                 version,
                 at: now.mono,
             };
--- a/landingdrift/src/node/calls/forward.rs
+++ b/landingdrift/src/node/calls/forward.rs
@@ -4,7 +4,7 @@
 //! refuses, and after a while that doubles where it is silent, as far as the budget for retries goes, and unless its answer may be large and still on its way. Any other call
 //! is forwarded once, and its outcome is unknown if no response comes.
 
-use super::{CallState, OpenCall, Origin};
+use super::{CallState, OpenCall, Origin, CONFIG_PATH};
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
 use crate::wire::{Body, ForwardRequest, ForwardResponse};
@@ -42,7 +42,7 @@
     /// may be sending it.
     fn has_small_answer(&self) -> bool {
         let path = self.request.path.as_str();
-        let large = ["/v1/desired", "/v1/status", "/v1/workers", "/v1/jobs"];
+        let large = [CONFIG_PATH, "/v1/status", "/v1/workers", "/v1/jobs"];
         !large.contains(&path.trim_end_matches('/'))
     }
 
@@ -198,13 +198,6 @@
         self.send_forward(call, 0, to, request);
     }
 
-    /// The path of a repeatable call that was forwarded.
-    fn forwarded_path(&self, call: u64) -> Option<String> {
-        let open_call = self.calls.open.get(&call)?;
-        let forward = open_call.forward.as_ref()?;
-        Some(forward.path().to_string())
-    }
-
     pub(in crate::node) fn on_forward_request(
         &mut self,
         now: Now,
@@ -239,9 +232,7 @@
             None => self.count("responses_unexpected", 1),
             Some(true) if forwarded.status == 503 => self.advance_forward(now, call),
             Some(_) => {
-                if let Some(path) = self.forwarded_path(call) {
-                    self.note_answered_version(now, &path, forwarded.config_version);
-                }
+                self.note_answered_version(now, call, forwarded.config_version);
                 self.finish(call, response_of(forwarded));
             }
         }
--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -31,6 +31,9 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 
+/// The path of the configuration.
+const CONFIG_PATH: &str = "/v1/desired";
+
 /// Where a call came from, and where its response goes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Origin {
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -1,6 +1,6 @@
 //! Linearizable reads: a replica names the read index to catch up to, or the watch is at least as new as the call.
 
-use super::{CallState, OpenCall, Origin};
+use super::{CallState, OpenCall, Origin, CONFIG_PATH};
 use crate::node::Node;
 use crate::sans_io::{transfer_ms, Now, Request, Response};
 use crate::settings::SMALL_NODE_SHARE;
@@ -39,7 +39,7 @@
         let path = match self {
             Self::Job { id } => format!("/v1/jobs/{id}"),
             Self::Jobs { .. } => "/v1/jobs".into(),
-            Self::ClusterConfig => "/v1/desired".into(),
+            Self::ClusterConfig => CONFIG_PATH.into(),
             Self::Change { id } => format!("/v1/changes/{id}"),
             Self::Status => "/v1/status".into(),
             Self::Workers => "/v1/workers".into(),
@@ -140,8 +140,7 @@
             return self.read(now, origin, ReadQuery::ClusterConfig);
         };
         self.count("reads_redirected", 1);
-        let path = ReadQuery::ClusterConfig.to_request().path;
-        self.reply(&origin, Response::redirect(&address, &path));
+        self.reply(&origin, Response::redirect(&address, CONFIG_PATH));
     }
 
     /// Answers a call with what the cluster state has, or something newer, at the time of the call.
--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -86,13 +86,13 @@
     fn new(state: &'a ClusterState) -> Self {
         let mut by_worker: BTreeMap<&str, Resources> = BTreeMap::new();
         for (attempt_no, (_, task)) in &state.live {
-            let Some((job, _, attempt)) = state.attempt(*attempt_no) else {
+            if !state.is_long_running(*attempt_no) {
                 continue;
-            };
-            let spec = job.of(*task as usize);
-            if spec.long_running {
+            }
+            if let Some((job, _, attempt)) = state.attempt(*attempt_no) {
+                let needs = job.of(*task as usize).needs();
                 let used = by_worker.entry(&attempt.worker).or_default();
-                *used = used.plus(spec.needs());
+                *used = used.plus(needs);
             }
         }
         Self(by_worker)
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -4,12 +4,10 @@
 use super::Node;
 use crate::sans_io::{transfer_ms, Now, Response};
 use crate::state::{unpack_apply_result, ApplyResult, Command, Order, ProposalId, Rejection};
-use crate::wire::{Body, ProposeRequest, ProposeResponse, RequestToken};
+use crate::wire::{
+    Body, ProposeRequest, ProposeResponse, RequestToken, PROPOSAL_NOT_TAKEN, PROPOSAL_NO_CAPACITY,
+};
 
-/// The `outcome` of a `ProposeResponse` by which a replica says that it does not lead and has appended nothing.
-const NOT_LEADER: u8 = 1;
-/// The `outcome` by which the leader says that it has no memory for the job and has appended nothing.
-const NO_CAPACITY: u8 = 2;
 /// A proposal is sent on to a named leader at once only for its first attempts: replicas that disagree on who leads
 /// would pass it round for ever otherwise.
 const MAX_REDIRECTS: usize = 7;
@@ -253,13 +251,13 @@
         let Some(attempt) = attempt.filter(|attempt| attempt.to == from) else {
             return self.count("responses_unexpected", 1);
         };
-        if response.outcome == NOT_LEADER {
+        if response.outcome == PROPOSAL_NOT_TAKEN {
             attempt.outcome = AttemptOutcome::Rejected;
             let leader = response.leader;
             let leader_hint = Some(leader).filter(|leader| !leader.is_empty() && leader != from);
             return self.on_proposal_rejected(now, number, index, leader_hint);
         }
-        if response.outcome == NO_CAPACITY {
+        if response.outcome == PROPOSAL_NO_CAPACITY {
             attempt.outcome = AttemptOutcome::Rejected;
             return self.on_no_capacity(number);
         }
--- a/landingdrift/src/node/zone_scheduler/offers.rs
+++ b/landingdrift/src/node/zone_scheduler/offers.rs
@@ -70,9 +70,10 @@
             return Resources::default();
         };
         let takes_work = !known.lost && !known.info.leaving && self.state.open(zone, worker);
-        let is_busy = !worker_state.promises.is_empty() || self.state.has_ending_attempts(known);
+        let has_promises = !worker_state.promises.is_empty();
         // A worker on probation runs one task at a time, beside long-running ones.
-        let is_on_trial = known.probation > 0 && is_busy;
+        let is_on_trial =
+            known.probation > 0 && (has_promises || self.state.has_ending_attempts(known));
         if !takes_work || is_on_trial {
             return Resources::default();
         }
--- a/landingdrift/src/node/zone_scheduler/orders.rs
+++ b/landingdrift/src/node/zone_scheduler/orders.rs
@@ -3,13 +3,14 @@
 use super::Heartbeat;
 use crate::node::Node;
 use crate::sans_io::Response;
+use crate::state::pack::json_bytes;
 use crate::state::{Attempt, AttemptState, EndReport, Job, Resources, TaskState};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 
 /// The most bytes of start orders in one response: workers take no response of more than 4 MiB. What does not fit follows with
 /// the next heartbeat.
-const MAX_START_BYTES: usize = 1 << 20;
+const MAX_START_BYTES: u64 = 1 << 20;
 /// The most stop orders in one response.
 const MAX_STOPS: usize = 10_000;
 
@@ -18,7 +19,7 @@
 struct RunOrders {
     starts: Vec<Value>,
     /// The bytes of the start orders.
-    start_bytes: usize,
+    start_bytes: u64,
     /// Numbers of the attempts to stop.
     stops: BTreeSet<u64>,
     /// Names of the runs to stop, for workers that identify runs by their names.
@@ -28,7 +29,7 @@
 impl RunOrders {
     /// Adds a start order unless there are too many bytes of them already; a single one may be larger.
     fn add_start(&mut self, order: Value) {
-        let bytes = order.to_string().len();
+        let bytes = json_bytes(&order);
         if self.starts.is_empty() || self.start_bytes + bytes <= MAX_START_BYTES {
             self.start_bytes += bytes;
             self.starts.push(order);
--- a/landingdrift/src/node/zone_scheduler/stragglers.rs
+++ b/landingdrift/src/node/zone_scheduler/stragglers.rs
@@ -269,7 +269,8 @@
         let worker = state.workers.get(&attempt.worker);
         worker.map_or("", |worker| worker.info.rack.as_str())
     };
-    let Some((_, _, attempt)) = state.attempt(attempt_no) else {
+    let mut attempts = job.tasks[task].attempts.iter();
+    let Some(attempt) = attempts.find(|attempt| attempt.no == attempt_no) else {
         return false;
     };
     let spec = job.of(task);
--- a/landingdrift/src/state/apply/placement_rules.rs
+++ b/landingdrift/src/state/apply/placement_rules.rs
@@ -91,9 +91,8 @@
         self.ensure_usable(worker, placement)?;
         let spec = job.of(placement.task as usize);
         ensure_served(worker, spec)?;
-        let is_free = self.is_free_for_trial(worker, spec);
-        let is_trusted = worker.probation == 0 || is_free;
-        ensure(is_trusted, unsuitable("on probation, one at a time"))?;
+        let may_get_it = worker.probation == 0 || self.is_free_for_trial(worker, spec);
+        ensure(may_get_it, unsuitable("on probation, one at a time"))?;
         let mut live = task.live();
         let is_there = live.any(|attempt| attempt.worker == placement.worker);
         ensure(!is_there, Rejection::AlreadyRunning)?;
--- a/landingdrift/src/state/job/check.rs
+++ b/landingdrift/src/state/job/check.rs
@@ -30,16 +30,13 @@
     }
 }
 
-/// An error about a field, unless a condition holds.
-fn ensure(
-    holds: bool,
-    path: impl Into<String>,
-    remedy: impl Into<String>,
-) -> Result<(), SpecError> {
+/// An error, unless a condition holds; it is not made where none is needed.
+fn ensure(holds: bool, error: impl FnOnce() -> SpecError) -> Result<(), SpecError> {
     if holds {
-        return Ok(());
+        Ok(())
+    } else {
+        Err(error())
     }
-    Err(error(path, remedy))
 }
 
 fn error(path: impl Into<String>, remedy: impl Into<String>) -> SpecError {
@@ -69,17 +66,14 @@
     /// Checks the shape of the job: names, steps, cycles, gangs. Returns the numbers of the tasks that each single task waits
     /// for.
     pub fn check(&self) -> Result<Vec<Vec<u32>>, SpecError> {
-        ensure(is_name(&self.id), "id", NAME_REMEDY)?;
+        ensure(is_name(&self.id), || error("id", NAME_REMEDY))?;
         if !self.steps.is_empty() {
             self.check_steps()?;
             return Ok(Vec::new());
         }
         let is_allowed = (1..=TASKS_MOST).contains(&self.tasks.len());
-        ensure(
-            is_allowed,
-            "tasks",
-            "give 1 to 2000 tasks; split a larger job",
-        )?;
+        let remedy = "give 1 to 2000 tasks; split a larger job";
+        ensure(is_allowed, || error("tasks", remedy))?;
         let by_name = self.check_tasks()?;
         let waits = self.dependencies(&by_name)?;
         check_cycle(&waits)?;
@@ -91,13 +85,12 @@
     fn check_tasks(&self) -> Result<BTreeMap<&str, u32>, SpecError> {
         let mut by_name = BTreeMap::new();
         for (number, task) in self.tasks.iter().enumerate() {
-            let path = format!("tasks[{number}].name");
-            ensure(is_name(&task.name), &path, NAME_REMEDY)?;
+            let at = |field: &str, remedy: &str| error(format!("tasks[{number}].{field}"), remedy);
+            ensure(is_name(&task.name), || at("name", NAME_REMEDY))?;
             let same_name = by_name.insert(task.name.as_str(), number as u32);
             let remedy = "give every task of a job a name of its own";
-            ensure(same_name.is_none(), &path, remedy)?;
-            let path = format!("tasks[{number}].room");
-            ensure(task.cpu >= 1, path, "give at least 1")?;
+            ensure(same_name.is_none(), || at("name", remedy))?;
+            ensure(task.cpu >= 1, || at("room", "give at least 1"))?;
         }
         Ok(by_name)
     }
@@ -125,10 +118,10 @@
     /// Checks the steps: how many tasks, and what each depends on.
     fn check_steps(&self) -> Result<(), SpecError> {
         let remedy = "give single tasks or steps, not both";
-        ensure(self.tasks.is_empty(), "tasks", remedy)?;
+        ensure(self.tasks.is_empty(), || error("tasks", remedy))?;
         let is_allowed = (1..=STEP_TASKS_MOST).contains(&self.task_count());
         let remedy = "give 1 to 20000 tasks over all times; split a larger job";
-        ensure(is_allowed, "steps", remedy)?;
+        ensure(is_allowed, || error("steps", remedy))?;
         for (number, step) in self.steps.iter().enumerate() {
             step.check(number)?;
         }
@@ -161,12 +154,13 @@
             if task.gang.is_empty() {
                 continue;
             }
-            for dependency in all_dependencies(number, waits) {
-                let gang = &task.gang;
+            let gang = &task.gang;
+            let dependencies = all_dependencies(number, waits);
+            let mut gangs = dependencies.iter().map(|task| &self.tasks[*task].gang);
+            ensure(gangs.all(|other| other != gang), || {
                 let path = format!("tasks[{number}].dependsOn");
-                let remedy = format!("a member of gang '{gang}' can't wait for another member: remove the dependsOn or the gang");
-                ensure(self.tasks[dependency].gang != *gang, path, remedy)?;
-            }
+                error(path, format!("a member of gang '{gang}' can't wait for another member: remove the dependsOn or the gang"))
+            })?;
         }
         Ok(())
     }
@@ -174,8 +168,10 @@
     /// Checks that the configuration lets the job run at all.
     pub fn satisfiable(&self, config: &ClusterConfig) -> Result<(), SpecError> {
         let queue = &self.queue;
-        let remedy = format!("no queue is called '{queue}': create it or name another");
-        ensure(config.queues.contains_key(queue), "queue", remedy)?;
+        ensure(config.queues.contains_key(queue), || {
+            let remedy = format!("no queue is called '{queue}': create it or name another");
+            error("queue", remedy)
+        })?;
         let mut gang_cpu: BTreeMap<(String, &str), u32> = BTreeMap::new();
         for kind in self.task_kinds() {
             let service = kind.service(config)?;
@@ -193,28 +189,30 @@
 impl StepSpec {
     /// Checks the step with a number.
     fn check(&self, number: usize) -> Result<(), SpecError> {
-        let path = |field: &str| format!("steps[{number}].{field}");
-        ensure(self.count >= 1, path("count"), "give at least 1")?;
+        let at = |field: &str, remedy: &str| error(format!("steps[{number}].{field}"), remedy);
+        ensure(self.count >= 1, || at("count", "give at least 1"))?;
         let mut dependencies = self.depends_on.iter();
         let are_earlier = dependencies.all(|step| (*step as usize) < number);
         let remedy = "name earlier steps by their numbers, counted from 0";
-        ensure(are_earlier, path("dependsOn"), remedy)?;
+        ensure(are_earlier, || at("dependsOn", remedy))?;
         let has_neither = self.task.gang.is_empty() && self.task.depends_on.is_empty();
         let remedy = "give the step, not its task, 'gang' and 'dependsOn'";
-        ensure(has_neither, path("task"), remedy)
+        ensure(has_neither, || at("task", remedy))
     }
 }
 
 impl TaskKind<'_> {
+    /// An error about one of its fields.
+    fn error(&self, field: &str, remedy: String) -> SpecError {
+        error(format!("{}.{field}", self.path), remedy)
+    }
+
     /// The service whose workers run it.
     fn service<'a>(&self, config: &'a ClusterConfig) -> Result<&'a Service, SpecError> {
         let name = &self.task.service;
         config.services.get(name).ok_or_else(|| {
-            let path = format!("{}.service", self.path);
-            error(
-                path,
-                format!("no service is called '{name}': declare it or name another"),
-            )
+            let remedy = format!("no service is called '{name}': declare it or name another");
+            self.error("service", remedy)
         })
     }
 
@@ -223,16 +221,20 @@
         let name = &self.task.service;
         for label in &self.task.labels {
             let is_declared = service.any_label || service.labels.contains(label);
-            let path = format!("{}.labels", self.path);
-            let remedy = format!(
+            ensure(is_declared, || {
+                self.error(
+                    "labels",
+                    format!(
                 "service '{name}' has no workers with label '{label}': declare it or leave it out"
-            );
-            ensure(is_declared, path, remedy)?;
+            ),
+                )
+            })?;
         }
         let most = service.task_cpu;
-        let path = format!("{}.room", self.path);
-        let remedy = format!("service '{name}' gives a task at most {most}: ask for less");
-        ensure(self.task.cpu <= most, path, remedy)
+        ensure(self.task.cpu <= most, || {
+            let remedy = format!("service '{name}' gives a task at most {most}: ask for less");
+            self.error("room", remedy)
+        })
     }
 
     /// The gang that its tasks belong to; none for single tasks.
@@ -245,13 +247,13 @@
 
     /// Checks that a service gives a gang the processors that it asks for.
     fn check_gang(&self, cpu: u32, service: &Service) -> Result<(), SpecError> {
-        let gang = self.gang().unwrap_or_default();
         let (most, name) = (service.gang_cpu, &self.task.service);
-        let path = format!("{}.gang", self.path);
-        let remedy = format!(
-            "gang '{gang}' needs more than the {most} that service '{name}' gives a gang: make it smaller"
-        );
-        ensure(cpu <= most, path, remedy)
+        ensure(cpu <= most, || {
+            let gang = self.gang().unwrap_or_default();
+            self.error("gang", format!(
+                "gang '{gang}' needs more than the {most} that service '{name}' gives a gang: make it smaller"
+            ))
+        })
     }
 }
 
@@ -276,7 +278,7 @@
         }
     }
     let remedy = "the steps depend on each other in a circle: remove one dependsOn";
-    ensure(reached == waits.len(), "tasks", remedy)
+    ensure(reached == waits.len(), || error("tasks", remedy))
 }
 
 /// All tasks that a task waits for, directly or not.
--- a/landingdrift/src/state/memory.rs
+++ b/landingdrift/src/state/memory.rs
@@ -1,5 +1,6 @@
 //! How many bytes of memory jobs take in one copy of the cluster state, by a bound that holds on 64-bit machines.
 
+use super::pack::json_bytes;
 use super::{Attempt, ClusterState, Job, JobSpec, StepSpec, Task, TaskSpec};
 use std::mem::size_of;
 
@@ -23,7 +24,7 @@
     fn memory_bytes(&self) -> u64 {
         let payload = match &self.payload {
             serde_json::Value::Null => 0,
-            payload => payload.to_string().len() as u64,
+            payload => json_bytes(payload),
         };
         let names = [&self.name, &self.service, &self.gang, &self.near];
         size_of::<Self>() as u64
--- a/landingdrift/src/wire/mod.rs
+++ b/landingdrift/src/wire/mod.rs
@@ -12,6 +12,13 @@
 /// The version of the wire format that this build speaks.
 pub const WIRE_VERSION: u16 = 4;
 
+/// The outcome of a proposal: it was applied, and `response` says with which result.
+pub const PROPOSAL_APPLIED: u8 = 0;
+/// The outcome of a proposal: the replica does not lead, or not yet, and has appended nothing.
+pub const PROPOSAL_NOT_TAKEN: u8 = 1;
+/// The outcome of a proposal: the leader has no memory for the job and has appended nothing.
+pub const PROPOSAL_NO_CAPACITY: u8 = 2;
+
 /// Why a frame was refused.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WireError {
--- a/landingdrift/tests/job_memory.rs
+++ b/landingdrift/tests/job_memory.rs
@@ -6,16 +6,15 @@
 use landingdrift::sans_io::{Effect, Msg, Part, Request, Response};
 use landingdrift::settings::Limits;
 use landingdrift::state::{Command, Job, JobSpec, StepSpec, TaskSpec};
-use landingdrift::wire::{Body, ProposeRequest, ProposeResponse};
+use landingdrift::wire::{
+    Body, ProposeRequest, ProposeResponse, PROPOSAL_APPLIED, PROPOSAL_NO_CAPACITY,
+};
 use node_harness::{NodeHarness, REPLICA};
 use replicas::Cores;
 use serde_json::json;
 
 const CALL: u64 = 1000;
 const MEMORY_BYTES: u64 = 64 << 20;
-/// The outcomes of proposals on the wire.
-const TAKEN: u8 = 0;
-const NO_CAPACITY: u8 = 2;
 
 /// A recurring job of ten tasks a time.
 fn recurring(id: &str, times: u32) -> JobSpec {
@@ -81,12 +80,12 @@
     let leader = cores.leader().expect("somebody leads");
     let bytes = cores.replica(leader).state().job_bytes();
     assert!(bytes <= MEMORY_BYTES, "{bytes} bytes of {MEMORY_BYTES}");
-    assert_eq!(outcomes[0], TAKEN);
-    assert_eq!(outcomes[119], NO_CAPACITY);
+    assert_eq!(outcomes[0], PROPOSAL_APPLIED);
+    assert_eq!(outcomes[119], PROPOSAL_NO_CAPACITY);
     assert!(cores.counter(leader, "jobs_without_capacity") > 0);
     // A job that was taken is acknowledged again, and there is a place for small ones.
-    assert_eq!(submit(&mut cores, recurring("r0", 1440)), TAKEN);
-    assert_eq!(submit(&mut cores, recurring("small", 1)), TAKEN);
+    assert_eq!(submit(&mut cores, recurring("r0", 1440)), PROPOSAL_APPLIED);
+    assert_eq!(submit(&mut cores, recurring("small", 1)), PROPOSAL_APPLIED);
 }
 
 #[test]
@@ -142,7 +141,7 @@
 fn no_capacity(harness: &mut NodeHarness, request: &ProposeRequest) -> Option<Response> {
     let response = ProposeResponse {
         token: request.token,
-        outcome: NO_CAPACITY,
+        outcome: PROPOSAL_NO_CAPACITY,
         log_index: 0,
         leader: REPLICA.into(),
         response: Vec::new(),
