--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -149,24 +149,36 @@
         self.install_copy(self.state.light().pack(), true)
     }
 
-    fn install_copy(&mut self, snapshot: Vec<u8>, light: bool) -> Vec<Effect> {
-        let batch = WatchBatch {
+    /// A batch without entries for the node's copy, whose kind is `light`.
+    pub fn batch(&self, light: bool) -> WatchBatch {
+        let index = self.state.applied_index;
+        WatchBatch {
             replica: REPLICA.into(),
             leader: REPLICA.into(),
             ok: true,
             sent: self.elapsed_ms,
             quorum_age: 0,
             clock: 1000 + self.elapsed_ms,
-            commit: self.state.applied_index,
-            snapshot,
-            snapshot_index: self.state.applied_index,
+            commit: index,
+            snapshot: Vec::new(),
+            snapshot_index: 0,
             entries: Vec::new(),
             replicas: vec![REPLICA.into()],
             light,
-            reached: self.state.applied_index,
+            reached: index,
             incarnation: 0,
+            follows: index,
+            config_index: self.state.config_index(),
+        }
+    }
+
+    fn install_copy(&mut self, snapshot: Vec<u8>, light: bool) -> Vec<Effect> {
+        let batch = WatchBatch {
+            snapshot,
+            snapshot_index: self.state.applied_index,
             follows: 0,
             config_index: 0,
+            ..self.batch(light)
         };
         let now = self.now();
         self.node.step(
--- a/landingdrift/tests/start_orders.rs
+++ b/landingdrift/tests/start_orders.rs
@@ -3,7 +3,6 @@
 mod node_harness;
 
 use landingdrift::node::{Heartbeat, RunningAttempt};
-use landingdrift::sans_io::{Effect, Msg, Part, Request};
 use landingdrift::state::{Command, JobSpec, Placement, RunName, StepSpec, TaskSpec, WorkerInfo};
 use node_harness::{info, response_and_proposals, NodeHarness};
 use serde_json::Value;
@@ -82,15 +81,7 @@
         uses_run_names: true,
         ..Heartbeat::default()
     };
-    harness.call += 1;
-    let request = Request {
-        method: "POST".into(),
-        path: "/v1/beats".into(),
-        body: serde_json::to_vec(&heartbeat).expect("JSON"),
-        ..Request::default()
-    };
-    let now = harness.now();
-    let effects: Vec<Effect> = harness.node.step(now, Msg::Call(harness.call, request));
+    let effects = harness.send_heartbeat_effects(heartbeat);
     response_and_proposals(effects).0.expect("an answer").body
 }
 
--- a/landingdrift/tests/watch_identity.rs
+++ b/landingdrift/tests/watch_identity.rs
@@ -17,29 +17,6 @@
 /// A node asks at least this often.
 const REQUEST_INTERVAL_MS: u64 = 150;
 
-/// A batch without entries for the node's copy, whose kind is `light`.
-fn batch(harness: &NodeHarness, light: bool) -> WatchBatch {
-    let index = harness.state.applied_index;
-    WatchBatch {
-        replica: REPLICA.into(),
-        leader: REPLICA.into(),
-        ok: true,
-        sent: harness.elapsed_ms,
-        quorum_age: 0,
-        clock: 1000 + harness.elapsed_ms,
-        commit: index,
-        snapshot: Vec::new(),
-        snapshot_index: 0,
-        entries: Vec::new(),
-        replicas: vec![REPLICA.into()],
-        light,
-        reached: index,
-        incarnation: 0,
-        follows: index,
-        config_index: harness.state.config_index(),
-    }
-}
-
 fn receive(harness: &mut NodeHarness, batch: WatchBatch) -> Vec<Effect> {
     let now = harness.now();
     let body = Body::WatchBatch(Box::new(batch));
@@ -92,13 +69,13 @@
     let for_earlier = WatchBatch {
         incarnation: own ^ 1,
         sent: 900_000_000,
-        ..batch(&harness, false)
+        ..harness.batch(false)
     };
     receive(&mut harness, for_earlier);
     assert!(!is_ready(&harness));
     let for_this = WatchBatch {
         incarnation: own,
-        ..batch(&harness, false)
+        ..harness.batch(false)
     };
     receive(&mut harness, for_this);
     assert!(is_ready(&harness));
@@ -125,14 +102,14 @@
     let for_another_copy = WatchBatch {
         entries: vec![second_entry.clone()],
         follows: index + 1,
-        ..batch(&harness, true)
+        ..harness.batch(true)
     };
     receive(&mut harness, for_another_copy);
     assert_eq!(harness.node.state().applied_index, index);
     let for_this_copy = WatchBatch {
         entries: vec![first_entry, second_entry],
         follows: index,
-        ..batch(&harness, true)
+        ..harness.batch(true)
     };
     receive(&mut harness, for_this_copy);
     assert_eq!(harness.node.state().applied_index, index + 2);
@@ -154,7 +131,7 @@
     let with_refused = WatchBatch {
         entries: vec![last_entry(&harness, &refused)],
         follows: index,
-        ..batch(&harness, true)
+        ..harness.batch(true)
     };
     receive(&mut harness, with_refused);
     assert!(!is_ready(&harness), "its copy is not that of the replicas");
