Probation does not hold against a job that has been idle for too long

Callers saw: on a worker on probation the jobs of one long-running task each never start, nor would others beside a task of minutes. Change: state/idle_jobs.rs; a job with nothing running for 2 s, while at most two thirds of its service's CPU are in use, may get a worker on probation beside what runs there. Decided in apply, nothing stored. Whether a worker takes new work is asked in one place.

--- a/landingdrift/src/node/gangs.rs
+++ b/landingdrift/src/node/gangs.rs
@@ -141,7 +141,7 @@
     for member in largest_members_first(job, leader) {
         let spec = job.of(member as usize);
         let is_eligible = |name: &str, worker: &Worker| {
-            takes_new_work(state, name, worker) && worker.probation == 0 && worker.info.serves(spec)
+            state.takes_new_work(name, worker) && worker.probation == 0 && worker.info.serves(spec)
         };
         // Workers that are claimed already first, then the largest.
         let reused = claimed.iter().find(|(name, worker)| {
@@ -173,11 +173,6 @@
     Some(claimed.into_keys().cloned().collect())
 }
 
-/// Whether new tasks may start on a worker.
-fn takes_new_work(state: &ClusterState, name: &str, worker: &Worker) -> bool {
-    !worker.lost && !worker.info.leaving && state.open(&worker.info.zone, name)
-}
-
 impl Node {
     /// A placement of a whole gang by the cluster state's free resources, on the offered worker first; `underway` are
     /// the resources on each worker that starts not yet in the cluster state will take.
@@ -199,7 +194,7 @@
         let spec = job.of(task as usize);
         let free = self.free_workers(&spec.near, offered, underway);
         if !spec.same_rack {
-            return self.spread(job, &members, free);
+            return self.spread(at, job, &members, free);
         }
         let mut racks: Vec<&str> = Vec::new();
         for worker in &free {
@@ -209,14 +204,14 @@
         }
         for rack in racks {
             let on_rack = free.iter().filter(|worker| worker.rack == rack);
-            let placements = self.spread(job, &members, on_rack.copied().collect());
+            let placements = self.spread(at, job, &members, on_rack.copied().collect());
             if placements.is_some() {
                 return placements;
             }
         }
         let waits_since = job.accepted.max(job.due(task as usize));
         if at >= waits_since + self.settings.bounds.reserve() {
-            self.spread(job, &members, free)
+            self.spread(at, job, &members, free)
         } else {
             None
         }
@@ -232,7 +227,7 @@
     ) -> Vec<FreeWorker<'_>> {
         let mut workers: Vec<FreeWorker> = Vec::new();
         for (name, worker) in &self.state.workers {
-            if !takes_new_work(&self.state, name, worker) {
+            if !self.state.takes_new_work(name, worker) {
                 continue;
             }
             let taken = worker
@@ -254,6 +249,7 @@
     /// Places each task on the first worker that it fits on; none if one fits nowhere.
     fn spread(
         &self,
+        at: u64,
         job: &Job,
         tasks: &[u32],
         mut workers: Vec<FreeWorker>,
@@ -273,7 +269,7 @@
                 let beside = placed_here as u32 + job.beside(index, worker.name);
                 let may_join = spec.anti_affinity == 0 || beside < spec.anti_affinity;
                 let placement = self.placement(worker.name, *task, false);
-                may_join && self.state.fits(&job.spec.id, &placement).is_ok()
+                may_join && self.state.fits(&job.spec.id, &placement, at).is_ok()
             })?;
             chosen.free = chosen.free.less(spec.needs());
             placements.push(self.placement(chosen.name, *task, false));
--- a/landingdrift/src/node/scheduler/placement.rs
+++ b/landingdrift/src/node/scheduler/placement.rs
@@ -30,7 +30,7 @@
             let placed = if in_gang {
                 self.pick_gang(now, job, task, offer)
             } else {
-                self.pick_task(job, task, false, offer)
+                self.pick_task(now, job, task, false, offer)
                     .map(|placement| vec![placement])
             };
             if placed.is_some() {
@@ -38,7 +38,7 @@
             }
         }
         for task in self.slow_tasks(now, &job.spec.id, job) {
-            if let Some(copy) = self.pick_task(job, task, true, offer) {
+            if let Some(copy) = self.pick_task(now, job, task, true, offer) {
                 return Some(vec![copy]);
             }
         }
@@ -52,13 +52,23 @@
     }
 
     /// The placement of one task in the offered slot, if it fits there.
-    fn pick_task(&self, job: &Job, task: u32, copy: bool, offer: &Offer) -> Option<Placement> {
+    fn pick_task(
+        &self,
+        now: Now,
+        job: &Job,
+        task: u32,
+        copy: bool,
+        offer: &Offer,
+    ) -> Option<Placement> {
         let placement = self.placement(&offer.worker, task, copy);
         let has_resources = offered_resources(offer).holds(job.of(task as usize).needs());
         let same_zone_epoch = placement.zone_epoch == offer.epoch;
-        let fits =
-            has_resources && same_zone_epoch && self.state.fits(&job.spec.id, &placement).is_ok();
-        fits.then_some(placement)
+        if !has_resources || !same_zone_epoch {
+            return None;
+        }
+        let at = self.cluster_time(now);
+        let fits = self.state.fits(&job.spec.id, &placement, at);
+        fits.is_ok().then_some(placement)
     }
 
     /// The placements of a whole gang, if they fit now and none was proposed yet. They are tried once, for the gang's
--- a/landingdrift/src/node/scheduler/reservations.rs
+++ b/landingdrift/src/node/scheduler/reservations.rs
@@ -110,8 +110,7 @@
     fn candidates(&self, specs: &[&TaskSpec]) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         for (name, worker) in &self.state.workers {
-            let takes_work = !worker.lost && !worker.info.leaving;
-            if !takes_work || !self.state.open(&worker.info.zone, name) {
+            if !self.state.takes_new_work(name, worker) {
                 continue;
             }
             if let Some(local) = fits_any(worker, specs) {
--- a/landingdrift/src/node/zone_scheduler/offers.rs
+++ b/landingdrift/src/node/zone_scheduler/offers.rs
@@ -5,7 +5,7 @@
 use super::WorkerState;
 use crate::node::Node;
 use crate::sans_io::Now;
-use crate::state::Resources;
+use crate::state::{ClusterState, Resources, Worker};
 use crate::wire::{Body, Offer, OfferOutcome, OfferResponse, RequestToken};
 
 /// The resources of an accepted offer stay promised for so many offer timeouts: its start may take as long.
@@ -29,7 +29,7 @@
             self.drop_ended_jobs(idle_worker);
         }
         for ZoneWorker { zone, worker } in idle {
-            if self.free_resources(&zone, &worker).cpu > 0 {
+            if self.free_resources(now, &zone, &worker).cpu > 0 {
                 self.start_offer_round(now, &zone, &worker);
             }
         }
@@ -40,7 +40,7 @@
         let mut idle = Vec::new();
         for (zone, zone_scheduler) in &self.zone_schedulers {
             for (worker, state) in &zone_scheduler.workers {
-                if state.may_be_offered(now) && self.free_resources(zone, worker).cpu > 0 {
+                if state.may_be_offered(now) && self.free_resources(now, zone, worker).cpu > 0 {
                     idle.push(ZoneWorker {
                         zone: zone.clone(),
                         worker: worker.clone(),
@@ -64,17 +64,15 @@
     }
 
     /// The resources of a worker that nothing runs on and that are not promised.
-    fn free_resources(&self, zone: &str, worker: &str) -> Resources {
+    fn free_resources(&self, now: Now, zone: &str, worker: &str) -> Resources {
         let known = self.state.workers.get(worker);
         let (Some(known), Some(worker_state)) = (known, self.worker(zone, worker)) else {
             return Resources::default();
         };
-        let takes_work = !known.lost && !known.info.leaving && self.state.open(zone, worker);
-        let has_promises = !worker_state.promises.is_empty();
-        // A worker on probation runs one task at a time, beside long-running ones.
-        let is_on_trial =
-            known.probation > 0 && (has_promises || self.state.has_ending_attempts(known));
-        if !takes_work || is_on_trial {
+        let is_open = self.state.takes_new_work(worker, known)
+            && (!is_on_trial(&self.state, known, worker_state)
+                || self.has_idle_reservation(now, known, worker_state));
+        if !is_open {
             return Resources::default();
         }
         let mut taken = known.used;
@@ -85,6 +83,17 @@
         total.less(taken)
     }
 
+    /// Whether a job that is reserved at a worker has been idle for too long.
+    fn has_idle_reservation(&self, now: Now, known: &Worker, worker_state: &WorkerState) -> bool {
+        let at = self.cluster_time(now);
+        let mut reservations = worker_state.reservations.iter();
+        reservations.any(|reservation| {
+            let job = self.state.jobs.get(&reservation.job);
+            let service = &known.info.service;
+            job.is_some_and(|job| self.state.is_idle_too_long(job, service, at))
+        })
+    }
+
     /// Begins to offer a free slot of a worker.
     fn start_offer_round(&mut self, now: Now, zone: &str, worker: &str) {
         let token = self.token();
@@ -100,7 +109,7 @@
     fn offer_next(&mut self, now: Now, zone: &str, worker: &str) {
         // Drawn for every offer, whether or not it is needed: a draw fewer would change all that follow.
         let draw = self.rng.unit();
-        let resources = self.free_resources(zone, worker);
+        let resources = self.free_resources(now, zone, worker);
         let worker_incarnation = self.incarnation_of(worker);
         let Some(zone_scheduler) = self.zone_schedulers.get_mut(zone) else {
             return;
@@ -225,6 +234,12 @@
     }
 }
 
+/// Whether a worker on probation has the one task that it gets at a time; long-running ones beside it don't count.
+fn is_on_trial(state: &ClusterState, known: &Worker, worker_state: &WorkerState) -> bool {
+    let has_promises = !worker_state.promises.is_empty();
+    known.probation > 0 && (has_promises || state.has_ending_attempts(known))
+}
+
 fn promised_resources(
     scheduler: &str,
     response: &OfferResponse,
--- a/landingdrift/src/node/zone_scheduler/stragglers.rs
+++ b/landingdrift/src/node/zone_scheduler/stragglers.rs
@@ -347,11 +347,9 @@
         };
         self.state.workers.iter().any(|(name, other)| {
             name != worker
-                && !other.lost
-                && !other.info.leaving
+                && self.state.takes_new_work(name, other)
                 && other.probation == 0
                 && other.info.serves(spec)
-                && self.state.open(&other.info.zone, name)
                 && other
                     .info
                     .total_resources()
--- a/landingdrift/src/state/apply/placement_rules.rs
+++ b/landingdrift/src/state/apply/placement_rules.rs
@@ -76,8 +76,8 @@
         ensure(has_budget, Rejection::SpeculationBudgetExhausted)
     }
 
-    /// Whether a worker may get a task of a job.
-    pub fn fits(&self, id: &str, placement: &Placement) -> Result<(), Rejection> {
+    /// Whether a worker may get a task of a job at a time by the cluster clock.
+    pub fn fits(&self, id: &str, placement: &Placement, at: u64) -> Result<(), Rejection> {
         let unknown = |what: String| Rejection::Unknown { what };
         let job = self.jobs.get(id);
         let job = job.ok_or_else(|| unknown(format!("job '{id}'")))?;
@@ -91,7 +91,9 @@
         self.ensure_usable(worker, placement)?;
         let spec = job.of(placement.task as usize);
         ensure_served(worker, spec)?;
-        let may_get_it = worker.probation == 0 || self.is_free_for_trial(worker, spec);
+        let may_get_it = worker.probation == 0
+            || self.is_free_for_trial(worker, spec)
+            || self.is_idle_too_long(job, &spec.service, at);
         ensure(may_get_it, unsuitable("on probation, one at a time"))?;
         let mut live = task.live();
         let is_there = live.any(|attempt| attempt.worker == placement.worker);
--- a/landingdrift/src/state/apply/start_attempts.rs
+++ b/landingdrift/src/state/apply/start_attempts.rs
@@ -54,7 +54,7 @@
             let is_double = before.iter().any(|other| other.task == placement.task);
             ensure(!is_double, Rejection::AlreadyRunning)?;
             self.may_start(id, placement.task, placement.copy, self.at)?;
-            self.fits(id, placement)?;
+            self.fits(id, placement, self.at)?;
             let sum = needed.entry(placement.worker.as_str()).or_default();
             *sum = sum.plus(job.of(placement.task as usize).needs());
             let free = self.unused_resources(&placement.worker);
--- a/landingdrift/src/state/derive.rs
+++ b/landingdrift/src/state/derive.rs
@@ -134,12 +134,9 @@
 
     /// The processors of all workers that take new work, in the workers' own units.
     pub fn total_cpu(&self) -> u32 {
-        let workers = self.workers.values();
-        let usable = workers.filter(|worker| {
-            let info = &worker.info;
-            !worker.lost && !info.leaving && self.open(&info.zone, &info.worker)
-        });
-        usable.map(|worker| worker.info.cpu).sum()
+        let workers = self.workers.iter();
+        let usable = workers.filter(|(name, worker)| self.takes_new_work(name, worker));
+        usable.map(|(_, worker)| worker.info.cpu).sum()
     }
 
     /// Whether a queue has used up what it may miss of its promise within its window.
--- /dev/null
+++ b/landingdrift/src/state/idle_jobs.rs
@@ -0,0 +1,56 @@
+//! Idle jobs: those that have nothing running although a task of theirs is due.
+//!
+//! Probation keeps tasks from a worker, and a claim keeps workers from jobs. Both may delay a job, and neither may deny it what
+//! it needs: they don't hold against a job that has been idle for too long while its service has spare capacity.
+
+use super::{AttemptState, ClusterState, Job, TaskState};
+
+/// How long a job may be idle before probation and claims don't hold against it, in milliseconds.
+const MAX_IDLE_MS: u64 = 2000;
+
+/// A service has spare capacity while at most this share of its CPU is in use, in percent. Above it jobs wait for each other.
+const SPARE_CAPACITY_PERCENT: u64 = 67;
+
+impl Job {
+    /// Since when the job has had nothing running although a task of it was due, by the cluster clock; none while something
+    /// runs, or where no task waits.
+    fn idle_since(&self) -> Option<u64> {
+        let mut last_end = self.accepted;
+        let mut first_due = None;
+        for (task_no, task) in self.tasks.iter().enumerate() {
+            for attempt in &task.attempts {
+                let surely_runs = attempt.state.live() && attempt.state != AttemptState::Unsure;
+                if surely_runs {
+                    return None;
+                }
+                last_end = last_end.max(attempt.ended);
+            }
+            if task.state == TaskState::Waiting {
+                let due = self.due(task_no);
+                first_due = Some(first_due.map_or(due, |earlier: u64| earlier.min(due)));
+            }
+        }
+        first_due.map(|due| due.max(last_end))
+    }
+}
+
+impl ClusterState {
+    /// Whether a job has been idle for too long at a time by the cluster clock, although a service has spare capacity for it.
+    pub fn is_idle_too_long(&self, job: &Job, service: &str, at: u64) -> bool {
+        let idle_since = job.idle_since();
+        idle_since.is_some_and(|since| at >= since + MAX_IDLE_MS)
+            && self.has_spare_capacity(service)
+    }
+
+    /// Whether much of a service's CPU is free, on workers that take new work.
+    fn has_spare_capacity(&self, service: &str) -> bool {
+        let (mut used, mut total) = (0_u64, 0_u64);
+        for (name, worker) in &self.workers {
+            if worker.info.service == service && self.takes_new_work(name, worker) {
+                used += u64::from(worker.used.cpu);
+                total += u64::from(worker.info.cpu);
+            }
+        }
+        used * 100 <= total * SPARE_CAPACITY_PERCENT
+    }
+}
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -11,6 +11,7 @@
 pub mod pack;
 
 mod apply;
+mod idle_jobs;
 mod members;
 mod memory;
 mod rejection;
@@ -186,6 +187,11 @@
         !self.evacuated_zones.contains(zone) && self.config.open(zone, worker)
     }
 
+    /// Whether new tasks may start on a worker.
+    pub fn takes_new_work(&self, name: &str, worker: &Worker) -> bool {
+        !worker.lost && !worker.info.leaving && self.open(&worker.info.zone, name)
+    }
+
     /// The holder of a lease.
     pub fn holder(&self, lease: &str) -> Option<&Lease> {
         self.leases.get(lease)
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -16,6 +16,9 @@
 
 pub const REPLICA: &str = "10.0.0.2:1";
 
+/// The interval of ticks and heartbeats while time passes, in milliseconds.
+const HEARTBEAT_INTERVAL_MS: u64 = 100;
+
 /// A node that holds the leases of zone `z` and queue `q`, with one worker.
 pub struct NodeHarness {
     /// The cluster state as the replicas have it.
@@ -257,6 +260,52 @@
         });
     }
 
+    /// Accepts a job of one task on so many thousandths of a core, otherwise as `template` says.
+    pub fn accept_single(&mut self, id: &str, template: StepSpec, cpu: u32) {
+        let seen = self.state.applied_index;
+        let task = TaskSpec {
+            service: "s".into(),
+            cpu,
+            ..template.task
+        };
+        let step = StepSpec {
+            count: 1,
+            task,
+            ..template
+        };
+        self.append(Command::AcceptJob {
+            spec: JobSpec {
+                id: id.into(),
+                queue: "q".into(),
+                steps: vec![step],
+                ..JobSpec::default()
+            },
+            hash: 1,
+            seen,
+        });
+    }
+
+    /// Lets time pass with heartbeats of the worker, on which the first runs of some jobs go on; returns the jobs that were
+    /// started.
+    pub fn pass_time(&mut self, for_ms: u64, running: &[&str]) -> Vec<String> {
+        let mut started = Vec::new();
+        for _ in 0..for_ms / HEARTBEAT_INTERVAL_MS {
+            self.elapsed_ms += HEARTBEAT_INTERVAL_MS;
+            let now = self.now();
+            let mut effects = self.node.step(now, Msg::Tick);
+            effects.extend(self.send_heartbeat_effects(Heartbeat {
+                running: running.iter().map(|job| first_run_of(job)).collect(),
+                ..named_heartbeat(self.call + 1)
+            }));
+            for command in self.commit(effects).commands {
+                if let Command::StartAttempts { job, .. } = command {
+                    started.push(job);
+                }
+            }
+        }
+        started
+    }
+
     /// Sends a heartbeat of the worker; returns the response, and what was proposed because of it.
     pub fn heartbeat(&mut self, sequence: u64, running: bool) -> (Option<Response>, Vec<Command>) {
         let run = RunningAttempt {
@@ -320,6 +369,18 @@
     }
 }
 
+/// The first run of the first task of a job, as a heartbeat reports it.
+fn first_run_of(job: &str) -> RunningAttempt {
+    RunningAttempt {
+        name: Some(RunName {
+            job: job.into(),
+            task: "0.0.0".into(),
+            run: 1,
+        }),
+        ..RunningAttempt::default()
+    }
+}
+
 /// A heartbeat of the worker, which identifies runs by their names.
 fn named_heartbeat(sequence: u64) -> Heartbeat {
     Heartbeat {
