A gang's claim does not hold against a job that has been idle for too long

Callers saw: a gang waits for workers on which others' tasks run for minutes; small, more urgent jobs with room for them never start. Cause: a claim has no time at which it ends, and nothing weighs it against those who wait. left out what runs until it is cancelled, what runs for minutes does the same. Change: the claim is asked for a job as probation is: it doesn't hold for one with nothing running for 2 s while at most two thirds of its service's CPU are in use. Above that it holds as before.

--- a/landingdrift/src/node/scheduler/placement.rs
+++ b/landingdrift/src/node/scheduler/placement.rs
@@ -10,7 +10,7 @@
     /// Which of the job's tasks goes to the offered slot: one that waits, with the rest of its gang where it has one,
     /// and else a speculative copy of a slow one.
     pub(super) fn pick(&self, now: Now, job: &Job, offer: &Offer) -> Option<Vec<Placement>> {
-        if self.is_claimed_by_other(job, &offer.worker) {
+        if self.is_claimed_by_other(now, job, &offer.worker) {
             return None;
         }
         let info = &self.state.workers.get(&offer.worker)?.info;
@@ -45,10 +45,17 @@
         None
     }
 
-    /// Whether the worker is kept free for the gang of another job, which has waited too long.
-    fn is_claimed_by_other(&self, job: &Job, worker: &str) -> bool {
+    /// Whether the worker is kept free for the gang of another job, which has waited too long. Where there is spare capacity, a
+    /// job that is idle for as long gets its share of it.
+    fn is_claimed_by_other(&self, now: Now, job: &Job, worker: &str) -> bool {
         let claim = self.sched.claim.as_ref();
-        claim.is_some_and(|claim| claim.job != job.spec.id && claim.workers.contains(worker))
+        let is_claimed =
+            claim.is_some_and(|claim| claim.job != job.spec.id && claim.workers.contains(worker));
+        let Some(worker) = self.state.workers.get(worker) else {
+            return is_claimed;
+        };
+        let at = self.cluster_time(now);
+        is_claimed && !self.state.is_idle_too_long(job, &worker.info.service, at)
     }
 
     /// The placement of one task in the offered slot, if it fits there.
