Jobs that are due much later leave memory for those that are due now

Callers saw: once others had handed in 8,311 jobs that were due in an hour, jobs that were due now were refused with 503 at every node. Cause: gave admission a limit in the unit that runs out, and one limit for all: the first comer uses it up. Change: a job whose last time is due later than a minute from now is deferred; deferred jobs may take half of limits.jobs_memory_bytes and half of limits.open_jobs.

Tests: job_memory.rs, two failed before: by bytes all jobs that are due now were refused, by number all places were taken.

--- a/landingdrift/src/consensus/client_requests.rs
+++ b/landingdrift/src/consensus/client_requests.rs
@@ -48,18 +48,16 @@
         if !accepts {
             return self.decline_proposal(from, request.token, PROPOSAL_NOT_TAKEN);
         }
-        let mut job_bytes = 0;
-        if let Some(job) = submitted_job(&request.command) {
-            let Some(bytes) = self.bytes_for_job(now, &job) else {
-                self.count("jobs_without_capacity", 1);
-                return self.decline_proposal(from, request.token, PROPOSAL_NO_CAPACITY);
-            };
-            job_bytes = bytes;
+        let submitted = submitted_job(&request.command);
+        let admitted = submitted.as_ref().map(|job| self.admit_job(now, job));
+        if let Some(None) = admitted {
+            self.count("jobs_without_capacity", 1);
+            return self.decline_proposal(from, request.token, PROPOSAL_NO_CAPACITY);
         }
         self.count("proposals", 1);
         let index = self.append_bytes(now, request.command);
-        if job_bytes > 0 {
-            self.job_admission.note_appended(index, job_bytes);
+        if let Some(Some(job)) = admitted {
+            self.job_admission.note_appended(index, job);
         }
         let pending = PendingProposal {
             from: from.into(),
--- a/landingdrift/src/state/job/spec.rs
+++ b/landingdrift/src/state/job/spec.rs
@@ -31,6 +31,18 @@
     pub period_ms: u64,
 }
 
+impl JobSpec {
+    /// When its last task is due, in milliseconds since 1970.
+    pub fn last_due(&self) -> u64 {
+        let later_times = u64::from(self.times.max(1)) - 1;
+        let after_first = later_times.saturating_mul(self.period_ms);
+        let last_time = self.first_due.saturating_add(after_first);
+        let single = self.tasks.iter().map(|task| task.due);
+        let steps = self.steps.iter().map(|step| step.task.due);
+        single.chain(steps).fold(last_time, u64::max)
+    }
+}
+
 /// A step: so many tasks that are alike. Its tasks are called TIME.STEP.INDEX, counted from 0.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
--- a/landingdrift/tests/job_memory.rs
+++ b/landingdrift/tests/job_memory.rs
@@ -52,11 +52,15 @@
     cores.proposed(token).expect("an answer").outcome
 }
 
-fn cores_with_a_queue() -> Cores {
-    let mut cores = Cores::start(Limits {
+fn cores_with_memory() -> Cores {
+    cores_with_a_queue(Limits {
         jobs_memory_bytes: MEMORY_BYTES,
         ..Limits::default()
-    });
+    })
+}
+
+fn cores_with_a_queue(limits: Limits) -> Cores {
+    let mut cores = Cores::start(limits);
     let leader = cores.leader().expect("somebody leads");
     let command = Command::UpdateConfig {
         change: "c".into(),
@@ -73,7 +77,7 @@
 
 #[test]
 fn recurring_jobs_do_not_bring_a_replica_over_its_memory() {
-    let mut cores = cores_with_a_queue();
+    let mut cores = cores_with_memory();
     let outcomes: Vec<u8> = (0..120)
         .map(|number| submit(&mut cores, recurring(&format!("r{number}"), 1440)))
         .collect();
@@ -90,7 +94,7 @@
 
 #[test]
 fn jobs_that_are_appended_and_not_yet_committed_count() {
-    let mut cores = cores_with_a_queue();
+    let mut cores = cores_with_memory();
     let leader = cores.leader().expect("somebody leads");
     let tokens: Vec<u64> = (0..120)
         .map(|number| {
@@ -109,6 +113,56 @@
     assert!(bytes <= MEMORY_BYTES, "{bytes} bytes of {MEMORY_BYTES}");
 }
 
+/// Due long after all that these tests play, in milliseconds since 1970.
+const LATER: u64 = 4_000_000_000_000;
+
+/// A job that is due at a time, 0 for at once, with as long a payload as clients may send.
+fn single(id: &str, first_due: u64) -> JobSpec {
+    JobSpec {
+        payload: "p".repeat(4000),
+        times: 1,
+        first_due,
+        ..recurring(id, 1)
+    }
+}
+
+/// Guards against the refusal of all jobs that are due now, because others that are due later took the last of the
+/// memory.
+#[test]
+fn jobs_that_are_due_later_leave_memory_for_those_that_are_due_now() {
+    let mut cores = cores_with_a_queue(Limits {
+        jobs_memory_bytes: 1 << 20,
+        ..Limits::default()
+    });
+    let later: Vec<u8> = (0..200)
+        .map(|number| submit(&mut cores, single(&format!("later{number}"), LATER)))
+        .collect();
+    assert_eq!(later[0], PROPOSAL_APPLIED);
+    assert_eq!(*later.last().expect("an outcome"), PROPOSAL_NO_CAPACITY);
+    for number in 0..20 {
+        let outcome = submit(&mut cores, single(&format!("now{number}"), 0));
+        assert_eq!(outcome, PROPOSAL_APPLIED, "job {number} is due now");
+    }
+}
+
+/// The same by number, where the jobs are small.
+#[test]
+fn jobs_that_are_due_later_leave_places_for_those_that_are_due_now() {
+    let mut cores = cores_with_a_queue(Limits {
+        open_jobs: 20,
+        ..Limits::default()
+    });
+    let later: Vec<u8> = (0..20)
+        .map(|number| submit(&mut cores, single(&format!("later{number}"), LATER)))
+        .collect();
+    let accepted = later.iter().filter(|outcome| **outcome == PROPOSAL_APPLIED);
+    assert_eq!(accepted.count(), 10);
+    for number in 0..10 {
+        let outcome = submit(&mut cores, single(&format!("now{number}"), 0));
+        assert_eq!(outcome, PROPOSAL_APPLIED, "job {number} is due now");
+    }
+}
+
 #[test]
 fn the_bytes_of_a_job_are_no_fewer_than_its_tasks_take() {
     let spec = recurring("r", 1440);
