A large change of the configuration does not pass a narrow link

Callers saw: the state of a job could not be told for 3089 ms (bound 3000) by a node on 2 Mbit/s, through which a change of half a megabyte went to the leader. Cause: a change is proposed by the node that it comes to, whatever its size and the width of the link; reads were redirected already. Change: such a change is answered with 307 and the address of a lease holder, as a read is. A DELETE and a change without an identity are not followed, as before.

The test a_read_follows_a_redirect_and_an_order_does_not said that reads alone follow; its successor says the same of DELETE, of a change without an identity, and of reads, and adds the change with one.

--- a/landingdrift/src/node/calls/config.rs
+++ b/landingdrift/src/node/calls/config.rs
@@ -1,6 +1,6 @@
 //! Changes of the configuration, and on which nodes they are in force.
 
-use super::{param, rejected_response, Origin, ProposedCall};
+use super::{param, rejected_response, Origin, ProposedCall, CONFIG_PATH};
 use crate::node::Node;
 use crate::sans_io::{Now, Request, Response};
 use crate::state::{ApplyResult, Command, Rejection};
@@ -57,12 +57,19 @@
 }
 
 impl Node {
-    /// Proposes a change of the configuration.
+    /// Proposes a change of the configuration. A large one that comes to a node with a narrow link is sent to another node: on
+    /// its way to the leader it would keep this link from all other calls.
     pub(super) fn configure(&mut self, now: Now, origin: Origin, request: &Request, patch: bool) {
         let requested = match read_change(request, self.settings.limits.config_bytes) {
             Ok(requested) => requested,
             Err(response) => return self.reply(&origin, response),
         };
+        let bytes = request.body.len() as u64;
+        if let Some(address) = self.pick_wider_link(now, &origin, bytes) {
+            self.count("config_changes_redirected", 1);
+            let path = format!("{CONFIG_PATH}?{}", request.query);
+            return self.reply(&origin, Response::redirect(&address, &path));
+        }
         // Drawn before the body is read, so that the random draws do not depend on whether the body is valid.
         let change = match requested.change {
             Some(change) => change,
--- a/landingdrift/src/node/calls/read.rs
+++ b/landingdrift/src/node/calls/read.rs
@@ -11,8 +11,8 @@
 /// A replica that has not answered after so many heartbeats is asked again, or another is.
 const RETRY_HEARTBEATS: u64 = 5;
 
-/// An answer that takes longer than this on the narrowest link is left to a node with a wider one, in milliseconds.
-const MAX_ANSWER_MS: u64 = 250;
+/// A configuration that takes longer than this on the narrowest link is left to a node with a wider one, in milliseconds.
+const MAX_TRANSFER_MS: u64 = 250;
 
 /// What a call reads once this node has caught up to the read index.
 #[derive(Clone, Debug, PartialEq)]
@@ -129,20 +129,30 @@
             return self.reply(&origin, Response::error(503, "notReady", why));
         }
         let bytes = self.state.config.encoded_len() as u64;
-        let is_slow = self.light && transfer_ms(bytes) > MAX_ANSWER_MS;
-        let is_local = matches!(origin, Origin::Local(_));
-        let other = if is_slow && is_local {
-            self.pick_full_copy(now)
-        } else {
-            None
-        };
-        let Some(address) = other else {
+        let Some(address) = self.pick_wider_link(now, &origin, bytes) else {
             return self.read(now, origin, ReadQuery::ClusterConfig);
         };
         self.count("reads_redirected", 1);
         self.reply(&origin, Response::redirect(&address, CONFIG_PATH));
     }
 
+    /// The HTTP address of a node with a full copy, where a caller is to be sent because so many bytes take long on the link of
+    /// this one. A call that another node has forwarded stays here.
+    pub(super) fn pick_wider_link(
+        &mut self,
+        now: Now,
+        origin: &Origin,
+        bytes: u64,
+    ) -> Option<String> {
+        let is_slow = self.light && transfer_ms(bytes) > MAX_TRANSFER_MS;
+        let is_local = matches!(origin, Origin::Local(_));
+        if is_slow && is_local {
+            self.pick_full_copy(now)
+        } else {
+            None
+        }
+    }
+
     /// Answers a call with what the cluster state has, or something newer, at the time of the call.
     pub(super) fn read(&mut self, now: Now, origin: Origin, query: ReadQuery) {
         let request = query.to_request();
--- a/landingdrift/src/operator/client.rs
+++ b/landingdrift/src/operator/client.rs
@@ -10,7 +10,7 @@
 
 /// How long one request may take.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
-/// How often a read follows a redirect.
+/// How often a call follows a redirect.
 const MAX_REDIRECTS: usize = 2;
 /// The pause before the nodes are called again, unless one says otherwise.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
@@ -122,7 +122,7 @@
         loop {
             let mut pause = DEFAULT_PAUSE;
             for at in &self.at {
-                match outcome(self.send(&method, at, path, body)) {
+                match outcome(self.send(&method, at, path, body, repeatable)) {
                     Outcome::Done(body) => return Ok(body),
                     Outcome::Refused { status, body } => {
                         return Err(ClientError::Refused { status, body })
@@ -151,38 +151,32 @@
         }
     }
 
-    /// Sends a request to a node. A read that it sends elsewhere is sent there, up to a limit.
+    /// Sends a request to a node. A call that may be repeated follows redirects, up to a limit.
     fn send(
         &self,
         method: &Method,
         at: &str,
         path: &str,
         body: Option<&Value>,
+        repeatable: bool,
     ) -> reqwest::Result<Response> {
-        let mut response = self.request(method, at, path, body).send()?;
+        let url = format!("http://{at}{path}");
+        let mut response = self.request(method, &url, body).send()?;
         for _ in 0..MAX_REDIRECTS {
             let location = response.headers().get(LOCATION);
             let location = location.and_then(|location| location.to_str().ok());
             let is_redirect = response.status() == StatusCode::TEMPORARY_REDIRECT;
-            let Some(location) = location.filter(|_| is_redirect && *method == Method::GET) else {
+            let Some(location) = location.filter(|_| is_redirect && repeatable) else {
                 break;
             };
             let location = location.to_string();
-            response = self.client.get(location).send()?;
+            response = self.request(method, &location, body).send()?;
         }
         Ok(response)
     }
 
-    fn request(
-        &self,
-        method: &Method,
-        at: &str,
-        path: &str,
-        body: Option<&Value>,
-    ) -> RequestBuilder {
-        let request = self
-            .client
-            .request(method.clone(), format!("http://{at}{path}"));
+    fn request(&self, method: &Method, url: &str, body: Option<&Value>) -> RequestBuilder {
+        let request = self.client.request(method.clone(), url);
         match body {
             Some(body) => request
                 .header("Content-Type", "application/json")
--- a/landingdrift/tests/control_client.rs
+++ b/landingdrift/tests/control_client.rs
@@ -153,13 +153,44 @@
 }
 
 #[test]
-fn a_read_follows_a_redirect_and_an_order_does_not() {
+fn a_call_that_may_be_repeated_follows_a_redirect_and_another_one_does_not() {
     let answering = server_that_answers(ANSWER.into());
     let redirecting = server_that_redirects(&answering);
     let client = ControlClient::new(vec![redirecting], Duration::from_secs(5)).expect("made");
     let read = client.call("GET", "/v1/desired", None);
     assert_eq!(read.expect("answered"), json!({"done": 1}));
-    let order = client.call("DELETE", "/v1/jobs/j", None);
-    let is_refused = matches!(order, Err(ClientError::Refused { status: 307, .. }));
-    assert!(is_refused, "{order:?}");
+    let change = client.call("PUT", "/v1/desired?base=1&change=c", None);
+    assert_eq!(change.expect("answered"), json!({"done": 1}));
+    for (method, path) in [("DELETE", "/v1/jobs/j"), ("PUT", "/v1/desired?base=1")] {
+        let order = client.call(method, path, None);
+        let is_refused = matches!(order, Err(ClientError::Refused { status: 307, .. }));
+        assert!(is_refused, "{method} {path}: {order:?}");
+    }
+}
+
+/// Serves one request that is to have this body, and answers it.
+fn server_that_wants(body: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let at = listener.local_addr().expect("bound").to_string();
+    std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("a connection");
+        let head = read_head(&mut connection, usize::MAX);
+        assert!(head.starts_with(b"PUT "), "{head:?}");
+        let mut received = vec![0; body.len()];
+        connection.read_exact(&mut received).expect("a body");
+        if received == body.as_bytes() {
+            connection.write_all(ANSWER.as_bytes()).expect("written");
+        }
+    });
+    at
+}
+
+#[test]
+fn a_redirected_change_is_sent_with_its_method_and_body() {
+    let answering = server_that_wants("{\"zones\":{}}");
+    let redirecting = server_that_redirects(&answering);
+    let client = ControlClient::new(vec![redirecting], Duration::from_secs(1)).expect("made");
+    let body = json!({"zones": {}});
+    let change = client.call("PUT", "/v1/desired?base=1&change=c", Some(&body));
+    assert_eq!(change.expect("answered"), json!({"done": 1}));
 }
--- a/landingdrift/tests/redirected_reads.rs
+++ b/landingdrift/tests/redirected_reads.rs
@@ -1,4 +1,5 @@
-//! A large configuration is not read through a node with a narrow link: callers give up before it has arrived.
+//! A large configuration is neither read nor changed through a node with a narrow link: callers give up before an answer has
+//! arrived, and a change would keep the link from all other calls.
 
 mod node_harness;
 
@@ -13,6 +14,7 @@
 const FULL_COPY: &str = "10.0.0.3:1";
 const FULL_COPY_HTTP: &str = "10.0.0.3:80";
 const LARGE_BYTES: usize = 300_000;
+const CHANGE_QUERY: &str = "base=2&change=c";
 
 /// A node beside one with a full copy, which holds a lease; the configuration has a note of so many bytes.
 fn harness(note_bytes: usize) -> NodeHarness {
@@ -42,10 +44,22 @@
 
 /// Reads the configuration; the answer, if it comes at once.
 fn read(harness: &mut NodeHarness) -> Option<Response> {
+    call(harness, "GET", "", Vec::new())
+}
+
+/// Changes the configuration to one with a note of so many bytes; the answer, if it comes at once.
+fn change(harness: &mut NodeHarness, note_bytes: usize) -> Option<Response> {
+    let body = json!({"notes": {"n": "y".repeat(note_bytes)}});
+    let body = serde_json::to_vec(&body).expect("JSON");
+    call(harness, "PATCH", CHANGE_QUERY, body)
+}
+
+fn call(harness: &mut NodeHarness, method: &str, query: &str, body: Vec<u8>) -> Option<Response> {
     let request = Request {
-        method: "GET".into(),
+        method: method.into(),
         path: "/v1/desired".into(),
-        ..Request::default()
+        query: query.into(),
+        body,
     };
     let now = harness.now();
     let effects = harness.node.step(now, Msg::Call(CALL, request));
@@ -55,6 +69,27 @@
     })
 }
 
+/// Guards against the silence of a node while a change of half a megabyte is on its way over its link.
+#[test]
+fn a_large_change_does_not_pass_a_narrow_link() {
+    let mut harness = harness(1000);
+    harness.follow_light();
+    let response = change(&mut harness, LARGE_BYTES).expect("an answer at once");
+    assert_eq!(response.status, 307);
+    let location = format!("{FULL_COPY_HTTP}/v1/desired?{CHANGE_QUERY}");
+    assert_eq!(response.location, location);
+}
+
+#[test]
+fn a_small_change_is_proposed_anywhere_and_a_large_one_by_a_node_with_a_full_copy() {
+    let mut small_change = harness(1000);
+    small_change.follow_light();
+    assert_eq!(change(&mut small_change, 1000), None, "it is proposed");
+    let mut full_copy = harness(1000);
+    full_copy.follow();
+    assert_eq!(change(&mut full_copy, LARGE_BYTES), None, "it is proposed");
+}
+
 #[test]
 fn a_large_configuration_is_not_read_through_a_narrow_link() {
     let mut harness = harness(LARGE_BYTES);
--- a/testkit/src/fakes/operator.rs
+++ b/testkit/src/fakes/operator.rs
@@ -36,8 +36,6 @@
 struct Read {
     /// When the first node was asked.
     since_ms: Option<u64>,
-    /// The node that another one named.
-    redirected_to: Option<String>,
     /// It was noted that no answer has come in time.
     is_noted: bool,
 }
@@ -71,6 +69,8 @@
     name: String,
     orders: VecDeque<Order>,
     open_call: Option<OpenCall>,
+    /// The node that has been named for the next order.
+    redirected_to: Option<String>,
     /// When the next call may be made.
     next_call_ms: u64,
     last_call: u64,
@@ -88,6 +88,7 @@
             name: name.into(),
             orders: VecDeque::new(),
             open_call: None,
+            redirected_to: None,
             next_call_ms: 0,
             last_call: 0,
             version: 0,
@@ -158,10 +159,9 @@
         self.last_call += 1;
         let call = self.last_call;
         let mut outputs = Vec::new();
-        let mut named_node = None;
+        let named_node = self.redirected_to.take();
         let (order, request) = match order {
             Order::Read(mut read) => {
-                named_node = read.redirected_to.take();
                 outputs.extend(note_unanswered(now, &mut read));
                 (Order::Read(read), request("GET", "/v1/desired", "", None))
             }
@@ -202,8 +202,9 @@
         self.next_call_ms = now + response.retry_ms.min(MAX_PAUSE_MS);
         match open.order {
             Order::Read(_) if response.status == 200 => self.read_answered(open.sent_ms, response),
-            Order::Read(read) if response.status == 307 => {
-                self.follow(read, response);
+            order if response.status == 307 => {
+                self.redirected_to = response.location.split('/').next().map(String::from);
+                self.orders.push_front(order);
                 Vec::new()
             }
             Order::Apply(change) if response.status != 503 => self.apply_answered(change, response),
@@ -214,15 +215,6 @@
         }
     }
 
-    /// Has a read made next at the node that another one has named.
-    fn follow(&mut self, read: Read, response: &Response) {
-        let address = response.location.split('/').next();
-        self.orders.push_front(Order::Read(Read {
-            redirected_to: address.map(String::from),
-            ..read
-        }));
-    }
-
     fn read_answered(&mut self, requested_ms: u64, response: &Response) -> Vec<Output> {
         let body = &response.body;
         self.version = body["version"].as_u64().unwrap_or(0);
