--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -287,6 +287,21 @@
     fn on_applied(&mut self, number: u64, purpose: Purpose, log_index: u64, result: ApplyResult) {
         match purpose {
             Purpose::Call(call, proposed) => self.on_call_applied(call, proposed, result),
+            purpose => self.on_own_proposal_done(number, purpose, log_index, result.is_ok()),
+        }
+    }
+
+    /// What this node proposed by itself was applied, rejected or given up; `log_index` is 0 where the log doesn't have it as far
+    /// as is known.
+    fn on_own_proposal_done(
+        &mut self,
+        number: u64,
+        purpose: Purpose,
+        log_index: u64,
+        is_applied: bool,
+    ) {
+        match purpose {
+            Purpose::Call(..) => {}
             Purpose::Start {
                 offer,
                 zone_scheduler,
@@ -297,13 +312,12 @@
                 zone_scheduler,
                 worker,
                 log_index,
-                placed: result.is_ok(),
+                placed: is_applied,
             }),
             Purpose::UpdateWorker { worker } => self.on_info_proposal_done(&worker),
             Purpose::Report { worker } => self.on_report_proposal_done(&worker),
-            Purpose::ExpireAttempts { worker } => {
-                self.on_expiry_proposal_done(&worker, log_index);
-            }
+            // Given up, it may still be applied: the worker's lease is not renewed before its expiry has a result.
+            Purpose::ExpireAttempts { worker } => self.on_expiry_proposal_done(&worker, log_index),
             Purpose::RescheduleAttempts { worker } => self.on_reschedule_proposal_done(&worker),
         }
     }
@@ -333,33 +347,15 @@
         };
         self.count("proposals_given_up", 1);
         let may_be_appended = proposal.may_be_appended();
-        match proposal.purpose {
-            Purpose::Call(call, _) => {
-                let response = if may_be_appended {
-                    self.unsure_response()
-                } else {
-                    let why = "no core could be reached and nothing was taken: come back later";
-                    Response::error(503, "noCore", why).retry(self.settings.bounds.back())
-                };
-                self.finish(call, response);
-            }
-            Purpose::Start {
-                offer,
-                zone_scheduler,
-                worker,
-            } => self.on_start_result(StartResult {
-                proposal: number,
-                offer,
-                zone_scheduler,
-                worker,
-                log_index: 0,
-                placed: false,
-            }),
-            Purpose::UpdateWorker { worker } => self.on_info_proposal_done(&worker),
-            Purpose::Report { worker } => self.on_report_proposal_done(&worker),
-            // It may still be applied: the worker's lease is not renewed before its expiry has a result.
-            Purpose::ExpireAttempts { worker } => self.on_expiry_proposal_done(&worker, 0),
-            Purpose::RescheduleAttempts { worker } => self.on_reschedule_proposal_done(&worker),
-        }
+        let Purpose::Call(call, _) = proposal.purpose else {
+            return self.on_own_proposal_done(number, proposal.purpose, 0, false);
+        };
+        let response = if may_be_appended {
+            self.unsure_response()
+        } else {
+            let why = "no core could be reached and nothing was taken: come back later";
+            Response::error(503, "noCore", why).retry(self.settings.bounds.back())
+        };
+        self.finish(call, response);
     }
 }
--- a/landingdrift/src/node/scheduler/placement.rs
+++ b/landingdrift/src/node/scheduler/placement.rs
@@ -13,15 +13,20 @@
         if self.is_claimed_by_other(now, job, &offer.worker) {
             return None;
         }
+        let original = self.pick_waiting(now, job, offer);
+        original.or_else(|| self.pick_copy(now, job, offer))
+    }
+
+    /// The first waiting task that fits, with the rest of its gang. Those whose data is near the worker come first.
+    fn pick_waiting(&self, now: Now, job: &Job, offer: &Offer) -> Option<Vec<Placement>> {
         let info = &self.state.workers.get(&offer.worker)?.info;
         let mut waiting = self.startable_tasks(now, &job.spec.id, job);
-        // The sort is stable: tasks whose data is near come first, in their order otherwise.
+        // The sort is stable: tasks that are equally near stay in their order.
         waiting.sort_by_key(|task| !info.near(&job.of(*task as usize).near));
         let mut tried: Vec<&TaskSpec> = Vec::new();
         for task in waiting {
-            let index = task as usize;
-            let spec = job.of(index);
-            let in_gang = job.in_gang(index);
+            let spec = job.of(task as usize);
+            let in_gang = job.in_gang(task as usize);
             // Of the tasks of one step it is enough to try one, unless each belongs to a gang of its own.
             if !in_gang && tried.iter().any(|earlier| std::ptr::eq(*earlier, spec)) {
                 continue;
@@ -30,21 +35,23 @@
             let placed = if in_gang {
                 self.pick_gang(now, job, task, offer)
             } else {
-                self.pick_task(now, job, task, false, offer)
-                    .map(|placement| vec![placement])
+                let placement = self.pick_task(now, job, task, false, offer);
+                placement.map(|placement| vec![placement])
             };
             if placed.is_some() {
                 return placed;
             }
         }
-        for task in self.slow_tasks(now, &job.spec.id, job) {
-            if let Some(copy) = self.pick_task(now, job, task, true, offer) {
-                return Some(vec![copy]);
-            }
-        }
         None
     }
 
+    /// A speculative copy of the slowest task that fits.
+    fn pick_copy(&self, now: Now, job: &Job, offer: &Offer) -> Option<Vec<Placement>> {
+        let slow = self.slow_tasks(now, &job.spec.id, job).into_iter();
+        let mut copies = slow.filter_map(|task| self.pick_task(now, job, task, true, offer));
+        copies.next().map(|copy| vec![copy])
+    }
+
     /// Whether the worker is kept free for the gang of another job, which has waited too long. Where there is spare capacity, a
     /// job that is idle for as long gets its share of it.
     fn is_claimed_by_other(&self, now: Now, job: &Job, worker: &str) -> bool {
--- a/landingdrift/src/node/zone_scheduler/mod.rs
+++ b/landingdrift/src/node/zone_scheduler/mod.rs
@@ -6,7 +6,7 @@
 //! - `late_ends` observes what workers report of runs that are over by the cluster state,
 //! - `departure` takes note of workers that report that they leave,
 //! - `lease_expiry` detects workers that are silent or have ended,
-//! - `stragglers` finds runs that should be rescheduled,
+//! - `stragglers` finds runs that should be rescheduled, by their `run_progress`,
 //! - `unknown_runs` keeps the runs that the copy of the cluster state does not know yet,
 //! - `reservations` and `offers` offer free slots to the schedulers that reserved them, in the order of `targets`.
 
@@ -19,12 +19,14 @@
 mod offers;
 mod orders;
 mod reservations;
+mod run_progress;
 mod stragglers;
 mod targets;
 mod unknown_runs;
 
 pub use heartbeats::{Heartbeat, RunningAttempt};
-pub use stragglers::{find_stragglers, ObservedRun, RescheduleReason, RunProgress};
+pub use run_progress::RunProgress;
+pub use stragglers::{find_stragglers, ObservedRun, RescheduleReason};
 
 use super::Node;
 use crate::sans_io::Now;
--- /dev/null
+++ b/landingdrift/src/node/zone_scheduler/run_progress.rs
@@ -0,0 +1,67 @@
+//! The progress of a run over the heartbeats of its worker.
+
+/// A progress report and when it was received.
+#[derive(Clone, Copy, Debug)]
+struct ProgressPoint {
+    at_ms: u64,
+    /// In parts of a thousand.
+    permille: u32,
+}
+
+/// The progress of one run over its heartbeats.
+#[derive(Clone, Copy, Debug)]
+pub struct RunProgress {
+    /// Where the rate is measured from.
+    first: ProgressPoint,
+    /// The last report that differed from the one before.
+    last_change: ProgressPoint,
+}
+
+impl RunProgress {
+    /// Starts with the first report of a run.
+    pub fn new(at_ms: u64, permille: u32) -> Self {
+        let point = ProgressPoint { at_ms, permille };
+        Self {
+            first: point,
+            last_change: point,
+        }
+    }
+
+    /// How long ago the run was first reported, in milliseconds.
+    pub fn age(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.first.at_ms)
+    }
+
+    /// Records a later report.
+    pub fn record(&mut self, at_ms: u64, permille: u32) {
+        if permille == self.last_change.permille {
+            return;
+        }
+        let point = ProgressPoint { at_ms, permille };
+        // Less progress than before means that the run has restarted its work: the rate is measured anew.
+        if permille < self.last_change.permille {
+            self.first = point;
+        }
+        self.last_change = point;
+    }
+
+    /// The newest report, in parts of a thousand.
+    pub(super) fn permille(&self) -> u32 {
+        self.last_change.permille
+    }
+
+    /// For how long the reports have been the same, in milliseconds.
+    pub(super) fn unchanged_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.last_change.at_ms)
+    }
+
+    /// Parts of a thousand per millisecond; none before the run was observed for `patience_ms`.
+    pub(super) fn rate(&self, now_ms: u64, patience_ms: u64) -> Option<f64> {
+        let observed_ms = self.age(now_ms);
+        if observed_ms < patience_ms {
+            return None;
+        }
+        let advanced = f64::from(self.last_change.permille - self.first.permille);
+        Some(advanced / observed_ms as f64)
+    }
+}
--- a/landingdrift/src/node/zone_scheduler/stragglers.rs
+++ b/landingdrift/src/node/zone_scheduler/stragglers.rs
@@ -1,5 +1,6 @@
 //! Straggler detection: the progress of a worker's runs decides which of them are rescheduled to other workers.
 
+use super::run_progress::RunProgress;
 use crate::node::Node;
 use crate::sans_io::{fnv1a, Now};
 use crate::state::{Attempt, AttemptState, ClusterState, Job, TaskSpec};
@@ -24,62 +25,6 @@
 /// The members of a gang start within so many times `cancel_ms`; until then a member may be waiting for the others.
 const GANG_START_CANCEL_BOUNDS: u64 = 2;
 
-/// A progress report and when it was received.
-#[derive(Clone, Copy, Debug)]
-struct ProgressPoint {
-    at_ms: u64,
-    /// In parts of a thousand.
-    permille: u32,
-}
-
-/// The progress of one run over its heartbeats.
-#[derive(Clone, Copy, Debug)]
-pub struct RunProgress {
-    /// Where the rate is measured from.
-    first: ProgressPoint,
-    /// The last report that differed from the one before.
-    last_change: ProgressPoint,
-}
-
-impl RunProgress {
-    /// Starts with the first report of a run.
-    pub fn new(at_ms: u64, permille: u32) -> Self {
-        let point = ProgressPoint { at_ms, permille };
-        Self {
-            first: point,
-            last_change: point,
-        }
-    }
-
-    /// How long ago the run was first reported, in milliseconds.
-    pub fn age(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.first.at_ms)
-    }
-
-    /// Records a later report.
-    pub fn record(&mut self, at_ms: u64, permille: u32) {
-        if permille == self.last_change.permille {
-            return;
-        }
-        let point = ProgressPoint { at_ms, permille };
-        // Less progress than before means that the run has restarted its work: the rate is measured anew.
-        if permille < self.last_change.permille {
-            self.first = point;
-        }
-        self.last_change = point;
-    }
-
-    /// Parts of a thousand per millisecond; none before the run was observed for `patience_ms`.
-    fn rate(&self, now_ms: u64, patience_ms: u64) -> Option<f64> {
-        let observed_ms = self.age(now_ms);
-        if observed_ms < patience_ms {
-            return None;
-        }
-        let advanced = f64::from(self.last_change.permille - self.first.permille);
-        Some(advanced / observed_ms as f64)
-    }
-}
-
 /// Why a run is rescheduled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RescheduleReason {
@@ -184,13 +129,13 @@
 impl ObservedRun {
     /// Whether its progress says anything about its worker.
     fn is_conclusive(&self) -> bool {
-        let complete = f64::from(self.progress.last_change.permille) >= COMPLETE;
+        let complete = f64::from(self.progress.permille()) >= COMPLETE;
         !self.long_running && !self.awaits_gang && !complete && self.estimate_ms > 0.0
     }
 
     /// Whether it has made no progress for longer than `longest_ms`, and for a fair share of its estimate.
     fn is_stalled(&self, now_ms: u64, longest_ms: f64) -> bool {
-        let unchanged_ms = now_ms.saturating_sub(self.progress.last_change.at_ms) as f64;
+        let unchanged_ms = self.progress.unchanged_ms(now_ms) as f64;
         unchanged_ms > longest_ms && unchanged_ms > STALLED_ESTIMATE_SHARE * self.estimate_ms
     }
 
@@ -208,7 +153,7 @@
     }
 
     fn remaining_permille(&self) -> f64 {
-        COMPLETE - f64::from(self.progress.last_change.permille)
+        COMPLETE - f64::from(self.progress.permille())
     }
 
     /// How long it still takes where it is: by its rate, and by the estimate where it has none.
@@ -245,7 +190,7 @@
     let job: &Job = state.jobs.get(job)?;
     let spec = job.of(task);
     let just_started = progress.age(now_ms) < gang_start_ms;
-    let no_progress = progress.last_change.permille == 0;
+    let no_progress = progress.permille() == 0;
     let mut group_name = job.spec.id.as_bytes().to_vec();
     group_name.extend(job.tasks[task].step.to_le_bytes());
     let was_stopped = |earlier: &Attempt| earlier.state == AttemptState::Stopped;
--- a/landingdrift/tests/acknowledged_ends.rs
+++ b/landingdrift/tests/acknowledged_ends.rs
@@ -13,11 +13,7 @@
 /// before has not followed that yet: its copy of the cluster state counts as fresh for some time.
 fn move_lease_and_start_job(harness: &mut NodeHarness) {
     harness.follow();
-    harness.append(Command::RegisterNode {
-        node: SUCCESSOR.into(),
-        zone: "z".into(),
-        http: SUCCESSOR.into(),
-    });
+    harness.register_node(SUCCESSOR, SUCCESSOR);
     harness.append(Command::GrantLease {
         lease: "cell/z".into(),
         holder: SUCCESSOR.into(),
--- a/landingdrift/tests/forwarded_reads.rs
+++ b/landingdrift/tests/forwarded_reads.rs
@@ -17,11 +17,7 @@
 fn light_node() -> NodeHarness {
     let mut harness = NodeHarness::new();
     for (index, holder) in HOLDERS.into_iter().enumerate() {
-        harness.append(Command::RegisterNode {
-            node: holder.into(),
-            zone: "z".into(),
-            http: holder.into(),
-        });
+        harness.register_node(holder, holder);
         let lease = ["cell/z", "queue/q", "cell/y"][index];
         let known = harness.state.leases.get(lease);
         let from_epoch = known.map_or(0, |lease| lease.epoch);
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -67,11 +67,7 @@
             elapsed_ms: 1,
             call: 0,
         };
-        harness.append(Command::RegisterNode {
-            node: NODE.into(),
-            zone: "z".into(),
-            http: NODE.into(),
-        });
+        harness.register_node(NODE, NODE);
         for lease in ["cell/z", "queue/q"] {
             harness.append(Command::GrantLease {
                 lease: lease.into(),
@@ -102,6 +98,15 @@
             .unwrap_or_else(|rejection| panic!("{command:?}: {rejection}"));
     }
 
+    /// Registers a node of the zone, by its address and the one for HTTP.
+    pub fn register_node(&mut self, node: &str, http: &str) {
+        self.append(Command::RegisterNode {
+            node: node.into(),
+            zone: "z".into(),
+            http: http.into(),
+        });
+    }
+
     /// Appends what the node proposes among some effects, answers it, and lets the node follow.
     pub fn commit(&mut self, effects: Vec<Effect>) -> Committed {
         let mut committed = Committed::default();
@@ -193,11 +198,7 @@
     /// Another node holds the zone's lease for a moment; then this one holds it again, under another epoch.
     pub fn pass_zone_lease_back_and_forth(&mut self) {
         let other = "10.0.0.3:1";
-        self.append(Command::RegisterNode {
-            node: other.into(),
-            zone: "z".into(),
-            http: other.into(),
-        });
+        self.register_node(other, other);
         for holder in [other, NODE] {
             let from_epoch = self.state.leases["cell/z"].epoch;
             self.append(Command::GrantLease {
--- a/landingdrift/tests/redirected_reads.rs
+++ b/landingdrift/tests/redirected_reads.rs
@@ -19,11 +19,7 @@
 /// A node beside one with a full copy, which holds a lease; the configuration has a note of so many bytes.
 fn harness(note_bytes: usize) -> NodeHarness {
     let mut harness = NodeHarness::new();
-    harness.append(Command::RegisterNode {
-        node: FULL_COPY.into(),
-        zone: "z".into(),
-        http: FULL_COPY_HTTP.into(),
-    });
+    harness.register_node(FULL_COPY, FULL_COPY_HTTP);
     for lease in ["cell/z", "queue/q"] {
         let from_epoch = harness.state.leases[lease].epoch;
         harness.append(Command::GrantLease {
--- a/landingdrift/tests/zone_offers.rs
+++ b/landingdrift/tests/zone_offers.rs
@@ -14,11 +14,7 @@
 fn when_a_zone_lease_has_a_new_holder_reservations_are_placed_again_at_once() {
     let mut harness = NodeHarness::new();
     let other = "10.0.0.3:1";
-    harness.append(Command::RegisterNode {
-        node: other.into(),
-        zone: "z".into(),
-        http: other.into(),
-    });
+    harness.register_node(other, other);
     harness.accept("k", 8);
     harness.follow();
     let granted = Command::GrantLease {
@@ -78,11 +74,7 @@
 fn an_offer_is_answered_by_the_scheduler_that_it_was_made_to_and_once() {
     let (scheduler, stranger) = ("10.0.0.3:1", "10.0.0.9:1");
     let mut harness = NodeHarness::new();
-    harness.append(Command::RegisterNode {
-        node: scheduler.into(),
-        zone: "z".into(),
-        http: scheduler.into(),
-    });
+    harness.register_node(scheduler, scheduler);
     harness.append(Command::GrantLease {
         lease: "queue/q".into(),
         holder: scheduler.into(),
--- a/landingdrift/tests/zone_scheduler.rs
+++ b/landingdrift/tests/zone_scheduler.rs
@@ -89,11 +89,7 @@
 fn a_heartbeat_at_another_node_is_answered_with_the_holder_of_the_zone_lease() {
     let mut harness = NodeHarness::new();
     let other = "10.0.0.3:1";
-    harness.append(Command::RegisterNode {
-        node: other.into(),
-        zone: "z".into(),
-        http: other.into(),
-    });
+    harness.register_node(other, other);
     harness.append(Command::GrantLease {
         lease: "cell/z".into(),
         holder: other.into(),
