A task keeps its latest ended attempts only

Change: beside those that may be running a task keeps 64 attempts. The last one that has begun stays, so that GET PREFIX counts no job as waiting that has begun. Failures are counted apart, runs are numbered on. Evidence: by the test only; no run of hours.

--- a/landingdrift/src/state/apply/start_attempts.rs
+++ b/landingdrift/src/state/apply/start_attempts.rs
@@ -93,7 +93,7 @@
             ordered: ordered_at,
             ..Attempt::default()
         };
-        job.tasks[task].attempts.push(attempt);
+        job.tasks[task].add_attempt(attempt);
         let queue = job.spec.queue.clone();
         self.live
             .insert(attempt_no, (id.to_string(), placement.task));
--- a/landingdrift/src/state/job/accepted.rs
+++ b/landingdrift/src/state/job/accepted.rs
@@ -3,6 +3,9 @@
 use super::{AttemptState, JobSpec, JobState, StepSpec, TaskSpec, TaskState};
 use serde::{Deserialize, Serialize};
 
+/// A task keeps at most so many attempts that have ended: a long-running one is started again as long as its job lives.
+const MAX_ENDED_ATTEMPTS: usize = 64;
+
 /// One attempt to run a task on a worker. Times are milliseconds since 1970 by the cluster clock.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -44,7 +47,7 @@
     /// Attempts that failed.
     #[serde(rename = "defects")]
     pub failures: u32,
-    /// All attempts, the latest last.
+    /// The attempts, the latest last: those that may be running, and the latest of the others.
     #[serde(rename = "sends")]
     pub attempts: Vec<Attempt>,
     /// Numbers of the single tasks it waits for.
@@ -64,6 +67,22 @@
     pub fn live(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|attempt| attempt.state.live())
     }
+
+    /// Adds an attempt, and drops the oldest ended one if too many are kept. The last one that has begun stays: it shows that
+    /// the task has.
+    pub(in crate::state) fn add_attempt(&mut self, attempt: Attempt) {
+        self.attempts.push(attempt);
+        if self.attempts.len() - self.live().count() <= MAX_ENDED_ATTEMPTS {
+            return;
+        }
+        let last_begun = self.attempts.iter().rposition(Attempt::has_begun);
+        let mut numbered = self.attempts.iter().enumerate();
+        let oldest =
+            numbered.position(|(i, attempt)| !attempt.state.live() && Some(i) != last_begun);
+        if let Some(oldest) = oldest {
+            self.attempts.remove(oldest);
+        }
+    }
 }
 
 /// An accepted job. Times are milliseconds since 1970 by the cluster clock.
--- a/landingdrift/tests/attempts.rs
+++ b/landingdrift/tests/attempts.rs
@@ -3,7 +3,9 @@
 mod cluster_state_fixture;
 
 use cluster_state_fixture::{repeatable, task, Desk};
-use landingdrift::state::{AttemptState, Command, JobState, Outcome, Rejection, TaskSpec};
+use landingdrift::state::{
+    AttemptState, Command, EndReport, JobState, Outcome, Rejection, TaskSpec,
+};
 use serde_json::json;
 
 #[test]
@@ -232,3 +234,53 @@
     d.ok(expire_attempts);
     assert_eq!(d.r.jobs["j"].tasks[0].live().count(), 1);
 }
+
+/// A job of one long-running task.
+fn with_lasting_job() -> Desk {
+    let mut desk = Desk::new();
+    let lasting = TaskSpec {
+        long_running: true,
+        ..task("a")
+    };
+    desk.accept("lasting", vec![lasting]).expect("accepted");
+    desk
+}
+
+/// Starts the task of the lasting job, and ends its run.
+fn start_and_end(desk: &mut Desk, outcome: Outcome) {
+    desk.start("lasting", &[(0, "w")]).expect("started");
+    let last = desk.r.jobs["lasting"].tasks[0].attempts.last();
+    let end = EndReport {
+        no: last.expect("an attempt").no,
+        outcome,
+        ..EndReport::default()
+    };
+    desk.ok(Command::ReportAttempts {
+        worker: "w".into(),
+        incarnation: 1,
+        running: vec![],
+        ends: vec![end],
+    });
+}
+
+/// Guards against the growth of a job without end: a long-running task that fails is started again as long as its job lives.
+#[test]
+fn a_task_keeps_its_latest_attempts_only() {
+    let mut desk = with_lasting_job();
+    (0..100).for_each(|_| start_and_end(&mut desk, Outcome::Failed));
+    let after_100 = desk.r.job_bytes();
+    (0..200).for_each(|_| start_and_end(&mut desk, Outcome::Failed));
+    assert_eq!(desk.r.job_bytes(), after_100);
+    let job = &desk.r.jobs["lasting"];
+    assert_eq!(job.tasks[0].failures, 300);
+    let last = job.tasks[0].attempts.last().expect("an attempt");
+    assert_eq!(last.run, 300, "runs are numbered on");
+}
+
+#[test]
+fn a_task_that_has_begun_once_has_begun_whatever_becomes_of_later_attempts() {
+    let mut desk = with_lasting_job();
+    start_and_end(&mut desk, Outcome::Failed);
+    (0..200).for_each(|_| start_and_end(&mut desk, Outcome::NeverStarted));
+    assert!(desk.r.jobs["lasting"].has_begun());
+}
