Whether a service has spare capacity is asked once, not for each idle job

Found on reading again: a worker on probation asked it for each job that is reserved there, and each time all workers are walked through. In a busy service most jobs are idle, so in overload that is reservations times workers for each look at the worker. Change: capacity is asked first, and answers most. Idleness is the job's own question, capacity the state's.

No behaviour changes but by the order of two questions.

--- a/landingdrift/src/consensus/client_requests.rs
+++ b/landingdrift/src/consensus/client_requests.rs
@@ -49,14 +49,14 @@
             return self.decline_proposal(from, request.token, PROPOSAL_NOT_TAKEN);
         }
         let submitted = submitted_job(&request.command);
-        let admitted = submitted.as_ref().map(|job| self.admit_job(now, job));
-        if let Some(None) = admitted {
+        let admitted = submitted.as_ref().and_then(|job| self.admit_job(now, job));
+        if submitted.is_some() && admitted.is_none() {
             self.count("jobs_without_capacity", 1);
             return self.decline_proposal(from, request.token, PROPOSAL_NO_CAPACITY);
         }
         self.count("proposals", 1);
         let index = self.append_bytes(now, request.command);
-        if let Some(Some(job)) = admitted {
+        if let Some(job) = admitted {
             self.job_admission.note_appended(index, job);
         }
         let pending = PendingProposal {
--- a/landingdrift/src/node/scheduler/placement.rs
+++ b/landingdrift/src/node/scheduler/placement.rs
@@ -58,11 +58,13 @@
         let claim = self.sched.claim.as_ref();
         let is_claimed =
             claim.is_some_and(|claim| claim.job != job.spec.id && claim.workers.contains(worker));
-        let Some(worker) = self.state.workers.get(worker) else {
-            return is_claimed;
-        };
-        let at = self.cluster_time(now);
-        is_claimed && !self.state.is_idle_too_long(job, &worker.info.service, at)
+        if !is_claimed {
+            return false;
+        }
+        let known = self.state.workers.get(worker);
+        let has_spare_capacity =
+            known.is_some_and(|worker| self.state.has_spare_capacity(&worker.info.service));
+        !(has_spare_capacity && job.is_idle_too_long(self.cluster_time(now)))
     }
 
     /// The placement of one task in the offered slot, if it fits there.
--- a/landingdrift/src/node/zone_scheduler/offers.rs
+++ b/landingdrift/src/node/zone_scheduler/offers.rs
@@ -83,14 +83,17 @@
         total.less(taken)
     }
 
-    /// Whether a job that is reserved at a worker has been idle for too long.
+    /// Whether a job that is reserved at a worker has been idle for too long while the service has spare capacity.
     fn has_idle_reservation(&self, now: Now, known: &Worker, worker_state: &WorkerState) -> bool {
+        // Asked first: in a busy service many jobs are idle.
+        if !self.state.has_spare_capacity(&known.info.service) {
+            return false;
+        }
         let at = self.cluster_time(now);
         let mut reservations = worker_state.reservations.iter();
         reservations.any(|reservation| {
             let job = self.state.jobs.get(&reservation.job);
-            let service = &known.info.service;
-            job.is_some_and(|job| self.state.is_idle_too_long(job, service, at))
+            job.is_some_and(|job| job.is_idle_too_long(at))
         })
     }
 
--- a/landingdrift/src/state/apply/placement_rules.rs
+++ b/landingdrift/src/state/apply/placement_rules.rs
@@ -93,7 +93,7 @@
         ensure_served(worker, spec)?;
         let may_get_it = worker.probation == 0
             || self.is_free_for_trial(worker, spec)
-            || self.is_idle_too_long(job, &spec.service, at);
+            || (job.is_idle_too_long(at) && self.has_spare_capacity(&spec.service));
         ensure(may_get_it, unsuitable("on probation, one at a time"))?;
         let mut live = task.live();
         let is_there = live.any(|attempt| attempt.worker == placement.worker);
--- a/landingdrift/src/state/idle_jobs.rs
+++ b/landingdrift/src/state/idle_jobs.rs
@@ -32,18 +32,17 @@
         }
         first_due.map(|due| due.max(last_end))
     }
-}
 
-impl ClusterState {
-    /// Whether a job has been idle for too long at a time by the cluster clock, although a service has spare capacity for it.
-    pub fn is_idle_too_long(&self, job: &Job, service: &str, at: u64) -> bool {
-        let idle_since = job.idle_since();
+    /// Whether the job has been idle for too long at a time by the cluster clock.
+    pub fn is_idle_too_long(&self, at: u64) -> bool {
+        let idle_since = self.idle_since();
         idle_since.is_some_and(|since| at >= since + MAX_IDLE_MS)
-            && self.has_spare_capacity(service)
     }
+}
 
+impl ClusterState {
     /// Whether much of a service's CPU is free, on workers that take new work.
-    fn has_spare_capacity(&self, service: &str) -> bool {
+    pub fn has_spare_capacity(&self, service: &str) -> bool {
         let (mut used, mut total) = (0_u64, 0_u64);
         for (name, worker) in &self.workers {
             if worker.info.service == service && self.takes_new_work(name, worker) {
