--- a/landingdrift/tests/departing_workers.rs
+++ b/landingdrift/tests/departing_workers.rs
@@ -5,7 +5,8 @@
 use landingdrift::node::{Heartbeat, RunningAttempt};
 use landingdrift::sans_io::{Effect, Msg, Part, Request};
 use landingdrift::state::{Command, WorkerInfo};
-use node_harness::{info, run_name, NodeHarness};
+use node_harness::heartbeats::run_name;
+use node_harness::{info, NodeHarness};
 
 /// The interval of ticks and heartbeats in these tests, in milliseconds.
 const STEP_MS: u64 = 100;
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use landingdrift::node::{Heartbeat, Node, RunningAttempt};
-use landingdrift::sans_io::{Effect, Msg, Now, Part, Request, Response};
+pub mod heartbeats;
+
+use landingdrift::node::Node;
+use landingdrift::sans_io::{Effect, Msg, Now, Part, Response};
 use landingdrift::settings::{Bounds, Settings};
 use landingdrift::state::{
-    pack_apply_result, ClusterState, Command, EndReport, JobSpec, Outcome, Placement, RunName,
-    StepSpec, TaskSpec, WorkerInfo,
+    pack_apply_result, ClusterState, Command, EndReport, JobSpec, Outcome, Placement, StepSpec,
+    TaskSpec, WorkerInfo,
 };
 use landingdrift::wire::{Body, ProposeRequest, ProposeResponse, WatchBatch};
 use serde_json::json;
@@ -16,9 +18,6 @@
 
 pub const REPLICA: &str = "10.0.0.2:1";
 
-/// The interval of ticks and heartbeats while time passes, in milliseconds.
-const HEARTBEAT_INTERVAL_MS: u64 = 100;
-
 /// A node that holds the leases of zone `z` and queue `q`, with one worker.
 pub struct NodeHarness {
     /// The cluster state as the replicas have it.
@@ -286,73 +285,6 @@
         });
     }
 
-    /// Lets time pass with heartbeats of the worker, on which the first runs of some jobs go on; returns the jobs that were
-    /// started.
-    pub fn pass_time(&mut self, for_ms: u64, running: &[&str]) -> Vec<String> {
-        let mut started = Vec::new();
-        for _ in 0..for_ms / HEARTBEAT_INTERVAL_MS {
-            self.elapsed_ms += HEARTBEAT_INTERVAL_MS;
-            let now = self.now();
-            let mut effects = self.node.step(now, Msg::Tick);
-            effects.extend(self.send_heartbeat_effects(Heartbeat {
-                running: running.iter().map(|job| first_run_of(job)).collect(),
-                ..named_heartbeat(self.call + 1)
-            }));
-            for command in self.commit(effects).commands {
-                if let Command::StartAttempts { job, .. } = command {
-                    started.push(job);
-                }
-            }
-        }
-        started
-    }
-
-    /// Sends a heartbeat of the worker; returns the response, and what was proposed because of it.
-    pub fn heartbeat(&mut self, sequence: u64, running: bool) -> (Option<Response>, Vec<Command>) {
-        let run = RunningAttempt {
-            name: Some(run_name(1)),
-            ..RunningAttempt::default()
-        };
-        self.send_heartbeat(Heartbeat {
-            running: if running { vec![run] } else { Vec::new() },
-            ..named_heartbeat(sequence)
-        })
-    }
-
-    /// Sends a heartbeat that reports the end of a run of the job's task.
-    pub fn heartbeat_with_end(
-        &mut self,
-        sequence: u64,
-        run: u32,
-        outcome: Outcome,
-    ) -> (Option<Response>, Vec<Command>) {
-        self.send_heartbeat(Heartbeat {
-            ended: vec![EndReport {
-                name: Some(run_name(run)),
-                outcome,
-                ..EndReport::default()
-            }],
-            ..named_heartbeat(sequence)
-        })
-    }
-
-    fn send_heartbeat(&mut self, heartbeat: Heartbeat) -> (Option<Response>, Vec<Command>) {
-        response_and_proposals(self.send_heartbeat_effects(heartbeat))
-    }
-
-    /// Sends a heartbeat; returns all its effects.
-    pub fn send_heartbeat_effects(&mut self, heartbeat: Heartbeat) -> Vec<Effect> {
-        self.call += 1;
-        let request = Request {
-            method: "POST".into(),
-            path: "/v1/beats".into(),
-            body: serde_json::to_vec(&heartbeat).expect("JSON"),
-            ..Request::default()
-        };
-        let now = self.now();
-        self.node.step(now, Msg::Call(self.call, request))
-    }
-
     /// A counter of the node; 0 if it has not counted yet.
     pub fn counter(&self, name: &str) -> u64 {
         let counters = self.node.counters();
@@ -361,37 +293,6 @@
     }
 }
 
-/// A run of the only task of job `j`.
-pub fn run_name(run: u32) -> RunName {
-    RunName {
-        job: "j".into(),
-        task: "0.0.0".into(),
-        run,
-    }
-}
-
-/// The first run of the first task of a job, as a heartbeat reports it.
-fn first_run_of(job: &str) -> RunningAttempt {
-    RunningAttempt {
-        name: Some(RunName {
-            job: job.into(),
-            task: "0.0.0".into(),
-            run: 1,
-        }),
-        ..RunningAttempt::default()
-    }
-}
-
-/// A heartbeat of the worker, which identifies runs by their names.
-fn named_heartbeat(sequence: u64) -> Heartbeat {
-    Heartbeat {
-        info: info(),
-        sequence,
-        uses_run_names: true,
-        ..Heartbeat::default()
-    }
-}
-
 /// The response among some effects, and the commands that were proposed.
 pub fn response_and_proposals(effects: Vec<Effect>) -> (Option<Response>, Vec<Command>) {
     let mut response = None;
