--- a/landingdrift/src/node/scheduler/demand.rs
+++ b/landingdrift/src/node/scheduler/demand.rs
@@ -38,10 +38,12 @@
 
     /// Tasks of a job that may start now and whose start was not proposed yet.
     pub(super) fn startable_tasks(&self, now: Now, id: &str, job: &Job) -> Vec<u32> {
+        let cluster_time = self.cluster_time(now);
         let underway = self.starting_tasks(id);
-        let mut startable = self.state.startable_tasks(job, self.cluster_time(now));
-        startable.retain(|task| !underway.contains(task));
-        startable
+        let may_start = |task: u32| self.state.may_start(id, task, false, cluster_time).is_ok();
+        (0..job.tasks.len() as u32)
+            .filter(|task| !underway.contains(task) && may_start(*task))
+            .collect()
     }
 
     /// Running tasks that are worth a speculative copy, the slowest first: they have run for so long that a new run
--- a/landingdrift/src/node/scheduler/mod.rs
+++ b/landingdrift/src/node/scheduler/mod.rs
@@ -3,13 +3,11 @@
 //! - `reservations` places reservations with the holders of zone schedulers,
 //! - `offers` answers the offers that come back,
 //! - `placement` chooses the task that goes to an offered slot,
-//! - `pending_starts` keeps what was proposed and is not in the cluster state yet,
 //! - `demand` derives how many slots a job could use now,
 //! - `sizes` derives the sizes of jobs, and ranks them.
 
 mod demand;
 mod offers;
-mod pending_starts;
 mod placement;
 mod reservations;
 mod sizes;
@@ -17,8 +15,7 @@
 use super::gangs;
 use super::Node;
 use crate::sans_io::Now;
-use crate::state::{queue_lease, Job};
-use pending_starts::PendingStarts;
+use crate::state::{queue_lease, Job, Placement, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Other jobs make way for a gang that has waited for so many intervals of reservations: it gets a second try by itself
@@ -33,8 +30,8 @@
     pub all_dirty: bool,
     /// The reservations that each job placed last.
     reserved: BTreeMap<String, LastReserved>,
-    /// Starts that were proposed and that the watch does not show yet.
-    pending: PendingStarts,
+    /// Starts that were proposed and that the watch does not show yet, by proposal.
+    pending: BTreeMap<u64, PendingStart>,
     claim: Option<gangs::Claim>,
     /// Unsatisfied jobs, the smallest first, as of the last full pass.
     ranked: Vec<String>,
@@ -50,6 +47,25 @@
     tasks: u32,
 }
 
+/// A start that was proposed and that the watch does not show yet.
+struct PendingStart {
+    job: String,
+    placements: Vec<Placement>,
+    /// The resources that each placement takes, in the same order.
+    reserved_resources: Vec<Resources>,
+    until: u64,
+    /// Where the log has it; 0 until that is known.
+    log_index: u64,
+}
+
+impl PendingStart {
+    /// Whether the cluster state up to `applied_index` does not show it yet.
+    fn is_pending(&self, now: Now, applied_index: u64) -> bool {
+        let is_applied = self.log_index != 0 && self.log_index <= applied_index;
+        now.mono < self.until && !is_applied
+    }
+}
+
 impl Scheduler {
     /// A zone lease has a new holder, which has no reservations: they are placed again at once, not when they are due.
     pub fn forget_reservations(&mut self) {
@@ -60,7 +76,9 @@
 impl Node {
     pub(super) fn scheduler_tick(&mut self, now: Now) {
         let applied_index = self.state.applied_index;
-        self.sched.pending.drop_done(now, applied_index);
+        self.sched
+            .pending
+            .retain(|_, start| start.is_pending(now, applied_index));
         if now.mono >= self.sched.next_full_pass {
             self.full_pass(now);
         }
@@ -93,9 +111,18 @@
         self.queue_epoch(&job.spec.queue)
     }
 
+    /// Placements of a job that were proposed and are not yet in the cluster state.
+    fn starting_placements<'a>(&'a self, job: &'a str) -> impl Iterator<Item = &'a Placement> + 'a {
+        let pending = self.sched.pending.values();
+        pending
+            .filter(move |start| start.job == job)
+            .flat_map(|start| start.placements.iter())
+    }
+
     /// Tasks of a job whose start was proposed and is not yet in the cluster state.
     fn starting_tasks(&self, job: &str) -> BTreeSet<u32> {
-        let placements = self.sched.pending.placements_of(job);
-        placements.map(|placement| placement.task).collect()
+        self.starting_placements(job)
+            .map(|placement| placement.task)
+            .collect()
     }
 }
--- a/landingdrift/src/node/scheduler/offers.rs
+++ b/landingdrift/src/node/scheduler/offers.rs
@@ -1,8 +1,8 @@
 //! Responses to offers of a slot: for an offer that is accepted, a start is proposed.
 
 use super::demand::Demand;
-use super::pending_starts::PendingStart;
 use super::sizes::JobShare;
+use super::PendingStart;
 use crate::node::propose::{Purpose, StartResult};
 use crate::node::Node;
 use crate::sans_io::Now;
@@ -142,14 +142,11 @@
     pub(in crate::node) fn on_start_result(&mut self, result: StartResult) {
         let not_yet_applied_here = result.log_index > self.state.applied_index;
         if result.placed && not_yet_applied_here {
-            let StartResult {
-                proposal,
-                log_index,
-                ..
-            } = result;
-            self.sched.pending.set_log_index(proposal, log_index);
+            if let Some(pending) = self.sched.pending.get_mut(&result.proposal) {
+                pending.log_index = result.log_index;
+            }
         } else {
-            self.sched.pending.remove(result.proposal);
+            self.sched.pending.remove(&result.proposal);
         }
         if result.placed {
             return;
--- a/landingdrift/src/node/scheduler/placement.rs
+++ b/landingdrift/src/node/scheduler/placement.rs
@@ -106,7 +106,7 @@
     /// The resources on each worker that proposed starts not yet in the cluster state will take.
     fn resources_underway(&self) -> BTreeMap<String, Resources> {
         let mut underway: BTreeMap<String, Resources> = BTreeMap::new();
-        for pending in self.sched.pending.all() {
+        for pending in self.sched.pending.values() {
             let placed = pending.placements.iter().zip(&pending.reserved_resources);
             for (placement, resources) in placed {
                 let sum = underway.entry(placement.worker.clone()).or_default();
--- a/landingdrift/src/node/scheduler/sizes.rs
+++ b/landingdrift/src/node/scheduler/sizes.rs
@@ -29,7 +29,7 @@
     /// What a job has and needs of the slots.
     pub(super) fn share(&self, job: &Job) -> JobShare {
         let sizing = self.state.sizing(job);
-        let starting = self.sched.pending.placements_of(&job.spec.id).count();
+        let starting = self.starting_placements(&job.spec.id).count();
         let occupied = f64::from(sizing.occupied) + starting as f64;
         JobShare { sizing, occupied }
     }
--- a/landingdrift/src/state/apply/placement_rules.rs
+++ b/landingdrift/src/state/apply/placement_rules.rs
@@ -39,35 +39,12 @@
         let unknown = |what: String| Rejection::Unknown { what };
         let found = self.task(id, task_no);
         let (job, task) = found.ok_or_else(|| unknown(format!("task {task_no}")))?;
+        let task_no = task_no as usize;
         ensure(task.state == TaskState::Waiting, Rejection::Ended)?;
+        let spec = job.of(task_no);
         let queue_name = &job.spec.queue;
         let queue = self.queue(queue_name);
         let queue = queue.ok_or_else(|| unknown(format!("queue '{queue_name}'")))?;
-        self.may_start_in(queue, job, task_no, copy, at)
-    }
-
-    /// The tasks of a job that may start at a time by the cluster clock.
-    pub fn startable_tasks(&self, job: &Job, at: u64) -> Vec<u32> {
-        let Some(queue) = self.queue(&job.spec.queue) else {
-            return Vec::new();
-        };
-        let may_start = |task: &u32| self.may_start_in(queue, job, *task, false, at).is_ok();
-        (0..job.tasks.len() as u32).filter(may_start).collect()
-    }
-
-    /// The same as [`ClusterState::may_start`], of a job whose queue is known.
-    fn may_start_in(
-        &self,
-        queue: &Queue,
-        job: &Job,
-        task_no: u32,
-        copy: bool,
-        at: u64,
-    ) -> Result<(), Rejection> {
-        let task_no = task_no as usize;
-        let task = &job.tasks[task_no];
-        ensure(task.state == TaskState::Waiting, Rejection::Ended)?;
-        let spec = job.of(task_no);
         ensure(at >= job.due(task_no), Rejection::NotDue)?;
         ensure(job.reached(task_no), Rejection::Waiting)?;
         let live = LiveAttempts::of(task);
@@ -84,7 +61,7 @@
         let may_try_again = spec.long_running || attempts < queue.max_attempts;
         ensure(may_try_again, Rejection::AttemptsExhausted)?;
         if copy {
-            self.ensure_speculation_budget(&job.spec.queue, queue)?;
+            self.ensure_speculation_budget(queue_name, queue)?;
         }
         Ok(())
     }
