--- a/landingdrift/tests/gang_claims.rs
+++ b/landingdrift/tests/gang_claims.rs
@@ -43,6 +43,7 @@
 }
 
 /// Guards against LOST: a job with nothing running for 3 s, beside a claim on a worker whose work takes minutes.
+/// The gang goes first for a part of these 3 s.
 #[test]
 fn a_claim_keeps_no_spare_capacity_from_a_job_with_nothing_running() {
     let mut harness = gang_waits_beside(StepSpec::default(), 1);
--- a/landingdrift/tests/job_memory.rs
+++ b/landingdrift/tests/job_memory.rs
@@ -145,7 +145,8 @@
     }
 }
 
-/// The same by number, where the jobs are small.
+/// The same by number, where the jobs are small. PROTOCOL.md, Jobs, allows the refusals: "A 429 or 503 means it was not taken and will
+/// never run".
 #[test]
 fn jobs_that_are_due_later_leave_places_for_those_that_are_due_now() {
     let mut cores = cores_with_a_queue(Limits {
--- a/landingdrift/tests/probation.rs
+++ b/landingdrift/tests/probation.rs
@@ -55,7 +55,7 @@
 }
 
 /// Guards against LOST: jobs of one long-running task each, of which none but the first ever started on a worker on
-/// probation. Before that the limit holds.
+/// probation. Before that the limit holds, which RULES.md, LOST, allows: it counts "for 3 s, a job has nothing running".
 #[test]
 fn a_worker_on_probation_gets_a_second_long_running_task_once_its_job_is_idle_for_long() {
     let mut desk = on_probation();
@@ -70,6 +70,7 @@
         .expect("it has been idle for too long");
 }
 
+/// The refusal at the end is one that RULES.md, LOST, allows: it counts while "a job has nothing running".
 #[test]
 fn a_worker_on_probation_gets_work_of_an_idle_job_beside_work_that_ends() {
     let mut desk = on_probation();
