Serve HTTP with hyper in place of rocket

No behaviour is meant to change: limits, statuses and error kinds are the same; a method that is not served is answered 404 wrongRequest as before.

--- a/landingdrift/src/daemon/error.rs
+++ b/landingdrift/src/daemon/error.rs
@@ -31,8 +31,8 @@
     Http {
         /// The address to serve.
         at: SocketAddr,
-        /// The error of the HTTP server.
-        error: String,
+        /// The error of the bind.
+        error: io::Error,
     },
     /// The HTTP address in the settings can't be parsed.
     #[error("'{0}' is not an address (IP:PORT): correct --http")]
--- a/landingdrift/src/daemon/logs.rs
+++ b/landingdrift/src/daemon/logs.rs
@@ -13,7 +13,7 @@
 
 /// The log specification for a level. The level applies to landingdrift itself; libraries log warnings only.
 pub fn spec(level: &str) -> LogSpecification {
-    LogSpecification::parse(format!("warn,landingdrift={level},rocket=off,_=off"))
+    LogSpecification::parse(format!("warn,landingdrift={level},_=off"))
         .unwrap_or_else(|_| LogSpecification::info())
 }
 
--- a/landingdrift/src/daemon/pending_calls.rs
+++ b/landingdrift/src/daemon/pending_calls.rs
@@ -2,9 +2,9 @@
 
 use crate::sans_io::Response;
 use dashmap::DashMap;
-use rocket::tokio::sync::oneshot::{channel, Receiver, Sender};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use tokio::sync::oneshot::{channel, Receiver, Sender};
 
 /// The number of shards of the map of pending calls. Only two threads use the map: the traffic thread and one control
 /// thread.
--- a/landingdrift/src/daemon/traffic/frames/mod.rs
+++ b/landingdrift/src/daemon/traffic/frames/mod.rs
@@ -10,13 +10,13 @@
 use crate::settings::Limits;
 use crate::wire::{pack, Body};
 use queue::{PushError, Queue};
-use rocket::tokio::net::TcpListener;
-use rocket::tokio::runtime::Handle;
-use rocket::tokio::task::AbortHandle;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::task::AbortHandle;
 
 /// The maximum length of a frame, regardless of the settings.
 const FRAME_BYTES_CAP: u64 = 256 << 20;
--- a/landingdrift/src/daemon/traffic/frames/queue.rs
+++ b/landingdrift/src/daemon/traffic/frames/queue.rs
@@ -1,8 +1,8 @@
 //! The send queue of one receiver, bounded in frames and in bytes.
 
-use rocket::tokio::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use tokio::sync::mpsc::{channel, Receiver, Sender};
 
 /// The maximum number of frames that are queued for one receiver.
 const MAX_QUEUED_FRAMES: usize = 4096;
--- a/landingdrift/src/daemon/traffic/frames/receive.rs
+++ b/landingdrift/src/daemon/traffic/frames/receive.rs
@@ -4,12 +4,12 @@
 use crate::daemon::input::Input;
 use crate::sans_io::Msg;
 use crate::wire::unpack;
-use rocket::tokio::io::{AsyncRead, AsyncReadExt, BufReader};
-use rocket::tokio::net::TcpListener;
-use rocket::tokio::time::error::Elapsed;
-use rocket::tokio::time::{sleep, timeout};
 use std::io;
 use std::sync::mpsc::Sender;
+use tokio::io::{AsyncRead, AsyncReadExt, BufReader};
+use tokio::net::TcpListener;
+use tokio::time::error::Elapsed;
+use tokio::time::{sleep, timeout};
 
 /// The size of a connection's read buffer.
 const READ_BUFFER_BYTES: usize = 4 << 10;
@@ -38,7 +38,7 @@
         match listener.accept().await {
             Ok((connection, _)) => {
                 let (options, inputs) = (options.clone(), inputs.clone());
-                rocket::tokio::spawn(async move {
+                tokio::spawn(async move {
                     if let Ok(connection) = socket::configure(connection, options.timeout) {
                         receive(&options, connection, &inputs).await;
                     }
--- a/landingdrift/src/daemon/traffic/frames/send.rs
+++ b/landingdrift/src/daemon/traffic/frames/send.rs
@@ -2,14 +2,14 @@
 
 use super::queue::{queue, Queue, QueuedFrame};
 use super::{socket, FrameOptions};
-use rocket::tokio::io::AsyncWriteExt;
-use rocket::tokio::net::TcpStream;
-use rocket::tokio::runtime::Handle;
-use rocket::tokio::sync::mpsc::Receiver;
-use rocket::tokio::time::timeout;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::Receiver;
+use tokio::time::timeout;
 
 /// The size from which no further frames are added to a write.
 const WRITE_BUFFER_BYTES: usize = 16 << 10;
--- a/landingdrift/src/daemon/traffic/frames/socket.rs
+++ b/landingdrift/src/daemon/traffic/frames/socket.rs
@@ -1,9 +1,9 @@
 //! Socket options of the TCP connections between processes.
 
-use rocket::tokio::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// Disables Nagle's algorithm, and enables timeouts so that a connection fails when its peer can't be reached.
 pub fn configure(connection: TcpStream, timeout: Duration) -> io::Result<TcpStream> {
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -1,8 +1,11 @@
-//! The HTTP server for clients, workers and operators, based on `rocket`. It passes requests to a control thread and
+//! The HTTP server for clients, workers and operators, based on `hyper`. It passes requests to a control thread and
 //! returns the responses.
 
+mod connection;
 mod http_adapter;
+mod listener;
 mod request_handler;
+mod responses;
 mod serving;
 
 pub use http_adapter::{AdapterResult, HttpAdapter, HttpRequest, HttpResponse};
@@ -12,16 +15,12 @@
 use crate::daemon::input::Input;
 use crate::daemon::pending_calls::PendingCalls;
 use request_handler::RequestHandler;
-use rocket::config::{LogLevel, Shutdown};
-use rocket::fairing::AdHoc;
-use rocket::http::Method;
-use rocket::tokio::runtime::Handle;
-use rocket::tokio::sync::Semaphore;
-use rocket::{Catcher, Config, Ignite, Rocket, Route};
 use std::net::SocketAddr;
-use std::sync::mpsc::{sync_channel, Sender, SyncSender};
+use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
 
 /// The limits of one HTTP address.
 #[derive(Clone, Debug)]
@@ -34,20 +33,6 @@
     pub calls: u64,
 }
 
-/// The grace period of `rocket` itself. It is longer than any process takes to shut down, so it never applies.
-const SHUTDOWN_SECONDS: u32 = 600;
-
-/// The methods that are passed to the adapter; others get an error response.
-const METHODS: [Method; 7] = [
-    Method::Get,
-    Method::Put,
-    Method::Post,
-    Method::Delete,
-    Method::Patch,
-    Method::Options,
-    Method::Head,
-];
-
 /// Starts serving HTTP at an address; returns the bound address.
 pub fn serve(
     handle: &Handle,
@@ -65,67 +50,12 @@
         calls,
         inputs,
         serving: serving.clone(),
-        permits: Arc::new(Semaphore::new(permits)),
+        permits: Semaphore::new(permits),
     };
-    // The channel holds two messages: one when the server listens, one when it has ended.
-    let (result_sender, launch_result) = sync_channel(2);
-    let http_error = move |error: String| ProcessError::Http { at: addr, error };
-    handle.spawn(launch(addr, request_handler, result_sender));
-    let bound = launch_result
-        .recv()
-        .map_err(|error| http_error(error.to_string()))?;
-    bound.map_err(http_error)
-}
-
-/// The bound address, or the error that kept the server from starting or ended it.
-type LaunchResult = Result<SocketAddr, String>;
-
-async fn launch(
-    addr: SocketAddr,
-    request_handler: RequestHandler,
-    result_sender: SyncSender<LaunchResult>,
-) {
-    let launch_sender = result_sender.clone();
-    let serving = request_handler.serving.clone();
-    let serving_state = serving.clone();
-    let on_liftoff = AdHoc::on_liftoff("launched", move |rocket| {
-        serving_state.add(rocket.shutdown());
-        let bound = SocketAddr::new(rocket.config().address, rocket.config().port);
-        let _ = launch_sender.try_send(Ok(bound));
-        Box::pin(async {})
-    });
-    let ended: Result<Rocket<Ignite>, rocket::Error> = rocket::custom(config(addr))
-        .mount(
-            "/",
-            METHODS.map(|method| Route::ranked(0, method, "/<path..>", request_handler.clone())),
-        )
-        .register("/", vec![Catcher::new(None, request_handler)])
-        .attach(on_liftoff)
-        .launch()
-        .await;
-    let error = ended.map_or_else(|error| error.to_string(), |_| "it was shut down".into());
-    if result_sender.try_send(Err(error.clone())).is_err() && !serving.is_rejecting() {
-        log::error!(
-            "the HTTP server at {addr} ended unexpectedly: {error}; exiting, restart the process"
-        );
-        std::process::exit(1);
-    }
-}
-
-fn config(addr: SocketAddr) -> Config {
-    Config {
-        address: addr.ip(),
-        port: addr.port(),
-        workers: 1,
-        max_blocking: 1,
-        log_level: LogLevel::Off,
-        shutdown: Shutdown {
-            ctrlc: false,
-            signals: Default::default(),
-            // The process bounds its own shutdown, and no connection may be closed before that.
-            grace: SHUTDOWN_SECONDS,
-            ..Default::default()
-        },
-        ..Config::release_default()
-    }
+    let http_error = |error| ProcessError::Http { at: addr, error };
+    let listener = listener::bind(handle, addr).map_err(http_error)?;
+    let bound = listener.local_addr().map_err(http_error)?;
+    let accepting = listener::accept(listener, Arc::new(request_handler));
+    serving.add(handle.spawn(accepting).abort_handle());
+    Ok(bound)
 }
--- a/landingdrift/src/daemon/traffic/http/serving.rs
+++ b/landingdrift/src/daemon/traffic/http/serving.rs
@@ -1,12 +1,13 @@
 //! The serving state of a process: the phase of its shutdown, and the number of HTTP calls in flight.
 
-use rocket::tokio::io::{AsyncRead, AsyncSeek, ReadBuf};
-use rocket::Shutdown;
-use std::io;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use tokio::task::AbortHandle;
 
 /// The phase of a process's shutdown, as callers see it. Phases only advance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,7 +27,8 @@
 struct State {
     phase: AtomicU8,
     in_flight: AtomicU64,
-    servers: Mutex<Vec<Shutdown>>,
+    /// The tasks that accept connections.
+    listeners: Mutex<Vec<AbortHandle>>,
 }
 
 impl Default for ServingState {
@@ -34,7 +36,7 @@
         Self(Arc::new(State {
             phase: AtomicU8::new(ServingPhase::Serving as u8),
             in_flight: AtomicU64::new(0),
-            servers: Mutex::default(),
+            listeners: Mutex::default(),
         }))
     }
 }
@@ -48,9 +50,8 @@
     /// From now on, rejects new calls and accepts no connections.
     pub fn reject_calls(&self) {
         self.advance(ServingPhase::Rejecting);
-        let mut servers = self.servers();
-        for server in servers.drain(..) {
-            server.notify();
+        for listener in self.listeners().drain(..) {
+            listener.abort();
         }
     }
 
@@ -69,12 +70,13 @@
         self.reached(ServingPhase::Rejecting)
     }
 
-    /// Registers a server, which stops listening in the rejecting phase.
-    pub(super) fn add(&self, server: Shutdown) {
+    /// Registers a task that accepts connections, which ends in the rejecting phase.
+    pub(super) fn add(&self, listener: AbortHandle) {
+        let mut listeners = self.listeners();
         if self.is_rejecting() {
-            server.notify();
+            listener.abort();
         } else {
-            self.servers().push(server);
+            listeners.push(listener);
         }
     }
 
@@ -84,11 +86,9 @@
         InFlight(self.clone())
     }
 
-    fn servers(&self) -> std::sync::MutexGuard<'_, Vec<Shutdown>> {
-        self.0
-            .servers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn listeners(&self) -> MutexGuard<'_, Vec<AbortHandle>> {
+        let listeners = self.0.listeners.lock();
+        listeners.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn advance(&self, to: ServingPhase) {
@@ -110,37 +110,40 @@
 }
 
 /// The body of a response. Keeps the call counted as in flight until the body is dropped.
-pub struct Body {
-    bytes: io::Cursor<Vec<u8>>,
+pub struct ResponseBody {
+    /// Empty once the server has taken it.
+    bytes: Bytes,
     _in_flight: InFlight,
 }
 
-impl Body {
+impl ResponseBody {
     /// The body of the response to the call that `in_flight` counts.
     pub fn new(bytes: Vec<u8>, in_flight: InFlight) -> Self {
         Self {
-            bytes: io::Cursor::new(bytes),
+            bytes: bytes.into(),
             _in_flight: in_flight,
         }
     }
 }
 
-impl AsyncRead for Body {
-    fn poll_read(
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.bytes).poll_read(context, buf)
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let bytes = std::mem::take(&mut self.bytes);
+        let frame = (!bytes.is_empty()).then(|| Ok(Frame::data(bytes)));
+        Poll::Ready(frame)
     }
-}
 
-impl AsyncSeek for Body {
-    fn start_seek(mut self: Pin<&mut Self>, to: io::SeekFrom) -> io::Result<()> {
-        Pin::new(&mut self.bytes).start_seek(to)
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
     }
 
-    fn poll_complete(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<u64>> {
-        Pin::new(&mut self.bytes).poll_complete(context)
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
     }
 }
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -10,11 +10,11 @@
 use super::input::Input;
 use super::pending_calls::PendingCalls;
 use super::threads;
-use rocket::tokio::runtime::{Builder, Handle};
-use rocket::tokio::sync::oneshot;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::thread::JoinHandle;
+use tokio::runtime::{Builder, Handle};
+use tokio::sync::oneshot;
 
 /// A handle to the traffic thread. Dropping it ends the thread and closes all its sockets.
 pub struct Traffic {
