Read bodies only where a call needs one, and only as long as it needs

Cause: one length for all routes and all addresses, that of the largest configuration (4 MiB), and a body was read where none is used: readiness, GET, unknown paths. Mended: the adapter of an address says for each method and path how long a body may be; 0 is not read at all, an announced length over the limit is refused with 413 on the head alone.

The new test in traffic_http.rs uses the new adapter, so it has no run on the code before.

--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! - `control` is the thread that steps a part; `disk_writer` is the one that writes a replica's data folder.
 //! - `traffic` is the thread that serves all sockets; `pending_calls` matches its HTTP calls with responses.
 
+mod body_limits;
 mod control;
 mod disk_writer;
 mod error;
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -1,5 +1,6 @@
 //! The subcommands that run a replica, a node or a worker proxy, each in its own process.
 
+use super::body_limits::BodyLimits;
 use super::error::ProcessError;
 use super::process::Process;
 use super::traffic::{HttpAdapter, HttpLimits};
@@ -90,7 +91,11 @@
         .http
         .parse()
         .map_err(|_| ProcessError::InvalidAddress(settings.http.clone()))?;
-    process.serve_http(addr, limits(&settings), HttpAdapter::default(), &part)?;
+    let limits = http_limits(&settings);
+    let body_limits = BodyLimits::from_settings(&settings.limits);
+    let http_adapter = HttpAdapter::default()
+        .with_body_limit(move |method, path| body_limits.for_request(method, path));
+    process.serve_http(addr, limits, http_adapter, &part)?;
     log::info!(
         "{role} {} is serving HTTP at {}",
         settings.listen,
@@ -107,14 +112,12 @@
 /// The limit of concurrent HTTP calls, as a multiple of the limit that the part itself enforces. The margin is for
 /// heartbeats and probes, which the part always accepts.
 const HTTP_CALLS_FACTOR: u64 = 2;
-/// The maximum size of a request body beyond the job or configuration in it.
-const BODY_OVERHEAD_BYTES: u64 = 1024;
 
-fn limits(settings: &Settings) -> HttpLimits {
+fn http_limits(settings: &Settings) -> HttpLimits {
+    let BodyLimits { job, config } = BodyLimits::from_settings(&settings.limits);
     HttpLimits {
         timeout: Duration::from_millis(settings.bounds.state_ms),
-        body_bytes: settings.limits.job_bytes.max(settings.limits.config_bytes)
-            + BODY_OVERHEAD_BYTES,
+        body_bytes: job.max(config),
         calls: settings.limits.calls.saturating_mul(HTTP_CALLS_FACTOR),
     }
 }
--- a/landingdrift/src/daemon/traffic/http/http_adapter.rs
+++ b/landingdrift/src/daemon/traffic/http/http_adapter.rs
@@ -38,16 +38,35 @@
     Respond(HttpResponse),
 }
 
+/// The maximum length of a request's body by method and percent-decoded path, in bytes. 0 if the request needs no body;
+/// a body is then not read.
+type BodyLimit = Arc<dyn Fn(&str, &str) -> u64 + Send + Sync>;
+
 /// Translates HTTP requests at one address into requests to the part, and the part's responses into HTTP responses.
 #[derive(Clone)]
 pub struct HttpAdapter {
     pub(super) translate_request: Arc<dyn Fn(HttpRequest) -> AdapterResult + Send + Sync>,
+    pub(super) body_limit: BodyLimit,
 }
 
 impl HttpAdapter {
-    /// An adapter with a custom translation.
+    /// An adapter with a custom translation. All requests may have a body of any length that the limits of the address
+    /// allow.
     pub fn new(translate_request: Arc<dyn Fn(HttpRequest) -> AdapterResult + Send + Sync>) -> Self {
-        Self { translate_request }
+        Self {
+            translate_request,
+            body_limit: Arc::new(|_, _| u64::MAX),
+        }
+    }
+
+    /// Limits the bodies of requests by method and percent-decoded path, in bytes; 0 if a request needs no body. The
+    /// limits of the address apply as well.
+    pub fn with_body_limit(
+        mut self,
+        body_limit: impl Fn(&str, &str) -> u64 + Send + Sync + 'static,
+    ) -> Self {
+        self.body_limit = Arc::new(body_limit);
+        self
     }
 }
 
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -8,7 +8,7 @@
 use crate::daemon::pending_calls::PendingCalls;
 use crate::sans_io::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
@@ -61,18 +61,27 @@
             return format_response(responses::busy());
         };
         let (head, body) = request.into_parts();
-        let body = match self.read_body(body).await {
-            Ok(body) => body,
+        let mut http_request = http_request(&head);
+        let body_limit = (self.http_adapter.body_limit)(&http_request.method, &http_request.path);
+        let max_bytes = body_limit.min(self.limits.body_bytes);
+        match self.read_body(body, max_bytes).await {
+            Ok(body) => http_request.body = body,
             Err(error_response) => return format_response(error_response),
-        };
-        match (self.http_adapter.translate_request)(http_request(&head, body)) {
+        }
+        match (self.http_adapter.translate_request)(http_request) {
             AdapterResult::Call(request, translate) => translate(self.call(request).await),
             AdapterResult::Respond(response) => response,
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Vec<u8>, Response> {
-        let max_bytes = self.limits.body_bytes;
+    /// Reads the body of a request. Reads nothing if the body is not needed or announced to be longer than the limit.
+    async fn read_body(&self, body: Incoming, max_bytes: u64) -> Result<Vec<u8>, Response> {
+        if max_bytes == 0 {
+            return Ok(Vec::new());
+        }
+        if body.size_hint().lower() > max_bytes {
+            return Err(responses::body_too_long(max_bytes));
+        }
         let limited = Limited::new(body, max_bytes as usize);
         let collected = timeout(self.limits.timeout, limited.collect())
             .await
@@ -125,7 +134,8 @@
     }
 }
 
-fn http_request(head: &Parts, body: Vec<u8>) -> HttpRequest {
+/// The request with the given head, without its body.
+fn http_request(head: &Parts) -> HttpRequest {
     let path = head.uri.path();
     let decoded = percent_decode_str(path).decode_utf8();
     let headers = head.headers.iter().filter_map(|(name, value)| {
@@ -137,6 +147,6 @@
         path: decoded.map_or_else(|_| path.to_string(), |decoded| decoded.to_string()),
         query: head.uri.query().unwrap_or_default().to_string(),
         headers: headers.collect(),
-        body,
+        body: Vec::new(),
     }
 }
--- a/landingdrift/tests/traffic_http.rs
+++ b/landingdrift/tests/traffic_http.rs
@@ -176,6 +176,45 @@
     assert!(text.contains("wrongRequest"), "{text}");
 }
 
+/// Sends the head of a request that announces a body, but no body; returns the text of the response.
+fn send_head(address: SocketAddr, path: &str, announced_bytes: u64) -> String {
+    let mut connection = TcpStream::connect(address).expect("failed to connect");
+    let head =
+        format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {announced_bytes}\r\n\r\n");
+    connection
+        .write_all(head.as_bytes())
+        .expect("failed to write");
+    connection
+        .set_read_timeout(Some(TEST_TIMEOUT / 2))
+        .expect("failed to set the timeout");
+    let mut text = vec![0; 4096];
+    let length = connection.read(&mut text).expect("no response");
+    text.truncate(length);
+    String::from_utf8(text).expect("not a text")
+}
+
+/// Guards against clients that make a process wait for bodies, or hold them, that it does not need.
+#[test]
+fn a_body_that_is_not_needed_or_too_long_is_not_waited_for() {
+    let traffic = Traffic::start().expect("failed to start");
+    let adapter = HttpAdapter::new(Arc::new(|_| {
+        AdapterResult::Respond(HttpResponse {
+            status: 204,
+            ..HttpResponse::default()
+        })
+    }));
+    let limits_by_path =
+        adapter.with_body_limit(|_, path| if path == "/unused" { 0 } else { u64::MAX });
+    let server = serve(&traffic, limits(), limits_by_path);
+    let unused = send_head(server.address, "/unused", 500);
+    assert!(unused.starts_with("HTTP/1.1 204"), "{unused}");
+    let too_long = send_head(server.address, "/used", 10_000_000_000);
+    assert!(
+        too_long.starts_with("HTTP/1.1 413") && too_long.contains("tooLarge"),
+        "{too_long}"
+    );
+}
+
 #[test]
 fn a_call_that_is_not_answered_is_reported_as_unsure() {
     let traffic = Traffic::start().expect("failed to start");
