Bound in bytes what the bodies of HTTP clients may hold, before they are read

A vector that doubles held twice the bytes, and a body that stood still kept its call for seconds.

A body is charged piece by piece before its buffer grows. A single large request is always read. Only complete requests count as calls. Weighed: charging the announced length at once, which lets a client hold what it never sends; a limit by number for each route, which is no bound in bytes.

--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -30,6 +30,6 @@
 pub use running_part::PartHandle;
 pub use shutdown_timer::{GracePeriod, ShutdownTimer};
 pub use traffic::{
-    AdapterResult, FrameOptions, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, Traffic,
-    Transport,
+    AdapterResult, ClientLimits, FrameOptions, HttpAdapter, HttpLimits, HttpRequest, HttpResponse,
+    Traffic, Transport,
 };
--- a/landingdrift/src/daemon/process.rs
+++ b/landingdrift/src/daemon/process.rs
@@ -7,7 +7,9 @@
 use super::replica_start::ReplicaStart;
 use super::running_part::{PartHandle, RunningPart};
 use super::signals::CloseSignalsOnDrop;
-use super::traffic::{FrameOptions, HttpAdapter, HttpLimits, ServingState, Traffic, Transport};
+use super::traffic::{
+    ClientLimits, FrameOptions, HttpAdapter, HttpLimits, ServingState, Traffic, Transport,
+};
 use super::{logs, open_folder, signals, threads};
 use crate::sans_io::{fnv1a, Msg, Now, StateMachine};
 use crate::settings::{Bounds, Settings};
@@ -40,12 +42,12 @@
 }
 
 impl Process {
-    /// Starts logging and traffic, and registers for signals.
-    pub fn start(level: &str) -> Result<Self, ProcessError> {
+    /// Starts logging and traffic, and registers for signals. The limits hold for all HTTP addresses together.
+    pub fn start(level: &str, limits: ClientLimits) -> Result<Self, ProcessError> {
         Ok(Self {
             clock: Clock::start(),
             logger: logs::start(level),
-            traffic: Traffic::start()?,
+            traffic: Traffic::start(limits)?,
             signals: signals::register()?,
             parts: Vec::new(),
         })
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -3,7 +3,7 @@
 use super::body_limits::BodyLimits;
 use super::error::ProcessError;
 use super::process::Process;
-use super::traffic::{HttpAdapter, HttpLimits};
+use super::traffic::{ClientLimits, HttpAdapter, HttpLimits};
 use crate::node::Node;
 use crate::sans_io::roles::Role;
 use crate::settings::{from_arguments, Settings, FLAGS};
@@ -74,7 +74,7 @@
     arguments: Vec<OsString>,
 ) -> Result<i32, ProcessError> {
     let is_replica = role == REPLICA;
-    let mut process = Process::start(&settings.log)?;
+    let mut process = Process::start(&settings.log, ClientLimits::from_settings(&settings.limits))?;
     let (seed, now) = (process.seed(&settings.listen), process.now());
     let part = match role {
         REPLICA => process.start_replica(&settings)?,
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -4,6 +4,8 @@
 mod connection;
 mod http_adapter;
 mod listener;
+mod memory_budget;
+mod request_body;
 mod request_handler;
 mod responses;
 mod serving;
@@ -14,6 +16,8 @@
 use crate::daemon::error::ProcessError;
 use crate::daemon::input::Input;
 use crate::daemon::pending_calls::PendingCalls;
+use crate::settings::Limits;
+use memory_budget::MemoryBudget;
 use request_handler::RequestHandler;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
@@ -33,29 +37,75 @@
     pub calls: u64,
 }
 
-/// Starts serving HTTP at an address; returns the bound address.
-pub fn serve(
-    handle: &Handle,
-    serving: &ServingState,
-    addr: SocketAddr,
-    limits: HttpLimits,
-    http_adapter: HttpAdapter,
-    calls: PendingCalls,
-    inputs: Sender<Input>,
-) -> Result<SocketAddr, ProcessError> {
-    let permits = (limits.calls as usize).min(Semaphore::MAX_PERMITS);
-    let request_handler = RequestHandler {
-        limits,
-        http_adapter,
-        calls,
-        inputs,
-        serving: serving.clone(),
-        permits: Semaphore::new(permits),
-    };
-    let http_error = |error| ProcessError::Http { at: addr, error };
-    let listener = listener::bind(handle, addr).map_err(http_error)?;
-    let bound = listener.local_addr().map_err(http_error)?;
-    let accepting = listener::accept(listener, Arc::new(request_handler));
-    serving.add(handle.spawn(accepting).abort_handle());
-    Ok(bound)
+/// The limits on what the clients of all HTTP addresses of a process together make it hold.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// The memory for what clients send and for responses to them, in bytes.
+    pub memory_bytes: u64,
+}
+
+impl ClientLimits {
+    /// The limits that the settings state.
+    pub fn from_settings(limits: &Limits) -> Self {
+        Self {
+            memory_bytes: limits.http_memory_bytes,
+        }
+    }
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self::from_settings(&Limits::default())
+    }
+}
+
+/// Serves HTTP at the addresses of a process, which share the limits on what clients make the process hold.
+pub struct HttpServer {
+    handle: Handle,
+    serving: ServingState,
+    memory: MemoryBudget,
+}
+
+impl HttpServer {
+    /// A server without addresses, whose tasks run on the given runtime.
+    pub fn new(handle: Handle, limits: ClientLimits) -> Self {
+        Self {
+            handle,
+            serving: ServingState::default(),
+            memory: MemoryBudget::new(limits.memory_bytes),
+        }
+    }
+
+    /// The serving state that all addresses share.
+    pub fn serving(&self) -> &ServingState {
+        &self.serving
+    }
+
+    /// Starts serving at an address; returns the bound address.
+    pub fn serve(
+        &self,
+        addr: SocketAddr,
+        limits: HttpLimits,
+        http_adapter: HttpAdapter,
+        calls: PendingCalls,
+        inputs: Sender<Input>,
+    ) -> Result<SocketAddr, ProcessError> {
+        let permits = (limits.calls as usize).min(Semaphore::MAX_PERMITS);
+        let request_handler = RequestHandler {
+            limits,
+            http_adapter,
+            calls,
+            inputs,
+            serving: self.serving.clone(),
+            permits: Semaphore::new(permits),
+            memory: self.memory.add_address(),
+        };
+        let http_error = |error| ProcessError::Http { at: addr, error };
+        let listener = listener::bind(&self.handle, addr).map_err(http_error)?;
+        let bound = listener.local_addr().map_err(http_error)?;
+        let accepting = listener::accept(listener, Arc::new(request_handler));
+        let accepting = self.handle.spawn(accepting);
+        self.serving.add(accepting.abort_handle());
+        Ok(bound)
+    }
 }
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -1,14 +1,15 @@
 //! Handles the HTTP requests that arrive at one address.
 
 use super::http_adapter::format_response;
+use super::memory_budget::{AddressBudget, Charge};
+use super::request_body::{self, BodyError};
 use super::responses;
 use super::serving::{InFlight, ResponseBody, ServingState};
 use super::{AdapterResult, HttpAdapter, HttpLimits, HttpRequest, HttpResponse};
 use crate::daemon::input::Input;
 use crate::daemon::pending_calls::PendingCalls;
 use crate::sans_io::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
@@ -37,6 +38,7 @@
     pub inputs: Sender<Input>,
     pub serving: ServingState,
     pub permits: Semaphore,
+    pub memory: AddressBudget,
 }
 
 impl RequestHandler {
@@ -57,42 +59,44 @@
         if !METHODS.contains(request.method()) {
             return format_response(responses::unknown_method(request.method().as_str()));
         }
-        let Ok(_permit) = self.permits.try_acquire() else {
-            return format_response(responses::busy());
-        };
         let (head, body) = request.into_parts();
         let mut http_request = http_request(&head);
-        let body_limit = (self.http_adapter.body_limit)(&http_request.method, &http_request.path);
-        let max_bytes = body_limit.min(self.limits.body_bytes);
-        match self.read_body(body, max_bytes).await {
+        let charge = self.memory.charge();
+        match self.read_body(&http_request, body, &charge).await {
             Ok(body) => http_request.body = body,
             Err(error_response) => return format_response(error_response),
         }
+        // A request that has only been read in part does not count as a call.
+        let Ok(_permit) = self.permits.try_acquire() else {
+            return format_response(responses::busy());
+        };
         match (self.http_adapter.translate_request)(http_request) {
             AdapterResult::Call(request, translate) => translate(self.call(request).await),
             AdapterResult::Respond(response) => response,
         }
     }
 
-    /// Reads the body of a request. Reads nothing if the body is not needed or announced to be longer than the limit.
-    async fn read_body(&self, body: Incoming, max_bytes: u64) -> Result<Vec<u8>, Response> {
+    /// Reads the body of a request, if the request needs one.
+    async fn read_body(
+        &self,
+        request: &HttpRequest,
+        body: Incoming,
+        charge: &Charge,
+    ) -> Result<Vec<u8>, Response> {
+        let limit = (self.http_adapter.body_limit)(&request.method, &request.path);
+        let max_bytes = limit.min(self.limits.body_bytes);
         if max_bytes == 0 {
             return Ok(Vec::new());
         }
-        if body.size_hint().lower() > max_bytes {
-            return Err(responses::body_too_long(max_bytes));
-        }
-        let limited = Limited::new(body, max_bytes as usize);
-        let collected = timeout(self.limits.timeout, limited.collect())
-            .await
-            .map_err(|_| responses::unreadable_body("timed out"))?;
-        let collected = collected.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                return responses::body_too_long(max_bytes);
-            }
-            responses::unreadable_body(&error.to_string())
-        })?;
-        Ok(collected.to_bytes().into())
+        let read = request_body::read(body, max_bytes, self.limits.timeout, charge).await;
+        // Once the body is complete, the call is executed whatever happens.
+        let pinned = read.and_then(|bytes| Ok(charge.pin().map(|()| bytes)?));
+        pinned.map_err(|error| match error {
+            BodyError::TooLong => responses::body_too_long(max_bytes),
+            BodyError::OutOfMemory => responses::out_of_memory(),
+            BodyError::TimedOut => responses::unreadable_body("timed out"),
+            BodyError::Invalid(error) => responses::unreadable_body(&error.to_string()),
+        })
     }
 
     /// Passes a request to the control thread and waits for its response.
--- a/landingdrift/src/daemon/traffic/http/responses.rs
+++ b/landingdrift/src/daemon/traffic/http/responses.rs
@@ -11,6 +11,12 @@
     Response::error(503, "busy", message).retry(RETRY_MS)
 }
 
+/// The response to a request for whose body the process has no memory.
+pub fn out_of_memory() -> Response {
+    let message = "this process has no memory for the request body and did not execute the call: retry later, or call another node";
+    Response::error(503, "busy", message).retry(RETRY_MS)
+}
+
 /// The response to a call that was not passed to the part because the process is shutting down.
 pub fn shutting_down() -> Response {
     let message =
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -4,12 +4,15 @@
 mod http;
 
 pub use frames::{FrameOptions, Transport};
-pub use http::{AdapterResult, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, ServingState};
+pub use http::{
+    AdapterResult, ClientLimits, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, ServingState,
+};
 
 use super::error::ProcessError;
 use super::input::Input;
 use super::pending_calls::PendingCalls;
 use super::threads;
+use http::HttpServer;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::thread::JoinHandle;
@@ -19,14 +22,14 @@
 /// A handle to the traffic thread. Dropping it ends the thread and closes all its sockets.
 pub struct Traffic {
     handle: Handle,
-    serving: ServingState,
+    http: HttpServer,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Traffic {
-    /// Starts the traffic thread.
-    pub fn start() -> Result<Self, ProcessError> {
+    /// Starts the traffic thread. The limits hold for all HTTP addresses together.
+    pub fn start(limits: ClientLimits) -> Result<Self, ProcessError> {
         let runtime = Builder::new_current_thread()
             .enable_all()
             .max_blocking_threads(1)
@@ -40,8 +43,8 @@
             runtime.shutdown_background();
         })?;
         Ok(Self {
+            http: HttpServer::new(handle.clone(), limits),
             handle,
-            serving: ServingState::default(),
             stop: Some(stop),
             thread: Some(thread),
         })
@@ -59,7 +62,7 @@
 
     /// The serving state that all HTTP addresses of the process share.
     pub fn serving(&self) -> &ServingState {
-        &self.serving
+        self.http.serving()
     }
 
     /// Serves HTTP at an address until the thread ends; returns the bound address.
@@ -71,15 +74,7 @@
         calls: PendingCalls,
         inputs: Sender<Input>,
     ) -> Result<SocketAddr, ProcessError> {
-        http::serve(
-            &self.handle,
-            &self.serving,
-            addr,
-            limits,
-            http_adapter,
-            calls,
-            inputs,
-        )
+        self.http.serve(addr, limits, http_adapter, calls, inputs)
     }
 }
 
--- a/landingdrift/src/settings/check.rs
+++ b/landingdrift/src/settings/check.rs
@@ -10,6 +10,8 @@
 const MAX_VOTERS: u32 = 15;
 /// Minimum memory for jobs, in bytes.
 const MIN_JOBS_MEMORY_BYTES: u64 = 1 << 20;
+/// Minimum memory for HTTP clients, in bytes.
+const MIN_HTTP_MEMORY_BYTES: u64 = 1 << 20;
 /// Minimum of `bounds.config_ms` and `bounds.leave_ms`, in milliseconds: ticks are a hundredth of the former apart.
 const MIN_BOUND_MS: u64 = 400;
 
@@ -178,6 +180,11 @@
         "give at least 1048576",
     )?;
     ensure(limits.calls >= 1, "limits.calls", "give at least 1")?;
+    ensure(
+        limits.http_memory_bytes >= MIN_HTTP_MEMORY_BYTES,
+        "limits.http_memory_bytes",
+        "give at least 1048576",
+    )?;
     ensure(
         limits.retain_ms >= bounds.state_ms,
         "limits.retain_ms",
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -31,6 +31,8 @@
     pub jobs_memory_bytes: u64,
     /// Maximum number of requests that one node processes at once.
     pub calls: u64,
+    /// Maximum memory of a process for the request bodies of HTTP clients and the large responses to them, in bytes.
+    pub http_memory_bytes: u64,
     /// How long a finished job is retained in full, in milliseconds.
     pub retain_ms: u64,
     /// How long a finished job's identity is kept after that, in milliseconds, so that late retries of its submission
@@ -54,6 +56,7 @@
             open_jobs: 20_000,
             jobs_memory_bytes: 512 << 20,
             calls: 2000,
+            http_memory_bytes: 64 << 20,
             retain_ms: 600_000,
             identity_ms: 86_400_000,
             snapshot_every: 5000,
@@ -184,11 +187,18 @@
             ("share", self.share != new.share),
             ("beside_core", self.beside_replica != new.beside_replica),
             ("data", self.data != new.data),
+            (
+                "limits.http_memory_bytes",
+                self.limits.http_memory_bytes != new.limits.http_memory_bytes,
+            ),
         ];
         let updated = Settings {
             log: new.log.clone(),
             bounds: new.bounds.clone(),
-            limits: new.limits.clone(),
+            limits: Limits {
+                http_memory_bytes: self.limits.http_memory_bytes,
+                ..new.limits.clone()
+            },
             hopper: new.hopper.clone(),
             ..self.clone()
         };
--- a/landingdrift/tests/control_thread.rs
+++ b/landingdrift/tests/control_thread.rs
@@ -1,7 +1,7 @@
 //! The control thread. Guards against extra ticks under load and against steps after the part has ended.
 
 use landingdrift::daemon::{
-    Clock, ControlThread, FrameOptions, Input, PendingCalls, ShutdownTimer, Traffic,
+    ClientLimits, Clock, ControlThread, FrameOptions, Input, PendingCalls, ShutdownTimer, Traffic,
 };
 use landingdrift::sans_io::{Effect, Msg, Now, Request, Response, StateMachine};
 use std::sync::mpsc::channel;
@@ -32,7 +32,7 @@
 
 /// Runs a control thread with these inputs; returns the kinds of the messages that its part was stepped with.
 fn run(tick: Duration, inputs: Vec<Input>) -> Vec<&'static str> {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let (input_sender, input_receiver) = channel();
     let options = FrameOptions {
         cluster: "tests".into(),
--- a/landingdrift/tests/opening_data_folder.rs
+++ b/landingdrift/tests/opening_data_folder.rs
@@ -1,7 +1,7 @@
 //! A replica whose data folder can't be opened. Guards against a process that exits instead of serving and retrying
 //! while the error is transient, and against retries on a folder that is not a landingdrift data folder.
 
-use landingdrift::daemon::{HttpAdapter, HttpLimits, Process};
+use landingdrift::daemon::{ClientLimits, HttpAdapter, HttpLimits, Process};
 use landingdrift::settings::Settings;
 use serde_json::Value;
 use signal_hook::consts::SIGTERM;
@@ -48,7 +48,7 @@
         data: parent.join("data").to_string_lossy().into_owned(),
         ..Settings::default()
     };
-    let mut process = Process::start("error").expect("failed to start");
+    let mut process = Process::start("error", ClientLimits::default()).expect("failed to start");
     let replica = process
         .start_replica(&settings)
         .expect("failed to start without its folder");
@@ -99,7 +99,7 @@
         data: base.to_string_lossy().into_owned(),
         ..Settings::default()
     };
-    let mut process = Process::start("error").expect("failed to start");
+    let mut process = Process::start("error", ClientLimits::default()).expect("failed to start");
     let error = process
         .start_replica(&settings)
         .map(|_| ())
--- a/landingdrift/tests/orderly_shutdown.rs
+++ b/landingdrift/tests/orderly_shutdown.rs
@@ -2,7 +2,7 @@
 //! a shutdown that is too short for callers to notice or longer than the grace period.
 
 use landingdrift::daemon::{
-    AdapterResult, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, Process,
+    AdapterResult, ClientLimits, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, Process,
 };
 use landingdrift::sans_io::{Effect, Msg, Now, Request, Response, StateMachine};
 use landingdrift::settings::{Bounds, Settings};
@@ -183,7 +183,7 @@
         Arc::new(Counts::default()),
         Arc::new(AtomicBool::new(false)),
     );
-    let mut process = Process::start("error").expect("failed to start");
+    let mut process = Process::start("error", ClientLimits::default()).expect("failed to start");
     let serving = process
         .start_part(Box::new(SlowPart::default()), &settings())
         .expect("failed to start");
@@ -310,7 +310,7 @@
 fn calls_to_a_part_that_has_ended_are_rejected_at_once() {
     let _one = ONE_AT_A_TIME.lock();
     let (counts, exit_flag) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(true)));
-    let mut process = Process::start("error").expect("failed to start");
+    let mut process = Process::start("error", ClientLimits::default()).expect("failed to start");
     let part = SlowPart {
         exit_flag: Some(exit_flag),
         ..SlowPart::default()
--- a/landingdrift/tests/stored/mod.rs
+++ b/landingdrift/tests/stored/mod.rs
@@ -272,6 +272,7 @@
         open_jobs: 303,
         jobs_memory_bytes: Limits::default().jobs_memory_bytes,
         calls: 404,
+        http_memory_bytes: Limits::default().http_memory_bytes,
         retain_ms: 500_005,
         identity_ms: 600_006,
         snapshot_every: 707,
--- a/landingdrift/tests/stored_data.rs
+++ b/landingdrift/tests/stored_data.rs
@@ -327,12 +327,16 @@
     let text = stored::text(SETTINGS);
     let settings: Settings = toml::from_str(&text).expect("settings");
     assert_eq!(settings, stored::settings());
-    // Version 0.1.0 did not have this setting.
-    let added = format!(
-        "jobs_memory_bytes = {}\n",
-        settings.limits.jobs_memory_bytes
-    );
-    let written = toml::to_string(&settings).expect("TOML");
-    assert_eq!(written.matches(&added).count(), 1);
-    assert_eq!(written.replace(&added, ""), text);
+    // Version 0.1.0 did not have these settings.
+    let limits = &settings.limits;
+    let added = [
+        format!("jobs_memory_bytes = {}\n", limits.jobs_memory_bytes),
+        format!("http_memory_bytes = {}\n", limits.http_memory_bytes),
+    ];
+    let mut written = toml::to_string(&settings).expect("TOML");
+    for line in added {
+        assert_eq!(written.matches(&line).count(), 1);
+        written = written.replace(&line, "");
+    }
+    assert_eq!(written, text);
 }
--- a/landingdrift/tests/traffic.rs
+++ b/landingdrift/tests/traffic.rs
@@ -3,7 +3,9 @@
 
 mod traffic_common;
 
-use landingdrift::daemon::{FrameOptions, HttpAdapter, Input, PendingCalls, Traffic, Transport};
+use landingdrift::daemon::{
+    ClientLimits, FrameOptions, HttpAdapter, Input, PendingCalls, Traffic, Transport,
+};
 use landingdrift::sans_io::Msg;
 use landingdrift::settings::Limits;
 use landingdrift::wire::{pack, unpack, Body, ForwardResponse, ReadIndexRequest, RequestToken};
@@ -86,8 +88,8 @@
 #[test]
 fn two_processes_exchange_frames() {
     let (traffic_a, traffic_b) = (
-        Traffic::start().expect("failed to start"),
-        Traffic::start().expect("failed to start"),
+        Traffic::start(ClientLimits::default()).expect("failed to start"),
+        Traffic::start(ClientLimits::default()).expect("failed to start"),
     );
     let ((mut transport_a, inputs_a), (mut transport_b, inputs_b)) =
         (listen(&traffic_a), listen(&traffic_b));
@@ -105,7 +107,7 @@
 
 #[test]
 fn parts_of_one_process_share_a_traffic_thread_and_use_separate_addresses() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let ((mut replica, replica_inputs), (mut node, node_inputs)) =
         (listen(&traffic), listen(&traffic));
     let (replica_address, node_address) = (
@@ -132,7 +134,7 @@
 
 #[test]
 fn frames_of_any_size_keep_their_order() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let ((mut transport_a, _inputs_a), (transport_b, inputs_b)) =
         (listen(&traffic), listen(&traffic));
     let sizes = [0, 10, 900_000, 20, 16 << 10, 40_000, 1];
@@ -150,7 +152,7 @@
 
 #[test]
 fn a_stalled_receiver_does_not_delay_others() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let ((mut transport_a, _inputs_a), (transport_b, inputs_b)) =
         (listen(&traffic), listen(&traffic));
     let stalled = TcpListener::bind("127.0.0.1:0").expect("failed to bind");
@@ -172,7 +174,7 @@
 #[test]
 fn the_queue_for_one_receiver_is_bounded_in_bytes() {
     const MAX_QUEUED_BYTES: usize = 4 << 20;
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let ((mut transport_a, _inputs_a), (transport_b, inputs_b)) =
         (listen(&traffic), listen(&traffic));
     let stalled = TcpListener::bind("127.0.0.1:0").expect("failed to bind");
@@ -195,7 +197,7 @@
 
 #[test]
 fn a_frame_that_is_too_long_closes_only_its_connection() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let ((mut transport_a, _inputs_a), (transport_b, inputs_b)) =
         (listen(&traffic), listen(&traffic));
     let mut connection = TcpStream::connect(transport_b.own_address()).expect("failed to connect");
@@ -217,7 +219,7 @@
 
 #[test]
 fn invalid_frames_and_frames_of_other_clusters_are_skipped() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let (transport_b, inputs_b) = listen(&traffic);
     let mut connection = TcpStream::connect(transport_b.own_address()).expect("failed to connect");
     for bytes in [
@@ -237,15 +239,15 @@
 
 #[test]
 fn a_restarted_receiver_gets_frames_again() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let (mut transport_a, _inputs_a) = listen(&traffic);
-    let first = Traffic::start().expect("failed to start");
+    let first = Traffic::start(ClientLimits::default()).expect("failed to start");
     let (transport_b, inputs_b) = listen(&first);
     let receiver_address = transport_b.own_address().to_string();
     transport_a.send(&receiver_address, &read_index_request(1));
     assert_eq!(next(&inputs_b).1, read_index_request(1));
     drop((transport_b, first));
-    let second = Traffic::start().expect("failed to start");
+    let second = Traffic::start(ClientLimits::default()).expect("failed to start");
     let (input_sender, input_receiver) = channel();
     let _transport_b = second
         .listen(options(&receiver_address), input_sender)
@@ -273,7 +275,7 @@
 
 #[test]
 fn a_frame_is_not_sent_again_after_any_number_of_bytes_before_a_reset() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let frame_bytes =
         with_length_prefix(&pack("tests", "127.0.0.1:65535", &read_index_request(1))).len();
     for bytes in 0..frame_bytes {
@@ -311,7 +313,7 @@
 
 #[test]
 fn an_error_about_an_address_in_use_names_the_flag_to_change() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let (transport_a, _inputs_a) = listen(&traffic);
     let (input_sender, _input_receiver) = channel();
     let error = traffic
--- a/landingdrift/tests/traffic_http.rs
+++ b/landingdrift/tests/traffic_http.rs
@@ -4,7 +4,8 @@
 mod traffic_common;
 
 use landingdrift::daemon::{
-    AdapterResult, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, Input, PendingCalls, Traffic,
+    AdapterResult, ClientLimits, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, Input,
+    PendingCalls, Traffic,
 };
 use landingdrift::sans_io::{Request, Response};
 use serde_json::json;
@@ -76,7 +77,7 @@
 
 #[test]
 fn two_addresses_have_separate_adapters_and_parts() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let default_server = serve(&traffic, limits(), HttpAdapter::default());
     let custom_server = serve(
         &traffic,
@@ -133,7 +134,7 @@
 
 #[test]
 fn calls_beyond_the_limit_are_rejected_with_a_retry_time() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let one_call_limit = HttpLimits {
         calls: 1,
         ..limits()
@@ -156,7 +157,7 @@
 
 #[test]
 fn oversized_bodies_and_invalid_requests_get_api_errors() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let server = serve(&traffic, limits(), HttpAdapter::default());
     let (status, _, text) = call(server.address, "/", vec![b'x'; 1001])
         .join()
@@ -196,7 +197,7 @@
 /// Guards against clients that make a process wait for bodies, or hold them, that it does not need.
 #[test]
 fn a_body_that_is_not_needed_or_too_long_is_not_waited_for() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let adapter = HttpAdapter::new(Arc::new(|_| {
         AdapterResult::Respond(HttpResponse {
             status: 204,
@@ -217,7 +218,7 @@
 
 #[test]
 fn a_call_that_is_not_answered_is_reported_as_unsure() {
-    let traffic = Traffic::start().expect("failed to start");
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
     let server = serve(&traffic, limits(), HttpAdapter::default());
     drop(server.inputs);
     let short = HttpLimits {
