Bound the connections of HTTP clients and what each of them may hold

Cause: every connection was taken and kept until the client closed it, each with a read buffer of up to 400 KiB, and nothing left descriptors for peers and files.

For a new connection beyond it the one that has made no progress for the longest time is closed, at the address with the most of them, so that a crowd at the front closes no worker's connection; one that waits for an answer is never closed. Weighed: refusing the new connection, which lets the first crowd keep ordinary callers out; a time for heads, which makes slow clients pay for fast crowds.

--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -31,5 +31,5 @@
 pub use shutdown_timer::{GracePeriod, ShutdownTimer};
 pub use traffic::{
     AdapterResult, ClientLimits, FrameOptions, HttpAdapter, HttpLimits, HttpRequest, HttpResponse,
-    Traffic, Transport,
+    Traffic, Transport, CONNECTION_BYTES,
 };
--- /dev/null
+++ b/landingdrift/src/daemon/traffic/http/connections.rs
@@ -0,0 +1,250 @@
+//! The open HTTP connections of a process. Their number is bounded; where there are too many, the one that has stood still
+//! for the longest time is closed for a new one.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// A connection without progress for this time is closed, unless it waits for the response to a call.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The interval at which idle connections are looked for.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The open connections of all addresses of a process.
+#[derive(Clone)]
+pub struct Connections(Arc<Mutex<Registry>>);
+
+/// The connections of one address of the process.
+#[derive(Clone)]
+pub struct AddressConnections {
+    connections: Connections,
+    address: usize,
+}
+
+/// An open connection. Dropping it removes the connection from the registry.
+pub struct OpenConnection {
+    connections: Connections,
+    number: u64,
+    entry: Arc<Entry>,
+}
+
+/// A guard that keeps a connection from being closed while it waits for the response to a call.
+pub struct BusyGuard(Arc<Entry>);
+
+/// Closes connections that made no progress for [`IDLE_TIMEOUT`]. Runs until it is aborted.
+pub async fn close_idle(connections: Connections) {
+    loop {
+        sleep(IDLE_CHECK_INTERVAL).await;
+        connections.registry().close_idle(Instant::now());
+    }
+}
+
+/// Counts of connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// Connections that are open now.
+    pub open: u64,
+    /// Connections that were closed because there were too many.
+    pub evicted: u64,
+    /// New connections that were closed because no other one could be.
+    pub refused: u64,
+    /// Connections that were closed because they made no progress for long.
+    pub timed_out: u64,
+}
+
+struct Registry {
+    limit: u64,
+    /// The number of open connections by address.
+    addresses: Vec<u64>,
+    open: BTreeMap<u64, Arc<Entry>>,
+    next_number: u64,
+    counts: ConnectionCounts,
+}
+
+/// A connection in the registry.
+struct Entry {
+    address: usize,
+    since: Instant,
+    /// The time of the last progress, in milliseconds after `since`.
+    last_progress_ms: AtomicU64,
+    /// The number of calls of the connection that wait for a response.
+    waiting_calls: AtomicU64,
+    close: Notify,
+}
+
+impl Entry {
+    fn new(address: usize, now: Instant) -> Self {
+        Self {
+            address,
+            since: now,
+            last_progress_ms: AtomicU64::new(0),
+            waiting_calls: AtomicU64::new(0),
+            close: Notify::new(),
+        }
+    }
+
+    fn record_progress(&self, now: Instant) {
+        let elapsed = now.duration_since(self.since).as_millis() as u64;
+        self.last_progress_ms.store(elapsed, Ordering::Relaxed);
+    }
+
+    fn last_progress(&self) -> Instant {
+        let elapsed = self.last_progress_ms.load(Ordering::Relaxed);
+        self.since + Duration::from_millis(elapsed)
+    }
+
+    /// Whether the connection may be closed: no call of it waits for a response.
+    fn is_closable(&self) -> bool {
+        self.waiting_calls.load(Ordering::Relaxed) == 0
+    }
+}
+
+impl Connections {
+    /// A registry that holds up to the given number of connections.
+    pub fn new(limit: u64) -> Self {
+        let registry = Registry {
+            limit,
+            addresses: Vec::new(),
+            open: BTreeMap::new(),
+            next_number: 0,
+            counts: ConnectionCounts::default(),
+        };
+        Self(Arc::new(Mutex::new(registry)))
+    }
+
+    /// Adds an address.
+    pub fn add_address(&self) -> AddressConnections {
+        let mut registry = self.registry();
+        let address = registry.addresses.len();
+        registry.addresses.push(0);
+        AddressConnections {
+            connections: self.clone(),
+            address,
+        }
+    }
+
+    /// Counts of connections.
+    #[cfg(test)]
+    pub fn counts(&self) -> ConnectionCounts {
+        let registry = self.registry();
+        ConnectionCounts {
+            open: registry.open.len() as u64,
+            ..registry.counts
+        }
+    }
+
+    fn registry(&self) -> MutexGuard<'_, Registry> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl AddressConnections {
+    /// Registers a new connection. `None` if there are too many and none of them may be closed for it.
+    pub fn open(&self) -> Option<OpenConnection> {
+        let mut registry = self.connections.registry();
+        let (number, entry) = registry.open(self.address, Instant::now())?;
+        Some(OpenConnection {
+            connections: self.connections.clone(),
+            number,
+            entry,
+        })
+    }
+}
+
+impl OpenConnection {
+    /// Completes once the connection has to be closed.
+    pub async fn must_close(&self) {
+        self.entry.close.notified().await;
+    }
+
+    /// A handle through which the progress of the connection is recorded.
+    pub fn progress(&self) -> ProgressRecorder {
+        ProgressRecorder(self.entry.clone())
+    }
+
+    /// Keeps the connection from being closed until the guard is dropped.
+    pub fn wait_for_call(&self) -> BusyGuard {
+        self.entry.waiting_calls.fetch_add(1, Ordering::Relaxed);
+        BusyGuard(self.entry.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.registry().remove(self.number);
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.record_progress(Instant::now());
+        self.0.waiting_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Records the progress of a connection.
+pub struct ProgressRecorder(Arc<Entry>);
+
+impl ProgressRecorder {
+    /// Records that bytes were received or sent.
+    pub fn record(&self) {
+        self.0.record_progress(Instant::now());
+    }
+}
+
+impl Registry {
+    fn open(&mut self, address: usize, now: Instant) -> Option<(u64, Arc<Entry>)> {
+        if self.open.len() as u64 >= self.limit && !self.evict_one() {
+            self.counts.refused += 1;
+            return None;
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        let entry = Arc::new(Entry::new(address, now));
+        self.open.insert(number, entry.clone());
+        self.addresses[address] += 1;
+        Some((number, entry))
+    }
+
+    /// Closes a connection of the address with the most of them: the one whose last progress is the longest ago. Returns
+    /// whether there was one that may be closed.
+    fn evict_one(&mut self) -> bool {
+        let closable = self.open.iter().filter(|(_, entry)| entry.is_closable());
+        let victim = closable.min_by_key(|(number, entry)| {
+            let others = u64::MAX - self.addresses[entry.address];
+            (others, entry.last_progress(), **number)
+        });
+        let Some((number, entry)) = victim else {
+            return false;
+        };
+        entry.close.notify_one();
+        let number = *number;
+        self.remove(number);
+        self.counts.evicted += 1;
+        true
+    }
+
+    fn close_idle(&mut self, now: Instant) {
+        let is_idle = |entry: &Entry| {
+            let idle = now.saturating_duration_since(entry.last_progress());
+            entry.is_closable() && idle >= IDLE_TIMEOUT
+        };
+        for entry in self.open.values().filter(|entry| is_idle(entry)) {
+            entry.close.notify_one();
+            self.counts.timed_out += 1;
+        }
+    }
+
+    fn remove(&mut self, number: u64) {
+        if let Some(entry) = self.open.remove(&number) {
+            self.addresses[entry.address] -= 1;
+        }
+    }
+}
--- a/landingdrift/src/daemon/traffic/http/listener.rs
+++ b/landingdrift/src/daemon/traffic/http/listener.rs
@@ -33,7 +33,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(connection::serve(stream, request_handler.clone()));
+                // If there are too many connections, the new one is closed.
+                if let Some(open) = request_handler.connections.open() {
+                    tokio::spawn(connection::serve(stream, open, request_handler.clone()));
+                }
             }
             Err(error) => {
                 log::warn!(
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -2,6 +2,7 @@
 //! returns the responses.
 
 mod connection;
+mod connections;
 mod http_adapter;
 mod listener;
 mod memory_budget;
@@ -9,7 +10,9 @@
 mod request_handler;
 mod responses;
 mod serving;
+mod tracked_stream;
 
+pub use connection::CONNECTION_BYTES;
 pub use http_adapter::{AdapterResult, HttpAdapter, HttpRequest, HttpResponse};
 pub use serving::ServingState;
 
@@ -17,6 +20,7 @@
 use crate::daemon::input::Input;
 use crate::daemon::pending_calls::PendingCalls;
 use crate::settings::Limits;
+use connections::Connections;
 use memory_budget::MemoryBudget;
 use request_handler::RequestHandler;
 use std::net::SocketAddr;
@@ -42,6 +46,8 @@
 pub struct ClientLimits {
     /// The memory for what clients send and for responses to them, in bytes.
     pub memory_bytes: u64,
+    /// The maximum number of open connections.
+    pub connections: u64,
 }
 
 impl ClientLimits {
@@ -49,6 +55,7 @@
     pub fn from_settings(limits: &Limits) -> Self {
         Self {
             memory_bytes: limits.http_memory_bytes,
+            connections: limits.http_connections,
         }
     }
 }
@@ -64,15 +71,19 @@
     handle: Handle,
     serving: ServingState,
     memory: MemoryBudget,
+    connections: Connections,
 }
 
 impl HttpServer {
     /// A server without addresses, whose tasks run on the given runtime.
     pub fn new(handle: Handle, limits: ClientLimits) -> Self {
+        let connections = Connections::new(limits.connections);
+        handle.spawn(connections::close_idle(connections.clone()));
         Self {
             handle,
             serving: ServingState::default(),
             memory: MemoryBudget::new(limits.memory_bytes),
+            connections,
         }
     }
 
@@ -99,6 +110,7 @@
             serving: self.serving.clone(),
             permits: Semaphore::new(permits),
             memory: self.memory.add_address(),
+            connections: self.connections.add_address(),
         };
         let http_error = |error| ProcessError::Http { at: addr, error };
         let listener = listener::bind(&self.handle, addr).map_err(http_error)?;
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -1,5 +1,6 @@
 //! Handles the HTTP requests that arrive at one address.
 
+use super::connections::{AddressConnections, OpenConnection};
 use super::http_adapter::format_response;
 use super::memory_budget::{AddressBudget, Charge};
 use super::request_body::{self, BodyError};
@@ -39,6 +40,7 @@
     pub serving: ServingState,
     pub permits: Semaphore,
     pub memory: AddressBudget,
+    pub connections: AddressConnections,
 }
 
 impl RequestHandler {
@@ -46,16 +48,21 @@
     pub async fn handle(
         self: &Arc<Self>,
         request: hyper::Request<Incoming>,
+        connection: Arc<OpenConnection>,
     ) -> hyper::Response<ResponseBody> {
         let in_flight = self.serving.begin_call();
         // A task of its own executes the call to its end even if the caller hangs up.
-        let reply = tokio::spawn(self.clone().reply(request));
+        let reply = tokio::spawn(self.clone().reply(request, connection));
         let response = reply.await;
         let response = response.unwrap_or_else(|_| format_response(responses::outcome_unknown()));
         self.respond(response, in_flight)
     }
 
-    async fn reply(self: Arc<Self>, request: hyper::Request<Incoming>) -> HttpResponse {
+    async fn reply(
+        self: Arc<Self>,
+        request: hyper::Request<Incoming>,
+        connection: Arc<OpenConnection>,
+    ) -> HttpResponse {
         if !METHODS.contains(request.method()) {
             return format_response(responses::unknown_method(request.method().as_str()));
         }
@@ -66,6 +73,7 @@
             Ok(body) => http_request.body = body,
             Err(error_response) => return format_response(error_response),
         }
+        let _busy = connection.wait_for_call();
         // A request that has only been read in part does not count as a call.
         let Ok(_permit) = self.permits.try_acquire() else {
             return format_response(responses::busy());
--- a/landingdrift/src/daemon/traffic/mod.rs
+++ b/landingdrift/src/daemon/traffic/mod.rs
@@ -6,6 +6,7 @@
 pub use frames::{FrameOptions, Transport};
 pub use http::{
     AdapterResult, ClientLimits, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, ServingState,
+    CONNECTION_BYTES,
 };
 
 use super::error::ProcessError;
--- a/landingdrift/src/settings/check.rs
+++ b/landingdrift/src/settings/check.rs
@@ -12,6 +12,8 @@
 const MIN_JOBS_MEMORY_BYTES: u64 = 1 << 20;
 /// Minimum memory for HTTP clients, in bytes.
 const MIN_HTTP_MEMORY_BYTES: u64 = 1 << 20;
+/// Minimum number of connections of HTTP clients.
+const MIN_HTTP_CONNECTIONS: u64 = 16;
 /// Minimum of `bounds.config_ms` and `bounds.leave_ms`, in milliseconds: ticks are a hundredth of the former apart.
 const MIN_BOUND_MS: u64 = 400;
 
@@ -185,6 +187,11 @@
         "limits.http_memory_bytes",
         "give at least 1048576",
     )?;
+    ensure(
+        limits.http_connections >= MIN_HTTP_CONNECTIONS,
+        "limits.http_connections",
+        "give at least 16",
+    )?;
     ensure(
         limits.retain_ms >= bounds.state_ms,
         "limits.retain_ms",
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -33,6 +33,8 @@
     pub calls: u64,
     /// Maximum memory of a process for the request bodies of HTTP clients and the large responses to them, in bytes.
     pub http_memory_bytes: u64,
+    /// Maximum number of open connections of HTTP clients to a process.
+    pub http_connections: u64,
     /// How long a finished job is retained in full, in milliseconds.
     pub retain_ms: u64,
     /// How long a finished job's identity is kept after that, in milliseconds, so that late retries of its submission
@@ -57,6 +59,7 @@
             jobs_memory_bytes: 512 << 20,
             calls: 2000,
             http_memory_bytes: 64 << 20,
+            http_connections: 2000,
             retain_ms: 600_000,
             identity_ms: 86_400_000,
             snapshot_every: 5000,
@@ -191,12 +194,17 @@
                 "limits.http_memory_bytes",
                 self.limits.http_memory_bytes != new.limits.http_memory_bytes,
             ),
+            (
+                "limits.http_connections",
+                self.limits.http_connections != new.limits.http_connections,
+            ),
         ];
         let updated = Settings {
             log: new.log.clone(),
             bounds: new.bounds.clone(),
             limits: Limits {
                 http_memory_bytes: self.limits.http_memory_bytes,
+                http_connections: self.limits.http_connections,
                 ..new.limits.clone()
             },
             hopper: new.hopper.clone(),
--- a/landingdrift/tests/stored/mod.rs
+++ b/landingdrift/tests/stored/mod.rs
@@ -273,6 +273,7 @@
         jobs_memory_bytes: Limits::default().jobs_memory_bytes,
         calls: 404,
         http_memory_bytes: Limits::default().http_memory_bytes,
+        http_connections: Limits::default().http_connections,
         retain_ms: 500_005,
         identity_ms: 600_006,
         snapshot_every: 707,
--- a/landingdrift/tests/stored_data.rs
+++ b/landingdrift/tests/stored_data.rs
@@ -332,6 +332,7 @@
     let added = [
         format!("jobs_memory_bytes = {}\n", limits.jobs_memory_bytes),
         format!("http_memory_bytes = {}\n", limits.http_memory_bytes),
+        format!("http_connections = {}\n", limits.http_connections),
     ];
     let mut written = toml::to_string(&settings).expect("TOML");
     for line in added {
