Bound large responses, both while they are made and while nobody reads them

Cause: each of these calls holds the response as parsed JSON, as text and in the write queue, for as long as the client likes; the limit was a number of calls.

Mended: a process executes two calls with large responses at a time; the others wait their turn, with the timeout of a call, and get 503 then. The text of a response over 16 KiB is charged to the memory of HTTP clients until it is sent. If others need that memory and the connection has taken nothing for half a second, the connection is closed; if there is none, the caller gets 503, which is safe for reads and heartbeats, the only calls with large responses. What a connection has sent or received last is recorded once, for its memory as for its place.

--- a/landingdrift/src/daemon/body_limits.rs
+++ b/landingdrift/src/daemon/body_limits.rs
@@ -1,4 +1,4 @@
-//! The maximum lengths of the request bodies of landingdrift's own API.
+//! The maximum lengths of the bodies of landingdrift's own API, and which of its responses may be large.
 
 use crate::settings::Limits;
 
@@ -33,3 +33,9 @@
         }
     }
 }
+
+/// Whether the response to a request may be large: the configuration, the status, and the lists of workers and jobs.
+pub fn has_large_response(method: &str, path: &str) -> bool {
+    let lists = ["/v1/desired", "/v1/status", "/v1/workers", "/v1/jobs"];
+    method == "GET" && lists.contains(&path.trim_end_matches('/'))
+}
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -1,6 +1,6 @@
 //! The subcommands that run a replica, a node or a worker proxy, each in its own process.
 
-use super::body_limits::BodyLimits;
+use super::body_limits::{has_large_response, BodyLimits};
 use super::error::ProcessError;
 use super::process::Process;
 use super::traffic::{ClientLimits, HttpAdapter, HttpLimits};
@@ -94,7 +94,8 @@
     let limits = http_limits(&settings);
     let body_limits = BodyLimits::from_settings(&settings.limits);
     let http_adapter = HttpAdapter::default()
-        .with_body_limit(move |method, path| body_limits.for_request(method, path));
+        .with_body_limit(move |method, path| body_limits.for_request(method, path))
+        .with_large_responses(has_large_response);
     process.serve_http(addr, limits, http_adapter, &part)?;
     log::info!(
         "{role} {} is serving HTTP at {}",
--- a/landingdrift/src/daemon/traffic/http/connection.rs
+++ b/landingdrift/src/daemon/traffic/http/connection.rs
@@ -18,7 +18,7 @@
 
 /// Serves the requests of a connection until the client or this process closes it.
 pub async fn serve(stream: TcpStream, open: OpenConnection, request_handler: Arc<RequestHandler>) {
-    let stream = TrackedStream::new(stream, open.progress());
+    let stream = TrackedStream::new(stream, open.progress().clone());
     let open = Arc::new(open);
     let service = service_fn(|request| {
         let (request_handler, open) = (request_handler.clone(), open.clone());
--- a/landingdrift/src/daemon/traffic/http/connections.rs
+++ b/landingdrift/src/daemon/traffic/http/connections.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::progress::Progress;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -71,35 +72,22 @@
 /// A connection in the registry.
 struct Entry {
     address: usize,
-    since: Instant,
-    /// The time of the last progress, in milliseconds after `since`.
-    last_progress_ms: AtomicU64,
+    progress: Arc<Progress>,
     /// The number of calls of the connection that wait for a response.
     waiting_calls: AtomicU64,
-    close: Notify,
+    close: Arc<Notify>,
 }
 
 impl Entry {
     fn new(address: usize, now: Instant) -> Self {
         Self {
             address,
-            since: now,
-            last_progress_ms: AtomicU64::new(0),
+            progress: Arc::new(Progress::starting_at(now)),
             waiting_calls: AtomicU64::new(0),
-            close: Notify::new(),
+            close: Arc::default(),
         }
     }
 
-    fn record_progress(&self, now: Instant) {
-        let elapsed = now.duration_since(self.since).as_millis() as u64;
-        self.last_progress_ms.store(elapsed, Ordering::Relaxed);
-    }
-
-    fn last_progress(&self) -> Instant {
-        let elapsed = self.last_progress_ms.load(Ordering::Relaxed);
-        self.since + Duration::from_millis(elapsed)
-    }
-
     /// Whether the connection may be closed: no call of it waits for a response.
     fn is_closable(&self) -> bool {
         self.waiting_calls.load(Ordering::Relaxed) == 0
@@ -164,9 +152,14 @@
         self.entry.close.notified().await;
     }
 
-    /// A handle through which the progress of the connection is recorded.
-    pub fn progress(&self) -> ProgressRecorder {
-        ProgressRecorder(self.entry.clone())
+    /// When the connection last received or sent bytes.
+    pub fn progress(&self) -> &Arc<Progress> {
+        &self.entry.progress
+    }
+
+    /// Closes the connection when it is notified.
+    pub fn close(&self) -> &Arc<Notify> {
+        &self.entry.close
     }
 
     /// Keeps the connection from being closed until the guard is dropped.
@@ -184,21 +177,11 @@
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.0.record_progress(Instant::now());
+        self.0.progress.record(Instant::now());
         self.0.waiting_calls.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// Records the progress of a connection.
-pub struct ProgressRecorder(Arc<Entry>);
-
-impl ProgressRecorder {
-    /// Records that bytes were received or sent.
-    pub fn record(&self) {
-        self.0.record_progress(Instant::now());
-    }
-}
-
 impl Registry {
     fn open(&mut self, address: usize, now: Instant) -> Option<(u64, Arc<Entry>)> {
         if self.open.len() as u64 >= self.limit && !self.evict_one() {
@@ -219,7 +202,7 @@
         let closable = self.open.iter().filter(|(_, entry)| entry.is_closable());
         let victim = closable.min_by_key(|(number, entry)| {
             let others = u64::MAX - self.addresses[entry.address];
-            (others, entry.last_progress(), **number)
+            (others, entry.progress.last(), **number)
         });
         let Some((number, entry)) = victim else {
             return false;
@@ -233,7 +216,7 @@
 
     fn close_idle(&mut self, now: Instant) {
         let is_idle = |entry: &Entry| {
-            let idle = now.saturating_duration_since(entry.last_progress());
+            let idle = now.saturating_duration_since(entry.progress.last());
             entry.is_closable() && idle >= IDLE_TIMEOUT
         };
         for entry in self.open.values().filter(|entry| is_idle(entry)) {
--- a/landingdrift/src/daemon/traffic/http/connections/tests.rs
+++ b/landingdrift/src/daemon/traffic/http/connections/tests.rs
@@ -25,8 +25,8 @@
 
 /// Lets a connection have made progress at the given time after it was opened.
 fn progress_after(connection: &OpenConnection, time: Duration) {
-    let entry = &connection.entry;
-    entry.record_progress(entry.since + time);
+    let progress = connection.progress();
+    progress.record(progress.last() + time);
 }
 
 #[test]
--- a/landingdrift/src/daemon/traffic/http/http_adapter.rs
+++ b/landingdrift/src/daemon/traffic/http/http_adapter.rs
@@ -42,11 +42,15 @@
 /// a body is then not read.
 type BodyLimit = Arc<dyn Fn(&str, &str) -> u64 + Send + Sync>;
 
+/// Whether the response to a request may be large, by method and percent-decoded path.
+type LargeResponse = Arc<dyn Fn(&str, &str) -> bool + Send + Sync>;
+
 /// Translates HTTP requests at one address into requests to the part, and the part's responses into HTTP responses.
 #[derive(Clone)]
 pub struct HttpAdapter {
     pub(super) translate_request: Arc<dyn Fn(HttpRequest) -> AdapterResult + Send + Sync>,
     pub(super) body_limit: BodyLimit,
+    pub(super) has_large_response: LargeResponse,
 }
 
 impl HttpAdapter {
@@ -56,6 +60,7 @@
         Self {
             translate_request,
             body_limit: Arc::new(|_, _| u64::MAX),
+            has_large_response: Arc::new(|_, _| false),
         }
     }
 
@@ -68,6 +73,16 @@
         self.body_limit = Arc::new(body_limit);
         self
     }
+
+    /// Names the requests, by method and percent-decoded path, whose responses may be large. Few of them are executed at
+    /// a time.
+    pub fn with_large_responses(
+        mut self,
+        has_large_response: impl Fn(&str, &str) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        self.has_large_response = Arc::new(has_large_response);
+        self
+    }
 }
 
 impl Default for HttpAdapter {
--- a/landingdrift/src/daemon/traffic/http/memory_budget.rs
+++ b/landingdrift/src/daemon/traffic/http/memory_budget.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::progress::Progress;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,7 +13,7 @@
 /// One address may use the budget divided by this number, so that a crowd at one address leaves memory for the others.
 const ADDRESS_DIVISOR: u64 = 2;
 /// A charge above this size, in bytes, is large.
-const LARGE_BYTES: u64 = 16 << 10;
+pub const LARGE_BYTES: u64 = 16 << 10;
 /// Large charges may use this fraction of the memory of an address. The rest is kept for small ones.
 const LARGE_NUMERATOR: u64 = 3;
 const LARGE_DENOMINATOR: u64 = 4;
@@ -74,9 +75,10 @@
 struct ChargeEntry {
     address: usize,
     bytes: u64,
-    /// The time of the last progress; `None` if the charge can't be evicted.
-    last_progress: Option<Instant>,
-    evicted: Arc<Notify>,
+    /// The progress of the connection for which the memory is charged.
+    progress: Arc<Progress>,
+    /// Notified when the charge is evicted; `None` if it can't be evicted.
+    evicted: Option<Arc<Notify>>,
 }
 
 impl ChargeEntry {
@@ -88,10 +90,11 @@
         }
     }
 
-    /// The time of the last progress of a charge that has stalled.
+    /// The time of the last progress of a charge that may be evicted because it has stalled.
     fn stalled_since(&self, now: Instant) -> Option<Instant> {
-        let has_stalled = |last: &Instant| now.duration_since(*last) >= MIN_STALL;
-        self.last_progress.filter(has_stalled)
+        let last = self.progress.last();
+        let has_stalled = now.saturating_duration_since(last) >= MIN_STALL;
+        (has_stalled && self.evicted.is_some()).then_some(last)
     }
 }
 
@@ -131,11 +134,16 @@
 }
 
 impl AddressBudget {
-    /// Starts a charge of 0 bytes, which may be evicted once it stalls.
-    pub fn charge(&self) -> Charge {
+    /// Starts a charge of 0 bytes, which may be evicted once the connection with the given progress stalls.
+    pub fn charge(&self, progress: &Arc<Progress>) -> Charge {
         let evicted = Arc::new(Notify::new());
-        let mut ledger = self.budget.ledger();
-        let number = ledger.add_charge(self.address, evicted.clone(), Instant::now());
+        let entry = ChargeEntry {
+            address: self.address,
+            bytes: 0,
+            progress: progress.clone(),
+            evicted: Some(evicted.clone()),
+        };
+        let number = self.budget.ledger().add_charge(entry);
         Charge {
             budget: self.budget.clone(),
             number,
@@ -153,18 +161,21 @@
             .resize(self.number, bytes, Instant::now())
     }
 
-    /// Records that the request has made progress.
-    pub fn record_progress(&self) {
-        if let Some(entry) = self.budget.ledger().charges.get_mut(&self.number) {
-            entry.last_progress = entry.last_progress.map(|_| Instant::now());
-        }
-    }
-
     /// From now on, the charge can't be evicted. Fails if it was evicted already.
     pub fn pin(&self) -> Result<(), OutOfMemory> {
+        self.set_evicted(None)
+    }
+
+    /// From now on, the charge may be evicted once its connection stalls; `evicted` is then notified. Fails if the charge
+    /// was evicted already.
+    pub fn unpin(&self, evicted: &Arc<Notify>) -> Result<(), OutOfMemory> {
+        self.set_evicted(Some(evicted.clone()))
+    }
+
+    fn set_evicted(&self, evicted: Option<Arc<Notify>>) -> Result<(), OutOfMemory> {
         let mut ledger = self.budget.ledger();
         let entry = ledger.charges.get_mut(&self.number).ok_or(OutOfMemory)?;
-        entry.last_progress = None;
+        entry.evicted = evicted;
         Ok(())
     }
 
@@ -181,15 +192,9 @@
 }
 
 impl Ledger {
-    fn add_charge(&mut self, address: usize, evicted: Arc<Notify>, now: Instant) -> u64 {
+    fn add_charge(&mut self, entry: ChargeEntry) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
-        let entry = ChargeEntry {
-            address,
-            bytes: 0,
-            last_progress: Some(now),
-            evicted,
-        };
         self.charges.insert(number, entry);
         number
     }
@@ -216,8 +221,9 @@
             let Some(victim) = self.longest_stalled(address, bytes, now) else {
                 return false;
             };
-            if let Some(entry) = self.take(victim) {
-                entry.evicted.notify_one();
+            let victim = self.take(victim);
+            if let Some(evicted) = victim.and_then(|entry| entry.evicted) {
+                evicted.notify_one();
                 self.counts.evicted += 1;
             }
         }
--- a/landingdrift/src/daemon/traffic/http/memory_budget/tests.rs
+++ b/landingdrift/src/daemon/traffic/http/memory_budget/tests.rs
@@ -1,7 +1,9 @@
 //! The memory budget of HTTP clients. Guards against crowds that use up the memory of others, and against memory that is
 //! charged to nobody.
 
+use super::super::progress::Progress;
 use super::{AddressBudget, Charge, MemoryBudget, OutOfMemory, LARGE_BYTES, MIN_STALL};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const LIMIT: u64 = 1 << 20;
@@ -14,13 +16,18 @@
     (budget, address)
 }
 
+/// Starts a charge for a new connection.
+fn charge(address: &AddressBudget) -> Charge {
+    address.charge(&Arc::new(Progress::starting_at(Instant::now())))
+}
+
 /// Charges the given size as often as there is memory.
 fn fill(address: &AddressBudget, bytes: u64) -> Vec<Charge> {
-    let charge = || {
-        let charge = address.charge();
+    let next = || {
+        let charge = charge(address);
         charge.resize(bytes).ok().map(|()| charge)
     };
-    std::iter::from_fn(charge).collect()
+    std::iter::from_fn(next).collect()
 }
 
 /// Resizes a charge as if the given time had passed since the others made progress.
@@ -54,9 +61,9 @@
 fn a_single_large_request_is_served_beside_small_ones_whatever_its_size() {
     let (_budget, address) = budget();
     let _small = fill(&address, LARGE_BYTES);
-    let first = address.charge();
+    let first = charge(&address);
     assert_eq!(first.resize(2 * LIMIT), Ok(()));
-    let second = address.charge();
+    let second = charge(&address);
     assert_eq!(second.resize(LARGE), Err(OutOfMemory));
 }
 
@@ -64,7 +71,7 @@
 fn the_request_that_has_stalled_for_the_longest_time_is_evicted_first() {
     let (budget, address) = budget();
     let crowd = fill(&address, LARGE);
-    let newcomer = address.charge();
+    let newcomer = charge(&address);
     assert_eq!(
         resize_after(&newcomer, LARGE, MIN_STALL / 2),
         Err(OutOfMemory),
@@ -81,7 +88,7 @@
     let (budget, address) = budget();
     let crowd = fill(&address, LARGE);
     assert!(crowd.iter().all(|charge| charge.pin().is_ok()));
-    let newcomer = address.charge();
+    let newcomer = charge(&address);
     assert_eq!(
         resize_after(&newcomer, LARGE, 2 * MIN_STALL),
         Err(OutOfMemory)
@@ -93,8 +100,21 @@
 fn an_evicted_request_can_neither_grow_nor_be_executed() {
     let (_budget, address) = budget();
     let crowd = fill(&address, LARGE);
-    let newcomer = address.charge();
+    let newcomer = charge(&address);
     assert_eq!(resize_after(&newcomer, LARGE, 2 * MIN_STALL), Ok(()));
     assert_eq!(crowd[0].resize(LARGE + 1), Err(OutOfMemory));
     assert_eq!(crowd[0].pin(), Err(OutOfMemory));
 }
+
+#[test]
+fn a_complete_request_may_be_evicted_again_while_its_response_is_not_read() {
+    let (_budget, address) = budget();
+    let crowd = fill(&address, LARGE);
+    let close = Arc::new(tokio::sync::Notify::new());
+    for charge in &crowd {
+        assert!(charge.pin().is_ok());
+        assert!(charge.unpin(&close).is_ok());
+    }
+    let newcomer = charge(&address);
+    assert_eq!(resize_after(&newcomer, LARGE, 2 * MIN_STALL), Ok(()));
+}
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -6,6 +6,7 @@
 mod http_adapter;
 mod listener;
 mod memory_budget;
+mod progress;
 mod request_body;
 mod request_handler;
 mod responses;
@@ -72,8 +73,12 @@
     serving: ServingState,
     memory: MemoryBudget,
     connections: Connections,
+    large_responses: Arc<Semaphore>,
 }
 
+/// The number of calls with large responses that a process executes at a time.
+const LARGE_RESPONSES: usize = 2;
+
 impl HttpServer {
     /// A server without addresses, whose tasks run on the given runtime.
     pub fn new(handle: Handle, limits: ClientLimits) -> Self {
@@ -84,6 +89,7 @@
             serving: ServingState::default(),
             memory: MemoryBudget::new(limits.memory_bytes),
             connections,
+            large_responses: Arc::new(Semaphore::new(LARGE_RESPONSES)),
         }
     }
 
@@ -111,6 +117,7 @@
             permits: Semaphore::new(permits),
             memory: self.memory.add_address(),
             connections: self.connections.add_address(),
+            large_responses: self.large_responses.clone(),
         };
         let http_error = |error| ProcessError::Http { at: addr, error };
         let listener = listener::bind(&self.handle, addr).map_err(http_error)?;
--- a/landingdrift/src/daemon/traffic/http/request_body.rs
+++ b/landingdrift/src/daemon/traffic/http/request_body.rs
@@ -68,7 +68,6 @@
             };
             self.reserve(data.len())?;
             self.bytes.extend_from_slice(&data);
-            self.charge.record_progress();
         }
         Ok(self.bytes)
     }
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -2,7 +2,7 @@
 
 use super::connections::{AddressConnections, OpenConnection};
 use super::http_adapter::format_response;
-use super::memory_budget::{AddressBudget, Charge};
+use super::memory_budget::{AddressBudget, Charge, OutOfMemory, LARGE_BYTES};
 use super::request_body::{self, BodyError};
 use super::responses;
 use super::serving::{InFlight, ResponseBody, ServingState};
@@ -17,7 +17,8 @@
 use percent_encoding::percent_decode_str;
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 /// The methods that are passed to the adapter; others get an error response.
@@ -41,6 +42,23 @@
     pub permits: Semaphore,
     pub memory: AddressBudget,
     pub connections: AddressConnections,
+    /// The right to execute calls with large responses, which all addresses of the process share.
+    pub large_responses: Arc<Semaphore>,
+}
+
+/// A response, with the memory that is charged for its body if it is large.
+struct Reply {
+    response: HttpResponse,
+    charge: Option<Charge>,
+}
+
+impl From<Response> for Reply {
+    fn from(response: Response) -> Self {
+        Self {
+            response: format_response(response),
+            charge: None,
+        }
+    }
 }
 
 impl RequestHandler {
@@ -52,33 +70,52 @@
     ) -> hyper::Response<ResponseBody> {
         let in_flight = self.serving.begin_call();
         // A task of its own executes the call to its end even if the caller hangs up.
-        let reply = tokio::spawn(self.clone().reply(request, connection));
-        let response = reply.await;
-        let response = response.unwrap_or_else(|_| format_response(responses::outcome_unknown()));
-        self.respond(response, in_flight)
+        let reply = tokio::spawn(self.clone().reply(request, connection)).await;
+        let reply = reply.unwrap_or_else(|_| responses::outcome_unknown().into());
+        self.respond(reply, in_flight)
     }
 
     async fn reply(
         self: Arc<Self>,
         request: hyper::Request<Incoming>,
         connection: Arc<OpenConnection>,
-    ) -> HttpResponse {
+    ) -> Reply {
         if !METHODS.contains(request.method()) {
-            return format_response(responses::unknown_method(request.method().as_str()));
+            return responses::unknown_method(request.method().as_str()).into();
         }
         let (head, body) = request.into_parts();
         let mut http_request = http_request(&head);
-        let charge = self.memory.charge();
+        let charge = self.memory.charge(connection.progress());
         match self.read_body(&http_request, body, &charge).await {
             Ok(body) => http_request.body = body,
-            Err(error_response) => return format_response(error_response),
+            Err(error_response) => return error_response.into(),
         }
+        let Ok(_turn) = self.turn_for_large_response(&http_request).await else {
+            return responses::busy().into();
+        };
         let _busy = connection.wait_for_call();
         // A request that has only been read in part does not count as a call.
         let Ok(_permit) = self.permits.try_acquire() else {
-            return format_response(responses::busy());
+            return responses::busy().into();
         };
-        match (self.http_adapter.translate_request)(http_request) {
+        let response = self.execute(http_request).await;
+        charge_response(response, charge, &connection)
+    }
+
+    /// Waits for the right to execute a call with a large response. No right is needed for other calls.
+    async fn turn_for_large_response(
+        &self,
+        request: &HttpRequest,
+    ) -> Result<Option<SemaphorePermit<'_>>, Elapsed> {
+        if !(self.http_adapter.has_large_response)(&request.method, &request.path) {
+            return Ok(None);
+        }
+        let turn = timeout(self.limits.timeout, self.large_responses.acquire()).await?;
+        Ok(turn.ok())
+    }
+
+    async fn execute(&self, request: HttpRequest) -> HttpResponse {
+        match (self.http_adapter.translate_request)(request) {
             AdapterResult::Call(request, translate) => translate(self.call(request).await),
             AdapterResult::Respond(response) => response,
         }
@@ -123,12 +160,9 @@
         }
     }
 
-    fn respond(
-        &self,
-        response: HttpResponse,
-        in_flight: InFlight,
-    ) -> hyper::Response<ResponseBody> {
-        let body = ResponseBody::new(response.body, in_flight);
+    fn respond(&self, reply: Reply, in_flight: InFlight) -> hyper::Response<ResponseBody> {
+        let Reply { response, charge } = reply;
+        let body = ResponseBody::new(response.body, charge, in_flight);
         let mut out = hyper::Response::new(body);
         let status = StatusCode::from_u16(response.status);
         *out.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
@@ -146,6 +180,26 @@
     }
 }
 
+/// Charges the memory for a large response in place of that for its request. If there is none, the response is replaced;
+/// if the client does not read it and others need the memory, the connection is closed.
+fn charge_response(response: HttpResponse, charge: Charge, connection: &OpenConnection) -> Reply {
+    let bytes = response.body.len() as u64;
+    if bytes <= LARGE_BYTES {
+        return Reply {
+            response,
+            charge: None,
+        };
+    }
+    let charged = charge.resize(bytes);
+    match charged.and_then(|()| charge.unpin(connection.close())) {
+        Ok(()) => Reply {
+            response,
+            charge: Some(charge),
+        },
+        Err(OutOfMemory) => responses::no_memory_for_response().into(),
+    }
+}
+
 /// The request with the given head, without its body.
 fn http_request(head: &Parts) -> HttpRequest {
     let path = head.uri.path();
--- a/landingdrift/src/daemon/traffic/http/responses.rs
+++ b/landingdrift/src/daemon/traffic/http/responses.rs
@@ -17,6 +17,13 @@
     Response::error(503, "busy", message).retry(RETRY_MS)
 }
 
+/// The response to a call whose large response the process has no memory for. Large responses are those to reads, which
+/// have no effect, and to heartbeats, whose next one reports the same again.
+pub fn no_memory_for_response() -> Response {
+    let message = "this process has no memory for the response: retry later, or call another node";
+    Response::error(503, "busy", message).retry(RETRY_MS)
+}
+
 /// The response to a call that was not passed to the part because the process is shutting down.
 pub fn shutting_down() -> Response {
     let message =
--- a/landingdrift/src/daemon/traffic/http/serving.rs
+++ b/landingdrift/src/daemon/traffic/http/serving.rs
@@ -1,5 +1,6 @@
 //! The serving state of a process: the phase of its shutdown, and the number of HTTP calls in flight.
 
+use super::memory_budget::Charge;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::convert::Infallible;
@@ -116,11 +117,27 @@
     _in_flight: InFlight,
 }
 
+/// The bytes of a body, with the memory charged for them until they are sent.
+struct ChargedBytes {
+    bytes: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for ChargedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl ResponseBody {
-    /// The body of the response to the call that `in_flight` counts.
-    pub fn new(bytes: Vec<u8>, in_flight: InFlight) -> Self {
+    /// The body of the response to the call that `in_flight` counts. `charge` is for its memory, if it is large.
+    pub fn new(bytes: Vec<u8>, charge: Option<Charge>, in_flight: InFlight) -> Self {
+        let bytes = match charge {
+            Some(_charge) => Bytes::from_owner(ChargedBytes { bytes, _charge }),
+            None => bytes.into(),
+        };
         Self {
-            bytes: bytes.into(),
+            bytes,
             _in_flight: in_flight,
         }
     }
--- a/landingdrift/src/daemon/traffic/http/tracked_stream.rs
+++ b/landingdrift/src/daemon/traffic/http/tracked_stream.rs
@@ -1,27 +1,29 @@
 //! A TCP stream that records the progress of its connection.
 
-use super::connections::ProgressRecorder;
+use super::progress::Progress;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A stream that records each read and write that moves bytes.
 pub struct TrackedStream {
     stream: TcpStream,
-    progress: ProgressRecorder,
+    progress: Arc<Progress>,
 }
 
 impl TrackedStream {
     /// Tracks a stream.
-    pub fn new(stream: TcpStream, progress: ProgressRecorder) -> Self {
+    pub fn new(stream: TcpStream, progress: Arc<Progress>) -> Self {
         Self { stream, progress }
     }
 
     fn record_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
-            self.progress.record();
+            self.progress.record(Instant::now());
         }
         written
     }
@@ -36,7 +38,7 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buf);
         if buf.filled().len() > before {
-            self.progress.record();
+            self.progress.record(Instant::now());
         }
         read
     }
