Charge what is made of a request body until the call is answered

A call whose caller has been answered with a timeout could stay in the queue of the control thread, uncharged.

Mended: the body goes once it is translated; what it is translated to is charged twice (the request and the proposal or frame made of it) before it is passed on, else 503; the charge lasts until the call is answered and its input is taken from the queue.

--- a/landingdrift/src/daemon/open_folder.rs
+++ b/landingdrift/src/daemon/open_folder.rs
@@ -65,7 +65,7 @@
     let until = Instant::now() + pause;
     loop {
         match inputs.recv_timeout(until.saturating_duration_since(Instant::now())) {
-            Ok(Input::Call(request, call)) => {
+            Ok(Input::Call(request, call, _)) => {
                 calls.answer(call, response(&request, error, retries))
             }
             Ok(Input::Msg(Msg::Stop)) | Err(RecvTimeoutError::Disconnected) => return false,
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -32,6 +32,10 @@
     Method::HEAD,
 ];
 
+/// The number of copies of a request that are held until it is answered: the request itself, and the proposal or frame
+/// made of it.
+const HELD_COPIES: u64 = 2;
+
 /// Handles all requests at one address.
 pub struct RequestHandler {
     pub limits: HttpLimits,
@@ -49,7 +53,7 @@
 /// A response, with the memory that is charged for its body if it is large.
 struct Reply {
     response: HttpResponse,
-    charge: Option<Charge>,
+    charge: Option<Arc<Charge>>,
 }
 
 impl From<Response> for Reply {
@@ -85,7 +89,7 @@
         }
         let (head, body) = request.into_parts();
         let mut http_request = http_request(&head);
-        let charge = self.memory.charge(connection.progress());
+        let charge = Arc::new(self.memory.charge(connection.progress()));
         match self.read_body(&http_request, body, &charge).await {
             Ok(body) => http_request.body = body,
             Err(error_response) => return error_response.into(),
@@ -98,7 +102,7 @@
         let Ok(_permit) = self.permits.try_acquire() else {
             return responses::busy().into();
         };
-        let response = self.execute(http_request).await;
+        let response = self.execute(http_request, &charge).await;
         charge_response(response, charge, &connection)
     }
 
@@ -114,11 +118,17 @@
         Ok(turn.ok())
     }
 
-    async fn execute(&self, request: HttpRequest) -> HttpResponse {
-        match (self.http_adapter.translate_request)(request) {
-            AdapterResult::Call(request, translate) => translate(self.call(request).await),
-            AdapterResult::Respond(response) => response,
+    async fn execute(&self, request: HttpRequest, charge: &Arc<Charge>) -> HttpResponse {
+        let (request, translate) = match (self.http_adapter.translate_request)(request) {
+            AdapterResult::Call(request, translate) => (request, translate),
+            AdapterResult::Respond(response) => return response,
+        };
+        // The body is gone by now; what was made of it may be longer.
+        let translated_bytes = request.body.len() as u64;
+        if charge.resize(HELD_COPIES * translated_bytes).is_err() {
+            return translate(responses::out_of_memory());
         }
+        translate(self.call(request, charge.clone()).await)
     }
 
     /// Reads the body of a request, if the request needs one.
@@ -145,12 +155,12 @@
     }
 
     /// Passes a request to the control thread and waits for its response.
-    async fn call(&self, request: Request) -> Response {
+    async fn call(&self, request: Request, charge: Arc<Charge>) -> Response {
         if self.serving.is_rejecting() || self.calls.is_closed() {
             return responses::shutting_down();
         }
         let mut pending = self.calls.open();
-        let input = Input::Call(request, pending.number);
+        let input = Input::Call(request, pending.number, Some(charge));
         if self.inputs.send(input).is_err() {
             return responses::outcome_unknown();
         }
@@ -182,7 +192,11 @@
 
 /// Charges the memory for a large response in place of that for its request. If there is none, the response is replaced;
 /// if the client does not read it and others need the memory, the connection is closed.
-fn charge_response(response: HttpResponse, charge: Charge, connection: &OpenConnection) -> Reply {
+fn charge_response(
+    response: HttpResponse,
+    charge: Arc<Charge>,
+    connection: &OpenConnection,
+) -> Reply {
     let bytes = response.body.len() as u64;
     if bytes <= LARGE_BYTES {
         return Reply {
--- a/landingdrift/src/daemon/traffic/http/serving.rs
+++ b/landingdrift/src/daemon/traffic/http/serving.rs
@@ -120,7 +120,7 @@
 /// The bytes of a body, with the memory charged for them until they are sent.
 struct ChargedBytes {
     bytes: Vec<u8>,
-    _charge: Charge,
+    _charge: Arc<Charge>,
 }
 
 impl AsRef<[u8]> for ChargedBytes {
@@ -131,7 +131,7 @@
 
 impl ResponseBody {
     /// The body of the response to the call that `in_flight` counts. `charge` is for its memory, if it is large.
-    pub fn new(bytes: Vec<u8>, charge: Option<Charge>, in_flight: InFlight) -> Self {
+    pub fn new(bytes: Vec<u8>, charge: Option<Arc<Charge>>, in_flight: InFlight) -> Self {
         let bytes = match charge {
             Some(_charge) => Bytes::from_owner(ChargedBytes { bytes, _charge }),
             None => bytes.into(),
--- a/landingdrift/tests/control_thread.rs
+++ b/landingdrift/tests/control_thread.rs
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_busy_part_gets_one_tick_per_interval() {
-    let calls = (0..1000).map(|n| Input::Call(Request::default(), n));
+    let calls = (0..1000).map(|n| Input::Call(Request::default(), n, None));
     let kinds = run(
         Duration::from_secs(3600),
         calls.chain([Input::Msg(Msg::Stop)]).collect(),
@@ -75,7 +75,7 @@
 #[test]
 fn a_part_is_not_stepped_after_it_has_exited() {
     let stop = Input::Msg(Msg::Stop);
-    let late = Input::Call(Request::default(), 1);
+    let late = Input::Call(Request::default(), 1, None);
     let kinds = run(Duration::from_secs(3600), vec![stop, late]);
     assert_eq!(kinds, ["tick", "stop"]);
 }
--- a/landingdrift/tests/traffic_http.rs
+++ b/landingdrift/tests/traffic_http.rs
@@ -41,7 +41,7 @@
     /// Waits for the next call; returns the request and the call's number.
     fn next(&self) -> (Request, u64) {
         match self.inputs.recv_timeout(TEST_TIMEOUT) {
-            Ok(Input::Call(request, call)) => (request, call),
+            Ok(Input::Call(request, call, _)) => (request, call),
             _ => panic!("no call was received"),
         }
     }
