Let refusals reach clients that still send; answer a body that stops with 503

Causes: a socket that is closed with unread bytes in it is reset, and the response is lost with it; the timeout of a body was answered like a wrong encoding.

A body that does not arrive in time is answered 503 with a time to come back: it was surely not taken.

--- a/landingdrift/src/daemon/traffic/http/connections.rs
+++ b/landingdrift/src/daemon/traffic/http/connections.rs
@@ -6,7 +6,7 @@
 
 use super::progress::Progress;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -75,6 +75,8 @@
     progress: Arc<Progress>,
     /// The number of calls of the connection that wait for a response.
     waiting_calls: AtomicU64,
+    /// Whether a response was sent to a request whose body was not read to its end.
+    has_unread_body: AtomicBool,
     close: Arc<Notify>,
 }
 
@@ -84,6 +86,7 @@
             address,
             progress: Arc::new(Progress::starting_at(now)),
             waiting_calls: AtomicU64::new(0),
+            has_unread_body: AtomicBool::new(false),
             close: Arc::default(),
         }
     }
@@ -162,6 +165,16 @@
         &self.entry.close
     }
 
+    /// Records that a response is sent to a request whose body was not read to its end.
+    pub fn leave_body_unread(&self) {
+        self.entry.has_unread_body.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a response was sent to a request whose body was not read to its end.
+    pub fn has_unread_body(&self) -> bool {
+        self.entry.has_unread_body.load(Ordering::Relaxed)
+    }
+
     /// Keeps the connection from being closed until the guard is dropped.
     pub fn wait_for_call(&self) -> BusyGuard {
         self.entry.waiting_calls.fetch_add(1, Ordering::Relaxed);
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -10,7 +10,7 @@
 use crate::daemon::input::Input;
 use crate::daemon::pending_calls::PendingCalls;
 use crate::sans_io::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
@@ -90,7 +90,10 @@
         let (head, body) = request.into_parts();
         let mut http_request = http_request(&head);
         let charge = Arc::new(self.memory.charge(connection.progress()));
-        match self.read_body(&http_request, body, &charge).await {
+        match self
+            .read_body(&http_request, body, &charge, &connection)
+            .await
+        {
             Ok(body) => http_request.body = body,
             Err(error_response) => return error_response.into(),
         }
@@ -137,21 +140,33 @@
         request: &HttpRequest,
         body: Incoming,
         charge: &Charge,
+        connection: &OpenConnection,
     ) -> Result<Vec<u8>, Response> {
         let limit = (self.http_adapter.body_limit)(&request.method, &request.path);
         let max_bytes = limit.min(self.limits.body_bytes);
         if max_bytes == 0 {
+            if !body.is_end_stream() {
+                connection.leave_body_unread();
+            }
             return Ok(Vec::new());
         }
         let read = request_body::read(body, max_bytes, self.limits.timeout, charge).await;
         // Once the body is complete, the call is executed whatever happens.
         let pinned = read.and_then(|bytes| Ok(charge.pin().map(|()| bytes)?));
-        pinned.map_err(|error| match error {
+        pinned.map_err(|error| {
+            connection.leave_body_unread();
+            self.refusal(error, max_bytes)
+        })
+    }
+
+    /// The response to a request whose body was not read.
+    fn refusal(&self, error: BodyError, max_bytes: u64) -> Response {
+        match error {
             BodyError::TooLong => responses::body_too_long(max_bytes),
             BodyError::OutOfMemory => responses::out_of_memory(),
-            BodyError::TimedOut => responses::unreadable_body("timed out"),
-            BodyError::Invalid(error) => responses::unreadable_body(&error.to_string()),
-        })
+            BodyError::TimedOut => responses::body_timed_out(),
+            BodyError::Invalid(error) => responses::invalid_body(&error.to_string()),
+        }
     }
 
     /// Passes a request to the control thread and waits for its response.
--- a/landingdrift/src/daemon/traffic/http/responses.rs
+++ b/landingdrift/src/daemon/traffic/http/responses.rs
@@ -47,12 +47,19 @@
     Response::error(413, "tooLarge", message)
 }
 
-/// The response to a request whose body could not be read.
-pub fn unreadable_body(error: &str) -> Response {
+/// The response to a request whose body is not encoded correctly.
+pub fn invalid_body(error: &str) -> Response {
     let message = format!("failed to read the request body: {error}; send it again");
     Response::error(400, "noBody", message)
 }
 
+/// The response to a request whose body did not arrive in time.
+pub fn body_timed_out() -> Response {
+    let message =
+        "the request body did not arrive in time and the call was not executed: send it again";
+    Response::error(503, "noBody", message).retry(RETRY_MS)
+}
+
 /// The response to a request with a method that the server does not pass on.
 pub fn unknown_method(method: &str) -> Response {
     let message = format!(
--- a/landingdrift/tests/traffic_http.rs
+++ b/landingdrift/tests/traffic_http.rs
@@ -216,6 +216,51 @@
     );
 }
 
+/// Guards against a refusal that says less than the API promises: a body that stops is surely not executed, and the call
+/// may come again.
+#[test]
+fn a_body_that_stops_is_answered_with_503_and_a_retry_time() {
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
+    let short = HttpLimits {
+        timeout: Duration::from_millis(50),
+        ..limits()
+    };
+    let server = serve(&traffic, short, HttpAdapter::default());
+    let text = send_head(server.address, "/", 500);
+    assert!(
+        text.starts_with("HTTP/1.1 503") && text.contains("retryMs"),
+        "{text}"
+    );
+}
+
+/// Guards against a refusal that is lost because the connection is closed while the client still sends.
+#[test]
+fn a_refusal_reaches_a_client_that_is_still_sending() {
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
+    let server = serve(&traffic, limits(), HttpAdapter::default());
+    let body = vec![b'x'; 262_144];
+    for _ in 0..20 {
+        let mut connection = TcpStream::connect(server.address).expect("failed to connect");
+        let head = format!(
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        connection
+            .write_all(head.as_bytes())
+            .expect("failed to write");
+        for piece in body.chunks(4096) {
+            connection
+                .write_all(piece)
+                .expect("the connection was closed");
+        }
+        let mut text = String::new();
+        connection
+            .read_to_string(&mut text)
+            .expect("the response was lost");
+        assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+    }
+}
+
 #[test]
 fn a_call_that_is_not_answered_is_reported_as_unsure() {
     let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
