--- a/landingdrift/src/daemon/traffic/http/connections.rs
+++ b/landingdrift/src/daemon/traffic/http/connections.rs
@@ -10,14 +10,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::sleep;
 
 /// A connection without progress for this time is closed, unless it waits for the response to a call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// The interval at which idle connections are looked for.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(10);
-
 /// The open connections of all addresses of a process.
 #[derive(Clone)]
 pub struct Connections(Arc<Mutex<Registry>>);
@@ -39,14 +35,6 @@
 /// A guard that keeps a connection from being closed while it waits for the response to a call.
 pub struct BusyGuard(Arc<Entry>);
 
-/// Closes connections that made no progress for [`IDLE_TIMEOUT`]. Runs until it is aborted.
-pub async fn close_idle(connections: Connections) {
-    loop {
-        sleep(IDLE_CHECK_INTERVAL).await;
-        connections.registry().close_idle(Instant::now());
-    }
-}
-
 /// Counts of connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConnectionCounts {
@@ -121,8 +109,12 @@
         }
     }
 
+    /// Closes connections that made no progress for [`IDLE_TIMEOUT`].
+    pub fn close_idle(&self) {
+        self.registry().close_idle(Instant::now());
+    }
+
     /// Counts of connections.
-    #[cfg(test)]
     pub fn counts(&self) -> ConnectionCounts {
         let registry = self.registry();
         ConnectionCounts {
--- a/landingdrift/src/daemon/traffic/http/memory_budget.rs
+++ b/landingdrift/src/daemon/traffic/http/memory_budget.rs
@@ -123,7 +123,6 @@
     }
 
     /// Counts of what happened for lack of memory.
-    #[cfg(test)]
     pub fn counts(&self) -> MemoryCounts {
         self.ledger().counts
     }
--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for clients, workers and operators, based on `hyper`. It passes requests to a control thread and
 //! returns the responses.
 
+mod client_usage;
 mod connection;
 mod connections;
 mod http_adapter;
@@ -21,6 +22,7 @@
 use crate::daemon::input::Input;
 use crate::daemon::pending_calls::PendingCalls;
 use crate::settings::Limits;
+use client_usage::ClientUsage;
 use connections::Connections;
 use memory_budget::MemoryBudget;
 use request_handler::RequestHandler;
@@ -71,8 +73,7 @@
 pub struct HttpServer {
     handle: Handle,
     serving: ServingState,
-    memory: MemoryBudget,
-    connections: Connections,
+    usage: ClientUsage,
     large_responses: Arc<Semaphore>,
 }
 
@@ -82,13 +83,15 @@
 impl HttpServer {
     /// A server without addresses, whose tasks run on the given runtime.
     pub fn new(handle: Handle, limits: ClientLimits) -> Self {
-        let connections = Connections::new(limits.connections);
-        handle.spawn(connections::close_idle(connections.clone()));
+        let usage = ClientUsage {
+            memory: MemoryBudget::new(limits.memory_bytes),
+            connections: Connections::new(limits.connections),
+        };
+        handle.spawn(usage.clone().supervise());
         Self {
             handle,
             serving: ServingState::default(),
-            memory: MemoryBudget::new(limits.memory_bytes),
-            connections,
+            usage,
             large_responses: Arc::new(Semaphore::new(LARGE_RESPONSES)),
         }
     }
@@ -115,8 +118,9 @@
             inputs,
             serving: self.serving.clone(),
             permits: Semaphore::new(permits),
-            memory: self.memory.add_address(),
-            connections: self.connections.add_address(),
+            memory: self.usage.memory.add_address(),
+            connections: self.usage.connections.add_address(),
+            usage: self.usage.clone(),
             large_responses: self.large_responses.clone(),
         };
         let http_error = |error| ProcessError::Http { at: addr, error };
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -1,5 +1,6 @@
 //! Handles the HTTP requests that arrive at one address.
 
+use super::client_usage::{ClientUsage, METRICS_PATH};
 use super::connections::{AddressConnections, OpenConnection};
 use super::http_adapter::format_response;
 use super::memory_budget::{AddressBudget, Charge, OutOfMemory, LARGE_BYTES};
@@ -46,6 +47,8 @@
     pub permits: Semaphore,
     pub memory: AddressBudget,
     pub connections: AddressConnections,
+    /// What the clients of all addresses make the process hold.
+    pub usage: ClientUsage,
     /// The right to execute calls with large responses, which all addresses of the process share.
     pub large_responses: Arc<Semaphore>,
 }
@@ -131,7 +134,12 @@
         if charge.resize(HELD_COPIES * translated_bytes).is_err() {
             return translate(responses::out_of_memory());
         }
-        translate(self.call(request, charge.clone()).await)
+        let asks_for_metrics = request.path == METRICS_PATH;
+        let mut response = self.call(request, charge.clone()).await;
+        if asks_for_metrics {
+            self.usage.append_metrics(&mut response);
+        }
+        translate(response)
     }
 
     /// Reads the body of a request, if the request needs one.
@@ -155,20 +163,10 @@
         let pinned = read.and_then(|bytes| Ok(charge.pin().map(|()| bytes)?));
         pinned.map_err(|error| {
             connection.leave_body_unread();
-            self.refusal(error, max_bytes)
+            refusal(error, max_bytes)
         })
     }
 
-    /// The response to a request whose body was not read.
-    fn refusal(&self, error: BodyError, max_bytes: u64) -> Response {
-        match error {
-            BodyError::TooLong => responses::body_too_long(max_bytes),
-            BodyError::OutOfMemory => responses::out_of_memory(),
-            BodyError::TimedOut => responses::body_timed_out(),
-            BodyError::Invalid(error) => responses::invalid_body(&error.to_string()),
-        }
-    }
-
     /// Passes a request to the control thread and waits for its response.
     async fn call(&self, request: Request, charge: Arc<Charge>) -> Response {
         if self.serving.is_rejecting() || self.calls.is_closed() {
@@ -205,6 +203,16 @@
     }
 }
 
+/// The response to a request whose body was not read.
+fn refusal(error: BodyError, max_bytes: u64) -> Response {
+    match error {
+        BodyError::TooLong => responses::body_too_long(max_bytes),
+        BodyError::OutOfMemory => responses::out_of_memory(),
+        BodyError::TimedOut => responses::body_timed_out(),
+        BodyError::Invalid(error) => responses::invalid_body(&error.to_string()),
+    }
+}
+
 /// Charges the memory for a large response in place of that for its request. If there is none, the response is replaced;
 /// if the client does not read it and others need the memory, the connection is closed.
 fn charge_response(
--- a/landingdrift/tests/traffic_http.rs
+++ b/landingdrift/tests/traffic_http.rs
@@ -261,6 +261,25 @@
     }
 }
 
+/// Guards against operators who can't see that clients are refused.
+#[test]
+fn metrics_tell_what_clients_hold_and_what_they_were_refused() {
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
+    let server = serve(&traffic, limits(), HttpAdapter::default());
+    let asked = call(server.address, "/metrics", Vec::new());
+    let (_, number) = server.next();
+    let part_metrics = Response::new(200, json!("landingdrift_calls 7\n"));
+    server.calls.answer(number, part_metrics);
+    let (_, _, text) = asked.join().expect("the caller panicked");
+    for line in [
+        "landingdrift_calls 7",
+        "landingdrift_http_connections_open 1",
+        "landingdrift_http_requests_without_memory 0",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in {text}");
+    }
+}
+
 #[test]
 fn a_call_that_is_not_answered_is_reported_as_unsure() {
     let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
