Count in the memory of HTTP clients what the allocator keeps of outgrown buffers

Cause: a body's buffer that doubles leaves as much behind in the allocator as it has, a connection that has outgrown its read buffer of 8 KiB still has it, and each connection held a buffer for discarding that few need. A silent connection took 14 KiB, an unfinished head 36 KiB, against 24 counted.

Mended: bodies grow by four, which leaves a third behind; a connection counts 32 KiB; the discarding buffer is made when needed.

--- a/landingdrift/src/daemon/traffic/http/connection.rs
+++ b/landingdrift/src/daemon/traffic/http/connection.rs
@@ -16,8 +16,8 @@
 /// The maximum length of a request's head, in bytes.
 const MAX_HEAD_BYTES: usize = 20 << 10;
 /// The memory that a connection takes at most, beside the body of its request and the response, in bytes: a head that is
-/// received in part, and the state of the connection.
-pub const CONNECTION_BYTES: u64 = 24 << 10;
+/// received in part, the smaller buffer that it has outgrown, and the state of the connection.
+pub const CONNECTION_BYTES: u64 = 32 << 10;
 
 /// After a response to a request whose body was not read, this many bytes of it are read and discarded, so that the
 /// response is not lost: closing a socket with unread bytes resets the connection.
@@ -62,7 +62,8 @@
     if stream.shutdown().await.is_err() {
         return;
     }
-    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    // On the heap, so that connections that discard nothing do not hold it.
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
     let mut discarded_bytes = 0;
     while discarded_bytes < MAX_DISCARDED_BYTES {
         match stream.read(&mut buffer).await {
--- a/landingdrift/src/daemon/traffic/http/request_body.rs
+++ b/landingdrift/src/daemon/traffic/http/request_body.rs
@@ -8,6 +8,9 @@
 
 /// The smallest buffer for a body, in bytes.
 const MIN_BUFFER_BYTES: u64 = 1 << 10;
+/// The factor by which a full buffer grows. The allocator keeps the smaller buffers that a body has outgrown, a third of
+/// the current one in total.
+const GROWTH_FACTOR: u64 = 4;
 
 /// The reason for which a body was not read.
 #[derive(Debug)]
@@ -72,7 +75,7 @@
         Ok(self.bytes)
     }
 
-    /// Makes room for further bytes. The buffer grows by doubling, up to the longest possible body.
+    /// Makes room for further bytes. The buffer grows in steps, up to the longest possible body.
     fn reserve(&mut self, further: usize) -> Result<(), BodyError> {
         let needed = self.bytes.len() as u64 + further as u64;
         if needed > self.max_bytes {
@@ -82,8 +85,8 @@
         if needed <= capacity {
             return Ok(());
         }
-        let doubled = (2 * capacity).max(MIN_BUFFER_BYTES).min(self.max_bytes);
-        let new_capacity = needed.max(doubled);
+        let grown = (GROWTH_FACTOR * capacity).max(MIN_BUFFER_BYTES);
+        let new_capacity = needed.max(grown.min(self.max_bytes));
         self.charge.resize(new_capacity)?;
         let additional = new_capacity as usize - self.bytes.len();
         self.bytes.reserve_exact(additional);
