--- a/landingdrift/src/daemon/traffic/http/mod.rs
+++ b/landingdrift/src/daemon/traffic/http/mod.rs
@@ -4,6 +4,7 @@
 mod client_usage;
 mod connection;
 mod connections;
+mod discard;
 mod http_adapter;
 mod listener;
 mod memory_budget;
--- a/landingdrift/src/daemon/traffic/http/tracked_stream.rs
+++ b/landingdrift/src/daemon/traffic/http/tracked_stream.rs
@@ -1,10 +1,11 @@
-//! A TCP stream that records the progress of its connection.
+//! A TCP stream that records the progress of its connection, and ends so that the last response is not lost.
 
-use super::progress::Progress;
+use super::connections::OpenConnection;
+use super::discard::Discard;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -12,18 +13,28 @@
 /// A stream that records each read and write that moves bytes.
 pub struct TrackedStream {
     stream: TcpStream,
-    progress: Arc<Progress>,
+    connection: Arc<OpenConnection>,
+    /// Set once the sending direction has ended after a response to a request whose body was not read.
+    discard: Option<Discard>,
 }
 
 impl TrackedStream {
-    /// Tracks a stream.
-    pub fn new(stream: TcpStream, progress: Arc<Progress>) -> Self {
-        Self { stream, progress }
+    /// Tracks the stream of a connection.
+    pub fn new(stream: TcpStream, connection: Arc<OpenConnection>) -> Self {
+        Self {
+            stream,
+            connection,
+            discard: None,
+        }
+    }
+
+    fn record_progress(&self) {
+        self.connection.progress().record(Instant::now());
     }
 
     fn record_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
-            self.progress.record(Instant::now());
+            self.record_progress();
         }
         written
     }
@@ -38,7 +49,7 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buf);
         if buf.filled().len() > before {
-            self.progress.record(Instant::now());
+            self.record_progress();
         }
         read
     }
@@ -71,7 +82,15 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.discard.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+            if !this.connection.has_unread_body() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let discard = this.discard.get_or_insert_with(Discard::start);
+        discard.poll(&mut this.stream, context).map(Ok)
     }
 }
--- a/landingdrift/tests/traffic_http.rs
+++ b/landingdrift/tests/traffic_http.rs
@@ -261,6 +261,33 @@
     }
 }
 
+/// Guards against responses that are cut off because the connection is closed before all of it is sent.
+#[test]
+fn a_client_that_reads_slowly_gets_the_whole_response_before_the_connection_is_closed() {
+    const RESPONSE_BYTES: usize = 16 << 20;
+    let traffic = Traffic::start(ClientLimits::default()).expect("failed to start");
+    let adapter = HttpAdapter::new(Arc::new(|_| {
+        AdapterResult::Respond(HttpResponse {
+            status: 200,
+            body: vec![b'x'; RESPONSE_BYTES],
+            ..HttpResponse::default()
+        })
+    }));
+    // The body is not read, so the connection is closed after the response.
+    let server = serve(&traffic, limits(), adapter.with_body_limit(|_, _| 0));
+    let mut connection = TcpStream::connect(server.address).expect("failed to connect");
+    connection
+        .write_all(b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\nxxx")
+        .expect("failed to write");
+    // The server fills the buffers of the connection and waits for the client.
+    std::thread::sleep(Duration::from_millis(200));
+    let mut response = Vec::new();
+    connection
+        .read_to_end(&mut response)
+        .expect("failed to read");
+    assert!(response.len() > RESPONSE_BYTES, "{} bytes", response.len());
+}
+
 /// Guards against operators who can't see that clients are refused.
 #[test]
 fn metrics_tell_what_clients_hold_and_what_they_were_refused() {
