Leave connections for other addresses while all calls of one wait for a response

Found while looking at again: a connection that waits for a response is never closed for a new one, so a crowd of ordinary calls at the front, as in an outage, where each waits for seconds, could hold all connections of a process, and probes and new connections of workers were refused. Mended: one address may have three quarters of limits.http_connections; beyond the total the address with the most gives one up.

Evidence: calls_that_wait_at_one_address_leave_connections_for_others, red on the code before. The other tests of the registry count with the limit of an address now and are as strict.

--- a/landingdrift/src/daemon/traffic/http/connections.rs
+++ b/landingdrift/src/daemon/traffic/http/connections.rs
@@ -14,6 +14,10 @@
 /// A connection without progress for this time is closed, unless it waits for the response to a call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// One address may have this fraction of the connections, so that calls that wait at one address leave some for others.
+const ADDRESS_NUMERATOR: u64 = 3;
+const ADDRESS_DENOMINATOR: u64 = 4;
+
 /// The open connections of all addresses of a process.
 #[derive(Clone)]
 pub struct Connections(Arc<Mutex<Registry>>);
@@ -189,7 +193,7 @@
 
 impl Registry {
     fn open(&mut self, address: usize, now: Instant) -> Option<(u64, Arc<Entry>)> {
-        if self.open.len() as u64 >= self.limit && !self.evict_one() {
+        if !self.make_room(address) {
             self.counts.refused += 1;
             return None;
         }
@@ -201,14 +205,26 @@
         Some((number, entry))
     }
 
-    /// Closes a connection of the address with the most of them: the one whose last progress is the longest ago. Returns
-    /// whether there was one that may be closed.
-    fn evict_one(&mut self) -> bool {
-        let closable = self.open.iter().filter(|(_, entry)| entry.is_closable());
-        let victim = closable.min_by_key(|(number, entry)| {
-            let others = u64::MAX - self.addresses[entry.address];
-            (others, entry.progress.last(), **number)
-        });
+    /// Whether there is room for a connection at an address, after another one was closed if needed.
+    fn make_room(&mut self, address: usize) -> bool {
+        let address_limit = self.limit / ADDRESS_DENOMINATOR * ADDRESS_NUMERATOR;
+        if self.addresses[address] >= address_limit {
+            return self.evict_one(|entry| entry.address == address);
+        }
+        if (self.open.len() as u64) < self.limit {
+            return true;
+        }
+        let addresses = self.addresses.clone();
+        let most = addresses.iter().max().copied().unwrap_or(0);
+        self.evict_one(|entry| addresses[entry.address] == most) || self.evict_one(|_| true)
+    }
+
+    /// Closes the connection whose last progress is the longest ago, among those that match. Returns whether there was
+    /// one that may be closed.
+    fn evict_one(&mut self, matches: impl Fn(&Entry) -> bool) -> bool {
+        let is_candidate = |entry: &Entry| entry.is_closable() && matches(entry);
+        let candidates = self.open.iter().filter(|(_, entry)| is_candidate(entry));
+        let victim = candidates.min_by_key(|(number, entry)| (entry.progress.last(), **number));
         let Some((number, entry)) = victim else {
             return false;
         };
