--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,59 @@
+//! Runs one scripted case: `review-2 CASE FOLDER REPOSITORY`. Writes `record.txt` into the folder. Exits with 1 if the rule
+//! was broken, with 0 if it held, and with 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
+
+mod cancelled_job;
+mod client;
+mod deployment;
+mod fleet;
+mod http;
+mod operator;
+mod record;
+mod worker;
+
+use record::Record;
+use std::path::{Path, PathBuf};
+
+/// The result of a case.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+impl Verdict {
+    fn from_breaks(breaks: usize) -> Self {
+        if breaks == 0 {
+            Self::Held
+        } else {
+            Self::Broken
+        }
+    }
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, folder, repository] = arguments.as_slice() else {
+        eprintln!("review-2 CASE FOLDER REPOSITORY");
+        std::process::exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::new();
+    let repository = PathBuf::from(repository);
+    let result = run(case, &repository, trouble, &record);
+    let (code, text) = match result {
+        Ok(Verdict::Held) => (0, "the rule held".to_string()),
+        Ok(Verdict::Broken) => (1, "the rule was broken".to_string()),
+        Err(error) => (2, format!("the case could not run: {error}")),
+    };
+    record.note(&text);
+    record.write(&Path::new(folder).join("record.txt"));
+    println!("{case}: {text}");
+    std::process::exit(code);
+}
+
+fn run(case: &str, repository: &Path, trouble: bool, record: &Record) -> Result<Verdict, String> {
+    match case {
+        "cancelled-job" => cancelled_job::run(repository, trouble, record),
+        _ => Err("there is no such case".into()),
+    }
+}
