--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -41,6 +41,8 @@
 /// The machines of a deployment. Dropping it kills all processes and removes the temporary folder.
 pub struct Fleet {
     pub machines: Vec<Machine>,
+    /// A further line for the table `limits` of the settings files; empty for none.
+    pub new_limit: String,
     folder: PathBuf,
     repository: PathBuf,
     port: u16,
@@ -82,6 +84,7 @@
         let port = free_ports(&machines).ok_or("no free ports")?;
         Ok(Self {
             machines,
+            new_limit: String::new(),
             folder,
             repository: repository.into(),
             port,
@@ -166,7 +169,7 @@
             ));
         }
         text.push_str(&format!("controlAddr = \"{ip}:{}\"\n", port + 2));
-        text.push_str(&format!("[limits]\ncpuShare = {share}\ncores = 1\nmemoryMb = {memory}\nmaxFds = {descriptors}\nlinkMbps = 1000.0\ndiskMb = {disk}\n[toleratedLosses]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\n{BOUNDS}"));
+        text.push_str(&format!("[limits]\ncpuShare = {share}\ncores = 1\nmemoryMb = {memory}\nmaxFds = {descriptors}\nlinkMbps = 1000.0\ndiskMb = {disk}\n{}\n[toleratedLosses]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\n{BOUNDS}", self.new_limit));
         text
     }
 
@@ -220,7 +223,8 @@
         Ok(())
     }
 
-    fn is_ready(&self, name: &str) -> bool {
+    /// Whether the platform gives the node new connections.
+    pub fn is_ready(&self, name: &str) -> bool {
         let call = Call {
             method: "GET",
             path: "/landingdrift/readiness",
@@ -258,9 +262,10 @@
         process.is_some_and(|process| matches!(process.try_wait(), Ok(Some(_))))
     }
 
-    /// What a machine has logged.
+    /// What a machine has logged, without the path of the temporary folder.
     pub fn log(&self, name: &str) -> String {
-        std::fs::read_to_string(&self.machine(name).log).unwrap_or_default()
+        let log = std::fs::read_to_string(&self.machine(name).log).unwrap_or_default();
+        log.replace(&format!("{}/", self.folder.display()), "")
     }
 
     /// The core machine that became leader last, by the terms in the logs.
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod fleet;
 mod http;
+mod new_setting;
 mod operator;
 mod record;
 mod worker;
@@ -54,6 +55,7 @@
 fn run(case: &str, repository: &Path, trouble: bool, record: &Record) -> Result<Verdict, String> {
     match case {
         "cancelled-job" => cancelled_job::run(repository, trouble, record),
+        "new-setting" => new_setting::run(repository, trouble, record),
         _ => Err("there is no such case".into()),
     }
 }
