Review case 8: an older order undoes an acknowledged evacuation

An order for a zone that waits for a new leader is carried out after the opposite order, which the operator has given at another node and which was acknowledged (EVAC).

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,6 +9,7 @@
 mod new_setting;
 mod operator;
 mod record;
+mod stale_evacuation;
 mod worker;
 
 use record::Record;
@@ -56,6 +57,7 @@
     match case {
         "cancelled-job" => cancelled_job::run(repository, trouble, record),
         "new-setting" => new_setting::run(repository, trouble, record),
+        "stale-evacuation" => stale_evacuation::run(repository, trouble, record),
         _ => Err("there is no such case".into()),
     }
 }
