--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -262,6 +262,15 @@
         process.is_some_and(|process| matches!(process.try_wait(), Ok(Some(_))))
     }
 
+    /// The memory that the process of a machine has taken for itself, in MiB; `None` if it does not run.
+    pub fn memory_mb(&self, name: &str) -> Option<u64> {
+        let process = self.machine(name).process.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kib / 1024)
+    }
+
     /// What a machine has logged, without the path of the temporary folder.
     pub fn log(&self, name: &str) -> String {
         let log = std::fs::read_to_string(&self.machine(name).log).unwrap_or_default();
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod fleet;
 mod http;
+mod job_texts;
 mod new_setting;
 mod operator;
 mod record;
@@ -58,6 +59,7 @@
         "cancelled-job" => cancelled_job::run(repository, trouble, record),
         "new-setting" => new_setting::run(repository, trouble, record),
         "stale-evacuation" => stale_evacuation::run(repository, trouble, record),
+        "job-texts" => job_texts::run(repository, trouble, record),
         _ => Err("there is no such case".into()),
     }
 }
