--- a/review/standin-2/src/cancelled_job.rs
+++ b/review/standin-2/src/cancelled_job.rs
@@ -52,7 +52,9 @@
         }
         let reply = job_call(*node, "DELETE", &id, "", left);
         if let Ok((status, _)) = reply {
-            record.note(&format!("client: DELETE {id} at {node} is answered {status}"));
+            record.note(&format!(
+                "client: DELETE {id} at {node} is answered {status}"
+            ));
             if (200..300).contains(&status) || status == 410 {
                 let acknowledged = Some((record.now_ms(), status));
                 return Cancelled { id, acknowledged };
@@ -75,7 +77,10 @@
         .filter(|name| **name != leader)
         .map(|name| name.to_string())
         .collect();
-    let fronts: Vec<SocketAddr> = survivors.iter().map(|n| deployment.fleet.front(n)).collect();
+    let fronts: Vec<SocketAddr> = survivors
+        .iter()
+        .map(|n| deployment.fleet.front(n))
+        .collect();
     if trouble {
         record.note(&format!("{leader} is killed"));
         deployment.fleet.kill(&leader);
@@ -114,7 +119,9 @@
         };
         let prefix = format!("{}.", job.id);
         let bound = (at_ms + CANCEL_MS).max(in_touch_from);
-        let late = starts.iter().filter(|s| s.task.starts_with(&prefix) && s.at_ms > bound);
+        let late = starts
+            .iter()
+            .filter(|s| s.task.starts_with(&prefix) && s.at_ms > bound);
         for start in late {
             broken += 1;
             record.note(&format!(
@@ -138,5 +145,7 @@
 
 /// All nodes but the one at a position, beginning with the next one.
 fn rotated(nodes: &[SocketAddr], position: usize) -> Vec<SocketAddr> {
-    (1..nodes.len()).map(|step| nodes[(position + step) % nodes.len()]).collect()
+    (1..nodes.len())
+        .map(|step| nodes[(position + step) % nodes.len()])
+        .collect()
 }
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -25,7 +25,10 @@
         body,
     };
     let reply = http::call(node, &call, patience)?;
-    Ok((reply.status, String::from_utf8_lossy(&reply.body).to_string()))
+    Ok((
+        reply.status,
+        String::from_utf8_lossy(&reply.body).to_string(),
+    ))
 }
 
 /// An ID of 16 hex digits.
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -16,7 +16,7 @@
 
 /// A running deployment. Workers end before the machines.
 pub struct Deployment {
-    pub workers: Vec<Worker>,
+    _workers: Vec<Worker>,
     pub fleet: Fleet,
 }
 
@@ -44,6 +44,9 @@
             workers.push(Worker::start(profile, record));
         }
         sleep(LEAD);
-        Ok(Self { workers, fleet })
+        Ok(Self {
+            _workers: workers,
+            fleet,
+        })
     }
 }
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -103,7 +103,10 @@
 
     /// The names of the machines of a class.
     pub fn names(&self, class: Class) -> Vec<String> {
-        let of_class = self.machines.iter().filter(|machine| machine.class == class);
+        let of_class = self
+            .machines
+            .iter()
+            .filter(|machine| machine.class == class);
         of_class.map(|machine| machine.name.clone()).collect()
     }
 
@@ -184,7 +187,11 @@
             .append(true)
             .open(&machine.log)
             .map_err(|error| error.to_string())?;
-        let role = if machine.class == Class::Side { "side" } else { "edge" };
+        let role = if machine.class == Class::Side {
+            "side"
+        } else {
+            "edge"
+        };
         let process = Command::new(self.repository.join(PROGRAM))
             .arg(role)
             .current_dir(&self.repository)
--- a/review/standin-2/src/job_texts.rs
+++ b/review/standin-2/src/job_texts.rs
@@ -26,7 +26,8 @@
 /// The other jobs, which run at once: how many a second, from the beginning to the end.
 const SMALL_JOBS_A_SECOND: u64 = 60;
 const SMALL_CLIENTS: u64 = 12;
-const SMALL_JOB: &str = r#"{"jobSpec":"work 300","stages":[{"count":2,"cpu":250,"memMb":256,"estRuntimeMs":300}]}"#;
+const SMALL_JOB: &str =
+    r#"{"jobSpec":"work 300","stages":[{"count":2,"cpu":250,"memMb":256,"estRuntimeMs":300}]}"#;
 /// The time for which the processes are watched, and how often their memory is read.
 const WATCH: Duration = Duration::from_secs(100);
 const SAMPLE: Duration = Duration::from_millis(50);
@@ -44,7 +45,13 @@
 
 impl Traffic {
     /// Starts a number of clients, which together hand in a number of jobs a second.
-    fn start(fronts: &[SocketAddr], kind: u64, clients: u64, jobs_a_second: u64, job: String) -> Self {
+    fn start(
+        fronts: &[SocketAddr],
+        kind: u64,
+        clients: u64,
+        jobs_a_second: u64,
+        job: String,
+    ) -> Self {
         let job = Arc::new(job);
         let next = Arc::new(AtomicU64::new(0));
         let ends = Arc::new(AtomicBool::new(false));
@@ -88,14 +95,27 @@
     let fleet = &mut deployment.fleet;
     let core = fleet.names(Class::Core);
     let fronts = ["core-1", "core-2", "core-3", "edge-1", "edge-2"].map(|name| fleet.front(name));
-    let text_bytes = if trouble { TEXT_BYTES } else { SHORT_TEXT_BYTES };
-    record.note(&format!("{JOBS_A_SECOND} jobs a second come for {} s, each with a text of {text_bytes} bytes", TRAFFIC.as_secs()));
+    let text_bytes = if trouble {
+        TEXT_BYTES
+    } else {
+        SHORT_TEXT_BYTES
+    };
+    record.note(&format!(
+        "{JOBS_A_SECOND} jobs a second come for {} s, each with a text of {text_bytes} bytes",
+        TRAFFIC.as_secs()
+    ));
     let text = "x".repeat(text_bytes);
     let job = format!(
         r#"{{"jobSpec":"{text}","stages":[{{"count":1,"cpu":100,"memMb":16,"estRuntimeMs":500,"constraints":"b"}}]}}"#
     );
     let mut traffic = Some(Traffic::start(&fronts, 5, CLIENTS, JOBS_A_SECOND, job));
-    let small = Traffic::start(&fronts, 6, SMALL_CLIENTS, SMALL_JOBS_A_SECOND, SMALL_JOB.into());
+    let small = Traffic::start(
+        &fronts,
+        6,
+        SMALL_CLIENTS,
+        SMALL_JOBS_A_SECOND,
+        SMALL_JOB.into(),
+    );
     let began = Instant::now();
     let mut kills: BTreeMap<String, usize> = BTreeMap::new();
     let mut peaks: BTreeMap<String, u64> = BTreeMap::new();
@@ -103,7 +123,10 @@
     while began.elapsed() < WATCH {
         if began.elapsed() >= TRAFFIC {
             if let Some(traffic) = traffic.take() {
-                record.note(&format!("jobs with a text, by the status of their answer (0 for none): {:?}", traffic.stop()));
+                record.note(&format!(
+                    "jobs with a text, by the status of their answer (0 for none): {:?}",
+                    traffic.stop()
+                ));
             }
         }
         for name in &core {
@@ -111,22 +134,35 @@
             let peak = peaks.entry(name.clone()).or_default();
             *peak = (*peak).max(used_mb);
             if used_mb > MEMORY_MB {
-                record.note(&format!("{name} holds {used_mb} MiB: the platform kills it"));
+                record.note(&format!(
+                    "{name} holds {used_mb} MiB: the platform kills it"
+                ));
                 fleet.kill(name);
                 *kills.entry(name.clone()).or_default() += 1;
                 restarts.push((Instant::now() + RESTART_PAUSE, name.clone()));
             }
         }
-        let (due, later) = restarts.into_iter().partition(|(at, _)| Instant::now() >= *at);
+        let (due, later) = restarts
+            .into_iter()
+            .partition(|(at, _)| Instant::now() >= *at);
         restarts = later;
         for (_, name) in due {
             fleet.start(&name, false)?;
         }
         sleep(SAMPLE);
     }
-    record.note(&format!("other jobs, by the status of their answer (0 for none): {:?}", small.stop()));
-    record.note(&format!("the most memory of each core machine, MiB: {peaks:?}"));
+    record.note(&format!(
+        "other jobs, by the status of their answer (0 for none): {:?}",
+        small.stop()
+    ));
+    record.note(&format!(
+        "the most memory of each core machine, MiB: {peaks:?}"
+    ));
     record.note(&format!("Fault: kills of each core machine: {kills:?}"));
     let machines = kills.values().filter(|count| **count >= ENDS).count();
-    Ok(if machines * 2 >= core.len() { Verdict::Broken } else { Verdict::Held })
+    Ok(if machines * 2 >= core.len() {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin-2/src/new_setting.rs
+++ b/review/standin-2/src/new_setting.rs
@@ -18,14 +18,17 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// How long a started process may take until it is ready: `recoveryS` of the site.
 const READY_WITHIN: Duration = Duration::from_secs(12);
-const JOB: &str = r#"{"jobSpec":"work 300","stages":[{"count":2,"cpu":500,"memMb":256,"estRuntimeMs":300}]}"#;
+const JOB: &str =
+    r#"{"jobSpec":"work 300","stages":[{"count":2,"cpu":500,"memMb":256,"estRuntimeMs":300}]}"#;
 
 pub fn run(repository: &Path, trouble: bool, record: &Record) -> Result<Verdict, String> {
     let mut deployment = Deployment::start(repository, 1, 3, record)?;
     let fleet = &mut deployment.fleet;
     if trouble {
         fleet.new_limit = NEW_FIELD.into();
-        record.note(&format!("the settings files have a new field in [limits]: {NEW_FIELD}"));
+        record.note(&format!(
+            "the settings files have a new field in [limits]: {NEW_FIELD}"
+        ));
     }
     let mut failed_starts = 0;
     for name in fleet.names(Class::Core) {
@@ -51,7 +54,11 @@
             failed_starts += 1;
             let log = fleet.log(&name);
             let last = log.lines().last().unwrap_or_default();
-            let state = if fleet.has_ended(&name) { "has ended by itself" } else { "is not ready" };
+            let state = if fleet.has_ended(&name) {
+                "has ended by itself"
+            } else {
+                "is not ready"
+            };
             record.note(&format!("Fault: {name} {state}: {last}"));
             fleet.kill(&name);
         }
@@ -59,7 +66,10 @@
     // What clients see of it, at the node without a disk, which still runs.
     let patience = Duration::from_millis(DEADLINE_MS);
     let reply = job_call(fleet.front("edge-1"), "POST", &job_id(3, 1), JOB, patience);
-    record.note(&format!("client: POST at edge-1: {:?}", reply.map(|(status, _)| status)));
+    record.note(&format!(
+        "client: POST at edge-1: {:?}",
+        reply.map(|(status, _)| status)
+    ));
     record.note(&format!("{failed_starts} starts of a program failed"));
     Ok(Verdict::from_breaks(failed_starts))
 }
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -69,5 +69,7 @@
 
 /// Locks a mutex, also after a panic of another thread.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
--- a/review/standin-2/src/stale_evacuation.rs
+++ b/review/standin-2/src/stale_evacuation.rs
@@ -27,7 +27,8 @@
 /// The zones that are evacuated, each with the node that the operator calls first to take it back.
 const EVACUATED: [(&str, &str); 2] = [(ZONES[0], "edge-1"), (ZONES[1], "edge-2")];
 /// A job: three tasks of half a second.
-const JOB: &str = r#"{"jobSpec":"work 500","stages":[{"count":3,"cpu":1000,"memMb":256,"estRuntimeMs":500}]}"#;
+const JOB: &str =
+    r#"{"jobSpec":"work 500","stages":[{"count":3,"cpu":1000,"memMb":256,"estRuntimeMs":500}]}"#;
 
 /// Hands in three jobs a second until it is told to end.
 fn traffic(fronts: Vec<SocketAddr>, ends: Arc<AtomicBool>) -> JoinHandle<()> {
@@ -54,7 +55,13 @@
 
 /// Takes a zone back, calling `first` first, and empties it again at other nodes. Returns the time of the last
 /// acknowledgement.
-fn empty_again(fleet: &Fleet, zone: &str, first: &str, others: &[&str], record: &Record) -> Option<u64> {
+fn empty_again(
+    fleet: &Fleet,
+    zone: &str,
+    first: &str,
+    others: &[&str],
+    record: &Record,
+) -> Option<u64> {
     let mut nodes = vec![first];
     nodes.extend(others);
     order(fleet, &nodes, &finish(zone), record)?;
@@ -80,7 +87,10 @@
             .iter()
             .map(|(zone, first)| scope.spawn(|| empty_again(fleet, zone, first, &others, record)))
             .collect();
-        threads.into_iter().map(|thread| thread.join().unwrap_or(None)).collect()
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap_or(None))
+            .collect()
     });
     sleep(restart_at.saturating_duration_since(Instant::now()));
     if trouble {
@@ -97,7 +107,10 @@
             continue;
         };
         let bound = (at_ms + EVACUATE_MS).max(in_touch_from);
-        let late = starts.iter().filter(|s| s.zone == *zone && s.at_ms > bound).count();
+        let late = starts
+            .iter()
+            .filter(|s| s.zone == *zone && s.at_ms > bound)
+            .count();
         record.note(&format!(
             "EVAC: {zone} was evacuated at {at_ms} ms and not taken back; {late} tasks start there later than {bound} ms"
         ));
@@ -112,7 +125,12 @@
     let fronts = ["edge-1", "edge-2"].map(|name| deployment.fleet.front(name));
     let clients = traffic(fronts.to_vec(), ends.clone());
     for (zone, _) in EVACUATED {
-        let acknowledged = order(&deployment.fleet, &["core-2", "core-3"], &begin(zone), record);
+        let acknowledged = order(
+            &deployment.fleet,
+            &["core-2", "core-3"],
+            &begin(zone),
+            record,
+        );
         acknowledged.ok_or("no acknowledgement")?;
     }
     sleep(Duration::from_millis(EVACUATE_MS));
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -45,49 +45,30 @@
     over: BTreeMap<String, u64>,
     fence: u64,
     hold_until: Option<Instant>,
-    refused_beats: u64,
-}
-
-/// Counts of a worker, for checks.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    pub running: usize,
-    /// Beats that got a final refusal (4xx).
-    pub refused_beats: u64,
 }
 
 /// A worker that runs in a thread.
 pub struct Worker {
     ends: Arc<AtomicBool>,
-    state: Arc<Mutex<State>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Worker {
     pub fn start(profile: Profile, record: &Record) -> Self {
         let ends = Arc::new(AtomicBool::new(false));
-        let state = Arc::new(Mutex::new(State {
+        let state = Mutex::new(State {
             next_end: 1,
             ..State::default()
-        }));
+        });
         let thread = {
-            let (ends, state, record) = (ends.clone(), state.clone(), record.clone());
+            let (ends, record) = (ends.clone(), record.clone());
             std::thread::spawn(move || run(&profile, &ends, &state, &record))
         };
         Self {
             ends,
-            state,
             thread: Some(thread),
         }
     }
-
-    pub fn counts(&self) -> Counts {
-        let state = lock(&self.state);
-        Counts {
-            running: state.running.len(),
-            refused_beats: state.refused_beats,
-        }
-    }
 }
 
 impl Drop for Worker {
@@ -129,9 +110,6 @@
             }
             Ok(reply) => {
                 failures += 1;
-                if (400..500).contains(&reply.status) {
-                    lock(state).refused_beats += 1;
-                }
                 record.note(&format!(
                     "worker {}: beat {sequence} of {} bytes is answered {}",
                     profile.id,
@@ -141,7 +119,10 @@
             }
             Err(error) => {
                 failures += 1;
-                record.note(&format!("worker {}: beat {sequence}: {error:?}", profile.id));
+                record.note(&format!(
+                    "worker {}: beat {sequence}: {error:?}",
+                    profile.id
+                ));
             }
         }
         if failures > 0 {
@@ -199,12 +180,21 @@
         let due: Vec<(String, u64, bool)> = self
             .running
             .iter()
-            .map(|(task, running)| (task.clone(), running.run, now >= running.since + running.work))
+            .map(|(task, running)| {
+                (
+                    task.clone(),
+                    running.run,
+                    now >= running.since + running.work,
+                )
+            })
             .filter(|(_, _, done)| *done || lapsed)
             .collect();
         for (task, run, done) in &due {
             let how = if *done { "done" } else { "lapsed" };
-            record.note(&format!("worker {}: {task} run {run} ends {how}", profile.id));
+            record.note(&format!(
+                "worker {}: {task} run {run} ends {how}",
+                profile.id
+            ));
             self.end(task, *run, how);
         }
         !due.is_empty()
@@ -221,9 +211,19 @@
             self.finished.retain(|(number, ..)| *number > last);
         }
         for stop in orders["stop"].as_array().into_iter().flatten() {
-            let (task, run) = (stop[0].as_str().unwrap_or(""), stop[1].as_u64().unwrap_or(0));
-            if self.running.get(task).is_some_and(|running| running.run == run) {
-                record.note(&format!("worker {}: {task} run {run} is stopped", profile.id));
+            let (task, run) = (
+                stop[0].as_str().unwrap_or(""),
+                stop[1].as_u64().unwrap_or(0),
+            );
+            if self
+                .running
+                .get(task)
+                .is_some_and(|running| running.run == run)
+            {
+                record.note(&format!(
+                    "worker {}: {task} run {run} is stopped",
+                    profile.id
+                ));
                 self.end(task, run, "stopped");
             } else {
                 let over = self.over.entry(task.into()).or_default();
@@ -236,17 +236,25 @@
         let held = sent + Duration::from_millis(hold_ms.min(MAX_HOLD_MS));
         self.hold_until = Some(self.hold_until.map_or(held, |until| until.max(held)));
         for start in orders["start"].as_array().into_iter().flatten() {
-            let (task, run) = (start[0].as_str().unwrap_or(""), start[1].as_u64().unwrap_or(0));
+            let (task, run) = (
+                start[0].as_str().unwrap_or(""),
+                start[1].as_u64().unwrap_or(0),
+            );
             if self.running.contains_key(task) {
                 continue;
             }
             if run <= self.over.get(task).copied().unwrap_or(0) {
-                self.finished.push((self.next_end, task.into(), run, "refused"));
+                self.finished
+                    .push((self.next_end, task.into(), run, "refused"));
                 self.next_end += 1;
                 continue;
             }
             let text = start[2].as_str().unwrap_or("");
-            let work_ms = text.split(' ').nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(500);
+            let work_ms = text
+                .split(' ')
+                .nth(1)
+                .and_then(|ms| ms.parse().ok())
+                .unwrap_or(500);
             record.note_start(Start {
                 at_ms: record.now_ms(),
                 worker: profile.id.clone(),
