--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 program="$folder/../standin-2/target/release/review-2"
 [ -x "$program" ] || { echo "run review/build-2.sh first"; exit 2; }
-exec "$program" new-setting "$folder" "$folder/../.."
+exec "$program" stale-evacuation "$folder" "$folder/../.."
--- a/review/standin-2/src/cancelled_job.rs
+++ b/review/standin-2/src/cancelled_job.rs
@@ -1,7 +1,7 @@
 //! UNASKED: while a new leader is elected, a client hands a job in, gets no answer, gives up and cancels the job at another
 //! node. The cancelling is answered 410, and the job is accepted and runs after that.
 
-use crate::client::{job_call, job_id};
+use crate::client::{job_call, job_id, DEADLINE_MS};
 use crate::deployment::Deployment;
 use crate::record::{lock, Record};
 use crate::Verdict;
@@ -19,7 +19,9 @@
 const DOWN: Duration = Duration::from_millis(3500);
 /// The number of clients, and the pause between their submissions.
 const CLIENTS: u64 = 40;
-const GAP: Duration = Duration::from_millis(25);
+const GAP: Duration = Duration::from_millis(50);
+/// One client in so many gives up: the pages' share is 0.25.
+const GIVES_UP: u64 = 4;
 /// After this time without a core machine being killed or started, machines are in touch: `contactMs` of the site.
 const CONTACT_MS: u64 = 3000;
 /// The time after which a client gives up and cancels its job, whether its submission was answered or not.
@@ -90,11 +92,17 @@
     let mut threads = Vec::new();
     for number in 0..CLIENTS {
         let (jobs, record) = (jobs.clone(), record.clone());
+        let gives_up = number % GIVES_UP == 0;
         let position = number as usize % fronts.len();
         let (first, others) = (fronts[position], rotated(&fronts, position));
         threads.push(std::thread::spawn(move || {
-            let job = client(job_id(2, number), first, &others, &record);
-            lock(&jobs).push(job);
+            let id = job_id(2, number);
+            if gives_up {
+                lock(&jobs).push(client(id, first, &others, &record));
+            } else {
+                let patience = Duration::from_millis(DEADLINE_MS);
+                let _ = job_call(first, "POST", &id, JOB, patience);
+            }
         }));
         sleep(GAP);
     }
--- a/review/standin-2/src/new_setting.rs
+++ b/review/standin-2/src/new_setting.rs
@@ -22,7 +22,7 @@
     r#"{"jobSpec":"work 300","stages":[{"count":2,"cpu":500,"memMb":256,"estRuntimeMs":300}]}"#;
 
 pub fn run(repository: &Path, trouble: bool, record: &Record) -> Result<Verdict, String> {
-    let mut deployment = Deployment::start(repository, 1, 3, record)?;
+    let mut deployment = Deployment::start(repository, 4, 3, record)?;
     let fleet = &mut deployment.fleet;
     if trouble {
         fleet.new_limit = NEW_FIELD.into();
--- a/review/standin-2/src/stale_evacuation.rs
+++ b/review/standin-2/src/stale_evacuation.rs
@@ -22,10 +22,10 @@
 /// The time between the acknowledgement of one order and the next one for the same zone.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The rounds, and the length of each.
-const ROUNDS: usize = 6;
-const ROUND: Duration = Duration::from_secs(13);
-/// The zones that are evacuated, each with the node that the operator calls first to take it back.
-const EVACUATED: [(&str, &str); 2] = [(ZONES[0], "edge-1"), (ZONES[1], "edge-2")];
+const ROUNDS: usize = 9;
+const ROUND: Duration = Duration::from_secs(9);
+/// The zone that is evacuated, with the node that the operator calls first to take it back.
+const EVACUATED: [(&str, &str); 1] = [(ZONES[0], "edge-1")];
 /// A job: three tasks of half a second.
 const JOB: &str =
     r#"{"jobSpec":"work 500","stages":[{"count":3,"cpu":1000,"memMb":256,"estRuntimeMs":500}]}"#;
