Review: a script ends in time with every process that it started

A case that hangs or panics would have left its processes. A timer ends it after 116 s with status 2, and a panic counts as a case that could not run.

--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -2,9 +2,11 @@
 //! loopback address of its own; all machines use the same ports.
 
 use crate::http::{self, Call};
+use crate::record::lock;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,18 @@
 /// The bounds of the site, as in its settings files.
 const BOUNDS: &str = "seedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nmaxStretchMs = 5000\ncoldOvershoot = 1.5\ncoldSlack = 5\nevacuateMs = 5000\nrecoveryS = 12\nholdMaxMs = 6000\nstopGraceMs = 200\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nspreadFactor = 1.5\ncheckpointS = 2\nrestoreMs = 600\n";
 
+/// The processes that were started, by their ids, so that all can be ended whatever happens to the case.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that were started and not ended yet.
+pub fn kill_started() {
+    for id in lock(&STARTED).drain(..) {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+}
+
 /// The class of a machine.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Class {
@@ -201,6 +215,7 @@
             .stderr(log)
             .spawn()
             .map_err(|error| error.to_string())?;
+        lock(&STARTED).push(process.id());
         machine.process = Some(process);
         Ok(())
     }
@@ -259,6 +274,7 @@
         if let Some(mut process) = self.machines[position].process.take() {
             let _ = process.kill();
             let _ = process.wait();
+            lock(&STARTED).retain(|id| *id != process.id());
         }
     }
 
@@ -308,6 +324,7 @@
             if let Some(process) = machine.process.as_mut() {
                 let _ = process.kill();
                 let _ = process.wait();
+                lock(&STARTED).retain(|id| *id != process.id());
             }
         }
         if std::env::var("KEEP").is_err() {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -14,7 +14,12 @@
 mod worker;
 
 use record::Record;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// A case that has not ended by then could not run; the limit for a script is 120 s.
+const TIME: Duration = Duration::from_secs(116);
 
 /// The result of a case.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -42,18 +47,36 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new();
     let repository = PathBuf::from(repository);
-    let result = run(case, &repository, trouble, &record);
+    let file = Path::new(folder).join("record.txt");
+    end_in_time(case.clone(), record.clone(), file.clone());
+    let outcome = catch_unwind(AssertUnwindSafe(|| {
+        run(case, &repository, trouble, &record)
+    }));
+    let result = outcome.unwrap_or_else(|_| Err("the case panicked".into()));
+    fleet::kill_started();
     let (code, text) = match result {
         Ok(Verdict::Held) => (0, "the rule held".to_string()),
         Ok(Verdict::Broken) => (1, "the rule was broken".to_string()),
         Err(error) => (2, format!("the case could not run: {error}")),
     };
     record.note(&text);
-    record.write(&Path::new(folder).join("record.txt"));
+    record.write(&file);
     println!("{case}: {text}");
     std::process::exit(code);
 }
 
+/// Ends the case, and all processes that it started, when its time is over.
+fn end_in_time(case: String, record: Record, file: PathBuf) {
+    std::thread::spawn(move || {
+        std::thread::sleep(TIME);
+        fleet::kill_started();
+        record.note("the case could not run: its time is over");
+        record.write(&file);
+        println!("{case}: the case could not run: its time is over");
+        std::process::exit(2);
+    });
+}
+
 fn run(case: &str, repository: &Path, trouble: bool, record: &Record) -> Result<Verdict, String> {
     match case {
         "cancelled-job" => cancelled_job::run(repository, trouble, record),
