--- a/landingdrift/src/node/watch/entries.rs
+++ b/landingdrift/src/node/watch/entries.rs
@@ -3,7 +3,7 @@
 use super::super::zone_scheduler::zone_of_lease;
 use super::super::Node;
 use crate::sans_io::Now;
-use crate::state::{ClusterState, Command};
+use crate::state::{ApplyResult, ClusterState, Command, Order};
 use crate::wire::{Entry, WatchBatch};
 
 impl Node {
@@ -87,6 +87,9 @@
             }
             self.count("starts_refused", u64::from(result.is_err()));
         }
+        if let Some(order) = command.as_ref().and_then(Command::order) {
+            self.log_zone_order(entry.index, order, &result);
+        }
         if self.state.version != version {
             let version = self.state.version;
             let index = entry.index;
@@ -96,6 +99,22 @@
         }
     }
 
+    /// Logs an order on a zone with its result and the node through which it came.
+    fn log_zone_order(&mut self, index: u64, order: &Order, result: &ApplyResult) {
+        let Command::SetEvacuation { zone, evacuate } = order.action.as_ref() else {
+            return;
+        };
+        let action = if *evacuate { "begin" } else { "end" };
+        let outcome = match result {
+            Ok(_) => "done".to_string(),
+            Err(rejection) => format!("rejected: {rejection}"),
+        };
+        let proposer = &order.proposal.proposer;
+        self.log(format!(
+            "order to {action} the evacuation of zone '{zone}', index {index}, through {proposer}: {outcome}"
+        ));
+    }
+
     /// Marks the jobs whose demand for slots a command may change.
     fn mark_dirty_jobs(&mut self, action: Option<&Command>) {
         match action {
--- a/landingdrift/src/state/command.rs
+++ b/landingdrift/src/state/command.rs
@@ -280,6 +280,14 @@
         )
     }
 
+    /// The order, if the command is one.
+    pub fn order(&self) -> Option<&Order> {
+        match self {
+            Self::Order(order) => Some(order),
+            _ => None,
+        }
+    }
+
     /// The command itself, or the action of an order.
     pub fn action(&self) -> &Self {
         match self {
