Orders on a zone: one that waited does not undo a later, acknowledged one

Callers saw: the end of an evacuation is sent while a new leader is elected; there is no answer within a second, so the operator repeats it at another node, which acknowledges it, and evacuates the zone again, which is acknowledged, too.

Cause: a node goes on proposing an order until its deadline. The cluster state recognizes copies of one order, but the repetition is another order, and nothing in SetEvacuation tells when it was given: the last one in the log counts as the newest.

Change: orders are proposed as Command::ReceivedOrder, with the log index that the node knew when it received the order (what its copy has applied, or an index from a response). The cluster state keeps the index of the latest order on each zone. An order received before that one was applied changes nothing: it is confirmed if the zone is as it asks, else rejected with 503 "overtaken". Sent again, also to a node that lags behind, it is accepted. Entries of earlier builds are applied as before.

Why it works: whatever was acknowledged before an order reached its node has an index up to what the log has then, and whatever was acknowledged later has a higher one than what the node knew at the receipt; the decision is taken in apply, wherever the copies come from.

The tests an_order_that_waited_does_not_undo_a_later_acknowledged_evacuation and its mirror image set the order of events; on the code before they fail ("the older order returned the zone to service", "the older order emptied the zone").

--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -256,7 +256,7 @@
             CallCommand::UpdateConfig { change } => self.config_change_response(&change, result),
             CallCommand::SetEvacuation => match result {
                 Ok(body) => Response::new(200, body),
-                Err(rejection) => rejected_response(&rejection),
+                Err(rejection) => self.rejected_order_response(&rejection),
             },
             CallCommand::Departure { worker } => self.departure_response(&worker, result),
             CallCommand::ResolveTask { id } => match result {
@@ -266,6 +266,22 @@
         };
         self.finish(call, response);
     }
+
+    /// The response to a rejected order on a zone or a task.
+    fn rejected_order_response(&mut self, rejection: &Rejection) -> Response {
+        match rejection {
+            Rejection::Overtaken { .. } => self.overtaken_response(rejection),
+            _ => rejected_response(rejection),
+        }
+    }
+
+    /// The response to an order that a later one has overtaken. It had no effect; sent again, it is a new order.
+    fn overtaken_response(&mut self, rejection: &Rejection) -> Response {
+        self.count("orders_overtaken", 1);
+        self.log(format!("an order was rejected: {rejection}"));
+        Response::error(503, "overtaken", rejection.to_string())
+            .retry(self.settings.bounds.retry_after())
+    }
 }
 
 /// The generic response to a rejected command.
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -4,11 +4,13 @@
 //! - `calls` serves HTTP,
 //! - `scheduler` and `gangs` place the tasks of the queues whose leases this node holds,
 //! - `zone_scheduler` manages the workers of the zones whose leases it holds,
+//! - `known_index` tells which part of the log this node knew when it received a call,
 //! - `gossip` keeps the peer sampler's view up to date.
 
 mod calls;
 mod gangs;
 mod gossip;
+mod known_index;
 mod propose;
 mod scheduler;
 mod watch;
@@ -42,6 +44,7 @@
     pub(crate) scheduler: scheduler::Scheduler,
     pub(crate) calls: calls::Calls,
     pub(crate) proposals: BTreeMap<u64, propose::Proposal>,
+    known_index: known_index::KnownIndex,
     /// Random number of this process; responses to requests of an earlier process are dropped.
     pub(crate) incarnation: u64,
     next_token: u64,
@@ -70,6 +73,7 @@
             scheduler: scheduler::Scheduler::default(),
             calls: calls::Calls::default(),
             proposals: BTreeMap::new(),
+            known_index: known_index::KnownIndex::default(),
             incarnation,
             // The upper 16 bits are left free, so that incrementing the token does not overflow.
             next_token: first_token >> 16,
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -68,7 +68,11 @@
 enum ProposalCommand {
     Ready(Vec<u8>),
     /// An order, which is encoded with its deadline once the cluster time is known.
-    AwaitsClusterTime(Command),
+    AwaitsClusterTime {
+        action: Command,
+        /// Log index known at the receipt of the order.
+        seen: u64,
+    },
 }
 
 /// The next step of a proposal.
@@ -117,7 +121,7 @@
     fn transfer_ms(&self) -> u64 {
         match &self.command {
             ProposalCommand::Ready(bytes) => transfer_ms(bytes.len() as u64),
-            ProposalCommand::AwaitsClusterTime(_) => 0,
+            ProposalCommand::AwaitsClusterTime { .. } => 0,
         }
     }
 
@@ -141,7 +145,10 @@
         let number = self.token();
         let idempotent = !matches!(command, Command::StartAttempts { .. });
         let command = if command.is_order() {
-            ProposalCommand::AwaitsClusterTime(command.clone())
+            ProposalCommand::AwaitsClusterTime {
+                action: command.clone(),
+                seen: self.index_at_receipt(),
+            }
         } else {
             ProposalCommand::Ready(command.pack())
         };
@@ -224,16 +231,16 @@
             number,
         };
         let proposal = self.proposals.get_mut(&number)?;
-        let action = match &proposal.command {
+        let (action, seen) = match &proposal.command {
             ProposalCommand::Ready(bytes) => return Some(bytes.clone()),
-            ProposalCommand::AwaitsClusterTime(action) => action.clone(),
+            ProposalCommand::AwaitsClusterTime { action, seen } => (action.clone(), *seen),
         };
         let order = Order {
             action: Box::new(action),
             proposal: id,
             deadline: cluster_time? + proposal.deadline.saturating_sub(now.mono),
         };
-        let bytes = Command::Order(order).pack();
+        let bytes = Command::ReceivedOrder { order, seen }.pack();
         proposal.command = ProposalCommand::Ready(bytes.clone());
         Some(bytes)
     }
@@ -267,6 +274,7 @@
             // The attempt counts as unanswered, so the outcome is reported as unknown when the proposal times out.
             return self.count("responses_unreadable", 1);
         };
+        self.known_index.learn(response.log_index);
         if let Some(proposal) = self.proposals.remove(&number) {
             self.on_result(number, proposal.purpose, response.log_index, result);
         }
--- a/landingdrift/src/node/watch/entries.rs
+++ b/landingdrift/src/node/watch/entries.rs
@@ -50,6 +50,7 @@
         ));
         self.count("watch_copies_diverged", 1);
         self.state = ClusterState::new(&self.settings.cluster);
+        self.known_index.reset();
         self.light = false;
         self.watch.has_snapshot = false;
         self.watch.next_watch_request = now.mono;
--- a/landingdrift/src/replay/recording.rs
+++ b/landingdrift/src/replay/recording.rs
@@ -10,6 +10,9 @@
 /// The version of the file format; recordings of other versions are rejected.
 pub const FORMAT_VERSION: u16 = 1;
 
+/// The key of the order sequence of the first state, in the first line; left out if the sequence is empty.
+const ORDER_SEQUENCE_KEY: &str = "orderSequence";
+
 /// An error that prevents a recording from being read or made.
 #[derive(Debug)]
 pub enum RecordingError {
@@ -132,7 +135,11 @@
 
     /// The recording in the file format.
     pub fn text(&self) -> String {
-        let mut text = json!({"landingdriftDay": FORMAT_VERSION, "start": self.start}).to_string();
+        let mut head = json!({"landingdriftDay": FORMAT_VERSION, "start": self.start});
+        if !self.start.order_sequence.is_empty() {
+            head[ORDER_SEQUENCE_KEY] = json!(self.start.order_sequence);
+        }
+        let mut text = head.to_string();
         text.push('\n');
         for entry in &self.entries {
             text += &serde_json::to_string(entry).unwrap_or_default();
@@ -217,10 +224,15 @@
     if version != u64::from(FORMAT_VERSION) {
         return Err(RecordingError::UnsupportedVersion { found: version });
     }
-    serde_json::from_value(head["start"].clone()).map_err(|error| RecordingError::InvalidLine {
+    let invalid = |error: serde_json::Error| RecordingError::InvalidLine {
         line: 1,
         error: error.to_string(),
-    })
+    };
+    let mut start: ClusterState = serde_json::from_value(head["start"].clone()).map_err(invalid)?;
+    if let Some(sequence) = head.get(ORDER_SEQUENCE_KEY) {
+        start.order_sequence = serde_json::from_value(sequence.clone()).map_err(invalid)?;
+    }
+    Ok(start)
 }
 
 /// Applies an entry; returns its result as JSON.
--- a/landingdrift/src/replay/rerun/mod.rs
+++ b/landingdrift/src/replay/rerun/mod.rs
@@ -57,6 +57,17 @@
     simulation.summary()
 }
 
+/// The entry as if its order was received at a log index of the rerun, which differ from those of the recording.
+fn received_now(entry: &Command, applied_index: u64) -> Command {
+    match entry {
+        Command::ReceivedOrder { order, .. } => Command::ReceivedOrder {
+            order: order.clone(),
+            seen: applied_index,
+        },
+        other => other.clone(),
+    }
+}
+
 /// Replays an entry with an external cause: a configuration change, a job, a cancellation, or the registration or
 /// loss of a worker. Entries with the cluster's own decisions are skipped, because the rerun makes those decisions itself.
 /// Recorded configuration changes are replayed only if `with_config_changes` is set.
@@ -66,7 +77,7 @@
             simulation.append(entry);
         }
         Command::CancelJob { .. } => {
-            simulation.append(entry);
+            simulation.append(&received_now(entry, simulation.applied_index()));
         }
         Command::SubmitJob { spec, hash, .. } => {
             let seen = simulation.applied_index();
--- a/landingdrift/src/state/apply/config_update.rs
+++ b/landingdrift/src/state/apply/config_update.rs
@@ -9,6 +9,9 @@
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 
+/// Maximum length of the name of a zone that an order evacuates or returns to service, in bytes.
+const MAX_ZONE_NAME_BYTES: usize = 256;
+
 /// A proposed configuration change.
 pub(super) struct ConfigUpdate<'a> {
     /// Identity of the change; retries carry the same one.
@@ -37,6 +40,13 @@
     }
 }
 
+fn zone_name_too_long() -> Rejection {
+    Rejection::Invalid {
+        path: "zone".into(),
+        remedy: format!("give a name of at most {MAX_ZONE_NAME_BYTES} bytes"),
+    }
+}
+
 impl ClusterState {
     /// Puts a configuration change into force. At most one change per base version is accepted; a retry of an accepted
     /// change gets the same result again.
@@ -164,15 +174,33 @@
         queue.map_or(1, |queue| queue.max_attempts)
     }
 
-    /// Starts or ends the evacuation of a zone; idempotent.
-    pub(super) fn set_evacuation(&mut self, zone: &str, evacuate: bool) -> ApplyResult {
+    /// Starts or ends the evacuation of a zone; idempotent. An order that a later one has overtaken changes nothing:
+    /// `seen` is the log index known at its receipt.
+    pub(super) fn set_evacuation(
+        &mut self,
+        zone: &str,
+        evacuate: bool,
+        seen: Option<u64>,
+    ) -> ApplyResult {
+        let done = json!({"zone": zone, "emptied": evacuate});
+        if let Some(seen) = seen {
+            ensure(zone.len() <= MAX_ZONE_NAME_BYTES, zone_name_too_long())?;
+            let zones = &mut self.order_sequence.zones;
+            if zones.is_overtaken(zone, seen) {
+                let is_in_effect = self.evacuated_zones.contains(zone) == evacuate;
+                let what = format!("zone '{zone}'");
+                ensure(is_in_effect, Rejection::Overtaken { what })?;
+                return Ok(done);
+            }
+            zones.record(zone, self.applied_index);
+        }
         if evacuate {
             self.evacuated_zones.insert(zone.into());
         } else {
             self.evacuated_zones.remove(zone);
         }
         self.stop_disallowed_attempts();
-        Ok(json!({"zone": zone, "emptied": evacuate}))
+        Ok(done)
     }
 
     /// Requests that unstarted attempts on workers and in zones that may not get new work stop, and all attempts of
--- a/landingdrift/src/state/apply/mod.rs
+++ b/landingdrift/src/state/apply/mod.rs
@@ -117,7 +117,7 @@
                 attempts,
                 blame,
             } => self.reschedule_attempts(worker, *zone_epoch, attempts, *blame),
-            Command::SetEvacuation { zone, evacuate } => self.set_evacuation(zone, *evacuate),
+            Command::SetEvacuation { zone, evacuate } => self.set_evacuation(zone, *evacuate, None),
             Command::ResolveTask {
                 job,
                 task,
@@ -137,7 +137,8 @@
                 retain_ms,
                 identity_ms,
             } => self.collect_garbage(*retain_ms, *identity_ms),
-            Command::Order(order) => self.apply_order(order),
+            Command::Order(order) => self.apply_order(order, None),
+            Command::ReceivedOrder { order, seen } => self.apply_order(order, Some(*seen)),
         }
     }
 }
--- a/landingdrift/src/state/apply/orders.rs
+++ b/landingdrift/src/state/apply/orders.rs
@@ -2,11 +2,12 @@
 //! copies get the same result.
 
 use super::{ensure, pack_apply_result, unpack_apply_result, ApplyResult};
-use crate::state::{ClusterState, Order, Rejection};
+use crate::state::{ClusterState, Command, Order, Rejection};
 
 impl ClusterState {
-    /// Applies one copy of an order. The result is kept until the deadline, after which copies are rejected.
-    pub(super) fn apply_order(&mut self, order: &Order) -> ApplyResult {
+    /// Applies one copy of an order. The result is kept until the deadline, after which copies are rejected. `seen` is the
+    /// log index known at the receipt of the order, if the order carries it.
+    pub(super) fn apply_order(&mut self, order: &Order, seen: Option<u64>) -> ApplyResult {
         self.drop_expired_results();
         let key = (order.deadline, order.proposal.clone());
         let known = self.orders.get(&key);
@@ -15,7 +16,7 @@
         }
         ensure(self.at <= order.deadline, Rejection::DeadlinePassed)?;
         let result = if order.action.is_order() {
-            self.dispatch(&order.action)
+            self.apply_action(&order.action, seen)
         } else {
             Err(Rejection::Invalid {
                 path: "action".into(),
@@ -26,6 +27,14 @@
         result
     }
 
+    /// Applies the action of an order, unless a later order has overtaken it.
+    fn apply_action(&mut self, action: &Command, seen: Option<u64>) -> ApplyResult {
+        match action {
+            Command::SetEvacuation { zone, evacuate } => self.set_evacuation(zone, *evacuate, seen),
+            action => self.dispatch(action),
+        }
+    }
+
     /// Drops results of orders whose deadline has passed: further copies can't take effect.
     fn drop_expired_results(&mut self) {
         while let Some(first) = self.orders.first_entry() {
--- a/landingdrift/src/state/command.rs
+++ b/landingdrift/src/state/command.rs
@@ -205,8 +205,16 @@
         /// How long their tombstones are kept after that, in milliseconds.
         identity_ms: u64,
     },
-    /// An order of an operator or client, which takes effect at most once and not after its deadline.
+    /// An order of an operator or client, which takes effect at most once and not after its deadline. Written by earlier
+    /// builds; this one proposes [`Command::ReceivedOrder`].
     Order(Order),
+    /// An order that does not take effect after a later one on the same subject, see [`super::OrderSequence`].
+    ReceivedOrder {
+        /// The order. It must stay the first field, as the action in [`Order`].
+        order: Order,
+        /// Log index that the proposing node knew when it received the order.
+        seen: u64,
+    },
 }
 
 /// Discriminants of commands in packed entries: the positions of the variants of [`Command`].
@@ -219,6 +227,7 @@
     pub const REMOVE_REPLICA: u32 = 17;
     pub const COLLECT_GARBAGE: u32 = 18;
     pub const ORDER: u32 = 19;
+    pub const RECEIVED_ORDER: u32 = 20;
 }
 
 /// Splits a packed command into its discriminant and the remaining bytes.
@@ -242,7 +251,7 @@
     /// an order also that of its action; an entry whose discriminant can't be decoded counts as cluster-wide.
     pub fn is_cluster_wide(bytes: &[u8]) -> bool {
         let (mut number, rest) = split_kind(bytes).unwrap_or((kind::TERM_STARTED, &[]));
-        if number == kind::ORDER {
+        if [kind::ORDER, kind::RECEIVED_ORDER].contains(&number) {
             number = split_kind(rest).map_or(kind::TERM_STARTED, |(number, _)| number);
         }
         let cluster_kinds = [
@@ -269,7 +278,7 @@
         matches!(split_kind(bytes), Some((kind::SUBMIT_JOB, _)))
     }
 
-    /// Whether the command must take effect at most once, and so must be proposed inside a [`Command::Order`].
+    /// Whether the command must take effect at most once, and so must be proposed inside a [`Command::ReceivedOrder`].
     pub fn is_order(&self) -> bool {
         matches!(
             self,
@@ -283,7 +292,7 @@
     /// The order, if the command is one.
     pub fn order(&self) -> Option<&Order> {
         match self {
-            Self::Order(order) => Some(order),
+            Self::Order(order) | Self::ReceivedOrder { order, .. } => Some(order),
             _ => None,
         }
     }
@@ -291,7 +300,7 @@
     /// The command itself, or the action of an order.
     pub fn action(&self) -> &Self {
         match self {
-            Self::Order(order) => &order.action,
+            Self::Order(order) | Self::ReceivedOrder { order, .. } => &order.action,
             other => other,
         }
     }
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -12,6 +12,7 @@
 
 mod apply;
 mod idle_jobs;
+mod latest_orders;
 mod members;
 mod memory;
 mod rejection;
@@ -24,6 +25,7 @@
 pub use job::{
     Attempt, AttemptState, Job, JobSpec, JobState, Resources, StepSpec, Task, TaskSpec, TaskState,
 };
+pub use latest_orders::{LatestOrders, OrderSequence, MAX_SUBJECTS};
 pub use members::{Lease, NodeMember, ReplicaMember, Worker};
 pub use order::{Order, ProposalId};
 pub use rejection::Rejection;
@@ -106,6 +108,10 @@
     pub next_attempt: u64,
     /// Epoch that the next granted lease will get.
     pub next_epoch: u64,
+    /// The latest orders, by which older ones are recognized. Not part of the format of version 3: [`ClusterState::pack`]
+    /// appends it.
+    #[serde(skip)]
+    pub order_sequence: OrderSequence,
 }
 
 /// Name of the lease for scheduling in a zone.
@@ -130,9 +136,14 @@
         }
     }
 
-    /// Encodes the state for a snapshot.
+    /// Encodes the state for a snapshot. The order sequence follows the other fields, unless it is empty: earlier builds
+    /// of the same format version wrote none, and they ignore it.
     pub fn pack(&self) -> Vec<u8> {
-        pack::pack(self)
+        let mut bytes = pack::pack(self);
+        if !self.order_sequence.is_empty() {
+            bytes.extend(pack::pack(&self.order_sequence));
+        }
+        bytes
     }
 
     /// Decodes the state from a snapshot. Fails if the snapshot has another format version or is damaged.
@@ -143,13 +154,22 @@
                 "unsupported snapshot format {format}, this build reads {STATE_VERSION}: run the build that wrote it"
             ));
         }
-        pack::unpack(bytes).map_err(|e| {
+        Self::unpack_fields(bytes).map_err(|e| {
             format!(
                 "failed to decode the snapshot: {e}; fetch it again from another replica (core)"
             )
         })
     }
 
+    /// Decodes the fields, and the order sequence if the snapshot has one.
+    fn unpack_fields(bytes: &[u8]) -> Result<Self, String> {
+        let (mut state, rest): (Self, &[u8]) = pack::unpack_prefix(bytes)?;
+        if !rest.is_empty() {
+            state.order_sequence = pack::unpack(rest)?;
+        }
+        Ok(state)
+    }
+
     /// The light copy of the state that small nodes follow: everything except jobs, workers and queue statistics.
     pub fn without_jobs_and_workers(&self) -> Self {
         Self {
@@ -167,6 +187,7 @@
             replicas: self.replicas.clone(),
             next_attempt: self.next_attempt,
             next_epoch: self.next_epoch,
+            order_sequence: self.order_sequence.clone(),
             ..Self::default()
         }
     }
--- a/landingdrift/src/state/pack.rs
+++ b/landingdrift/src/state/pack.rs
@@ -13,6 +13,11 @@
     postcard::from_bytes(bytes).map_err(|e| e.to_string())
 }
 
+/// Decodes a value that [`pack`] encoded, and returns the bytes after it.
+pub fn unpack_prefix<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), String> {
+    postcard::take_from_bytes(bytes).map_err(|e| e.to_string())
+}
+
 /// Size of a value as JSON text, in bytes, computed without building the text.
 pub fn json_bytes<T: Serialize>(value: &T) -> u64 {
     let mut counted = ByteCounter::default();
--- a/landingdrift/src/state/rejection.rs
+++ b/landingdrift/src/state/rejection.rs
@@ -109,4 +109,10 @@
         "the existing jobs leave too little capacity for this one: retry later, or split the job"
     )]
     InsufficientCapacity,
+    /// A later order on the same subject was applied after this one was received; this one had no effect.
+    #[error("a later order on {what} was applied first and this one had no effect: check that it is still wanted, then send it again")]
+    Overtaken {
+        /// Kind and name of the subject.
+        what: String,
+    },
 }
--- a/landingdrift/tests/common/mod.rs
+++ b/landingdrift/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A test cluster: nodes, and one cluster state that stands in for the replicas and their log. The test decides when
 //! and how often each proposal is committed.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use landingdrift::node::Node;
 use landingdrift::sans_io::{Effect, Msg, Now, Request, Response, StateMachine};
 use landingdrift::settings::Settings;
@@ -110,7 +112,13 @@
         self.elapsed += ms;
     }
 
-    fn follow(&mut self, node: usize) {
+    /// Steps a node with a tick.
+    pub fn tick(&mut self, node: usize) {
+        self.step(node, Msg::Tick);
+    }
+
+    /// Brings a node's copy of the cluster state up to date.
+    pub fn follow(&mut self, node: usize) {
         let batch = WatchBatch {
             replica: REPLICA.into(),
             leader: REPLICA.into(),
@@ -151,9 +159,14 @@
         self.replies.get(&order.call).cloned()
     }
 
-    /// Sends a request to a node, which must make one proposal for it.
+    /// Sends a request to a node that has caught up, which must make one proposal for it.
     pub fn call(&mut self, node: usize, request: Request) -> Order {
         self.follow(node);
+        self.call_at_lagging_node(node, request)
+    }
+
+    /// Like [`Self::call`], but the node has only what it received before.
+    pub fn call_at_lagging_node(&mut self, node: usize, request: Request) -> Order {
         self.calls += 1;
         let call = self.calls;
         let effects = self.step(node, Msg::Call(call, request));
--- a/landingdrift/tests/light_copies.rs
+++ b/landingdrift/tests/light_copies.rs
@@ -160,15 +160,29 @@
     })
 }
 
+/// Like [`ordered`], in the form that carries the log index known at the receipt.
+fn received(action: Command) -> Command {
+    match ordered(action) {
+        Command::Order(order) => Command::ReceivedOrder {
+            order,
+            seen: u64::MAX,
+        },
+        other => other,
+    }
+}
+
 #[test]
 fn an_order_is_cluster_wide_if_its_command_is() {
     let orders = commands_of_every_kind()
         .into_iter()
         .filter(|(command, _)| command.is_order());
     let orders: Vec<_> = orders
-        .map(|(command, is_cluster_wide)| (ordered(command), is_cluster_wide))
+        .flat_map(|(command, is_cluster_wide)| {
+            let forms = [ordered(command.clone()), received(command)];
+            forms.map(|form| (form, is_cluster_wide))
+        })
         .collect();
-    assert_eq!(orders.len(), 4);
+    assert_eq!(orders.len(), 8);
     for (command, is_cluster_wide) in orders {
         assert_eq!(
             Command::is_cluster_wide(&command.pack()),
--- /dev/null
+++ b/landingdrift/tests/overtaken_orders.rs
@@ -0,0 +1,190 @@
+//! An order that waits at one node does not take effect after a later one on the same zone was acknowledged through another
+//! node. Each test sets the order of the events itself.
+
+mod cluster_state_fixture;
+mod common;
+
+use cluster_state_fixture::StateFixture;
+use common::Cluster;
+use landingdrift::sans_io::Request;
+use landingdrift::state::{
+    ApplyResult, ClusterState, Command, Order, ProposalId, Rejection, MAX_SUBJECTS,
+};
+
+/// A request that starts (PUT) or ends (DELETE) the evacuation of a zone.
+fn zone_order(method: &str, zone: &str) -> Request {
+    Request {
+        method: method.into(),
+        path: format!("/v1/zones/{zone}/empty"),
+        ..Request::default()
+    }
+}
+
+fn evacuate() -> Request {
+    zone_order("PUT", "z")
+}
+
+fn end_evacuation() -> Request {
+    zone_order("DELETE", "z")
+}
+
+impl Cluster {
+    fn is_evacuated(&self) -> bool {
+        self.state.evacuated_zones.contains("z")
+    }
+
+    /// Advances the time, with ticks at the given nodes; other nodes are frozen meanwhile.
+    fn advance_with_ticks(&mut self, nodes: &[usize], ms: u64) {
+        for _ in 0..ms / 20 {
+            self.advance(20);
+            nodes.iter().for_each(|node| self.tick(*node));
+        }
+    }
+}
+
+/// Guards against review/8: the end of an evacuation waits at node 0 for a new leader, the operator repeats it at node 1 and
+/// evacuates the zone again; then the order that waited is committed and undoes the evacuation.
+#[test]
+fn an_order_that_waited_does_not_undo_a_later_acknowledged_evacuation() {
+    let mut cluster = Cluster::new(2);
+    assert_eq!(cluster.order(1, evacuate()).status, 200);
+    let mut waiting = cluster.call(0, end_evacuation());
+    cluster.advance_with_ticks(&[0, 1], 1000);
+    assert_eq!(cluster.order(1, end_evacuation()).status, 200);
+    cluster.advance(100);
+    assert_eq!(cluster.order(1, evacuate()).status, 200);
+    let result = cluster.commit(&mut waiting);
+    assert!(
+        cluster.is_evacuated(),
+        "the older order returned the zone to service"
+    );
+    let reply = cluster.deliver_result(&waiting, &result).expect("answered");
+    assert_eq!((reply.status, reply.kind()), (503, "overtaken"));
+}
+
+/// Guards against the mirror image: an evacuation that waited empties a zone that a later order has returned to service, also
+/// if that order found nothing to change.
+#[test]
+fn an_evacuation_that_waited_does_not_empty_a_zone_returned_to_service_later() {
+    let mut cluster = Cluster::new(2);
+    let mut waiting = cluster.call(0, evacuate());
+    assert_eq!(cluster.order(1, end_evacuation()).status, 200);
+    cluster.commit(&mut waiting);
+    assert!(!cluster.is_evacuated(), "the older order emptied the zone");
+}
+
+/// Guards against rejecting the repetition of an order that has taken effect: its caller must get an acknowledgement.
+#[test]
+fn an_overtaken_order_that_is_in_effect_anyway_is_acknowledged() {
+    let mut cluster = Cluster::new(2);
+    let mut first = cluster.call(0, evacuate());
+    assert_eq!(cluster.order(1, evacuate()).status, 200);
+    let result = cluster.commit(&mut first);
+    let reply = cluster.deliver_result(&first, &result).expect("answered");
+    assert_eq!(reply.status, 200);
+    assert!(cluster.is_evacuated());
+}
+
+/// Guards against an order that is rejected for good because its node lags behind: sent again, to the same node or to another
+/// one, it is accepted.
+#[test]
+fn a_newer_order_at_a_lagging_node_is_accepted_when_it_is_sent_again() {
+    for second_node in [0, 1] {
+        let mut cluster = Cluster::new(2);
+        cluster.follow(0);
+        assert_eq!(cluster.order(1, evacuate()).status, 200);
+        let mut newer = cluster.call_at_lagging_node(0, end_evacuation());
+        let result = cluster.commit(&mut newer);
+        let reply = cluster.deliver_result(&newer, &result).expect("answered");
+        assert_eq!((reply.status, reply.kind()), (503, "overtaken"));
+        assert!(cluster.is_evacuated(), "a rejected order has no effect");
+        let mut again = cluster.call_at_lagging_node(second_node, end_evacuation());
+        let result = cluster.commit(&mut again);
+        let reply = cluster.deliver_result(&again, &result).expect("answered");
+        assert_eq!(reply.status, 200, "sent again to node {second_node}");
+        assert!(!cluster.is_evacuated());
+    }
+}
+
+impl StateFixture {
+    /// Applies an order that was received when its node knew the log up to `seen`.
+    fn order(&mut self, action: Command, seen: u64) -> ApplyResult {
+        let order = Order {
+            action: Box::new(action),
+            proposal: ProposalId {
+                number: self.last_index,
+                ..ProposalId::default()
+            },
+            deadline: u64::MAX,
+        };
+        self.apply(Command::ReceivedOrder { order, seen })
+    }
+}
+
+fn set_evacuation(zone: &str, evacuate: bool) -> Command {
+    Command::SetEvacuation {
+        zone: zone.into(),
+        evacuate,
+    }
+}
+
+fn unpacked(state: &ClusterState) -> ClusterState {
+    ClusterState::unpack(&state.pack()).expect("a packed state")
+}
+
+/// Guards against a copy that has forgotten the latest orders and decides otherwise than the others: one that was installed
+/// from a snapshot, or a light one.
+#[test]
+fn copies_from_snapshots_and_light_copies_reject_the_same_orders() {
+    let mut fixture = StateFixture::new();
+    let seen = fixture.last_index;
+    fixture.order(set_evacuation("z", true), seen).expect("set");
+    let light = unpacked(&fixture.state.without_jobs_and_workers());
+    let from_snapshot = unpacked(&fixture.state);
+    assert_eq!(from_snapshot, fixture.state);
+    let (last_index, at) = (fixture.last_index, fixture.at);
+    for state in [light, from_snapshot] {
+        let mut copy = StateFixture {
+            state,
+            last_index,
+            at,
+        };
+        let result = copy.order(set_evacuation("z", false), seen);
+        assert!(
+            matches!(result, Err(Rejection::Overtaken { .. })),
+            "{result:?}"
+        );
+        assert!(copy.state.evacuated_zones.contains("z"));
+    }
+}
+
+/// Guards against orders on zones that don't exist, which would take up memory for ever, and against a zone whose latest
+/// order is forgotten for them: an order that is older than the remembered ones is rejected, and accepted when it is sent again.
+#[test]
+fn orders_on_unknown_zones_take_bounded_memory_and_none_is_forgotten_silently() {
+    let mut fixture = StateFixture::new();
+    let seen = fixture.last_index;
+    fixture.order(set_evacuation("z", true), seen).expect("set");
+    for number in 0..3 * MAX_SUBJECTS {
+        let seen = fixture.last_index;
+        let other_zone = set_evacuation(&format!("other-{number}"), false);
+        fixture.order(other_zone, seen).expect("set");
+    }
+    assert!(fixture.state.order_sequence.zones.len() <= MAX_SUBJECTS);
+    let result = fixture.order(set_evacuation("z", false), seen);
+    assert!(
+        matches!(result, Err(Rejection::Overtaken { .. })),
+        "{result:?}"
+    );
+    let seen = fixture.last_index;
+    fixture
+        .order(set_evacuation("z", false), seen)
+        .expect("sent again");
+    assert!(!fixture.state.evacuated_zones.contains("z"));
+    let long_name = set_evacuation(&"x".repeat(10_000), true);
+    let result = fixture.order(long_name, fixture.last_index);
+    assert!(
+        matches!(result, Err(Rejection::Invalid { .. })),
+        "{result:?}"
+    );
+}
--- a/landingdrift/tests/stored/mod.rs
+++ b/landingdrift/tests/stored/mod.rs
@@ -305,8 +305,10 @@
         Command::RemoveReplica { .. } => 17,
         Command::CollectGarbage { .. } => 18,
         Command::Order(_) => 19,
+        // Added after the fixtures were written; `stored_data.rs` has its encoding.
+        Command::ReceivedOrder { .. } => 20,
     }
 }
 
-/// Number of kinds of commands.
+/// Number of kinds of commands in the fixtures.
 pub const KINDS: usize = 20;
--- a/landingdrift/tests/stored/variants.rs
+++ b/landingdrift/tests/stored/variants.rs
@@ -159,5 +159,7 @@
         Rejection::SpeculationBudgetExhausted => 18,
         // Not in the list, since it is never stored: the leader responds with it instead of appending an entry.
         Rejection::InsufficientCapacity => 19,
+        // Added after the fixtures were written; `stored_data.rs` has its encoding.
+        Rejection::Overtaken { .. } => 20,
     }
 }
--- a/landingdrift/tests/stored_data.rs
+++ b/landingdrift/tests/stored_data.rs
@@ -14,7 +14,9 @@
 use landingdrift::replay::Recording;
 use landingdrift::settings::Settings;
 use landingdrift::state::pack::{pack, unpack};
-use landingdrift::state::{AttemptState, ClusterState, Command, JobState, STATE_VERSION};
+use landingdrift::state::{
+    AttemptState, ClusterState, Command, JobState, Order, ProposalId, Rejection, STATE_VERSION,
+};
 use landingdrift::wire::{self, WIRE_VERSION};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -226,6 +228,57 @@
     assert_eq!(serde_json::to_string(&read).expect("JSON"), json);
 }
 
+/// Guards against a changed encoding of what was added to the formats after the fixtures were written.
+#[test]
+fn additions_to_the_formats_keep_their_names_and_numbers() {
+    let command = Command::ReceivedOrder {
+        order: Order {
+            action: Box::new(Command::CancelJob { job: "j".into() }),
+            proposal: ProposalId {
+                proposer: "p".into(),
+                incarnation: 1,
+                number: 2,
+            },
+            deadline: 3,
+        },
+        seen: 4,
+    };
+    let packed = vec![20, 3, 1, b'j', 1, b'p', 1, 2, 3, 4];
+    assert_eq!(command.pack(), packed);
+    assert_eq!(Command::unpack(&packed), Ok(command.clone()));
+    let json = r#"{"ReceivedOrder":{"order":{"action":{"Cancel":{"job":"j"}},"proposal":{"proposer":"p","incarnation":1,"number":2},"deadline":3},"seen":4}}"#;
+    assert_eq!(serde_json::to_string(&command).expect("JSON"), json);
+    assert_eq!(
+        serde_json::from_str::<Command>(json).expect("JSON"),
+        command
+    );
+    let rejection = Rejection::Overtaken { what: "w".into() };
+    assert_eq!(pack(&rejection), [20, 1, b'w']);
+    let json = serde_json::to_string(&rejection).expect("JSON");
+    assert_eq!(json, r#"{"Overtaken":{"what":"w"}}"#);
+}
+
+/// Guards against a snapshot that an earlier build can't read, or that loses which orders were the latest.
+#[test]
+fn the_order_sequence_follows_the_fields_of_a_packed_state() {
+    let mut state = ClusterState::unpack(&stored::bytes(PACKED_STATE)).expect("a packed state");
+    let without_sequence = state.pack();
+    state.order_sequence.zones.record("z", 7);
+    let packed = state.pack();
+    assert!(packed.starts_with(&without_sequence));
+    let tail = [1, 1, b'z', 7, 0];
+    assert_eq!(packed[without_sequence.len()..], tail);
+    assert_eq!(ClusterState::unpack(&packed), Ok(state.clone()));
+    let read_by_earlier_builds: ClusterState = unpack(&packed).expect("a packed state");
+    assert!(read_by_earlier_builds.order_sequence.is_empty());
+    let path = stored::scratch("sequence.day");
+    let recording = stored::recording_of(&state);
+    fs::write(&path, recording.text()).expect("written");
+    let read = Recording::read(path.to_str().expect("a path in UTF-8")).expect("a recording");
+    assert_eq!(read.start, recording.start);
+    let _ = fs::remove_file(&path);
+}
+
 #[test]
 fn a_recording_is_read_and_written_unchanged_and_replayed_with_the_same_results() {
     let recording = stored::recording(LOG_RECORDING);
