Cancelling an unknown job keeps out a submission that waited

The node goes on proposing the submission; cancel_job rejected the cancelling of an unknown id and kept nothing, so nothing tells that the submission, the last one in the log, is the older command. For rejected submissions rejected_ids does this.

Change: the cancelling of an unknown job is kept in the order sequence by the job's id. A submission that was received before it was applied is rejected. Its twin: once a job is submitted again and accepted, a cancelling that was received before that does not cancel it. Kept ids are bounded by number; what is older than a dropped one is rejected and may be sent again, so clients that cancel by the thousand neither fill the memory nor open the gap again. A job that was never cancelled is cancelled also by a node that lags behind its acceptance.

Evidence: the tests a_submission_that_waited_is_rejected_after_its_cancellation_was_answered and a_cancellation_that_waited_does_not_cancel_a_job_submitted_later fail on the code before ("the job was accepted", "the new job was cancelled").

--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -76,7 +76,7 @@
             let response = self.accepted_response(&id, result);
             return self.reply(&origin, response);
         }
-        let seen = self.state.applied_index;
+        let seen = self.index_at_receipt();
         let command = Command::SubmitJob { spec, hash, seen };
         self.propose_for_call(now, origin, &command, CallCommand::SubmitJob { id });
     }
@@ -233,6 +233,7 @@
     pub(super) fn cancelled_response(&mut self, id: &str, result: ApplyResult) -> Response {
         match result {
             Ok(applied) => Response::new(200, json!({"id": id, "state": applied["state"]})),
+            Err(rejection @ Rejection::Overtaken { .. }) => self.overtaken_response(&rejection),
             Err(rejection) => Response::error(404, "unknownJob", rejection.to_string()),
         }
     }
--- a/landingdrift/src/state/apply/jobs.rs
+++ b/landingdrift/src/state/apply/jobs.rs
@@ -1,12 +1,13 @@
 //! Acceptance and cancellation of jobs, and resolution of unknown outcomes.
 
 use super::{ensure, ApplyResult};
+use crate::state::job::is_name;
 use crate::state::{AttemptState, ClusterState, Job, JobSpec, Rejection, Task};
 use serde_json::{json, Value};
 
 impl ClusterState {
-    /// Accepts a job. `seen` is the log index that the admitting node had applied when it received the request. The id
-    /// of a rejected job is remembered, so that an older request with the same id can't be accepted afterwards.
+    /// Accepts a job. `seen` is the log index that the admitting node knew when it received the request. The id of a
+    /// rejected job is remembered, so that an older request with the same id can't be accepted afterwards.
     pub(super) fn submit_job(&mut self, spec: &JobSpec, hash: u64, seen: u64) -> ApplyResult {
         let result = self.try_accept(spec, hash, seen);
         let is_known = self.jobs.contains_key(&spec.id) || self.tombstones.contains_key(&spec.id);
@@ -24,7 +25,11 @@
         }
         let rejected = self.rejected_ids.get(&spec.id);
         let rejected_since = rejected.is_some_and(|(index, _)| *index > seen);
-        ensure(!rejected_since, Rejection::PreviouslyRejected)?;
+        let cancelled_since = self.order_sequence.jobs.is_overtaken(&spec.id, seen);
+        ensure(
+            !rejected_since && !cancelled_since,
+            Rejection::PreviouslyRejected,
+        )?;
         let dependencies = spec
             .check()
             .and_then(|dependencies| spec.check_against(&self.config).map(|()| dependencies))
@@ -38,6 +43,11 @@
         ensure(stats.unfinished < quota, Rejection::OverQuota { quota })?;
         stats.unfinished += 1;
         self.rejected_ids.remove(&spec.id);
+        let cancelled_jobs = &mut self.order_sequence.jobs;
+        if cancelled_jobs.contains(&spec.id) {
+            // A cancellation that was received before this submission must not cancel the job.
+            cancelled_jobs.record(&spec.id, self.applied_index);
+        }
         let job = Job {
             hash,
             accepted: self.at,
@@ -56,18 +66,25 @@
         }
     }
 
-    /// Cancels a job; a job that has ended is left unchanged.
-    pub(super) fn cancel_job(&mut self, id: &str) -> ApplyResult {
+    /// Cancels a job; a job that has ended is left unchanged. `seen` is the log index known at the receipt of the
+    /// cancellation. If the job is unknown, the cancellation is remembered, so that an older submission of the job can't
+    /// be accepted afterwards.
+    pub(super) fn cancel_job(&mut self, id: &str, seen: Option<u64>) -> ApplyResult {
         if let Some(tombstone) = self.tombstones.get(id) {
             return Ok(json!({"state": tombstone.state}));
         }
-        let unknown = || Rejection::Unknown {
-            what: format!("job '{id}'"),
+        let what = format!("job '{id}'");
+        let Some(job) = self.jobs.get_mut(id) else {
+            if seen.is_some() && is_name(id) {
+                self.order_sequence.jobs.record(id, self.applied_index);
+            }
+            return Err(Rejection::Unknown { what });
         };
-        let job = self.jobs.get_mut(id).ok_or_else(unknown)?;
         if job.state.has_ended() || job.cancel {
             return Ok(json!({"state": job.state}));
         }
+        let is_overtaken = seen.is_some_and(|seen| self.order_sequence.jobs.is_overtaken(id, seen));
+        ensure(!is_overtaken, Rejection::Overtaken { what })?;
         job.cancel = true;
         job.reason = "cancelled by the caller".into();
         let live = job.tasks.iter().flat_map(Task::live);
--- a/landingdrift/src/state/apply/mod.rs
+++ b/landingdrift/src/state/apply/mod.rs
@@ -68,7 +68,7 @@
                 value,
             }),
             Command::SubmitJob { spec, hash, seen } => self.submit_job(spec, *hash, *seen),
-            Command::CancelJob { job } => self.cancel_job(job),
+            Command::CancelJob { job } => self.cancel_job(job, None),
             Command::StartAttempts {
                 job,
                 owner_epoch,
--- a/landingdrift/src/state/apply/orders.rs
+++ b/landingdrift/src/state/apply/orders.rs
@@ -31,6 +31,7 @@
     fn apply_action(&mut self, action: &Command, seen: Option<u64>) -> ApplyResult {
         match action {
             Command::SetEvacuation { zone, evacuate } => self.set_evacuation(zone, *evacuate, seen),
+            Command::CancelJob { job } => self.cancel_job(job, seen),
             action => self.dispatch(action),
         }
     }
--- a/landingdrift/src/state/job/check.rs
+++ b/landingdrift/src/state/job/check.rs
@@ -302,7 +302,7 @@
 }
 
 /// Whether a text is a valid job id or task name.
-fn is_name(name: &str) -> bool {
+pub(crate) fn is_name(name: &str) -> bool {
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
     !name.is_empty() && name.len() <= MAX_NAME_CHARACTERS && name.chars().all(is_allowed)
 }
--- a/landingdrift/src/state/job/mod.rs
+++ b/landingdrift/src/state/job/mod.rs
@@ -7,6 +7,7 @@
 mod state;
 
 pub use accepted::{Attempt, Job, Task};
+pub(crate) use check::is_name;
 pub use check::{SpecError, MAX_STEP_TASKS, MAX_TASKS};
 pub use resources::Resources;
 pub use spec::{JobSpec, StepSpec, TaskSpec};
--- a/landingdrift/src/state/latest_orders.rs
+++ b/landingdrift/src/state/latest_orders.rs
@@ -38,6 +38,11 @@
         latest.is_some_and(|index| *index > seen) || self.dropped_through > seen
     }
 
+    /// Whether an order on the subject is remembered.
+    pub fn contains(&self, subject: &str) -> bool {
+        self.indices.contains_key(subject)
+    }
+
     /// The number of subjects.
     pub fn len(&self) -> usize {
         self.indices.len()
@@ -62,6 +67,8 @@
 pub struct OrderSequence {
     /// Evacuations and their ends, by zone.
     pub zones: LatestOrders,
+    /// By job id, the cancellation that found no such job or, if the job was submitted again after it, that submission.
+    pub jobs: LatestOrders,
 }
 
 impl OrderSequence {
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -187,7 +187,10 @@
             replicas: self.replicas.clone(),
             next_attempt: self.next_attempt,
             next_epoch: self.next_epoch,
-            order_sequence: self.order_sequence.clone(),
+            order_sequence: OrderSequence {
+                zones: self.order_sequence.zones.clone(),
+                ..OrderSequence::default()
+            },
             ..Self::default()
         }
     }
--- a/landingdrift/src/state/rejection.rs
+++ b/landingdrift/src/state/rejection.rs
@@ -40,9 +40,9 @@
         /// The quota: the maximum number of unfinished jobs.
         quota: u32,
     },
-    /// A job with the same id was rejected after this request was received.
+    /// A job with the same id was rejected, or cancelled while it was unknown, after this request was received.
     #[error(
-        "a job with the same id was rejected while this request was in progress: submit it again"
+        "a job with the same id was rejected or cancelled while this request was in progress: submit it again"
     )]
     #[serde(rename = "TurnedAway")]
     PreviouslyRejected,
--- a/landingdrift/tests/overtaken_orders.rs
+++ b/landingdrift/tests/overtaken_orders.rs
@@ -1,15 +1,16 @@
-//! An order that waits at one node does not take effect after a later one on the same zone was acknowledged through another
-//! node. Each test sets the order of the events itself.
+//! An order or a submission that waits at one node does not take effect after a later command on the same zone or job was
+//! acknowledged through another node. Each test sets the order of the events itself.
 
 mod cluster_state_fixture;
 mod common;
 
-use cluster_state_fixture::StateFixture;
+use cluster_state_fixture::{repeatable, StateFixture};
 use common::Cluster;
 use landingdrift::sans_io::Request;
 use landingdrift::state::{
-    ApplyResult, ClusterState, Command, Order, ProposalId, Rejection, MAX_SUBJECTS,
+    ApplyResult, ClusterState, Command, JobSpec, Order, ProposalId, Rejection, MAX_SUBJECTS,
 };
+use serde_json::json;
 
 /// A request that starts (PUT) or ends (DELETE) the evacuation of a zone.
 fn zone_order(method: &str, zone: &str) -> Request {
@@ -28,6 +29,24 @@
     zone_order("DELETE", "z")
 }
 
+fn submit(id: &str) -> Request {
+    let body = json!({"id": id, "queue": "q", "steps": [{"count": 1, "task": {"service": "s", "room": 1}}]});
+    Request {
+        method: "POST".into(),
+        path: "/v1/jobs".into(),
+        body: body.to_string().into_bytes(),
+        ..Request::default()
+    }
+}
+
+fn cancel(id: &str) -> Request {
+    Request {
+        method: "DELETE".into(),
+        path: format!("/v1/jobs/{id}"),
+        ..Request::default()
+    }
+}
+
 impl Cluster {
     fn is_evacuated(&self) -> bool {
         self.state.evacuated_zones.contains("z")
@@ -106,6 +125,54 @@
     }
 }
 
+/// Guards against review/6: a submission waits at node 0 for a new leader, its client gives up and cancels the job at node 1,
+/// which is answered that there is no such job; then the submission is accepted and the job runs.
+#[test]
+fn a_submission_that_waited_is_rejected_after_its_cancellation_was_answered() {
+    let mut cluster = Cluster::new(2);
+    let mut waiting = cluster.call(0, submit("j"));
+    cluster.advance_with_ticks(&[0, 1], 700);
+    let reply = cluster.order(1, cancel("j"));
+    assert_eq!((reply.status, reply.kind()), (404, "unknownJob"));
+    let result = cluster.commit(&mut waiting);
+    assert!(cluster.state.jobs.is_empty(), "the job was accepted");
+    let reply = cluster.deliver_result(&waiting, &result).expect("answered");
+    assert_eq!(reply.status, 429);
+    assert_eq!(cluster.order(0, submit("j")).status, 202, "sent again");
+}
+
+/// Guards against a cancellation that waits, is repeated elsewhere and answered that there is no such job, and then cancels
+/// the job that the client has submitted since.
+#[test]
+fn a_cancellation_that_waited_does_not_cancel_a_job_submitted_later() {
+    let mut cluster = Cluster::new(2);
+    let mut waiting = cluster.call(0, cancel("j"));
+    assert_eq!(cluster.order(1, cancel("j")).status, 404);
+    assert_eq!(cluster.order(1, submit("j")).status, 202);
+    let result = cluster.commit(&mut waiting);
+    assert!(!cluster.state.jobs["j"].cancel, "the new job was cancelled");
+    let reply = cluster.deliver_result(&waiting, &result).expect("answered");
+    assert_eq!((reply.status, reply.kind()), (503, "overtaken"));
+    assert_eq!(cluster.order(0, cancel("j")).status, 200, "sent again");
+    assert!(cluster.state.jobs["j"].cancel);
+}
+
+/// Guards against a cancellation that is rejected although the job was never cancelled before: a node that lags behind the
+/// acceptance of the job must be able to cancel it.
+#[test]
+fn a_lagging_node_cancels_a_job_that_it_does_not_know() {
+    let mut cluster = Cluster::new(2);
+    cluster.follow(0);
+    assert_eq!(cluster.order(1, submit("j")).status, 202);
+    let mut cancellation = cluster.call_at_lagging_node(0, cancel("j"));
+    let result = cluster.commit(&mut cancellation);
+    let reply = cluster
+        .deliver_result(&cancellation, &result)
+        .expect("answered");
+    assert_eq!(reply.status, 200);
+    assert!(cluster.state.jobs["j"].cancel);
+}
+
 impl StateFixture {
     /// Applies an order that was received when its node knew the log up to `seen`.
     fn order(&mut self, action: Command, seen: u64) -> ApplyResult {
@@ -139,11 +206,13 @@
     let mut fixture = StateFixture::new();
     let seen = fixture.last_index;
     fixture.order(set_evacuation("z", true), seen).expect("set");
+    let cancelled = Command::CancelJob { job: "j".into() };
+    assert!(fixture.order(cancelled, seen).is_err());
     let light = unpacked(&fixture.state.without_jobs_and_workers());
     let from_snapshot = unpacked(&fixture.state);
     assert_eq!(from_snapshot, fixture.state);
     let (last_index, at) = (fixture.last_index, fixture.at);
-    for state in [light, from_snapshot] {
+    for state in [light, from_snapshot.clone()] {
         let mut copy = StateFixture {
             state,
             last_index,
@@ -156,6 +225,22 @@
         );
         assert!(copy.state.evacuated_zones.contains("z"));
     }
+    let mut copy = StateFixture {
+        state: from_snapshot,
+        last_index,
+        at,
+    };
+    let submission = Command::SubmitJob {
+        spec: JobSpec {
+            id: "j".into(),
+            queue: "q".into(),
+            tasks: vec![repeatable("a")],
+            ..Default::default()
+        },
+        hash: 1,
+        seen,
+    };
+    assert_eq!(copy.apply(submission), Err(Rejection::PreviouslyRejected));
 }
 
 /// Guards against orders on zones that don't exist, which would take up memory for ever, and against a zone whose latest
@@ -188,3 +273,47 @@
         "{result:?}"
     );
 }
+
+/// Guards against clients that take up memory by cancelling jobs that don't exist, and against a cancellation that is
+/// forgotten for the others: what is older than the remembered ones is rejected, and accepted when it is sent again.
+#[test]
+fn cancellations_of_unknown_jobs_take_bounded_memory_and_none_is_forgotten_silently() {
+    let mut fixture = StateFixture::new();
+    let size_before = fixture.state.pack().len();
+    let seen = fixture.last_index;
+    let ids: Vec<String> = (0..3 * MAX_SUBJECTS).map(|n| format!("{n:016x}")).collect();
+    for id in &ids {
+        let seen = fixture.last_index;
+        let result = fixture.order(Command::CancelJob { job: id.clone() }, seen);
+        assert!(
+            matches!(result, Err(Rejection::Unknown { .. })),
+            "{result:?}"
+        );
+    }
+    assert!(fixture.state.order_sequence.jobs.len() <= MAX_SUBJECTS);
+    fixture.state.orders.clear();
+    let growth = fixture.state.pack().len() - size_before;
+    assert!(growth < 32 * MAX_SUBJECTS, "{growth} bytes");
+    for id in [&ids[0], &ids[ids.len() - 1]] {
+        let spec = JobSpec {
+            id: id.clone(),
+            queue: "q".into(),
+            tasks: vec![repeatable("a")],
+            ..Default::default()
+        };
+        let waited = Command::SubmitJob {
+            spec,
+            hash: 1,
+            seen,
+        };
+        assert_eq!(fixture.apply(waited), Err(Rejection::PreviouslyRejected));
+        fixture
+            .submit(id, vec![repeatable("a")])
+            .expect("sent again");
+    }
+    let long_id = "x".repeat(10_000);
+    let jobs_before = fixture.state.order_sequence.jobs.len();
+    let seen = fixture.last_index;
+    let _ = fixture.order(Command::CancelJob { job: long_id }, seen);
+    assert_eq!(fixture.state.order_sequence.jobs.len(), jobs_before);
+}
