Simulator: operators who order zones, and clients who give up

Zones were evacuated only by changes of the configuration, which have a base version, and a client took any answer to a cancelling other than 200 as "not known yet" and went on submitting.

Change: the fault zone-orders, by which an operator evacuates a zone and returns it to service by turns, sends each order again to another node after a second, and gives up after four; clients who cancel a job after 0.7 s without an answer (give_up in scenarios). "emptied zones" and "cancelled stays cancelled" judge what was acknowledged to them: a job whose cancelling was answered that there is none must not be accepted later, whether it runs or not.

--- a/testkit/src/checkers/jobs.rs
+++ b/testkit/src/checkers/jobs.rs
@@ -3,7 +3,7 @@
 use super::conditions::Conditions;
 use super::{PromisedBounds, Violation};
 use crate::history::{Event, FinalState, History};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The time that clients may need for an answer after a lost-answers fault ends, in milliseconds: the timeout of a
 /// poll.
@@ -271,15 +271,29 @@
     violations
 }
 
-/// No run of a job starts later than `cancel_ms` after its cancel was acknowledged.
+/// No run of a job starts later than `cancel_ms` after its cancel was acknowledged. A job whose cancel was answered that
+/// there is no such job is not accepted afterwards.
 pub fn cancelled_stays_cancelled(history: &History, bounds: &PromisedBounds) -> Vec<Violation> {
     let mut acknowledged: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut found_no_job: BTreeSet<&str> = BTreeSet::new();
     let mut violations = Vec::new();
     for timed in &history.events {
         match &timed.event {
             Event::CancelAcknowledged { id } => {
                 acknowledged.entry(id).or_insert(timed.at_ms);
             }
+            Event::CancelFoundNoJob { id } => {
+                acknowledged.entry(id).or_insert(timed.at_ms);
+                found_no_job.insert(id);
+            }
+            Event::DayEnded { jobs, .. } => {
+                let reappeared = found_no_job.iter().filter(|id| jobs.contains_key(**id));
+                violations.extend(reappeared.map(|id| {
+                    let description =
+                        format!("{id} was accepted after its cancel found no such job");
+                    Violation::new("cancelled stays cancelled", timed.at_ms, description)
+                }));
+            }
             Event::RunStarted { job, task, .. } => {
                 let Some(cancelled_ms) = acknowledged.get(job.as_str()) else {
                     continue;
--- a/testkit/src/checkers/outage.rs
+++ b/testkit/src/checkers/outage.rs
@@ -46,6 +46,8 @@
     running_workers: BTreeSet<&'a str>,
     available_nodes: &'a [String],
     emptied_zones: BTreeSet<&'a str>,
+    /// The zones that were evacuated by an order.
+    ordered_empty: BTreeSet<&'a str>,
 }
 
 impl<'a> Deployment<'a> {
@@ -81,6 +83,13 @@
                     }
                 }
             }
+            Event::ZoneOrderRequested { zone, evacuate } => {
+                if *evacuate {
+                    self.ordered_empty.insert(zone);
+                } else {
+                    self.ordered_empty.remove(zone.as_str());
+                }
+            }
             _ => {}
         }
     }
@@ -90,7 +99,7 @@
         self.running_workers
             .iter()
             .filter_map(|worker| self.zone_of_worker.get(worker).copied())
-            .filter(|zone| !self.emptied_zones.contains(zone))
+            .filter(|zone| !self.emptied_zones.contains(zone) && !self.ordered_empty.contains(zone))
             .collect()
     }
 }
--- a/testkit/src/checkers/runs/placement.rs
+++ b/testkit/src/checkers/runs/placement.rs
@@ -146,11 +146,44 @@
 struct EmptiedZones<'a> {
     /// The acknowledgement time of the change that emptied each zone, in milliseconds.
     since: BTreeMap<&'a str, u64>,
+    /// The acknowledgement time of the order that emptied each zone, in milliseconds.
+    since_order: BTreeMap<&'a str, u64>,
     /// The newest version of the configuration that was acknowledged.
     newest_version: u64,
 }
 
 impl<'a> EmptiedZones<'a> {
+    fn observe(&mut self, event: &'a Event, at_ms: u64) {
+        match event {
+            Event::ConfigAnswered {
+                status: 200,
+                settings,
+                version,
+                ..
+            } => self.on_acknowledged(settings, *version, at_ms),
+            Event::ConfigRequested { settings, .. } => self.on_requested(settings),
+            Event::ZoneOrderAcknowledged {
+                zone,
+                evacuate: true,
+            } => {
+                self.since_order.entry(zone).or_insert(at_ms);
+            }
+            Event::ZoneOrderRequested {
+                zone,
+                evacuate: false,
+            } => {
+                self.since_order.remove(zone.as_str());
+            }
+            _ => {}
+        }
+    }
+
+    /// When a zone was emptied; none if it may get work.
+    fn emptied_ms(&self, zone: &str) -> Option<u64> {
+        let times = [self.since.get(zone), self.since_order.get(zone)];
+        times.into_iter().flatten().min().copied()
+    }
+
     fn on_acknowledged(&mut self, settings: &'a CheckedSettings, version: u64, at_ms: u64) {
         if version <= self.newest_version {
             return;
@@ -185,16 +218,9 @@
             Event::WorkerUp { worker, zone, .. } => {
                 zone_of_worker.insert(worker, zone);
             }
-            Event::ConfigAnswered {
-                status: 200,
-                settings,
-                version,
-                ..
-            } => emptied.on_acknowledged(settings, *version, timed.at_ms),
-            Event::ConfigRequested { settings, .. } => emptied.on_requested(settings),
             Event::RunStarted { worker, .. } => {
                 let zone = zone_of_worker.get(worker.as_str());
-                let Some(since) = zone.and_then(|zone| emptied.since.get(zone)) else {
+                let Some(since) = zone.and_then(|zone| emptied.emptied_ms(zone)) else {
                     continue;
                 };
                 let delay_ms = timed.at_ms - since;
@@ -206,7 +232,7 @@
                     ));
                 }
             }
-            _ => {}
+            event => emptied.observe(event, timed.at_ms),
         }
     }
     violations
--- a/testkit/src/checkers/summary.rs
+++ b/testkit/src/checkers/summary.rs
@@ -90,6 +90,7 @@
     outage_ended_ms: Option<u64>,
     zone_of_worker: BTreeMap<&'a str, &'a str>,
     emptied_since: BTreeMap<&'a str, u64>,
+    ordered_empty_since: BTreeMap<&'a str, u64>,
     versions: Vec<AcceptedVersion>,
 }
 
@@ -105,7 +106,7 @@
                 self.accepted.insert(id);
             }
             Event::GaveUp { .. } => self.summary.given_up += 1,
-            Event::CancelAcknowledged { id } => {
+            Event::CancelAcknowledged { id } | Event::CancelFoundNoJob { id } => {
                 self.cancelled_ms.entry(id).or_insert(now);
             }
             Event::WorkerUp { worker, zone, .. } => {
@@ -116,6 +117,18 @@
                 self.leaving_since.insert(worker, now);
             }
             Event::ConfigRequested { settings, .. } => self.config_requested(settings),
+            Event::ZoneOrderRequested {
+                zone,
+                evacuate: false,
+            } => {
+                self.ordered_empty_since.remove(zone.as_str());
+            }
+            Event::ZoneOrderAcknowledged {
+                zone,
+                evacuate: true,
+            } => {
+                self.ordered_empty_since.entry(zone).or_insert(now);
+            }
             Event::ConfigAnswered {
                 status: 200,
                 version,
@@ -175,12 +188,21 @@
         *latest = age_ms.max(*latest);
     }
 
+    /// When a zone was emptied by the configuration or by an order; none if it may get work.
+    fn emptied_ms(&self, zone: &str) -> Option<u64> {
+        let times = [
+            self.emptied_since.get(zone),
+            self.ordered_empty_since.get(zone),
+        ];
+        times.into_iter().flatten().min().copied()
+    }
+
     fn run_started(&mut self, start: &Start, now: u64) {
         let elapsed_ms = |since: Option<u64>| since.map_or(0, |since| now - since);
         let cancelled_ms = self.cancelled_ms.get(start.job).copied();
         let leaving_since = self.leaving_since.get(start.worker).copied();
         let zone = self.zone_of_worker.get(start.worker);
-        let emptied_since = zone.and_then(|zone| self.emptied_since.get(zone).copied());
+        let emptied_since = zone.and_then(|zone| self.emptied_ms(zone));
         let outage_ended_ms = self.outage_ended_ms.take();
 
         let summary = &mut self.summary;
--- a/testkit/src/fakes/client.rs
+++ b/testkit/src/fakes/client.rs
@@ -21,6 +21,8 @@
 const CANCEL_RETRY_MS: u64 = 2000;
 /// The exclusive upper bound of the time from the offer of a job to its cancel, in milliseconds.
 const CANCEL_DELAY_BOUND_MS: u64 = 4000;
+/// How long a client that gives up waits for the answer to a submission, in milliseconds.
+const PATIENCE_MS: u64 = 700;
 /// The default share of jobs that are cancelled.
 const CANCELLED_SHARE: f64 = 0.05;
 /// The exclusive upper bound of the random number of refusals after which a client still retries.
@@ -63,6 +65,8 @@
     pub observations: ClientObservations,
     /// The share of jobs that are cancelled.
     pub cancelled_share: f64,
+    /// The share of jobs whose clients give up and cancel if the submission is not answered in time.
+    pub giving_up_share: f64,
     /// The wall clock's time at the beginning of the day, in milliseconds since 1970.
     epoch_ms: u64,
 }
@@ -86,6 +90,7 @@
             is_offering: true,
             observations: ClientObservations::default(),
             cancelled_share: CANCELLED_SHARE,
+            giving_up_share: 0.0,
             epoch_ms,
         }
     }
@@ -96,6 +101,7 @@
         let outputs = self.offer(now, spec);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.cancel_at_ms = None;
+            job.give_up_at_ms = None;
             job.max_refusals = u32::MAX;
         }
         outputs
@@ -119,6 +125,7 @@
             refusals: 0,
             max_refusals,
             cancel_at_ms,
+            give_up_at_ms: self.give_up_time(now),
             cancels_left,
             is_accepted: false,
             offered_ms: now,
@@ -127,6 +134,13 @@
         vec![Output::Event(Event::Offered { spec })]
     }
 
+    /// When the client of a new job loses patience; none if it never does.
+    fn give_up_time(&mut self, now: u64) -> Option<u64> {
+        // No random number is drawn in days without such clients: it would change all later ones.
+        let gives_up = self.giving_up_share > 0.0 && self.rng.unit() < self.giving_up_share;
+        gives_up.then_some(now + PATIENCE_MS)
+    }
+
     /// Offers new jobs and makes the calls that are due.
     pub fn tick(&mut self, now: u64) -> Vec<Output> {
         let mut outputs = Vec::new();
@@ -134,6 +148,11 @@
             outputs.extend(self.offer_random_job(now));
         }
         self.poll_ended_job(now);
+        for job in self.jobs.values_mut() {
+            if let Some(abandoned) = job.give_up_if_due(now) {
+                self.calls.remove(&abandoned.call);
+            }
+        }
         let is_due = |job: &Job| now >= job.next_call_ms || job.open_call.is_some();
         let due_jobs: Vec<String> = self
             .jobs
@@ -232,6 +251,7 @@
         match open.purpose {
             Purpose::Submit => self.submit_answered(&id, response),
             Purpose::Cancel => self.cancel_answered(now, &id, response),
+            Purpose::GiveUp => self.give_up_answered(&id, response),
             Purpose::Poll => self.poll_answered(now, &id, response),
         }
     }
@@ -281,6 +301,22 @@
         vec![Output::Event(Event::CancelAcknowledged { id })]
     }
 
+    /// A cancel that found the job, or found that there is none, is the last call for a job that was given up.
+    fn give_up_answered(&mut self, id: &str, response: &Response) -> Vec<Output> {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        let id = id.to_string();
+        let event = match response.status {
+            200 => Event::CancelAcknowledged { id },
+            404 => Event::CancelFoundNoJob { id },
+            _ => return Vec::new(),
+        };
+        job.stage = Stage::Ended;
+        self.observations.given_up += 1;
+        vec![Output::Event(event)]
+    }
+
     fn poll_answered(&mut self, now: u64, id: &str, response: &Response) -> Vec<Output> {
         let Some(job) = self.jobs.get_mut(id) else {
             return Vec::new();
--- a/testkit/src/fakes/client_job.rs
+++ b/testkit/src/fakes/client_job.rs
@@ -10,6 +10,8 @@
 const CALL_TIMEOUT_MS: u64 = 3000;
 /// The timeout of a poll, after which another node is called, in milliseconds.
 const STATE_TIMEOUT_MS: u64 = 1000;
+/// The timeout of the cancel of a job that the client has given up, after which another node is called, in milliseconds.
+const GIVE_UP_TIMEOUT_MS: u64 = 1000;
 
 /// How far a job has come: the client submits it until it is accepted, then polls its state until it has ended. A job
 /// that the client gives up counts as ended.
@@ -17,6 +19,8 @@
 pub(super) enum Stage {
     Submitting,
     Polling,
+    /// The client has given the job up, and cancels it until a cancel is answered.
+    GivingUp,
     Ended,
 }
 
@@ -25,6 +29,8 @@
 pub(super) enum Purpose {
     Submit,
     Cancel,
+    /// Cancels a job that the client has given up.
+    GiveUp,
     Poll,
 }
 
@@ -40,6 +46,7 @@
     pub fn has_timed_out(&self, now: u64) -> bool {
         let timeout_ms = match self.purpose {
             Purpose::Poll => STATE_TIMEOUT_MS,
+            Purpose::GiveUp => GIVE_UP_TIMEOUT_MS,
             Purpose::Submit | Purpose::Cancel => CALL_TIMEOUT_MS,
         };
         now >= self.sent_ms + timeout_ms
@@ -57,6 +64,8 @@
     /// The number of refusals that the client retries before it gives up.
     pub max_refusals: u32,
     pub cancel_at_ms: Option<u64>,
+    /// When the client gives the job up and cancels it, unless a submission has been answered; none if it never does.
+    pub give_up_at_ms: Option<u64>,
     /// The number of cancels still to be acknowledged; some jobs are cancelled twice.
     pub cancels_left: u32,
     pub is_accepted: bool,
@@ -74,10 +83,23 @@
         }
         match self.stage {
             Stage::Submitting => Purpose::Submit,
+            Stage::GivingUp => Purpose::GiveUp,
             Stage::Polling | Stage::Ended => Purpose::Poll,
         }
     }
 
+    /// Gives the job up if its client's patience is over: the submission that waits is abandoned.
+    pub fn give_up_if_due(&mut self, now: u64) -> Option<OpenCall> {
+        let is_due = self.give_up_at_ms.is_some_and(|at_ms| now >= at_ms);
+        if !is_due || self.stage != Stage::Submitting {
+            return None;
+        }
+        self.stage = Stage::GivingUp;
+        self.cancels_left = 0;
+        self.next_call_ms = now;
+        self.open_call.take()
+    }
+
     pub fn poll_again(&mut self, now: u64) {
         self.stage = Stage::Polling;
         self.next_call_ms = now;
@@ -93,7 +115,7 @@
             Event::SubmitRequested { id },
             request("POST", "/v1/jobs", "", Some(&json!(spec))),
         ),
-        Purpose::Cancel => (
+        Purpose::Cancel | Purpose::GiveUp => (
             Event::CancelRequested { id },
             request("DELETE", &path, "", None),
         ),
--- a/testkit/src/fakes/operator.rs
+++ b/testkit/src/fakes/operator.rs
@@ -12,6 +12,10 @@
 const READ_TIMEOUT_MS: u64 = 1000;
 /// The time after which a read that no node has answered is recorded as unanswered, in milliseconds.
 const READ_DEADLINE_MS: u64 = 4000;
+/// The timeout of an order on a zone, after which it is sent to another node, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 1000;
+/// The time for which an order on a zone is sent again, in milliseconds.
+const ORDER_DEADLINE_MS: u64 = 4000;
 /// The longest pause before the next call after an answer, in milliseconds.
 const MAX_PAUSE_MS: u64 = 500;
 
@@ -20,6 +24,7 @@
 enum Operation {
     Apply(Change),
     Read(Read),
+    OrderZone(ZoneOrder),
 }
 
 impl Operation {
@@ -27,6 +32,7 @@
         match self {
             Self::Apply(_) => CHANGE_TIMEOUT_MS,
             Self::Read(_) => READ_TIMEOUT_MS,
+            Self::OrderZone(_) => ORDER_TIMEOUT_MS,
         }
     }
 }
@@ -54,6 +60,18 @@
     retries_after_conflict: bool,
 }
 
+/// An order to evacuate a zone or to return it to service, which is sent to one node after another until one acknowledges
+/// it or [`ORDER_DEADLINE_MS`] has passed.
+#[derive(Clone, Debug)]
+struct ZoneOrder {
+    zone: String,
+    evacuate: bool,
+    /// When the first node is called, in milliseconds.
+    due_ms: u64,
+    /// The node that was called last; empty if none was.
+    called: String,
+}
+
 /// A call that has not been answered.
 struct OpenCall {
     call: u64,
@@ -125,6 +143,16 @@
         self.queue_change(true, json!({"zones": {zone: {"state": state}}}));
     }
 
+    /// Queues an order to evacuate a zone, or to return it to service, that is first sent at `due_ms`.
+    pub fn order_zone(&mut self, due_ms: u64, zone: &str, evacuate: bool) {
+        self.operations.push_back(Operation::OrderZone(ZoneOrder {
+            zone: zone.into(),
+            evacuate,
+            due_ms,
+            called: String::new(),
+        }));
+    }
+
     /// Queues a read of the configuration.
     pub fn queue_read(&mut self) {
         self.operations.push_back(Operation::Read(Read::default()));
@@ -153,14 +181,24 @@
         if now < self.next_call_ms {
             return Vec::new();
         }
-        let Some(operation) = self.operations.pop_front() else {
+        let Some(operation) = self.next_operation(now) else {
             return Vec::new();
         };
         self.last_call += 1;
         let call = self.last_call;
         let mut outputs = Vec::new();
-        let redirect_target = self.redirected_to.take();
+        let mut target = self.redirected_to.take();
         let (operation, request) = match operation {
+            Operation::OrderZone(mut order) => {
+                order.called = self.another_node(&order.called);
+                target = Some(order.called.clone());
+                outputs.push(Output::Event(Event::ZoneOrderRequested {
+                    zone: order.zone.clone(),
+                    evacuate: order.evacuate,
+                }));
+                let request = order_request(&order);
+                (Operation::OrderZone(order), request)
+            }
             Operation::Read(mut read) => {
                 outputs.extend(record_unanswered(now, &mut read));
                 (
@@ -183,13 +221,40 @@
             sent_ms: now,
             operation,
         });
-        let Some(to) = redirect_target.or_else(|| self.rng.pick(&self.nodes).cloned()) else {
+        let Some(to) = target.or_else(|| self.rng.pick(&self.nodes).cloned()) else {
             return Vec::new();
         };
         outputs.push(Output::Call { to, call, request });
         outputs
     }
 
+    /// Takes the next operation from the queue, unless it is not due yet. Orders that have been sent for long enough are
+    /// dropped.
+    fn next_operation(&mut self, now: u64) -> Option<Operation> {
+        let is_over =
+            |order: &ZoneOrder| !order.called.is_empty() && now >= order.due_ms + ORDER_DEADLINE_MS;
+        while let Some(Operation::OrderZone(order)) = self.operations.front() {
+            if !is_over(order) {
+                break;
+            }
+            self.operations.pop_front();
+        }
+        let is_due = |operation: &mut Operation| match operation {
+            Operation::OrderZone(order) => now >= order.due_ms,
+            _ => true,
+        };
+        self.operations.pop_front_if(is_due)
+    }
+
+    /// A random node other than the one called last.
+    fn another_node(&mut self, called: &str) -> String {
+        let others = self.nodes.iter().filter(|node| *node != called);
+        let others: Vec<&String> = others.collect();
+        self.rng
+            .pick(&others)
+            .map_or(called.into(), |node| node.to_string())
+    }
+
     /// Sets the base version of a change if it has none, and writes its id to the note `by`, by which checkers
     /// recognize the change's content.
     fn with_base_and_id_note(&self, mut change: Change) -> Change {
@@ -213,6 +278,12 @@
                 self.operations.push_front(operation);
                 Vec::new()
             }
+            Operation::OrderZone(order) if response.status == 200 => {
+                vec![Output::Event(Event::ZoneOrderAcknowledged {
+                    zone: order.zone,
+                    evacuate: order.evacuate,
+                })]
+            }
             Operation::Apply(change) if response.status != 503 => {
                 self.apply_answered(change, response)
             }
@@ -267,6 +338,12 @@
     Some(Output::Event(Event::ConfigReadUnanswered { since_ms }))
 }
 
+fn order_request(order: &ZoneOrder) -> Request {
+    let method = if order.evacuate { "PUT" } else { "DELETE" };
+    let path = format!("/v1/zones/{}/empty", order.zone);
+    request(method, &path, "", None)
+}
+
 fn apply_request(change: &Change) -> Request {
     let method = if change.is_patch { "PATCH" } else { "PUT" };
     let base = change.base.unwrap_or(0);
--- a/testkit/src/history.rs
+++ b/testkit/src/history.rs
@@ -150,6 +150,12 @@
     },
     /// The lease of a worker has expired, and its runs were killed.
     LeaseExpired { worker: String },
+    /// An operator orders that a zone be evacuated or returned to service, for the first time or again.
+    ZoneOrderRequested { zone: String, evacuate: bool },
+    /// An order on a zone was acknowledged.
+    ZoneOrderAcknowledged { zone: String, evacuate: bool },
+    /// A request to cancel a job was answered that there is no such job, and the client has given the job up.
+    CancelFoundNoJob { id: String },
 }
 
 /// The state of a job at the end of the day.
--- a/testkit/src/measure/mod.rs
+++ b/testkit/src/measure/mod.rs
@@ -99,6 +99,7 @@
         jobs_per_second: 0.0,
         lease_ms: 0,
         doomed_share: 0.0,
+        giving_up_share: 0.0,
         faults: Vec::new(),
         random_faults: 0,
         has_last_fault: false,
--- a/testkit/src/scenario/fault.rs
+++ b/testkit/src/scenario/fault.rs
@@ -96,6 +96,9 @@
     WorkerLeavesUnannounced,
     /// A process is notified that its settings may have changed.
     HangUp,
+    /// A zone is evacuated by an order. `amount` times until the fault ends (4 if 0), at equal intervals, it is returned
+    /// to service and evacuated again as soon as that is acknowledged; at the end it is returned to service.
+    ZoneOrders,
 }
 
 impl FaultKind {
@@ -146,7 +149,11 @@
     ];
 
     /// Kinds that are not in [`Self::BY_INDEX`], and so occur only where a scenario names them.
-    pub const NAMED_ONLY: &[Self] = &[Self::WorkerLeavesUnannounced, Self::HangUp];
+    pub const NAMED_ONLY: &[Self] = &[
+        Self::WorkerLeavesUnannounced,
+        Self::HangUp,
+        Self::ZoneOrders,
+    ];
 
     /// The name of the kind in scenario files.
     pub fn name(self) -> String {
@@ -158,7 +165,7 @@
     fn roles(self) -> &'static [&'static str] {
         use FaultKind::*;
         match self {
-            LoseZone | Drain | Evacuate => &["zone"],
+            LoseZone | Drain | Evacuate | ZoneOrders => &["zone"],
             WorkerCrash
             | WorkerGone
             | WorkerFreeze
--- a/testkit/src/scenario/mod.rs
+++ b/testkit/src/scenario/mod.rs
@@ -62,6 +62,9 @@
     /// The share of jobs that can never succeed.
     #[serde(default, rename = "doomed")]
     pub doomed_share: f64,
+    /// The share of jobs whose clients give up and cancel if the submission is not answered within 0.7 s.
+    #[serde(default, rename = "give_up")]
+    pub giving_up_share: f64,
     #[serde(default)]
     pub faults: Vec<Fault>,
     /// The number of additional faults, sampled from the seed.
@@ -198,6 +201,10 @@
             (0.0..=1.0).contains(&self.doomed_share),
             "doomed: give a share from 0 to 1",
         )?;
+        ensure(
+            (0.0..=1.0).contains(&self.giving_up_share),
+            "give_up: give a share from 0 to 1",
+        )?;
         ensure(
             self.node_count() <= MAX_NODES && self.workers <= MAX_WORKERS,
             "nodes, workers: give at most 1000 nodes and 10000 workers",
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -57,7 +57,7 @@
         | WorkerLeavesUnannounced
         | WorkerChange => FaultDomain::Workers,
         Crowd | Huge | Doomed | Urgent | Wrong | Storm | Rivals | LargeConfig | HugeConfig
-        | Drain | Evacuate | Tries | Quota => FaultDomain::Load,
+        | Drain | Evacuate | ZoneOrders | Tries | Quota => FaultDomain::Load,
     }
 }
 
@@ -117,7 +117,9 @@
         match kind {
             SplitCore | SlowDisk | LoseTail | ReplaceCore | DiskFull | DiskStall => self.replicas(),
             SwapNode => self.nodes(),
-            Tries | Quota | LoseZone | Drain | Evacuate => (0..ZONES_AND_QUEUES).collect(),
+            Tries | Quota | LoseZone | Drain | Evacuate | ZoneOrders => {
+                (0..ZONES_AND_QUEUES).collect()
+            }
             _ if matches!(fault_domain(kind), FaultDomain::Workers) => {
                 (0..self.workers.len()).collect()
             }
@@ -234,6 +236,7 @@
             HugeConfig => self.apply_huge_configuration(),
             Drain => self.set_zone(target, "draining"),
             Evacuate => self.set_zone(target, "evacuated"),
+            ZoneOrders => self.order_zone_repeatedly(target, fault),
             Tries => self.set_queue(target, json!({"tries": 1})),
             Quota => self.set_queue(target, json!({"quota": 1})),
             _ => {}
--- a/testkit/src/simulator/faults/load.rs
+++ b/testkit/src/simulator/faults/load.rs
@@ -1,7 +1,7 @@
 //! Faults in the load: bursts of jobs, invalid or failing jobs, and many or large changes of the configuration.
 
 use super::World;
-use crate::scenario::{random_job, Mix};
+use crate::scenario::{random_job, Fault, Mix};
 use crate::simulator::world::replace_tasks_with_copies_of_first;
 use crate::simulator::EPOCH;
 use landingdrift::state::JobSpec;
@@ -19,6 +19,8 @@
 const INVALID_JOBS: u64 = 9;
 /// The size of a payload that exceeds the limit on a job's size, in bytes.
 const TOO_LARGE_BYTES: usize = 1 << 20;
+/// How often a fault of zone orders returns the zone to service and evacuates it again, unless it gives an amount.
+const ZONE_ORDER_ROUNDS: u64 = 4;
 /// The number of changes of the configuration in a storm.
 const STORM_CHANGES: usize = 30;
 /// The number of notes in a large configuration, unless the fault gives an amount.
@@ -138,6 +140,26 @@
         self.operators[0].queue_change(true, json!({"queues": {(queue): settings}}));
     }
 
+    /// Queues the orders of a fault that evacuates a zone and returns it to service by turns.
+    pub(super) fn order_zone_repeatedly(&mut self, zone: usize, fault: &Fault) {
+        let zone = format!("z{zone}");
+        // Not the operator of the other faults, whose changes might delay the orders.
+        let operator = &mut self.operators[1];
+        operator.order_zone(self.now, &zone, true);
+        let count = if fault.amount > 0 {
+            fault.amount
+        } else {
+            ZONE_ORDER_ROUNDS
+        };
+        let interval_ms = fault.duration_ms / (count + 1);
+        for round in 1..=count {
+            let due_ms = self.now + round * interval_ms;
+            operator.order_zone(due_ms, &zone, false);
+            operator.order_zone(due_ms, &zone, true);
+        }
+        operator.order_zone(self.now + fault.duration_ms, &zone, false);
+    }
+
     pub(super) fn set_zone(&mut self, zone: usize, state: &str) {
         self.operators[0].set_zone(&format!("z{zone}"), state);
     }
--- a/testkit/src/simulator/world/setup.rs
+++ b/testkit/src/simulator/world/setup.rs
@@ -132,6 +132,7 @@
         let client_seed = self.rng.next_u64();
         let operator_seeds = [self.rng.next_u64(), self.rng.next_u64()];
         self.client = Client::new("j", nodes.clone(), scenario.mix(), client_seed, EPOCH);
+        self.client.giving_up_share = scenario.giving_up_share;
         self.operators = vec![
             Operator::new("op0", nodes.clone(), operator_seeds[0]),
             Operator::new("op1", nodes, operator_seeds[1]),
@@ -173,6 +174,7 @@
         self.planned_jobs = jobs.into();
         self.client.is_offering = false;
         self.client.cancelled_share = 0.0;
+        self.client.giving_up_share = 0.0;
         self.settings.hopper = hopper;
         let machines = self.workers.iter_mut();
         for worker in machines.filter_map(|machine| machine.worker.as_mut()) {
--- a/testkit/tests/checkers_cases/events.rs
+++ b/testkit/tests/checkers_cases/events.rs
@@ -135,6 +135,16 @@
     day_ended_with(state, version, "")
 }
 
+pub fn zone_order_requested(evacuate: bool) -> Event {
+    let zone = "z".into();
+    Event::ZoneOrderRequested { zone, evacuate }
+}
+
+pub fn zone_order_acknowledged(evacuate: bool) -> Event {
+    let zone = "z".into();
+    Event::ZoneOrderAcknowledged { zone, evacuate }
+}
+
 pub fn submit_requested(id: &str) -> Event {
     Event::SubmitRequested { id: id.into() }
 }
--- a/testkit/tests/checkers_cases/jobs.rs
+++ b/testkit/tests/checkers_cases/jobs.rs
@@ -145,21 +145,51 @@
 }
 
 pub(super) fn cancelled_stays_cancelled() -> Vec<Case> {
-    vec![Case {
-        rule: "cancelled stays cancelled",
-        violating: vec![
-            (0, one_task_job_offered()),
-            (1, worker_up("w")),
-            (2, Event::CancelAcknowledged { id: "j".into() }),
-            (4000, run_started("w", 1, "a")),
-        ],
-        conforming: vec![
-            (0, one_task_job_offered()),
-            (1, worker_up("w")),
-            (2, Event::CancelAcknowledged { id: "j".into() }),
-            (2000, run_started("w", 1, "a")),
-        ],
-    }]
+    vec![
+        Case {
+            rule: "cancelled stays cancelled",
+            violating: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, Event::CancelAcknowledged { id: "j".into() }),
+                (4000, run_started("w", 1, "a")),
+            ],
+            conforming: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, Event::CancelAcknowledged { id: "j".into() }),
+                (2000, run_started("w", 1, "a")),
+            ],
+        },
+        Case {
+            rule: "cancelled stays cancelled",
+            violating: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, Event::CancelFoundNoJob { id: "j".into() }),
+                (4000, run_started("w", 1, "a")),
+            ],
+            conforming: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, Event::CancelFoundNoJob { id: "j".into() }),
+            ],
+        },
+        // A job that was not there when it was cancelled is not accepted later, even if it never runs.
+        Case {
+            rule: "cancelled stays cancelled",
+            violating: vec![
+                (0, one_task_job_offered()),
+                (2, Event::CancelFoundNoJob { id: "j".into() }),
+                (6, day_ended("cancelled", 0)),
+            ],
+            conforming: vec![
+                (0, one_task_job_offered()),
+                (2, Event::CancelAcknowledged { id: "j".into() }),
+                (6, day_ended("cancelled", 0)),
+            ],
+        },
+    ]
 }
 
 pub(super) fn all_come_to_an_end() -> Vec<Case> {
--- a/testkit/tests/checkers_cases/workers.rs
+++ b/testkit/tests/checkers_cases/workers.rs
@@ -2,7 +2,7 @@
 
 use super::events::{
     offered, one_task_job_offered, run_ended, run_started, task, worker_changed, worker_up,
-    zone_config_acknowledged,
+    zone_config_acknowledged, zone_order_acknowledged, zone_order_requested,
 };
 use super::Case;
 use landingdrift::state::{Outcome, TaskSpec};
@@ -121,20 +121,60 @@
 }
 
 pub(super) fn emptied_zones() -> Vec<Case> {
-    vec![Case {
-        rule: "emptied zones",
-        violating: vec![
-            (0, one_task_job_offered()),
-            (1, worker_up("w")),
-            (2, zone_config_acknowledged("c", 0, 1, "evacuated")),
-            (6000, run_started("w", 1, "a")),
-        ],
-        conforming: vec![
-            (0, one_task_job_offered()),
-            (1, worker_up("w")),
-            (2, zone_config_acknowledged("c", 0, 1, "evacuated")),
-            (3, zone_config_acknowledged("d", 1, 2, "serving")),
-            (6000, run_started("w", 1, "a")),
-        ],
-    }]
+    vec![
+        Case {
+            rule: "emptied zones",
+            violating: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, zone_config_acknowledged("c", 0, 1, "evacuated")),
+                (6000, run_started("w", 1, "a")),
+            ],
+            conforming: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, zone_config_acknowledged("c", 0, 1, "evacuated")),
+                (3, zone_config_acknowledged("d", 1, 2, "serving")),
+                (6000, run_started("w", 1, "a")),
+            ],
+        },
+        // An order that ends the evacuation counts until the zone is evacuated again.
+        Case {
+            rule: "emptied zones",
+            violating: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, zone_order_acknowledged(true)),
+                (3, zone_order_requested(false)),
+                (4, zone_order_requested(true)),
+                (5, zone_order_acknowledged(true)),
+                (6000, run_started("w", 1, "a")),
+            ],
+            conforming: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, zone_order_acknowledged(true)),
+                (3, zone_order_requested(false)),
+                (6000, run_started("w", 1, "a")),
+            ],
+        },
+        // An evacuated zone stays empty whatever the configuration says of it.
+        Case {
+            rule: "emptied zones",
+            violating: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, zone_order_acknowledged(true)),
+                (3, zone_config_acknowledged("c", 0, 1, "serving")),
+                (6000, run_started("w", 1, "a")),
+            ],
+            conforming: vec![
+                (0, one_task_job_offered()),
+                (1, worker_up("w")),
+                (2, zone_order_acknowledged(true)),
+                (3, zone_config_acknowledged("c", 0, 1, "serving")),
+                (4000, run_started("w", 1, "a")),
+            ],
+        },
+    ]
 }
