A resolution that waited does not end an attempt that became unsure later

Callers would see: an operator resolves a task whose outcome is unknown, hears nothing, and resolves it otherwise at another node.

Cause: resolve_task ends whatever attempts of the task are unsure when it is applied.

Change: the latest resolution of a task is kept in the order sequence, as orders on zones are. A resolution that was received before it was applied is rejected as overtaken.

Evidence: a_resolution_that_waited_does_not_end_a_task_that_was_resolved_and_restarted_later fails on the code before (the older order is applied) and passes now.

--- a/landingdrift/src/node/calls/mod.rs
+++ b/landingdrift/src/node/calls/mod.rs
@@ -261,7 +261,7 @@
             CallCommand::Departure { worker } => self.departure_response(&worker, result),
             CallCommand::ResolveTask { id } => match result {
                 Ok(_) => Response::new(200, json!({"id": id, "resolved": true})),
-                Err(rejection) => rejected_response(&rejection),
+                Err(rejection) => self.rejected_order_response(&rejection),
             },
         };
         self.finish(call, response);
--- a/landingdrift/src/state/apply/jobs.rs
+++ b/landingdrift/src/state/apply/jobs.rs
@@ -2,6 +2,7 @@
 
 use super::{ensure, ApplyResult};
 use crate::state::job::is_name;
+use crate::state::latest_orders::task_subject;
 use crate::state::{AttemptState, ClusterState, Job, JobSpec, Rejection, Task};
 use serde_json::{json, Value};
 
@@ -94,12 +95,14 @@
         Ok(json!({"state": self.jobs.get(id).map(|job| job.state)}))
     }
 
-    /// Ends the attempts of a task whose outcome is unknown, with the outcome that the operator gives.
+    /// Ends the attempts of a task whose outcome is unknown, with the outcome that the operator gives, unless a later
+    /// order has resolved the task meanwhile: `seen` is the log index known at the receipt of the order.
     pub(super) fn resolve_task(
         &mut self,
         id: &str,
         task_name: &str,
         succeeded: bool,
+        seen: Option<u64>,
     ) -> ApplyResult {
         let unknown = |what: String| Rejection::Unknown { what };
         let job = self.jobs.get(id);
@@ -116,6 +119,16 @@
                 remedy: "no send of the task is unsure: only unsure ones can be resolved".into(),
             },
         )?;
+        if let Some(seen) = seen {
+            let subject = task_subject(id, task_name);
+            let tasks = &mut self.order_sequence.tasks;
+            let what = format!("task '{task_name}' of job '{id}'");
+            ensure(
+                !tasks.is_overtaken(&subject, seen),
+                Rejection::Overtaken { what },
+            )?;
+            tasks.record(&subject, self.applied_index);
+        }
         let state = if succeeded {
             AttemptState::Succeeded
         } else {
--- a/landingdrift/src/state/apply/mod.rs
+++ b/landingdrift/src/state/apply/mod.rs
@@ -122,7 +122,7 @@
                 job,
                 task,
                 succeeded,
-            } => self.resolve_task(job, task, *succeeded),
+            } => self.resolve_task(job, task, *succeeded, None),
             Command::GrantLease {
                 lease,
                 holder,
--- a/landingdrift/src/state/apply/orders.rs
+++ b/landingdrift/src/state/apply/orders.rs
@@ -32,6 +32,12 @@
         match action {
             Command::SetEvacuation { zone, evacuate } => self.set_evacuation(zone, *evacuate, seen),
             Command::CancelJob { job } => self.cancel_job(job, seen),
+            Command::ResolveTask {
+                job,
+                task,
+                succeeded,
+            } => self.resolve_task(job, task, *succeeded, seen),
+            // A configuration change has a base version.
             action => self.dispatch(action),
         }
     }
--- a/landingdrift/src/state/latest_orders.rs
+++ b/landingdrift/src/state/latest_orders.rs
@@ -69,6 +69,8 @@
     pub zones: LatestOrders,
     /// By job id, the cancellation that found no such job or, if the job was submitted again after it, that submission.
     pub jobs: LatestOrders,
+    /// Resolutions of tasks whose outcome was unknown, by [`task_subject`].
+    pub tasks: LatestOrders,
 }
 
 impl OrderSequence {
@@ -77,3 +79,8 @@
         *self == Self::default()
     }
 }
+
+/// The subject of orders on a task of a job. Neither name contains a slash.
+pub fn task_subject(job: &str, task: &str) -> String {
+    format!("{job}/{task}")
+}
--- a/landingdrift/tests/overtaken_orders.rs
+++ b/landingdrift/tests/overtaken_orders.rs
@@ -1,5 +1,5 @@
-//! An order or a submission that waits at one node does not take effect after a later command on the same zone or job was
-//! acknowledged through another node. Each test sets the order of the events itself.
+//! An order or a submission that waits at one node does not take effect after a later command on the same zone, job or
+//! task was acknowledged through another node. Each test sets the order of the events itself.
 
 mod cluster_state_fixture;
 mod common;
@@ -8,7 +8,8 @@
 use common::Cluster;
 use landingdrift::sans_io::Request;
 use landingdrift::state::{
-    ApplyResult, ClusterState, Command, JobSpec, Order, ProposalId, Rejection, MAX_SUBJECTS,
+    ApplyResult, ClusterState, Command, JobSpec, JobState, Order, ProposalId, Rejection,
+    MAX_SUBJECTS,
 };
 use serde_json::json;
 
@@ -186,6 +187,47 @@
         };
         self.apply(Command::ReceivedOrder { order, seen })
     }
+
+    /// Starts the task `a` of job `j` on a worker and lets the worker be lost; the task's outcome is then unknown.
+    fn lose_task_on(&mut self, worker: &str) {
+        self.start("j", &[(0, worker)]).expect("started");
+        self.apply_ok(Command::MarkWorkerLost {
+            worker: worker.into(),
+            incarnation: 1,
+            zone_epoch: 1,
+        });
+    }
+}
+
+fn resolve(succeeded: bool) -> Command {
+    Command::ResolveTask {
+        job: "j".into(),
+        task: "a".into(),
+        succeeded,
+    }
+}
+
+/// Guards against an operator's corrected resolution that is undone by the first one, which waited: the task has been
+/// restarted since, and the first one would end it as successful.
+#[test]
+fn a_resolution_that_waited_does_not_end_a_task_that_was_resolved_and_restarted_later() {
+    let mut fixture = StateFixture::new();
+    fixture
+        .submit("j", vec![cluster_state_fixture::task("a")])
+        .expect("accepted");
+    fixture.lose_task_on("w");
+    let seen = fixture.last_index;
+    fixture.order(resolve(false), seen).expect("resolved");
+    fixture.lose_task_on("v");
+    let result = fixture.order(resolve(true), seen);
+    assert!(
+        matches!(result, Err(Rejection::Overtaken { .. })),
+        "{result:?}"
+    );
+    assert_ne!(fixture.job_state("j"), JobState::Done);
+    let seen = fixture.last_index;
+    fixture.order(resolve(true), seen).expect("sent again");
+    assert_eq!(fixture.job_state("j"), JobState::Done);
 }
 
 fn set_evacuation(zone: &str, evacuate: bool) -> Command {
--- a/landingdrift/tests/stored_data.rs
+++ b/landingdrift/tests/stored_data.rs
@@ -265,9 +265,12 @@
     let without_sequence = state.pack();
     state.order_sequence.zones.record("z", 7);
     state.order_sequence.jobs.record("j", 8);
+    state.order_sequence.tasks.record("j/t", 9);
     let packed = state.pack();
     assert!(packed.starts_with(&without_sequence));
-    let tail = [1, 1, b'z', 7, 0, 1, 1, b'j', 8, 0];
+    let tail = [
+        1, 1, b'z', 7, 0, 1, 1, b'j', 8, 0, 1, 3, b'j', b'/', b't', 9, 0,
+    ];
     assert_eq!(packed[without_sequence.len()..], tail);
     assert_eq!(ClusterState::unpack(&packed), Ok(state.clone()));
     let read_by_earlier_builds: ClusterState = unpack(&packed).expect("a packed state");
