Orders and submissions that a frozen node reads late count as old

Callers would see: an operator's order lies in the socket of a frozen node; he repeats it elsewhere and gives the opposite order. The node goes on and reads what it missed and the old order; if it applies what it missed first, the old order looks new to it.

Cause: the log index that an order carries is taken when the order is read, not when it came.

Change: a node notices by the time between two steps that it was frozen, and for a second gives the calls that it reads the index that it knew before (node/known_index.rs). A call that is new is rejected at worst, and only if something else on its zone, job or task happened during the freeze; it may be sent again.

Evidence: an_order_that_a_frozen_node_reads_late_does_not_undo_a_later_one and a_submission_that_a_frozen_node_reads_late_is_rejected_after_its_cancellation set the order of events; without the change to known_index.rs they fail ("the late order was taken for new").

--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -76,7 +76,7 @@
             let response = self.accepted_response(&id, result);
             return self.reply(&origin, response);
         }
-        let seen = self.index_at_receipt();
+        let seen = self.index_at_receipt(now);
         let command = Command::SubmitJob { spec, hash, seen };
         self.propose_for_call(now, origin, &command, CallCommand::SubmitJob { id });
     }
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -73,7 +73,7 @@
             scheduler: scheduler::Scheduler::default(),
             calls: calls::Calls::default(),
             proposals: BTreeMap::new(),
-            known_index: known_index::KnownIndex::default(),
+            known_index: known_index::KnownIndex::new(now),
             incarnation,
             // The upper 16 bits are left free, so that incrementing the token does not overflow.
             next_token: first_token >> 16,
@@ -154,10 +154,15 @@
         (lease.holder == self.name).then_some(lease.epoch)
     }
 
+    /// A longer time between two steps means that the process was frozen, in milliseconds.
+    fn freeze_timeout(&self) -> u64 {
+        self.settings.bounds.election_timeout() / FREEZE_TIMEOUT_DIVISOR
+    }
+
     fn on_tick(&mut self, now: Now) {
         let since_last_tick = now.mono.saturating_sub(self.last_tick);
         self.last_tick = now.mono;
-        if since_last_tick > self.settings.bounds.election_timeout() / FREEZE_TIMEOUT_DIVISOR {
+        if since_last_tick > self.freeze_timeout() {
             // This process was frozen: heartbeats may be unprocessed, so every worker counts as having just sent one.
             self.count("own_freezes", 1);
             for worker in self.all_workers() {
@@ -244,6 +249,7 @@
 
 impl StateMachine for Node {
     fn step(&mut self, now: Now, msg: Msg) -> Vec<Effect> {
+        self.detect_freeze(now);
         match msg {
             Msg::Tick => self.on_tick(now),
             Msg::Received(from, body) => self.on_received(now, &from, body),
--- a/landingdrift/src/node/propose.rs
+++ b/landingdrift/src/node/propose.rs
@@ -147,7 +147,7 @@
         let command = if command.is_order() {
             ProposalCommand::AwaitsClusterTime {
                 action: command.clone(),
-                seen: self.index_at_receipt(),
+                seen: self.index_at_receipt(now),
             }
         } else {
             ProposalCommand::Ready(command.pack())
--- a/landingdrift/tests/overtaken_orders.rs
+++ b/landingdrift/tests/overtaken_orders.rs
@@ -174,6 +174,37 @@
     assert!(cluster.state.jobs["j"].cancel);
 }
 
+/// Guards against a node that takes an order for new because it was frozen while the order lay in its socket: what happened
+/// meanwhile is read first.
+#[test]
+fn an_order_that_a_frozen_node_reads_late_does_not_undo_a_later_one() {
+    let mut cluster = Cluster::new(2);
+    assert_eq!(cluster.order(1, evacuate()).status, 200);
+    cluster.follow(0);
+    cluster.advance_with_ticks(&[1], 3500);
+    assert_eq!(cluster.order(1, end_evacuation()).status, 200);
+    assert_eq!(cluster.order(1, evacuate()).status, 200);
+    // Node 0 goes on: it reads what it missed, and then the order that was sent to it during the freeze.
+    let mut late = cluster.call(0, end_evacuation());
+    cluster.commit(&mut late);
+    assert!(cluster.is_evacuated(), "the late order was taken for new");
+    cluster.advance_with_ticks(&[0, 1], 2000);
+    assert_eq!(cluster.order(0, end_evacuation()).status, 200);
+    assert!(!cluster.is_evacuated());
+}
+
+/// Guards against a client's request that a frozen node reads after the cancellation that was sent later.
+#[test]
+fn a_submission_that_a_frozen_node_reads_late_is_rejected_after_its_cancellation() {
+    let mut cluster = Cluster::new(2);
+    cluster.follow(0);
+    cluster.advance_with_ticks(&[1], 3500);
+    assert_eq!(cluster.order(1, cancel("j")).status, 404);
+    let mut late = cluster.call(0, submit("j"));
+    cluster.commit(&mut late);
+    assert!(cluster.state.jobs.is_empty(), "the job was accepted");
+}
+
 impl StateFixture {
     /// Applies an order that was received when its node knew the log up to `seen`.
     fn order(&mut self, action: Command, seen: u64) -> ApplyResult {
