HTTP: a call whose caller hung up before it was read is not executed

Callers would see: an order that the network delivers late, or that lay in a socket, is carried out though the operator has hung up and given a later one elsewhere. To the node it is new, so the log index at its receipt doesn't tell that it is old.

Cause: the end of a connection that comes with the request is noticed in the runtime's next turn; by then the call has been passed to the control thread, which executes it to its end.

Change: after each read that empties the socket, the stream looks whether the client has ended or reset the connection (one more system call a request). A call of such a connection is not passed on; nobody would get its response.

--- a/landingdrift/src/daemon/traffic/http/connections.rs
+++ b/landingdrift/src/daemon/traffic/http/connections.rs
@@ -69,6 +69,8 @@
     waiting_calls: AtomicU64,
     /// Whether a response was sent to a request whose body was not read to its end.
     has_unread_body: AtomicBool,
+    /// Whether the client has ended its direction of the connection.
+    has_hung_up: AtomicBool,
     close: Arc<Notify>,
 }
 
@@ -79,6 +81,7 @@
             progress: Arc::new(Progress::starting_at(now)),
             waiting_calls: AtomicU64::new(0),
             has_unread_body: AtomicBool::new(false),
+            has_hung_up: AtomicBool::new(false),
             close: Arc::default(),
         }
     }
@@ -171,6 +174,16 @@
         self.entry.has_unread_body.load(Ordering::Relaxed)
     }
 
+    /// Records that the client has hung up.
+    pub fn record_hang_up(&self) {
+        self.entry.has_hung_up.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the client is known to have hung up, so that no response can reach it.
+    pub fn has_hung_up(&self) -> bool {
+        self.entry.has_hung_up.load(Ordering::Relaxed)
+    }
+
     /// Keeps the connection from being closed until the guard is dropped.
     pub fn wait_for_call(&self) -> BusyGuard {
         self.entry.waiting_calls.fetch_add(1, Ordering::Relaxed);
--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -108,6 +108,9 @@
         let Ok(_permit) = self.permits.try_acquire() else {
             return responses::busy().into();
         };
+        if connection.has_hung_up() {
+            return responses::abandoned().into();
+        }
         let response = self.execute(http_request, &charge).await;
         charge_response(response, charge, &connection)
     }
--- a/landingdrift/src/daemon/traffic/http/responses.rs
+++ b/landingdrift/src/daemon/traffic/http/responses.rs
@@ -11,6 +11,12 @@
     Response::error(503, "busy", message).retry(RETRY_MS)
 }
 
+/// The response to a call that was not executed because its caller hung up first. It reaches nobody.
+pub fn abandoned() -> Response {
+    let message = "the caller hung up before the call was executed: send it again";
+    Response::error(503, "abandoned", message)
+}
+
 /// The response to a request for whose body the process has no memory.
 pub fn out_of_memory() -> Response {
     let message = "this process has no memory for the request body and did not execute the call: retry later, or call another node";
--- a/landingdrift/src/daemon/traffic/http/tracked_stream.rs
+++ b/landingdrift/src/daemon/traffic/http/tracked_stream.rs
@@ -2,7 +2,9 @@
 
 use super::connections::OpenConnection;
 use super::discard::Discard;
+use socket2::SockRef;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
@@ -40,6 +42,16 @@
     }
 }
 
+/// Whether the client has ended or reset the connection, and everything before that has been read. The runtime
+/// tells of an end only in its next turn, when a request that came with it may have been executed.
+fn is_at_end(stream: &TcpStream) -> bool {
+    let mut next_byte = [MaybeUninit::uninit()];
+    match SockRef::from(stream).peek(&mut next_byte) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -47,11 +59,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buf);
+        let read = ready!(Pin::new(&mut self.stream).poll_read(context, buf));
         if buf.filled().len() > before {
             self.record_progress();
         }
-        read
+        if buf.remaining() > 0 && is_at_end(&self.stream) {
+            self.connection.record_hang_up();
+        }
+        Poll::Ready(read)
     }
 }
 
