A worker's older description does not undo its acknowledged departure

Callers would see: a worker's departure is acknowledged, a copy of its earlier description that was delayed on the way to a replica is committed after that, and the worker gets work.

Cause: the rule that a leaving process stays so was kept by the node that holds the zone, not where the state changes, and descriptions may be committed more than once.

Change: update_worker keeps "leaving" for the same process of the worker.

Evidence: a_description_that_waited_does_not_undo_an_acknowledged_departure fails on the code before ("the leaving worker got work").

--- a/landingdrift/src/state/apply/workers.rs
+++ b/landingdrift/src/state/apply/workers.rs
@@ -38,7 +38,8 @@
         Ok(known)
     }
 
-    /// Registers a worker or updates its description. After a restart, its attempts of earlier incarnations fail, or
+    /// Registers a worker or updates its description. A process of the worker that is leaving stays so, whatever an older
+    /// description that arrives later says. After a restart, its attempts of earlier incarnations fail, or
     /// become unsure if their tasks may not be repeated. Requests that unstarted attempts that no longer suit it stop.
     pub(super) fn update_worker(&mut self, info: &WorkerInfo, zone_epoch: u64) -> ApplyResult {
         self.ensure_zone_epoch(&info.zone, zone_epoch)?;
@@ -55,7 +56,12 @@
             },
         )?;
         let has_restarted = info.incarnation > worker.info.incarnation;
-        worker.info = info.clone();
+        let is_leaving = info.leaving || (worker.info.leaving && !has_restarted);
+        worker.info = WorkerInfo {
+            leaving: is_leaving,
+            ..info.clone()
+        };
+        let info = worker.info.clone();
         worker.lost = false;
         let attempts: Vec<u64> = worker.attempts.iter().copied().collect();
         if has_restarted {
@@ -63,7 +69,7 @@
                 self.end_after_restart(*attempt_no, info.incarnation);
             }
         }
-        self.stop_unsuitable_unstarted_attempts(info, attempts);
+        self.stop_unsuitable_unstarted_attempts(&info, attempts);
         Ok(Value::Null)
     }
 
--- a/landingdrift/tests/order_sequence.rs
+++ b/landingdrift/tests/order_sequence.rs
@@ -63,6 +63,24 @@
     assert_eq!(fixture.job_state("j"), JobState::Done);
 }
 
+/// Guards against an older description of a worker that waited, reaches the state after an acknowledged departure, and makes the
+/// worker get work again.
+#[test]
+fn a_description_that_waited_does_not_undo_an_acknowledged_departure() {
+    let mut fixture = StateFixture::new();
+    fixture.submit("j", vec![task("a")]).expect("accepted");
+    fixture.update_worker("w", 1, true);
+    fixture.update_worker("w", 1, false);
+    assert!(
+        fixture.start("j", &[(0, "w")]).is_err(),
+        "the leaving worker got work"
+    );
+    fixture.update_worker("w", 2, false);
+    fixture
+        .start("j", &[(0, "w")])
+        .expect("the next process gets work");
+}
+
 fn set_evacuation(zone: &str, evacuate: bool) -> Command {
     Command::SetEvacuation {
         zone: zone.into(),
