Fleet of real processes: zone orders by turns

Cause: the fault zone-orders was for the simulator only, so the real program was not played with it. Change: the orders of the fault are queued by the fake operator, which simulator and fleet share.

--- a/testkit/src/fakes/operator.rs
+++ b/testkit/src/fakes/operator.rs
@@ -2,6 +2,7 @@
 
 use super::{request, Output};
 use crate::history::{CheckedSettings, Event};
+use crate::scenario::Fault;
 use landingdrift::sans_io::{Request, Response, Rng};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
@@ -16,6 +17,8 @@
 const ORDER_TIMEOUT_MS: u64 = 1000;
 /// The time for which an order on a zone is sent again, in milliseconds.
 const ORDER_DEADLINE_MS: u64 = 4000;
+/// How often a fault of zone orders returns the zone to service and evacuates it again, unless it gives an amount.
+const DEFAULT_ZONE_ORDER_ROUNDS: u64 = 4;
 /// The longest pause before the next call after an answer, in milliseconds.
 const MAX_PAUSE_MS: u64 = 500;
 
@@ -144,7 +147,7 @@
     }
 
     /// Queues an order to evacuate a zone, or to return it to service, that is first sent at `due_ms`.
-    pub fn order_zone(&mut self, due_ms: u64, zone: &str, evacuate: bool) {
+    fn order_zone(&mut self, due_ms: u64, zone: &str, evacuate: bool) {
         self.operations.push_back(Operation::OrderZone(ZoneOrder {
             zone: zone.into(),
             evacuate,
@@ -153,6 +156,23 @@
         }));
     }
 
+    /// Queues the orders of a [`FaultKind::ZoneOrders`](crate::scenario::FaultKind::ZoneOrders) that begins now.
+    pub fn order_zone_by_turns(&mut self, now: u64, zone: &str, fault: &Fault) {
+        let rounds = if fault.amount > 0 {
+            fault.amount
+        } else {
+            DEFAULT_ZONE_ORDER_ROUNDS
+        };
+        let interval_ms = fault.duration_ms / (rounds + 1);
+        self.order_zone(now, zone, true);
+        for round in 1..=rounds {
+            let due_ms = now + round * interval_ms;
+            self.order_zone(due_ms, zone, false);
+            self.order_zone(due_ms, zone, true);
+        }
+        self.order_zone(now + fault.duration_ms, zone, false);
+    }
+
     /// Queues a read of the configuration.
     pub fn queue_read(&mut self) {
         self.operations.push_back(Operation::Read(Read::default()));
--- a/testkit/src/fleet/drive/faults.rs
+++ b/testkit/src/fleet/drive/faults.rs
@@ -83,6 +83,11 @@
             }
             FaultKind::Drain => self.set_zone(target, "draining"),
             FaultKind::Evacuate => self.set_zone(target, "evacuated"),
+            FaultKind::ZoneOrders => {
+                let now = self.now();
+                let zone = format!("z{target}");
+                self.operator.order_zone_by_turns(now, &zone, fault);
+            }
             other => self.log_line(&format!("{other:?} is for the simulator only: left out")),
         }
         self.note_down(fault.kind, target);
--- a/testkit/src/simulator/faults.rs
+++ b/testkit/src/simulator/faults.rs
@@ -236,7 +236,7 @@
             HugeConfig => self.apply_huge_configuration(),
             Drain => self.set_zone(target, "draining"),
             Evacuate => self.set_zone(target, "evacuated"),
-            ZoneOrders => self.order_zone_repeatedly(target, fault),
+            ZoneOrders => self.order_zone_by_turns(target, fault),
             Tries => self.set_queue(target, json!({"tries": 1})),
             Quota => self.set_queue(target, json!({"quota": 1})),
             _ => {}
--- a/testkit/src/simulator/faults/load.rs
+++ b/testkit/src/simulator/faults/load.rs
@@ -19,8 +19,6 @@
 const INVALID_JOBS: u64 = 9;
 /// The size of a payload that exceeds the limit on a job's size, in bytes.
 const TOO_LARGE_BYTES: usize = 1 << 20;
-/// How often a fault of zone orders returns the zone to service and evacuates it again, unless it gives an amount.
-const ZONE_ORDER_ROUNDS: u64 = 4;
 /// The number of changes of the configuration in a storm.
 const STORM_CHANGES: usize = 30;
 /// The number of notes in a large configuration, unless the fault gives an amount.
@@ -141,23 +139,9 @@
     }
 
     /// Queues the orders of a fault that evacuates a zone and returns it to service by turns.
-    pub(super) fn order_zone_repeatedly(&mut self, zone: usize, fault: &Fault) {
-        let zone = format!("z{zone}");
+    pub(super) fn order_zone_by_turns(&mut self, zone: usize, fault: &Fault) {
         // Not the operator of the other faults, whose changes might delay the orders.
-        let operator = &mut self.operators[1];
-        operator.order_zone(self.now, &zone, true);
-        let count = if fault.amount > 0 {
-            fault.amount
-        } else {
-            ZONE_ORDER_ROUNDS
-        };
-        let interval_ms = fault.duration_ms / (count + 1);
-        for round in 1..=count {
-            let due_ms = self.now + round * interval_ms;
-            operator.order_zone(due_ms, &zone, false);
-            operator.order_zone(due_ms, &zone, true);
-        }
-        operator.order_zone(self.now + fault.duration_ms, &zone, false);
+        self.operators[1].order_zone_by_turns(self.now, &format!("z{zone}"), fault);
     }
 
     pub(super) fn set_zone(&mut self, zone: usize, state: &str) {
