Job identities: one look-up for cluster state and nodes

Cause: the hash of a known job, retained or a tombstone, was looked up by the same lines in state/apply/jobs.rs and node/calls/jobs.rs. Change: ClusterState::known_hash and known_job_state serve both.

--- a/landingdrift/src/node/calls/jobs.rs
+++ b/landingdrift/src/node/calls/jobs.rs
@@ -67,7 +67,7 @@
         }
         let hash = fnv1a(&serde_json::to_vec(&spec).unwrap_or_default());
         let id = spec.id.clone();
-        if let Some(known) = self.known_hash(&id) {
+        if let Some(known) = self.state.known_hash(&id) {
             let result = if known == hash {
                 Ok(json!({"known": true}))
             } else {
@@ -93,33 +93,11 @@
         );
     }
 
-    /// The hash of a job's specification, from the job or its tombstone.
-    fn known_hash(&self, id: &str) -> Option<u64> {
-        let kept = self.state.jobs.get(id).map(|job| job.hash);
-        kept.or_else(|| {
-            self.state
-                .tombstones
-                .get(id)
-                .map(|tombstone| tombstone.hash)
-        })
-    }
-
-    /// The state of a job, from the job or its tombstone.
-    fn known_state(&self, id: &str) -> Option<JobState> {
-        let kept = self.state.jobs.get(id).map(|job| job.state);
-        kept.or_else(|| {
-            self.state
-                .tombstones
-                .get(id)
-                .map(|tombstone| tombstone.state)
-        })
-    }
-
     pub(super) fn accepted_response(&mut self, id: &str, result: ApplyResult) -> Response {
         match result {
             Ok(applied) => {
                 self.count("jobs_accepted", 1);
-                let state = self.known_state(id).unwrap_or(JobState::Waiting);
+                let state = self.state.known_job_state(id).unwrap_or(JobState::Waiting);
                 let status = if applied["known"] == json!(true) {
                     200
                 } else {
@@ -175,7 +153,7 @@
     /// node has already returned. If this node does not know the job or has not caught up, it asks a replica for the
     /// read index.
     pub(super) fn poll(&mut self, now: Now, origin: Origin, id: &str) {
-        match self.known_state(id) {
+        match self.state.known_job_state(id) {
             Some(state) if state.has_ended() => {
                 if let Some(response) = self.job_response(id, false) {
                     self.reply(&origin, response);
--- a/landingdrift/src/state/apply/jobs.rs
+++ b/landingdrift/src/state/apply/jobs.rs
@@ -59,14 +59,6 @@
         Ok(json!({"known": false}))
     }
 
-    /// The request hash of the job with an id, whether it is retained in full or as a tombstone.
-    fn known_hash(&self, id: &str) -> Option<u64> {
-        match self.jobs.get(id) {
-            Some(job) => Some(job.hash),
-            None => self.tombstones.get(id).map(|tombstone| tombstone.hash),
-        }
-    }
-
     /// Cancels a job; a job that has ended is left unchanged. `seen` is the log index known at the receipt of the
     /// cancellation. If the job is unknown, the cancellation is remembered, so that an older submission of the job can't
     /// be accepted afterwards.
--- a/landingdrift/src/state/mod.rs
+++ b/landingdrift/src/state/mod.rs
@@ -252,6 +252,22 @@
         Some((job, task))
     }
 
+    /// The request hash of the job with an id, whether it is retained in full or as a tombstone.
+    pub fn known_hash(&self, id: &str) -> Option<u64> {
+        match self.jobs.get(id) {
+            Some(job) => Some(job.hash),
+            None => self.tombstones.get(id).map(|tombstone| tombstone.hash),
+        }
+    }
+
+    /// The state of the job with an id, whether it is retained in full or as a tombstone.
+    pub fn known_job_state(&self, id: &str) -> Option<JobState> {
+        match self.jobs.get(id) {
+            Some(job) => Some(job.state),
+            None => self.tombstones.get(id).map(|tombstone| tombstone.state),
+        }
+    }
+
     /// Looks up a live attempt by its number.
     pub fn attempt(&self, attempt_no: u64) -> Option<(&Job, &Task, &Attempt)> {
         let (job, task_no) = self.live.get(&attempt_no)?;
