Test kit: the fake operator's zone orders in a module of their own

Change: ZoneOrder with its calls and events, and the queueing of a fault's orders, move to fakes/operator/zone_orders.rs.

--- a/testkit/src/fakes/operator.rs
+++ b/testkit/src/fakes/operator.rs
@@ -1,11 +1,13 @@
 //! A fake operator: it replaces or patches the configuration, and reads it back.
 
+mod zone_orders;
+
 use super::{request, Output};
 use crate::history::{CheckedSettings, Event};
-use crate::scenario::Fault;
 use landingdrift::sans_io::{Request, Response, Rng};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
+use zone_orders::ZoneOrder;
 
 /// The timeout of a change, after which it is requested again, in milliseconds.
 const CHANGE_TIMEOUT_MS: u64 = 3000;
@@ -13,12 +15,6 @@
 const READ_TIMEOUT_MS: u64 = 1000;
 /// The time after which a read that no node has answered is recorded as unanswered, in milliseconds.
 const READ_DEADLINE_MS: u64 = 4000;
-/// The timeout of an order on a zone, after which it is sent to another node, in milliseconds.
-const ORDER_TIMEOUT_MS: u64 = 1000;
-/// The time for which an order on a zone is sent again, in milliseconds.
-const ORDER_DEADLINE_MS: u64 = 4000;
-/// How often a fault of zone orders returns the zone to service and evacuates it again, unless it gives an amount.
-const DEFAULT_ZONE_ORDER_ROUNDS: u64 = 4;
 /// The longest pause before the next call after an answer, in milliseconds.
 const MAX_PAUSE_MS: u64 = 500;
 
@@ -35,7 +31,7 @@
         match self {
             Self::Apply(_) => CHANGE_TIMEOUT_MS,
             Self::Read(_) => READ_TIMEOUT_MS,
-            Self::OrderZone(_) => ORDER_TIMEOUT_MS,
+            Self::OrderZone(_) => zone_orders::TIMEOUT_MS,
         }
     }
 }
@@ -63,18 +59,6 @@
     retries_after_conflict: bool,
 }
 
-/// An order to evacuate a zone or to return it to service, which is sent to one node after another until one acknowledges
-/// it or [`ORDER_DEADLINE_MS`] has passed.
-#[derive(Clone, Debug)]
-struct ZoneOrder {
-    zone: String,
-    evacuate: bool,
-    /// When the first node is called, in milliseconds.
-    due_ms: u64,
-    /// The node that was called last; empty if none was.
-    called: String,
-}
-
 /// A call that has not been answered.
 struct OpenCall {
     call: u64,
@@ -146,33 +130,6 @@
         self.queue_change(true, json!({"zones": {zone: {"state": state}}}));
     }
 
-    /// Queues an order to evacuate a zone, or to return it to service, that is first sent at `due_ms`.
-    fn order_zone(&mut self, due_ms: u64, zone: &str, evacuate: bool) {
-        self.operations.push_back(Operation::OrderZone(ZoneOrder {
-            zone: zone.into(),
-            evacuate,
-            due_ms,
-            called: String::new(),
-        }));
-    }
-
-    /// Queues the orders of a [`FaultKind::ZoneOrders`](crate::scenario::FaultKind::ZoneOrders) that begins now.
-    pub fn order_zone_by_turns(&mut self, now: u64, zone: &str, fault: &Fault) {
-        let rounds = if fault.amount > 0 {
-            fault.amount
-        } else {
-            DEFAULT_ZONE_ORDER_ROUNDS
-        };
-        let interval_ms = fault.duration_ms / (rounds + 1);
-        self.order_zone(now, zone, true);
-        for round in 1..=rounds {
-            let due_ms = now + round * interval_ms;
-            self.order_zone(due_ms, zone, false);
-            self.order_zone(due_ms, zone, true);
-        }
-        self.order_zone(now + fault.duration_ms, zone, false);
-    }
-
     /// Queues a read of the configuration.
     pub fn queue_read(&mut self) {
         self.operations.push_back(Operation::Read(Read::default()));
@@ -209,14 +166,11 @@
         let mut outputs = Vec::new();
         let mut target = self.redirected_to.take();
         let (operation, request) = match operation {
-            Operation::OrderZone(mut order) => {
-                order.called = self.another_node(&order.called);
+            Operation::OrderZone(order) => {
+                let order = self.order_to_another_node(order);
                 target = Some(order.called.clone());
-                outputs.push(Output::Event(Event::ZoneOrderRequested {
-                    zone: order.zone.clone(),
-                    evacuate: order.evacuate,
-                }));
-                let request = order_request(&order);
+                outputs.push(Output::Event(order.requested_event()));
+                let request = order.request();
                 (Operation::OrderZone(order), request)
             }
             Operation::Read(mut read) => {
@@ -251,30 +205,19 @@
     /// Takes the next operation from the queue, unless it is not due yet. Orders that have been sent for long enough are
     /// dropped.
     fn next_operation(&mut self, now: u64) -> Option<Operation> {
-        let is_over =
-            |order: &ZoneOrder| !order.called.is_empty() && now >= order.due_ms + ORDER_DEADLINE_MS;
         while let Some(Operation::OrderZone(order)) = self.operations.front() {
-            if !is_over(order) {
+            if !order.is_over(now) {
                 break;
             }
             self.operations.pop_front();
         }
         let is_due = |operation: &mut Operation| match operation {
-            Operation::OrderZone(order) => now >= order.due_ms,
+            Operation::OrderZone(order) => order.is_due(now),
             _ => true,
         };
         self.operations.pop_front_if(is_due)
     }
 
-    /// A random node other than the one called last.
-    fn another_node(&mut self, called: &str) -> String {
-        let others = self.nodes.iter().filter(|node| *node != called);
-        let others: Vec<&String> = others.collect();
-        self.rng
-            .pick(&others)
-            .map_or(called.into(), |node| node.to_string())
-    }
-
     /// Sets the base version of a change if it has none, and writes its id to the note `by`, by which checkers
     /// recognize the change's content.
     fn with_base_and_id_note(&self, mut change: Change) -> Change {
@@ -299,10 +242,7 @@
                 Vec::new()
             }
             Operation::OrderZone(order) if response.status == 200 => {
-                vec![Output::Event(Event::ZoneOrderAcknowledged {
-                    zone: order.zone,
-                    evacuate: order.evacuate,
-                })]
+                vec![Output::Event(order.acknowledged_event())]
             }
             Operation::Apply(change) if response.status != 503 => {
                 self.apply_answered(change, response)
@@ -358,12 +298,6 @@
     Some(Output::Event(Event::ConfigReadUnanswered { since_ms }))
 }
 
-fn order_request(order: &ZoneOrder) -> Request {
-    let method = if order.evacuate { "PUT" } else { "DELETE" };
-    let path = format!("/v1/zones/{}/empty", order.zone);
-    request(method, &path, "", None)
-}
-
 fn apply_request(change: &Change) -> Request {
     let method = if change.is_patch { "PATCH" } else { "PUT" };
     let base = change.base.unwrap_or(0);
