HTTP: calls with a body are executed though their callers hung up

Cause: clients who hang up in overload send their job again under the same id; if the first submission was executed, the second is answered at once. Change: it holds for calls without a body: orders on zones, cancellations, reads. Jobs and changes of the configuration have an identity. Evidence: a_call_with_a_body_is_executed_though_its_caller_hung_up; the test of abandoned orders is unchanged.

--- a/landingdrift/src/daemon/traffic/http/request_handler.rs
+++ b/landingdrift/src/daemon/traffic/http/request_handler.rs
@@ -108,7 +108,8 @@
         let Ok(_permit) = self.permits.try_acquire() else {
             return responses::busy().into();
         };
-        if connection.has_hung_up() {
+        // Calls with a body have an identity, under which their callers repeat them: executing the first saves time.
+        if http_request.body.is_empty() && connection.has_hung_up() {
             return responses::abandoned().into();
         }
         let response = self.execute(http_request, &charge).await;
