--- a/landingdrift/src/state/latest_orders.rs
+++ b/landingdrift/src/state/latest_orders.rs
@@ -69,7 +69,7 @@
     pub zones: LatestOrders,
     /// By job id, the cancellation that found no such job or, if the job was submitted again after it, that submission.
     pub jobs: LatestOrders,
-    /// Resolutions of tasks whose outcome was unknown, by [`task_subject`].
+    /// Resolutions of tasks whose outcome was unknown, by `JOB/TASK`.
     pub tasks: LatestOrders,
 }
 
