Review: case 11, a cluster stays unreachable when its seeds don't come back

Cause: a node that starts knows only the seeds of its settings, not even the replica in its own process, and SIGHUP doesn't change the seeds of a process that runs.

Done: a script that kills all processes at once; three machines without a disk, which are the seeds then, stay away, and the settings are corrected 3 s later.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,7 +7,7 @@
 program=$REVIEW_ROOT/review/standin-3/target/release/review-standin-3
 [ -x "$program" ] || { echo "build the stand-ins first: review/build-3.sh"; exit 2; }
 # The processes that the program starts are in its process group.
-timeout -k 1 115 "$program" late-times "$here/record.txt" &
+timeout -k 1 115 "$program" lost-seeds "$here/record.txt" &
 group=$!
 trap 'kill -KILL -- -$group 2>/dev/null; rm -rf "$REVIEW_TEMP"' EXIT
 wait $group
--- a/review/standin-3/src/client.rs
+++ b/review/standin-3/src/client.rs
@@ -4,6 +4,7 @@
 use crate::http::{call, Answer};
 use crate::record::Record;
 use serde_json::{json, Value};
+use std::thread::sleep;
 use std::time::Duration;
 
 pub const HOST: &str = "nony24.example";
@@ -44,12 +45,16 @@
     answer
 }
 
-/// Hands a job in at one machine after another, until it is accepted.
-pub fn hand_in(deployment: &Deployment, id: &str, body: &str) -> bool {
+/// Hands a job in at one of the machines after another, with a pause, until it is accepted.
+pub fn hand_in(deployment: &Deployment, machines: &[usize], id: &str, body: &str) -> bool {
     (0..15).any(|attempt| {
-        let machine = &deployment.edges[attempt % deployment.edges.len()];
+        let machine = &deployment.edges[machines[attempt % machines.len()]];
         let answer = job_call(&deployment.record, machine, "POST", id, body);
-        answer.is_ok_and(|answer| (200..300).contains(&answer.status))
+        let is_accepted = answer.is_ok_and(|answer| (200..300).contains(&answer.status));
+        if !is_accepted {
+            sleep(Duration::from_millis(500));
+        }
+        is_accepted
     })
 }
 
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -21,7 +21,6 @@
 
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -96,10 +95,20 @@
     fn write_settings(&self, machine: &Machine, disk: bool, first_boot: bool, seeds: &[String]) -> Result<(), String> {
         let ip = &machine.ip;
         let is_edge = machine.role == "edge";
-        let serves = if is_edge { r#"["edge","control"]"# } else { r#"["side"]"# };
-        let zones: String = ZONES.iter().map(|zone| format!("{zone} = \"western-prov\"\n")).collect();
+        let serves = if is_edge {
+            r#"["edge","control"]"#
+        } else {
+            r#"["side"]"#
+        };
+        let zones: String = ZONES
+            .iter()
+            .map(|zone| format!("{zone} = \"western-prov\"\n"))
+            .collect();
         let data = if disk {
-            format!("dataDir = \"{}\"\n", self.folder.join(format!("data-{}", machine.name)).display())
+            format!(
+                "dataDir = \"{}\"\n",
+                self.folder.join(format!("data-{}", machine.name)).display()
+            )
         } else {
             String::new()
         };
@@ -191,6 +200,27 @@
         fs::write(&machine.settings, text).map_err(|e| format!("settings: {e}"))
     }
 
+    /// Writes the settings of all machines anew, with other seeds.
+    pub fn change_seeds(&self, seeds: &[&Machine]) -> Result<(), String> {
+        let addresses: Vec<String> = seeds.iter().map(|machine| machine.control()).collect();
+        for (number, machine) in self.edges.iter().enumerate() {
+            self.write_settings(machine, number < DISK_MACHINES, false, &addresses)?;
+        }
+        for machine in &self.sides {
+            self.write_settings(machine, false, false, &addresses)?;
+        }
+        self.record
+            .line(&format!("the settings of all machines name the seeds {addresses:?}"));
+        Ok(())
+    }
+
+    /// Sends a signal to all processes that run.
+    pub fn signal_all(&self, signal: i32) {
+        for machine in self.edges.iter().chain(&self.sides) {
+            self.signal(machine, signal);
+        }
+    }
+
     pub fn control_addresses(&self) -> Vec<String> {
         self.edges.iter().map(Machine::control).collect()
     }
@@ -212,7 +242,11 @@
 
     /// Starts the process of a machine with the command of the deploy file.
     pub fn start(&self, machine: &Machine) -> Result<(), String> {
-        let log = File::options().create(true).append(true).open(&machine.log).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&machine.log)
+            .map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|e| e.to_string())?;
         let child = Command::new(self.root.join("target/release/landingdrift-platform"))
             .arg(machine.role)
@@ -244,25 +278,6 @@
         }
     }
 
-    /// Removes the disk of a machine whose process has been killed.
-    pub fn wipe(&self, machine: &Machine) {
-        self.record.line(&format!("the disk of {} is lost", machine.name));
-        let _ = fs::remove_dir_all(self.folder.join(format!("data-{}", machine.name)));
-    }
-
-    /// Whether the process of a machine has ended by itself; says so in the record.
-    pub fn has_ended(&self, machine: &Machine) -> bool {
-        let mut child = machine.child.lock().unwrap();
-        match child.as_mut().map(Child::try_wait) {
-            Some(Ok(Some(status))) => {
-                self.record.line(&format!("{} has ended: {status}", machine.name));
-                *child = None;
-                true
-            }
-            _ => false,
-        }
-    }
-
     /// Ends all processes.
     pub fn end(&self) {
         for machine in self.edges.iter().chain(&self.sides) {
@@ -280,7 +295,9 @@
         let mut newest: Option<(u64, usize)> = None;
         for (number, machine) in self.edges.iter().enumerate().take(DISK_MACHINES) {
             let text = fs::read_to_string(&machine.log).unwrap_or_default();
-            let terms = text.lines().filter_map(|line| line.split("became leader of term ").nth(1));
+            let terms = text
+                .lines()
+                .filter_map(|line| line.split("became leader of term ").nth(1));
             let term = terms.filter_map(|term| term.trim().parse::<u64>().ok()).max();
             newest = newest.max(term.map(|term| (term, number)));
         }
@@ -362,7 +379,9 @@
         let network = format!("127.{}.{}", 20 + number % 200, (number / 200) % 250);
         let is_free = (0..machines).all(|machine| {
             let ports = [INNER_PORTS[0], INNER_PORTS[0] + 1, FRONT_PORT, CONTROL_PORT, READY_PORT];
-            ports.iter().all(|port| TcpListener::bind(format!("{network}.{}:{port}", machine + 1)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind(format!("{network}.{}:{port}", machine + 1)).is_ok())
         });
         if is_free {
             return Ok(network);
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -22,8 +22,7 @@
 ) -> Result<Answer, String> {
     let deadline = Instant::now() + limit;
     let target: SocketAddr = address.parse().map_err(|e| format!("address: {e}"))?;
-    let mut stream =
-        TcpStream::connect_timeout(&target, limit).map_err(|e| format!("connect: {}", e.kind()))?;
+    let mut stream = TcpStream::connect_timeout(&target, limit).map_err(|e| format!("connect: {}", e.kind()))?;
     let _ = stream.set_nodelay(true);
     let mut head = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
     if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
@@ -54,9 +53,7 @@
         match stream.read(&mut buffer) {
             Ok(0) => break,
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                return Err("silence".into())
-            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Err("silence".into()),
             Err(e) => return Err(format!("cut: {}", e.kind())),
         }
         if let Some(answer) = parse(&bytes) {
--- a/review/standin-3/src/late_times.rs
+++ b/review/standin-3/src/late_times.rs
@@ -47,7 +47,7 @@
         "stages": [{"count": 1, "cpu": 500, "memMb": 256, "estRuntimeMs": WORK_MS}],
         "firstRunMs": first_run, "periodMs": PERIOD_MS, "repeatCount": TIMES,
     });
-    if !hand_in(&deployment, ID, &job.to_string()) {
+    if !hand_in(&deployment, &[0, 1, 2, 3], ID, &job.to_string()) {
         return Err("the job was not accepted".into());
     }
     let traffic_ended = record.now();
@@ -79,11 +79,19 @@
     for time in 0..TIMES {
         let due = first_due + time * PERIOD_MS;
         let task = format!("{ID}.{time}.0.0");
-        let started = runs.lock().unwrap().iter().filter(|run| run.task == task).map(|run| run.started).min();
+        let started = runs
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|run| run.task == task)
+            .map(|run| run.started)
+            .min();
         let late = started.map(|started| started as i64 - due as i64);
         let is_judged = due >= judged_from;
         let is_idle_too_long = late.is_none_or(|late| late >= IDLE_LIMIT_MS as i64);
-        record.line(&format!("time {time}: due at {due}, started {late:?} ms after that, judged: {is_judged}"));
+        record.line(&format!(
+            "time {time}: due at {due}, started {late:?} ms after that, judged: {is_judged}"
+        ));
         broken |= is_judged && is_idle_too_long;
     }
     workers.iter_mut().for_each(Worker::stop);
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -3,12 +3,11 @@
 //! `review-standin-3 CASE RECORD`; the environment gives REVIEW_ROOT (the repository), REVIEW_TEMP (a temporary folder)
 //! and TROUBLE (0: without the disruption). Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 
-
-
 mod client;
 mod deployment;
 mod http;
 mod late_times;
+mod lost_seeds;
 mod record;
 mod worker;
 
@@ -33,6 +32,7 @@
         }
     };
     let outcome = match case.as_str() {
+        "lost-seeds" => lost_seeds::play(&record, trouble),
         "late-times" => late_times::play(&record, trouble),
         other => Err(format!("no case is called {other}")),
     };
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -6,7 +6,7 @@
 use crate::record::Record;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::Duration;
@@ -20,10 +20,7 @@
 /// A start, as the worker has seen it, with its end.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub worker: String,
     pub task: String,
-    pub run: u64,
-    pub spec: String,
     pub started: u64,
     pub ended: Option<(u64, String)>,
     /// When `lastSeen` reached the end, unless the hold had lapsed in between.
@@ -49,24 +46,14 @@
     index: usize,
 }
 
-/// Switches of a worker that a case may turn.
-#[derive(Default)]
-pub struct Switches {
-    pub stop: AtomicBool,
-    pub draining: AtomicBool,
-    /// Beats are not sent before this time.
-    pub mute_until: AtomicU64,
-}
-
 pub struct Worker {
-    pub id: String,
-    pub switches: Arc<Switches>,
+    stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Worker {
     pub fn start(side: &Machine, id: &str, rack: usize, record: Record, runs: Runs) -> Self {
-        let switches = Arc::new(Switches::default());
+        let stop = Arc::new(AtomicBool::new(false));
         let mut state = State {
             id: id.into(),
             control: side.control(),
@@ -84,15 +71,18 @@
             next_end: 1,
             record,
             runs,
-            switches: switches.clone(),
+            stop: stop.clone(),
         };
         let thread = spawn(move || state.run());
-        Self { id: id.into(), switches, thread: Some(thread) }
+        Self {
+            stop,
+            thread: Some(thread),
+        }
     }
 
     /// The worker crashes: all that it runs is gone.
     pub fn stop(&mut self) {
-        self.switches.stop.store(true, Ordering::SeqCst);
+        self.stop.store(true, Ordering::SeqCst);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -113,21 +103,17 @@
     next_end: u64,
     record: Record,
     runs: Runs,
-    switches: Arc<Switches>,
+    stop: Arc<AtomicBool>,
 }
 
 impl State {
     fn run(&mut self) {
-        while !self.switches.stop.load(Ordering::SeqCst) {
+        while !self.stop.load(Ordering::SeqCst) {
             self.pass_time();
-            if self.record.now() < self.switches.mute_until.load(Ordering::SeqCst) {
-                sleep(Duration::from_millis(10));
-                continue;
-            }
             let pause_ms = self.beat();
             // The next beat goes out after the pause, or 50 ms after an end.
             let mut left = pause_ms;
-            while left > 0 && !self.switches.stop.load(Ordering::SeqCst) {
+            while left > 0 && !self.stop.load(Ordering::SeqCst) {
                 let step = left.min(10);
                 sleep(Duration::from_millis(step));
                 left -= step;
@@ -137,7 +123,8 @@
             }
         }
         for (task, running) in std::mem::take(&mut self.running) {
-            self.record.line(&format!("{} lost {task} run {}", self.id, running.run));
+            self.record
+                .line(&format!("{} lost {task} run {}", self.id, running.run));
             self.runs.lock().unwrap()[running.index].ended = Some((self.record.now(), "lost".into()));
         }
     }
@@ -156,14 +143,20 @@
             self.ends.iter_mut().for_each(|end| end.lapsed_since = true);
         }
         for task in &over {
-            let how = if self.running[task].ends_at <= now { "done" } else { "lapsed" };
+            let how = if self.running[task].ends_at <= now {
+                "done"
+            } else {
+                "lapsed"
+            };
             self.finish(task, how);
         }
         !over.is_empty()
     }
 
     fn finish(&mut self, task: &str, how: &str) {
-        let Some(running) = self.running.remove(task) else { return };
+        let Some(running) = self.running.remove(task) else {
+            return;
+        };
         self.runs.lock().unwrap()[running.index].ended = Some((self.record.now(), how.into()));
         self.add_end(task, running.run, how, Some(running.index));
     }
@@ -203,8 +196,7 @@
             .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
             .collect();
         let mut body = self.facts.clone();
-        let draining = self.switches.draining.load(Ordering::SeqCst);
-        body["state"] = json!(if draining { "draining" } else { "ready" });
+        body["state"] = json!("ready");
         body["callSeq"] = json!(self.call_seq);
         body["clockMs"] = json!(now);
         body["running"] = json!(running);
@@ -218,11 +210,13 @@
                 answer["retryAfterMs"].as_u64().unwrap_or(1400)
             }
             Ok(answer) => {
-                self.record.line(&format!("{} beat {}: {}", self.id, self.call_seq, answer.status));
+                self.record
+                    .line(&format!("{} beat {}: {}", self.id, self.call_seq, answer.status));
                 200
             }
             Err(error) => {
-                self.record.line(&format!("{} beat {}: {error}", self.id, self.call_seq));
+                self.record
+                    .line(&format!("{} beat {}: {error}", self.id, self.call_seq));
                 200
             }
         }
@@ -240,12 +234,15 @@
         }
         if let Some(last_seen) = answer["lastSeen"].as_u64() {
             let now = self.record.now();
-            let (seen, left) = std::mem::take(&mut self.ends).into_iter().partition(|end: &Ended| end.number <= last_seen);
+            let (seen, left) = std::mem::take(&mut self.ends)
+                .into_iter()
+                .partition(|end: &Ended| end.number <= last_seen);
             self.ends = left;
             let seen: Vec<Ended> = seen;
             let mut runs = self.runs.lock().unwrap();
             for end in seen {
-                self.record.line(&format!("{} noted {} run {}", self.id, end.task, end.run));
+                self.record
+                    .line(&format!("{} noted {} run {}", self.id, end.task, end.run));
                 if let Some(index) = end.index.filter(|_| !end.lapsed_since) {
                     runs[index].noted = Some(now);
                 }
@@ -253,7 +250,8 @@
         }
         for stop in answer["stop"].as_array().into_iter().flatten() {
             let (task, run) = (stop[0].as_str().unwrap_or_default(), stop[1].as_u64().unwrap_or(0));
-            self.record.line(&format!("{} is told to stop {task} run {run}", self.id));
+            self.record
+                .line(&format!("{} is told to stop {task} run {run}", self.id));
             if self.running.get(task).is_some_and(|running| running.run == run) {
                 self.finish(task, "stopped");
             }
@@ -287,21 +285,27 @@
         if now >= self.hold_until {
             return;
         }
-        let work_ms = spec.strip_prefix("ms=").and_then(|ms| ms.split(' ').next()?.parse().ok()).unwrap_or(1000);
-        self.record.line(&format!("{} starts {task} run {run} ({spec})", self.id));
+        let work_ms = spec
+            .strip_prefix("ms=")
+            .and_then(|ms| ms.split(' ').next()?.parse().ok())
+            .unwrap_or(1000);
+        self.record
+            .line(&format!("{} starts {task} run {run} ({spec})", self.id));
         let mut runs = self.runs.lock().unwrap();
         runs.push(Run {
-            worker: self.id.clone(),
             task: task.clone(),
-            run,
-            spec,
             started: now,
             ended: None,
             noted: None,
         });
         let index = runs.len() - 1;
         drop(runs);
-        let running = Running { run, ends_at: now + work_ms, started: now, index };
+        let running = Running {
+            run,
+            ends_at: now + work_ms,
+            started: now,
+            index,
+        };
         self.running.insert(task, running);
     }
 }
