--- a/review/standin-3/src/client.rs
+++ b/review/standin-3/src/client.rs
@@ -34,14 +34,28 @@
 
 /// A call of a client about a job, which waits for its answer as long as the deadline says.
 pub fn job_call(record: &Record, machine: &Machine, method: &str, id: &str, body: &str) -> Result<Answer, String> {
+    let limit = Duration::from_secs(3);
+    job_call_at(record, &machine.front(), &machine.name, method, id, body, limit)
+}
+
+/// A call of a client about a job at an address, which the record calls `name`.
+pub fn job_call_at(
+    record: &Record,
+    address: &str,
+    name: &str,
+    method: &str,
+    id: &str,
+    body: &str,
+    limit: Duration,
+) -> Result<Answer, String> {
     let headers = [("Host", HOST), ("X-Landingdrift-Deadline-Ms", "3000")];
     let path = format!("{PREFIX}{id}");
-    let answer = call(&machine.front(), method, &path, &headers, body, Duration::from_secs(3));
+    let answer = call(address, method, &path, &headers, body, limit);
     let text = match &answer {
         Ok(answer) => format!("{} {}", answer.status, answer.body),
         Err(error) => error.clone(),
     };
-    record.line(&format!("{method} {path} at {} {body} -> {text}", machine.name));
+    record.line(&format!("{method} {path} at {name} {body} -> {text}"));
     answer
 }
 
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod deployment;
 mod http;
+mod late_submission;
 mod late_times;
 mod lost_seeds;
 mod record;
@@ -33,6 +34,7 @@
     };
     let outcome = match case.as_str() {
         "lost-seeds" => lost_seeds::play(&record, trouble),
+        "late-submission" => late_submission::play(&record, trouble),
         "late-times" => late_times::play(&record, trouble),
         other => Err(format!("no case is called {other}")),
     };
