--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,9 +5,11 @@
 
 mod client;
 mod deployment;
+mod evacuated_again;
 mod http;
 mod late_submission;
 mod late_times;
+mod link;
 mod lost_seeds;
 mod record;
 mod worker;
@@ -33,6 +35,7 @@
         }
     };
     let outcome = match case.as_str() {
+        "evacuated-again" => evacuated_again::play(&record, trouble),
         "lost-seeds" => lost_seeds::play(&record, trouble),
         "late-submission" => late_submission::play(&record, trouble),
         "late-times" => late_times::play(&record, trouble),
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -20,6 +20,7 @@
 /// A start, as the worker has seen it, with its end.
 #[derive(Clone, Debug)]
 pub struct Run {
+    pub worker: String,
     pub task: String,
     pub started: u64,
     pub ended: Option<(u64, String)>,
@@ -293,6 +294,7 @@
             .line(&format!("{} starts {task} run {run} ({spec})", self.id));
         let mut runs = self.runs.lock().unwrap();
         runs.push(Run {
+            worker: self.id.clone(),
             task: task.clone(),
             started: now,
             ended: None,
