--- a/review/standin-3/src/late_times.rs
+++ b/review/standin-3/src/late_times.rs
@@ -16,6 +16,9 @@
 const WORK_MS: u64 = 800;
 const ID: &str = "5c0e7a21d94b36f8";
 
+/// The trouble comes twice, this far apart: whose clock the new leader brings along is a matter of chance.
+const ROUNDS: u64 = 2;
+const ROUND_MS: u64 = 15_000;
 /// How long the follower is frozen.
 const FREEZE_MS: u64 = 4500;
 /// When the process of the leader is killed, after the freeze has begun.
@@ -52,21 +55,13 @@
     }
     let traffic_ended = record.now();
 
-    // The trouble comes at a quiet moment between two times.
-    sleep_until(record, first_due + PERIOD_MS / 2);
+    // The trouble comes at quiet moments between two times.
     let mut calm_from = record.now();
-    if trouble {
-        let leader = deployment.leader().ok_or("no leader")?;
-        let follower = (leader + 1) % 3;
-        let (leader, follower) = (&deployment.edges[leader], &deployment.edges[follower]);
-        let frozen = record.now();
-        deployment.signal(follower, SIGSTOP);
-        sleep_until(record, frozen + KILL_AFTER_MS);
-        deployment.signal(leader, SIGKILL);
-        sleep_until(record, frozen + FREEZE_MS);
-        deployment.signal(follower, SIGCONT);
-        sleep_until(record, frozen + KILL_AFTER_MS + DOWN_MS);
-        deployment.start(leader)?;
+    for round in 0..ROUNDS {
+        sleep_until(record, first_due + PERIOD_MS / 2 + round * ROUND_MS);
+        if trouble {
+            lose_leader_while_follower_is_frozen(&deployment)?;
+        }
         calm_from = record.now();
     }
 
@@ -98,6 +93,23 @@
     Ok(broken)
 }
 
+/// Freezes a follower, kills the process of the leader meanwhile, and starts it again some time after the follower has
+/// gone on.
+fn lose_leader_while_follower_is_frozen(deployment: &Deployment) -> Result<(), String> {
+    let record = &deployment.record;
+    let leader = deployment.leader().ok_or("no leader")?;
+    let follower = (leader + 1) % 3;
+    let (leader, follower) = (&deployment.edges[leader], &deployment.edges[follower]);
+    let frozen = record.now();
+    deployment.signal(follower, SIGSTOP);
+    sleep_until(record, frozen + KILL_AFTER_MS);
+    deployment.signal(leader, SIGKILL);
+    sleep_until(record, frozen + FREEZE_MS);
+    deployment.signal(follower, SIGCONT);
+    sleep_until(record, frozen + KILL_AFTER_MS + DOWN_MS);
+    deployment.start(leader)
+}
+
 fn sleep_until(record: &Record, time: u64) {
     sleep(Duration::from_millis(time.saturating_sub(record.now())));
 }
