--- a/landingdrift/src/consensus/leadership.rs
+++ b/landingdrift/src/consensus/leadership.rs
@@ -28,6 +28,8 @@
     /// The leader's view of the other replicas, by address.
     pub progress: BTreeMap<String, Progress>,
     pub rounds: Rounds,
+    /// The time of the next introductions to absent nodes.
+    pub next_introductions_at: u64,
     /// Proposals to be answered once they are applied, by log index.
     pub pending_proposals: BTreeMap<u64, PendingProposal>,
     pub pending_reads: Vec<PendingRead>,
@@ -75,6 +77,7 @@
             self.advance_commit(now);
             self.answer_reads(now);
         }
+        self.introduction_tick(now);
         self.reconcile(now);
     }
 
--- a/landingdrift/src/consensus/mod.rs
+++ b/landingdrift/src/consensus/mod.rs
@@ -16,6 +16,7 @@
 //! | `membership`, `membership_state` | members, voters and membership changes |
 //! | `lease_assignment`, `node_registry` | live nodes and the leases that they hold |
 //! | `watch`, `watch_snapshots`, `watch_flow`, `client_requests` | requests of nodes to the leader |
+//! | `introductions` | shuffles to nodes that don't follow the leader |
 //! | `job_admission` | the limits on the number and memory of jobs |
 //! | `clock` | the cluster clock |
 //! | `shutdown`, `status`, `inspect` | orderly shutdown; HTTP status and counters; read access for tests |
@@ -26,6 +27,7 @@
 mod disk_health;
 mod election;
 mod inspect;
+mod introductions;
 mod job_admission;
 mod leadership;
 mod lease_assignment;
@@ -162,12 +164,7 @@
             hard_state.founders = settings.founders();
             persistence.write_hard_state(&hard_state);
         }
-        let mut peer_sampler = PeerSampler::new(
-            &settings.listen,
-            REPLICA_ROLE,
-            &settings.zone,
-            &settings.seeds,
-        );
+        let mut peer_sampler = PeerSampler::new(&settings.listen, REPLICA_ROLE, &settings.zone);
         peer_sampler.replicas = state.replicas.keys().cloned().collect();
         peer_sampler.replicas.extend(settings.founders());
         let query = recovery::RecoveryQuery::new(now, settings.bounds.recovery_wait());
@@ -243,8 +240,17 @@
     }
 
     fn peer_sampler_tick(&mut self, now: Now) {
+        if !self.peer_sampler.is_shuffle_due(now) {
+            return;
+        }
+        let members = self.members();
+        if !members.is_empty() {
+            self.peer_sampler
+                .set_replicas(members.into_keys().collect());
+        }
         let interval = self.settings.bounds.shuffle_interval();
-        let exchange = self.peer_sampler.tick(now, interval, &mut self.rng);
+        let seeds = &self.settings.seeds;
+        let exchange = self.peer_sampler.tick(now, interval, seeds, &mut self.rng);
         if let Some((to, shuffle)) = exchange {
             self.send(&to, Body::Shuffle(Box::new(shuffle)));
         }
--- a/landingdrift/src/daemon/mod.rs
+++ b/landingdrift/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod replica_start;
 mod roles;
 mod running_part;
+mod settings_file;
 mod shutdown_timer;
 mod signals;
 mod threads;
@@ -28,6 +29,7 @@
 pub use pending_calls::PendingCalls;
 pub use process::Process;
 pub use running_part::PartHandle;
+pub use settings_file::{LoadSettings, SettingsSource};
 pub use shutdown_timer::{GracePeriod, ShutdownTimer};
 pub use traffic::{
     AdapterResult, ClientLimits, FrameOptions, HttpAdapter, HttpLimits, HttpRequest, HttpResponse,
--- a/landingdrift/src/daemon/open_folder.rs
+++ b/landingdrift/src/daemon/open_folder.rs
@@ -29,9 +29,10 @@
 }
 
 /// Retries opening a data folder after `last_error`, with increasing pauses; `None` if the part is asked to stop
-/// before the folder is open. Retries only transient errors; any other error is returned at once.
+/// before the folder is open. Retries only transient errors; any other error is returned at once. `settings` are updated
+/// if they are reloaded meanwhile.
 pub fn open_with_retries(
-    settings: &Settings,
+    settings: &mut Settings,
     seed: u64,
     mut last_error: StorageError,
     calls: &PendingCalls,
@@ -39,7 +40,7 @@
 ) -> Result<Option<(DataFolder, PersistedState)>, StorageError> {
     for (retries, pause) in Backoff::from_bounds(&settings.bounds).enumerate() {
         log::warn!("failed to open the data folder: {last_error}; retrying in {pause:?}");
-        if !wait(pause, calls, inputs, &last_error, retries as u64) {
+        if !wait(pause, settings, calls, inputs, &last_error, retries as u64) {
             return Ok(None);
         }
         match open(settings, seed) {
@@ -54,9 +55,11 @@
     Ok(None)
 }
 
-/// Answers calls during a pause between retries; returns false if the part is asked to stop.
+/// Answers calls and takes over reloaded settings during a pause between retries; returns false if the part is asked to
+/// stop.
 fn wait(
     pause: Duration,
+    settings: &mut Settings,
     calls: &PendingCalls,
     inputs: &Receiver<Input>,
     error: &StorageError,
@@ -69,6 +72,7 @@
                 calls.answer(call, response(&request, error, retries))
             }
             Ok(Input::Msg(Msg::Stop)) | Err(RecvTimeoutError::Disconnected) => return false,
+            Ok(Input::Msg(Msg::SettingsChanged(new_settings))) => *settings = *new_settings,
             // Other processes repeat their messages, so those that arrive before the replica runs can be dropped.
             Ok(Input::Msg(_)) => {}
             Err(RecvTimeoutError::Timeout) => return true,
--- a/landingdrift/src/daemon/process.rs
+++ b/landingdrift/src/daemon/process.rs
@@ -6,6 +6,7 @@
 use super::pending_calls::PendingCalls;
 use super::replica_start::ReplicaStart;
 use super::running_part::{PartHandle, RunningPart};
+use super::settings_file::SettingsSource;
 use super::signals::CloseSignalsOnDrop;
 use super::traffic::{
     ClientLimits, FrameOptions, HttpAdapter, HttpLimits, ServingState, Traffic, Transport,
@@ -14,9 +15,9 @@
 use crate::sans_io::{fnv1a, Msg, Now, StateMachine};
 use crate::settings::{Bounds, Settings};
 use signal_hook::consts::SIGHUP;
-use signal_hook::iterator::Signals;
+use signal_hook::iterator::Handle;
 use std::net::SocketAddr;
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -24,12 +25,16 @@
 /// ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The interval at which a process checks whether its settings file has changed.
+const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A process that runs one or more parts. Each part has its own control thread and address; all share the traffic
 /// thread.
 pub struct Process {
     clock: Clock,
     traffic: Traffic,
-    signals: Signals,
+    signals: Receiver<i32>,
+    signals_handle: Handle,
     logger: Option<flexi_logger::LoggerHandle>,
     parts: Vec<RunningPart>,
 }
@@ -44,11 +49,15 @@
 impl Process {
     /// Starts logging and traffic, and registers for signals. The limits hold for all HTTP addresses together.
     pub fn start(level: &str, limits: ClientLimits) -> Result<Self, ProcessError> {
+        let logger = logs::start(level);
+        let traffic = Traffic::start(limits)?;
+        let (signals, signals_handle) = signals::receive()?;
         Ok(Self {
             clock: Clock::start(),
-            logger: logs::start(level),
-            traffic: Traffic::start(limits)?,
-            signals: signals::register()?,
+            logger,
+            traffic,
+            signals,
+            signals_handle,
             parts: Vec::new(),
         })
     }
@@ -145,7 +154,7 @@
         calls: PendingCalls,
         run: impl FnOnce() + Send + 'static,
     ) -> Result<PartHandle, ProcessError> {
-        let close_signals = CloseSignalsOnDrop(self.signals.handle());
+        let close_signals = CloseSignalsOnDrop(self.signals_handle.clone());
         let thread = threads::spawn("control", threads::CONTROL_STACK_BYTES, move || {
             let _close_signals = close_signals;
             run();
@@ -174,13 +183,10 @@
         Ok(())
     }
 
-    /// Runs until the process is asked to stop or a part ends unexpectedly, then shuts down gracefully. `reload` returns
-    /// the parts' settings in the order in which the parts were started; it is called on SIGHUP.
-    pub fn run(
-        mut self,
-        reload: &dyn Fn() -> Result<Vec<Settings>, String>,
-    ) -> Result<(), ProcessError> {
-        let asked_to_stop = self.wait_for_stop(reload);
+    /// Runs until the process is asked to stop or a part ends unexpectedly, then shuts down gracefully. The settings are
+    /// loaded again on SIGHUP and after each change of the settings file.
+    pub fn run(mut self, source: SettingsSource) -> Result<(), ProcessError> {
+        let asked_to_stop = self.wait_for_stop(source);
         let reason = if asked_to_stop {
             "asked to stop"
         } else {
@@ -198,25 +204,32 @@
         Ok(())
     }
 
-    /// Waits for a signal to stop, and reloads the settings on each SIGHUP; returns false if a part ends first.
-    fn wait_for_stop(&mut self, reload: &dyn Fn() -> Result<Vec<Settings>, String>) -> bool {
-        let logger = self.logger.as_ref();
-        for signal in self.signals.forever() {
-            if signal != SIGHUP {
-                return true;
+    /// Waits for a signal to stop, and reloads the settings on each SIGHUP or change of their file; returns false if a part
+    /// ends first.
+    fn wait_for_stop(&mut self, mut source: SettingsSource) -> bool {
+        loop {
+            match self.signals.recv_timeout(SETTINGS_POLL_INTERVAL) {
+                Ok(SIGHUP) => self.reload(&mut source),
+                Ok(_) => return true,
+                Err(RecvTimeoutError::Timeout) if source.has_changed() => self.reload(&mut source),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return false,
             }
-            match reload() {
-                Ok(new_settings) => {
-                    for (part, settings) in self.parts.iter_mut().zip(&new_settings) {
-                        part.update_settings(settings, logger);
-                    }
+        }
+    }
+
+    fn reload(&mut self, source: &mut SettingsSource) {
+        let logger = self.logger.as_ref();
+        match source.load() {
+            Ok(new_settings) => {
+                for (part, settings) in self.parts.iter_mut().zip(&new_settings) {
+                    part.update_settings(settings, logger);
                 }
-                Err(error) => log::error!(
-                    "failed to reload the settings: {error}; the previous ones stay in force"
-                ),
             }
+            Err(error) => log::error!(
+                "failed to reload the settings: {error}; the previous ones stay in force"
+            ),
         }
-        false
     }
 
     /// Asks all parts to stop and keeps serving for a while, so that callers notice that the process is not ready any
--- a/landingdrift/src/daemon/replica_start.rs
+++ b/landingdrift/src/daemon/replica_start.rs
@@ -36,12 +36,12 @@
 
     /// Builds the control thread once the folder is open; `None` if the replica is asked to stop before that.
     fn build_control_thread_with_retries(
-        self,
+        mut self,
         error: StorageError,
         input_receiver: &Receiver<Input>,
     ) -> Result<Option<ControlThread>, ProcessError> {
         let opened = open_folder::open_with_retries(
-            &self.settings,
+            &mut self.settings,
             self.seed,
             error,
             &self.calls,
--- a/landingdrift/src/daemon/roles.rs
+++ b/landingdrift/src/daemon/roles.rs
@@ -3,10 +3,11 @@
 use super::body_limits::{has_large_response, BodyLimits};
 use super::error::ProcessError;
 use super::process::Process;
+use super::settings_file::SettingsSource;
 use super::traffic::{ClientLimits, HttpAdapter, HttpLimits};
 use crate::node::Node;
 use crate::sans_io::roles::Role;
-use crate::settings::{from_arguments, Settings, FLAGS};
+use crate::settings::{from_arguments, ParsedArguments, Settings, FLAGS};
 use crate::worker_proxy::WorkerProxy;
 use std::ffi::OsString;
 use std::time::Duration;
@@ -62,7 +63,7 @@
         crate::outln!("settings are valid");
         return 0;
     }
-    start(role, parsed.settings, arguments).unwrap_or_else(|error| {
+    start(role, parsed, arguments).unwrap_or_else(|error| {
         eprintln!("landingdrift {role}: {error}");
         1
     })
@@ -70,9 +71,10 @@
 
 fn start(
     role: &'static str,
-    settings: Settings,
+    parsed: ParsedArguments,
     arguments: Vec<OsString>,
 ) -> Result<i32, ProcessError> {
+    let ParsedArguments { settings, file, .. } = parsed;
     let is_replica = role == REPLICA;
     let mut process = Process::start(&settings.log, ClientLimits::from_settings(&settings.limits))?;
     let (seed, now) = (process.seed(&settings.listen), process.now());
@@ -107,7 +109,8 @@
             .map(|parsed| vec![parsed.settings])
             .map_err(|error| error.to_string())
     };
-    process.run(&reload).map(|()| 0)
+    let source = SettingsSource::new(file, &reload);
+    process.run(source).map(|()| 0)
 }
 
 /// The limit of concurrent HTTP calls, as a multiple of the limit that the part itself enforces. The margin is for
--- a/landingdrift/src/node/calls/heartbeats.rs
+++ b/landingdrift/src/node/calls/heartbeats.rs
@@ -42,7 +42,11 @@
         };
         let holder = lease.holder.clone();
         if holder == self.name || holder.is_empty() {
+            let (zone, worker) = (heartbeat.info.zone.clone(), heartbeat.info.worker.clone());
             let response = self.heartbeat(now, heartbeat);
+            if let Origin::Remote(proxy, _) = &origin {
+                self.record_proxy(&zone, &worker, proxy);
+            }
             return self.reply(&origin, response);
         }
         self.forward_to_holder(now, origin, holder, &request);
--- a/landingdrift/src/node/gossip.rs
+++ b/landingdrift/src/node/gossip.rs
@@ -8,7 +8,10 @@
     /// Starts a shuffle when one is due.
     pub(super) fn peer_sampler_tick(&mut self, now: Now) {
         let interval_ms = self.settings.bounds.shuffle_interval();
-        let started = self.peer_sampler.tick(now, interval_ms, &mut self.rng);
+        let seeds = &self.settings.seeds;
+        let started = self
+            .peer_sampler
+            .tick(now, interval_ms, seeds, &mut self.rng);
         if let Some((peer, shuffle)) = started {
             self.send(&peer, Body::Shuffle(Box::new(shuffle)));
         }
--- a/landingdrift/src/node/mod.rs
+++ b/landingdrift/src/node/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) incarnation: u64,
     next_token: u64,
     last_tick: u64,
+    /// The time of the next introductions to worker proxies.
+    next_introductions_at: u64,
     /// Deadline for the exit of a stopping node, in monotonic milliseconds; none while it is not stopping.
     stopping: Option<u64>,
     /// Messages that this node has sent to itself.
@@ -68,7 +70,7 @@
             state: ClusterState::new(&settings.cluster),
             light: false,
             watch: watch::Watch::new(now),
-            peer_sampler: PeerSampler::new(&name, "node", &settings.zone, &settings.seeds),
+            peer_sampler: PeerSampler::new(&name, "node", &settings.zone),
             zone_schedulers: BTreeMap::new(),
             scheduler: scheduler::Scheduler::default(),
             calls: calls::Calls::default(),
@@ -78,6 +80,7 @@
             // The upper 16 bits are left free, so that incrementing the token does not overflow.
             next_token: first_token >> 16,
             last_tick: now.mono,
+            next_introductions_at: 0,
             stopping: None,
             loopback: VecDeque::new(),
             counters: BTreeMap::new(),
--- a/landingdrift/src/node/zone_scheduler/lease_expiry.rs
+++ b/landingdrift/src/node/zone_scheduler/lease_expiry.rs
@@ -26,6 +26,7 @@
 impl Node {
     /// Detects lost workers and expired leases, proposes the consequences, and offers free slots.
     pub(in crate::node) fn zone_schedulers_tick(&mut self, now: Now) {
+        self.introductions_tick(now);
         if !self.is_fresh_for_zones(now) {
             // A stale copy of the cluster state is no basis for decisions; heartbeats missed meanwhile don't count.
             let lost_after = self.settings.bounds.worker_timeout();
--- a/landingdrift/src/node/zone_scheduler/mod.rs
+++ b/landingdrift/src/node/zone_scheduler/mod.rs
@@ -2,6 +2,7 @@
 //! of the Hopper scheduling algorithm.
 //!
 //! - `heartbeats` processes the reports of workers,
+//! - `introductions` makes this node known to the worker proxies of silent workers,
 //! - `orders` derives the start and stop orders in the responses,
 //! - `end_reports` proposes the ends of runs to the log,
 //! - `late_ends` counts and logs reported ends that contradict the cluster state or have no attempt,
@@ -14,6 +15,7 @@
 mod departure;
 mod end_reports;
 mod heartbeats;
+mod introductions;
 mod late_ends;
 mod lease_expiry;
 mod offer_round;
@@ -61,6 +63,8 @@
 #[derive(Default)]
 pub struct WorkerState {
     pub last_heartbeat: u64,
+    /// The process that forwarded the last heartbeat, usually the worker's proxy; none if the worker sent it itself.
+    proxy: Option<String>,
     leaving: bool,
     resources: Resources,
     reservations: Vec<Reservation>,
--- a/landingdrift/src/peer_sampler/mod.rs
+++ b/landingdrift/src/peer_sampler/mod.rs
@@ -9,8 +9,9 @@
 pub const VIEW_SIZE: usize = 8;
 /// Peers whose age in shuffles is at least this are not added to a view, since they have probably stopped.
 const MAX_AGE_SHUFFLES: u32 = 100;
-/// One in this many shuffles goes to a seed, so that parts of a cluster that no longer know each other reconnect.
-const SEED_SHUFFLE_ODDS: u64 = 8;
+/// One in this many shuffles goes to a seed or a replica, so that parts of a cluster that no longer know each other
+/// reconnect.
+const CONTACT_SHUFFLE_ODDS: u64 = 8;
 /// Intervals are extended at random by up to the interval divided by this, so that processes do not shuffle in step.
 const JITTER_DIVISOR: u64 = 4;
 /// The role of replicas, as written on the wire.
@@ -31,7 +32,6 @@
     own_address: String,
     role: String,
     zone: String,
-    seeds: Vec<String>,
     view: BTreeMap<String, Peer>,
     /// The replicas known from the log, from the watch or from peers.
     pub replicas: BTreeSet<String>,
@@ -39,13 +39,12 @@
 }
 
 impl PeerSampler {
-    /// Creates an empty view, which is first filled from the seeds.
-    pub fn new(own_address: &str, role: &str, zone: &str, seeds: &[String]) -> Self {
+    /// Creates an empty view, which is first filled from the seeds and the known replicas.
+    pub fn new(own_address: &str, role: &str, zone: &str) -> Self {
         Self {
             own_address: own_address.into(),
             role: role.into(),
             zone: zone.into(),
-            seeds: seeds.to_vec(),
             ..Self::default()
         }
     }
@@ -131,10 +130,21 @@
         }
     }
 
-    /// If a shuffle is due, returns it and the peer to send it to. All peers age by one, and that peer leaves the view
-    /// until it replies.
-    pub fn tick(&mut self, now: Now, interval_ms: u64, rng: &mut Rng) -> Option<(String, Shuffle)> {
-        if now.mono < self.next_shuffle {
+    /// Whether a shuffle is due.
+    pub fn is_shuffle_due(&self, now: Now) -> bool {
+        now.mono >= self.next_shuffle
+    }
+
+    /// If a shuffle is due, returns it and the process to send it to. All peers age by one, and that process leaves the
+    /// view until it replies. `seeds` are those of the current settings.
+    pub fn tick(
+        &mut self,
+        now: Now,
+        interval_ms: u64,
+        seeds: &[String],
+        rng: &mut Rng,
+    ) -> Option<(String, Shuffle)> {
+        if !self.is_shuffle_due(now) {
             return None;
         }
         let jitter = rng.below(interval_ms / JITTER_DIVISOR + 1);
@@ -142,43 +152,45 @@
         for peer in self.view.values_mut() {
             peer.age += 1;
         }
-        let to = self.shuffle_target(rng)?;
-        let view = self.sample(rng);
+        let to = self.shuffle_target(seeds, rng)?;
+        let shuffle = self.introduction(rng);
         // The reply of a live peer adds it to the view again.
         self.view.remove(&to);
-        let shuffle = Shuffle {
+        Some((to, shuffle))
+    }
+
+    /// A shuffle by which another process learns of this one, of its peers and of the replicas.
+    pub fn introduction(&self, rng: &mut Rng) -> Shuffle {
+        Shuffle {
             reply: false,
-            view,
+            view: self.sample(rng),
             replicas: self.replicas.iter().cloned().collect(),
-        };
-        Some((to, shuffle))
+        }
     }
 
-    /// The oldest peer; a seed in one of [`SEED_SHUFFLE_ODDS`] cases, or if the view is empty.
-    fn shuffle_target(&self, rng: &mut Rng) -> Option<String> {
+    /// The oldest peer; a seed or a known replica in one of [`CONTACT_SHUFFLE_ODDS`] cases, or if the view is empty.
+    fn shuffle_target(&self, seeds: &[String], rng: &mut Rng) -> Option<String> {
         let oldest = self.view.iter().max_by_key(|(_, peer)| peer.age);
         if let Some((address, _)) = oldest {
-            let to_seed = rng.below(SEED_SHUFFLE_ODDS) == 0;
-            if !to_seed {
+            let to_contact = rng.below(CONTACT_SHUFFLE_ODDS) == 0;
+            if !to_contact {
                 return Some(address.clone());
             }
         }
-        let mut seeds = self.seeds.clone();
-        seeds.retain(|seed| *seed != self.own_address);
-        rng.pick(&seeds).cloned()
+        let contacts: BTreeSet<&String> = seeds.iter().chain(&self.replicas).collect();
+        let others = contacts
+            .into_iter()
+            .filter(|address| **address != self.own_address);
+        let others: Vec<&String> = others.collect();
+        rng.pick(&others).map(|address| (*address).clone())
     }
 
     /// Adds the peers and replicas of a received shuffle; returns a reply unless the shuffle is itself a reply.
     pub fn receive(&mut self, shuffle: Shuffle, rng: &mut Rng) -> Option<Shuffle> {
-        let reply = if shuffle.reply {
-            None
-        } else {
-            Some(Shuffle {
-                reply: true,
-                view: self.sample(rng),
-                replicas: self.replicas.iter().cloned().collect(),
-            })
-        };
+        let reply = (!shuffle.reply).then(|| Shuffle {
+            reply: true,
+            ..self.introduction(rng)
+        });
         for peer in &shuffle.view {
             if peer.role == REPLICA_ROLE {
                 self.replicas.insert(peer.addr.clone());
--- a/landingdrift/src/settings/mod.rs
+++ b/landingdrift/src/settings/mod.rs
@@ -6,7 +6,7 @@
 mod read;
 
 pub use bounds::Bounds;
-pub use read::{from_arguments, SettingsError, FLAGS};
+pub use read::{from_arguments, ParsedArguments, SettingsError, FLAGS};
 
 use serde::{Deserialize, Serialize};
 
@@ -175,15 +175,18 @@
     }
 
     /// Returns these settings with the reloadable ones taken from `new`, and the names of the other settings that
-    /// differ in `new` and need a restart.
+    /// differ in `new` and need a restart. The founders stay those of the start, even if they were given as seeds: other
+    /// seeds must not lead to a second cluster.
     pub fn with_reloadable_from(&self, new: &Settings) -> (Settings, Vec<&'static str>) {
         let not_reloadable = [
             ("cluster", self.cluster != new.cluster),
             ("listen", self.listen != new.listen),
             ("http", self.http != new.http),
             ("zone", self.zone != new.zone),
-            ("seeds", self.seeds != new.seeds),
-            ("founders", self.founders != new.founders),
+            (
+                "founders",
+                !new.founders.is_empty() && !new.join_only && self.founders() != new.founders,
+            ),
             ("join_only", self.join_only != new.join_only),
             ("voters", self.voters != new.voters),
             ("standby_only", self.standby_only != new.standby_only),
@@ -200,6 +203,12 @@
             ),
         ];
         let updated = Settings {
+            seeds: new.seeds.clone(),
+            founders: if self.seeds == new.seeds {
+                self.founders.clone()
+            } else {
+                self.founders()
+            },
             log: new.log.clone(),
             bounds: new.bounds.clone(),
             limits: Limits {
--- a/landingdrift/src/settings/read.rs
+++ b/landingdrift/src/settings/read.rs
@@ -4,6 +4,7 @@
 use super::Settings;
 use std::ffi::OsString;
 use std::fmt;
+use std::path::PathBuf;
 
 /// Flags that override the settings file, each with its help text.
 pub const FLAGS: &[(&str, &str)] = &[
@@ -73,6 +74,8 @@
 pub struct ParsedArguments {
     /// The settings from the file, overridden by the flags.
     pub settings: Settings,
+    /// Path of the settings file; none if all settings come from flags.
+    pub file: Option<PathBuf>,
     /// Whether to validate the settings and then exit (`--check`).
     pub check_only: bool,
     /// Whether to print the help text and then exit. The settings are not validated in this case.
@@ -113,6 +116,7 @@
     }
     Ok(ParsedArguments {
         settings,
+        file: file.map(|flag| PathBuf::from(&flag.value)),
         check_only: flags.check_only,
         help: flags.help,
     })
--- a/landingdrift/src/worker_proxy/mod.rs
+++ b/landingdrift/src/worker_proxy/mod.rs
@@ -42,16 +42,12 @@
 }
 
 impl WorkerProxy {
-    /// Creates a worker proxy that knows only the seeds.
+    /// Creates a worker proxy that knows only the seeds. It learns of nodes by shuffles, its own or those of a zone
+    /// scheduler that misses the worker's heartbeats.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mut rng = Rng::new(seed);
         Self {
-            peer_sampler: PeerSampler::new(
-                &settings.listen,
-                "relay",
-                &settings.zone,
-                &settings.seeds,
-            ),
+            peer_sampler: PeerSampler::new(&settings.listen, "relay", &settings.zone),
             // The upper 16 bits are left free, so that incrementing the token does not overflow.
             next_token: rng.next_u64() >> 16,
             incarnation: rng.next_u64(),
@@ -70,7 +66,7 @@
     }
 
     /// The node to forward a call to: the lease holder, else another known node, else a seed, each only if the call was
-    /// not sent to it yet; otherwise any seed.
+    /// not sent to it yet; otherwise any of them.
     fn pick_node(&mut self, attempts: &[CallAttempt]) -> String {
         let is_untried = |node: &&String| {
             let mut tried = attempts.iter();
@@ -90,13 +86,14 @@
                 .cloned()
                 .collect();
         }
-        // If all were tried, try a seed again.
-        let picked = self.rng.pick(&candidates);
-        let picked = picked.or_else(|| self.rng.pick(&self.settings.seeds));
-        picked.cloned().unwrap_or_default()
+        if candidates.is_empty() {
+            // All were tried.
+            candidates = [nodes, self.settings.seeds.clone()].concat();
+        }
+        self.rng.pick(&candidates).cloned().unwrap_or_default()
     }
 
-    /// Forwards a call to a node that it was not sent to yet, if there is one, else to a seed again.
+    /// Forwards a call to a node that it was not sent to yet, if there is one, else to one again.
     fn forward(&mut self, now: Now, token: u64) {
         let Some(mut open_call) = self.open.remove(&token) else {
             return;
@@ -135,7 +132,10 @@
         // The view is cleared: the proxy learns of peers but advertises none, and no process connects to worker
         // machines.
         let interval_ms = SHUFFLE_FACTOR * self.settings.bounds.shuffle_interval();
-        let started = self.peer_sampler.tick(now, interval_ms, &mut self.rng);
+        let seeds = &self.settings.seeds;
+        let started = self
+            .peer_sampler
+            .tick(now, interval_ms, seeds, &mut self.rng);
         if let Some((peer, mut shuffle)) = started {
             shuffle.view.clear();
             shuffle.replicas.clear();
--- a/landingdrift/tests/opening_data_folder.rs
+++ b/landingdrift/tests/opening_data_folder.rs
@@ -1,7 +1,7 @@
 //! A replica whose data folder can't be opened. Guards against a process that exits instead of serving and retrying
 //! while the error is transient, and against retries on a folder that is not a landingdrift data folder.
 
-use landingdrift::daemon::{ClientLimits, HttpAdapter, HttpLimits, Process};
+use landingdrift::daemon::{ClientLimits, HttpAdapter, HttpLimits, Process, SettingsSource};
 use landingdrift::settings::Settings;
 use serde_json::Value;
 use signal_hook::consts::SIGTERM;
@@ -61,7 +61,7 @@
     process
         .serve_http(address, limits, HttpAdapter::default(), &replica)
         .expect("failed to serve HTTP");
-    let running = spawn(move || process.run(&|| Ok(Vec::new())));
+    let running = spawn(move || process.run(SettingsSource::new(None, &|| Ok(Vec::new()))));
     sleep(Duration::from_millis(500));
     assert_eq!(role(address), "Opening");
     assert_eq!(
--- a/landingdrift/tests/orderly_shutdown.rs
+++ b/landingdrift/tests/orderly_shutdown.rs
@@ -3,6 +3,7 @@
 
 use landingdrift::daemon::{
     AdapterResult, ClientLimits, HttpAdapter, HttpLimits, HttpRequest, HttpResponse, Process,
+    SettingsSource,
 };
 use landingdrift::sans_io::{Effect, Msg, Now, Request, Response, StateMachine};
 use landingdrift::settings::{Bounds, Settings};
@@ -203,7 +204,11 @@
     process
         .serve_http(address, limits, counting_adapter(&counts), &serving)
         .expect("failed to serve HTTP");
-    let running = spawn(move || process.run(&|| Ok(vec![settings(), settings()])));
+    let running = spawn(move || {
+        process.run(SettingsSource::new(None, &|| {
+            Ok(vec![settings(), settings()])
+        }))
+    });
     let callers: Vec<_> = (0..2 * CALLERS)
         .map(|n| caller(address, n < CALLERS, counts.clone()))
         .collect();
