--- a/landingdrift/src/consensus/append.rs
+++ b/landingdrift/src/consensus/append.rs
@@ -1,7 +1,7 @@
 //! The follower's side of replication: appending the leader's entries and acknowledging the durable ones.
 
-use super::clock::ClockReading;
 use super::Replica;
+use crate::cluster_time::{returned_stamp, StatedTime};
 use crate::sans_io::Now;
 use crate::wire::{AppendRequest, AppendResponse, Body, Entry};
 
@@ -23,7 +23,11 @@
         self.become_follower(now, request.term, from);
         self.election.last_leader_contact = now.mono;
         self.reset_election_timer(now);
-        self.clock.follow_leader(now, request.clock);
+        let stated = StatedTime {
+            time: request.clock,
+            not_before: returned_stamp(self.incarnation, request.echo),
+        };
+        self.clock.follow_leader(now, stated);
         self.shutdown.leave_permitted = request.may_leave;
         self.remember_witnesses(request.witnesses);
 
@@ -54,7 +58,7 @@
             ok: previous_matches,
             matched,
             round: request.round,
-            ..self.append_response(self.clock.reading(now))
+            ..self.append_response_at(now)
         };
         self.send_when_term_durable(from, Body::AppendResponse(Box::new(response)));
     }
@@ -91,7 +95,7 @@
         let response = AppendResponse {
             ok: false,
             refuses: false,
-            ..self.append_response(self.clock.reading(now))
+            ..self.append_response_at(now)
         };
         self.send(from, Body::AppendResponse(Box::new(response)));
     }
@@ -104,32 +108,40 @@
         if pending.leader != self.leader || pending.leader.is_empty() {
             return;
         }
-        let no_reading = ClockReading {
-            time: 0,
-            is_agreed: false,
-        };
         let response = AppendResponse {
             ok: true,
             matched: self.persistence.durable_index.min(self.log.verified_index),
             round: pending.round,
-            ..self.append_response(no_reading)
+            ..self.append_response()
         };
         self.send_when_term_durable(&pending.leader, Body::AppendResponse(Box::new(response)));
     }
 
+    /// Like [`Self::append_response`], with a clock reading and a stamp.
+    fn append_response_at(&self, now: Now) -> AppendResponse {
+        let reading = self.clock.reading(now);
+        AppendResponse {
+            clock: reading.time,
+            carried: reading.is_agreed,
+            stamp: Some(self.stamp(now)),
+            ..self.append_response()
+        }
+    }
+
     /// An append response with the fields that do not depend on the request; the caller sets the others.
-    fn append_response(&self, reading: ClockReading) -> AppendResponse {
+    fn append_response(&self) -> AppendResponse {
         AppendResponse {
             term: self.hard_state.term,
             ok: false,
             matched: 0,
             last_index: self.log.last().index,
             round: 0,
-            clock: reading.time,
-            carried: reading.is_agreed,
+            clock: 0,
+            carried: false,
             disk: self.disk,
             leaving: self.shutdown.is_requested(),
             refuses: !self.disk_health.accepts_writes(),
+            stamp: None,
         }
     }
 }
--- a/landingdrift/src/consensus/clock.rs
+++ b/landingdrift/src/consensus/clock.rs
@@ -1,5 +1,6 @@
 //! The cluster clock: a time on which the replicas agree.
 
+use crate::cluster_time::{StatedTime, TimeEstimate};
 use crate::sans_io::Now;
 use std::collections::BTreeMap;
 
@@ -19,26 +20,26 @@
     pub is_agreed: bool,
 }
 
-/// A cluster time and the monotonic time at which it was valid.
+/// A clock reading of another process. Times are in monotonic milliseconds.
 #[derive(Clone, Copy, Debug)]
-struct TimeBase {
-    mono: u64,
-    time: u64,
+struct ReceivedReading {
+    reading: ClockReading,
+    received_at: u64,
+    /// The largest possible age of the reading at its receipt; none if unknown.
+    max_age_at_receipt: Option<u64>,
 }
 
-impl TimeBase {
-    fn extrapolate(&self, now: Now) -> u64 {
-        self.time + now.mono.saturating_sub(self.mono)
+impl ReceivedReading {
+    /// The reading, extrapolated to the current time.
+    fn extrapolated(&self, now: Now) -> ClockReading {
+        let since_receipt = now.mono.saturating_sub(self.received_at);
+        ClockReading {
+            time: self.reading.time + since_receipt,
+            ..self.reading
+        }
     }
 }
 
-/// A clock reading of another process, and the monotonic time at which it was received.
-#[derive(Clone, Copy, Debug)]
-struct ReceivedReading {
-    received_at: u64,
-    reading: ClockReading,
-}
-
 /// A clock on which the replicas agree. Its time is set once, is then extrapolated by monotonic clocks and never goes
 /// back.
 ///
@@ -46,7 +47,7 @@
 /// A wall clock that jumps while its process runs has no effect.
 #[derive(Clone, Debug, Default)]
 pub struct ClusterClock {
-    base: Option<TimeBase>,
+    agreed: Option<TimeEstimate>,
     /// The latest readings of other processes, by address.
     readings: BTreeMap<String, ReceivedReading>,
     /// The start of this replica's leadership, in monotonic milliseconds.
@@ -56,64 +57,91 @@
 }
 
 impl ClusterClock {
-    /// Prepares the clock for leadership. An agreed time is kept; the clock will not read earlier than
-    /// `last_entry_time`, the time of the last log entry.
+    /// Prepares the clock for leadership. An agreed time is kept, unless it is earlier than `last_entry_time`, the time
+    /// of the last log entry.
     pub fn start_leading(&mut self, now: Now, last_entry_time: u64) {
         self.readings.clear();
         self.leading_since = now.mono;
         self.last_read = self.last_read.max(last_entry_time);
+        if let Some(agreed) = &mut self.agreed {
+            let entry_time = StatedTime {
+                time: last_entry_time,
+                not_before: None,
+            };
+            agreed.correct(now, entry_time);
+        }
     }
 
-    /// Adopts the leader's time; 0 means that the leader has no agreed time.
-    pub fn follow_leader(&mut self, now: Now, time: u64) {
-        if time > 0 {
-            let mono = now.mono;
-            self.base = Some(TimeBase { mono, time });
+    /// Follows the leader's time as stated in a message; a time of 0 means that the leader has no agreed time.
+    pub fn follow_leader(&mut self, now: Now, stated: StatedTime) {
+        if stated.time > 0 {
+            TimeEstimate::correct_or_begin(&mut self.agreed, now, stated);
         }
     }
 
-    /// Records the clock reading of another process.
-    pub fn observe(&mut self, now: Now, process: &str, reading: ClockReading) {
+    /// Records the clock reading of another process, which was taken after the local monotonic time `not_before`; none
+    /// if unknown. A reading of unknown age does not replace one of known age.
+    pub fn observe(
+        &mut self,
+        now: Now,
+        process: &str,
+        reading: ClockReading,
+        not_before: Option<u64>,
+    ) {
+        let known = self.readings.get(process);
+        let has_known_age = known.is_some_and(|known| known.max_age_at_receipt.is_some());
+        if not_before.is_none() && has_known_age {
+            return;
+        }
         let received = ReceivedReading {
-            received_at: now.mono,
             reading,
+            received_at: now.mono,
+            max_age_at_receipt: not_before.map(|time| now.mono.saturating_sub(time)),
         };
         self.readings.insert(process.into(), received);
     }
 
+    /// By how many milliseconds the agreed time is ahead of this machine's wall clock; negative if it is behind, none if
+    /// there is no agreed time.
+    pub fn ahead_of_wall_ms(&self, now: Now) -> Option<i64> {
+        let agreed = self.agreed?.at(now);
+        Some(agreed as i64 - now.wall as i64)
+    }
+
     /// Whether there is an agreed time.
     pub fn is_set(&self) -> bool {
-        self.base.is_some()
+        self.agreed.is_some()
     }
 
     /// The clock reading of this process: the agreed time, or its wall clock if there is none.
     pub fn reading(&self, now: Now) -> ClockReading {
         ClockReading {
-            time: self.base.map_or(now.wall, |base| base.extrapolate(now)),
-            is_agreed: self.base.is_some(),
+            time: self.agreed.map_or(now.wall, |agreed| agreed.at(now)),
+            is_agreed: self.is_set(),
         }
     }
 
     /// Sets the agreed time if there is none: to the lower median of the agreed times of other processes or, if no
     /// process has one, of the wall clocks. The latter requires `MIN_READINGS` readings or, after `wait_ms`,
-    /// `MIN_READINGS_AFTER_WAIT`.
-    pub fn agree_if_possible(&mut self, now: Now, wait_ms: u64) {
-        if self.base.is_some() {
+    /// `MIN_READINGS_AFTER_WAIT`. Until then, only readings that were at most `max_age_ms` old at their receipt count.
+    pub fn agree_if_possible(&mut self, now: Now, wait_ms: u64, max_age_ms: u64) {
+        if self.is_set() {
             return;
         }
+        let waited = now.mono.saturating_sub(self.leading_since) >= wait_ms;
         let own = ClockReading {
             time: now.wall,
             is_agreed: false,
         };
         let mut readings = vec![own];
         for received in self.readings.values() {
-            let age = now.mono.saturating_sub(received.received_at);
-            readings.push(ClockReading {
-                time: received.reading.time + age,
-                ..received.reading
-            });
+            let is_recent = received
+                .max_age_at_receipt
+                .is_some_and(|age| age <= max_age_ms);
+            if is_recent || waited {
+                readings.push(received.extrapolated(now));
+            }
         }
-        let waited = now.mono.saturating_sub(self.leading_since) >= wait_ms;
         let some_agreed = readings.iter().any(|reading| reading.is_agreed);
         let enough = some_agreed
             || readings.len() >= MIN_READINGS
@@ -125,16 +153,22 @@
         let mut times: Vec<u64> = considered.map(|reading| reading.time).collect();
         times.sort_unstable();
         let lower_median = times[(times.len() - 1) / 2];
-        self.base = Some(TimeBase {
-            mono: now.mono,
-            time: lower_median.max(self.last_read),
-        });
+        self.agreed = Some(TimeEstimate::new(now, lower_median.max(self.last_read)));
+    }
+
+    /// The time to state in messages: the agreed time, or 0 if there is none.
+    pub fn stated_time(&mut self, now: Now) -> u64 {
+        if self.is_set() {
+            self.read(now)
+        } else {
+            0
+        }
     }
 
     /// The agreed time in milliseconds since 1970; never earlier than the last time returned.
     pub fn read(&mut self, now: Now) -> u64 {
-        if let Some(base) = self.base {
-            self.last_read = self.last_read.max(base.extrapolate(now));
+        if let Some(agreed) = self.agreed {
+            self.last_read = self.last_read.max(agreed.at(now));
         }
         self.last_read
     }
--- a/landingdrift/src/consensus/leadership.rs
+++ b/landingdrift/src/consensus/leadership.rs
@@ -9,6 +9,8 @@
 
 /// A leader without a response from a majority for this many election timeouts steps down.
 const STEP_DOWN_ELECTION_TIMEOUTS: u64 = 2;
+/// The divisor of the election timeout that yields the largest age of a clock reading that counts at once.
+const CLOCK_READING_AGE_DIVISOR: u64 = 2;
 /// The number of election timeouts for which a leader waits for more clock readings.
 const CLOCK_WAIT_ELECTION_TIMEOUTS: u64 = 2;
 
@@ -63,8 +65,11 @@
             return;
         }
         self.track_members(now);
-        self.clock
-            .agree_if_possible(now, CLOCK_WAIT_ELECTION_TIMEOUTS * election_timeout);
+        self.clock.agree_if_possible(
+            now,
+            CLOCK_WAIT_ELECTION_TIMEOUTS * election_timeout,
+            election_timeout / CLOCK_READING_AGE_DIVISOR,
+        );
         let next_heartbeat_at =
             self.leadership.rounds.last_heartbeat_at + self.settings.bounds.heartbeat_interval();
         let is_due = now.mono >= next_heartbeat_at;
--- a/landingdrift/src/consensus/mod.rs
+++ b/landingdrift/src/consensus/mod.rs
@@ -53,7 +53,7 @@
 use crate::sans_io::{Effect, HardState, Msg, Now, Outbox, Rng, Snapshot, StateMachine};
 use crate::settings::Settings;
 use crate::state::ClusterState;
-use crate::wire::{Body, DurabilityWitness, Entry};
+use crate::wire::{Body, DurabilityWitness, Entry, MessageStamp};
 use position::LogPosition;
 use std::collections::BTreeMap;
 
@@ -113,6 +113,8 @@
     name: String,
     /// The identity of its disk. A member is identified by its name together with its disk.
     disk: u64,
+    /// Random number of this process; stamps of an earlier process at this address are ignored.
+    incarnation: u64,
     rng: Rng,
     hard_state: HardState,
     role: Role,
@@ -134,6 +136,8 @@
     job_admission: job_admission::JobAdmission,
     pending_acknowledgement: Option<append::PendingAcknowledgement>,
     clock: ClusterClock,
+    /// By how much the cluster clock was ahead of this machine's wall clock at the last tick, in milliseconds.
+    clock_ahead_of_wall_ms: Option<i64>,
     peer_sampler: PeerSampler,
     /// The time of the last tick, in monotonic milliseconds.
     last_tick: u64,
@@ -167,12 +171,14 @@
         let mut peer_sampler = PeerSampler::new(&settings.listen, REPLICA_ROLE, &settings.zone);
         peer_sampler.replicas = state.replicas.keys().cloned().collect();
         peer_sampler.replicas.extend(settings.founders());
+        let mut rng = Rng::new(seed);
         let query = recovery::RecoveryQuery::new(now, settings.bounds.recovery_wait());
         let by_identity = |w: DurabilityWitness| ((w.replica.clone(), w.disk), w);
         Ok(Self {
             name: settings.listen.clone(),
             disk: loaded.disk,
-            rng: Rng::new(seed),
+            incarnation: rng.next_u64(),
+            rng,
             membership: membership_state::MembershipState::new(hard_state.founders.is_empty()),
             hard_state,
             role: Role::Follower,
@@ -190,6 +196,7 @@
             job_admission: job_admission::JobAdmission::default(),
             pending_acknowledgement: None,
             clock: ClusterClock::default(),
+            clock_ahead_of_wall_ms: None,
             peer_sampler,
             last_tick: now.mono,
             shutdown: shutdown::Shutdown::default(),
@@ -202,6 +209,14 @@
         self.outbox.count(name, n);
     }
 
+    /// The stamp of a message sent now.
+    fn stamp(&self, now: Now) -> MessageStamp {
+        MessageStamp {
+            incarnation: self.incarnation,
+            sent: now.mono,
+        }
+    }
+
     fn send(&mut self, to: &str, body: Body) {
         self.outbox.send(to, body);
     }
@@ -209,6 +224,7 @@
     fn on_tick(&mut self, now: Now) {
         let gap = now.mono.saturating_sub(self.last_tick);
         self.last_tick = now.mono;
+        self.clock_ahead_of_wall_ms = self.clock.ahead_of_wall_ms(now);
         if gap > self.settings.bounds.election_timeout() / PAUSE_ELECTION_DIVISOR {
             self.on_process_pause(now);
         }
--- a/landingdrift/src/consensus/progress.rs
+++ b/landingdrift/src/consensus/progress.rs
@@ -2,6 +2,7 @@
 
 use super::snapshot_transfer::OutgoingSnapshot;
 use crate::sans_io::Now;
+use crate::wire::MessageStamp;
 use std::collections::VecDeque;
 
 /// The maximum number of rounds whose send time is kept; the oldest are dropped.
@@ -25,6 +26,8 @@
     /// Whether the replica's disk accepts no writes; the replica is then sent heartbeats but no entries.
     pub disk_refuses_writes: bool,
     pub last_heard_at: u64,
+    /// The stamp of the latest response that had one.
+    pub last_stamp: Option<MessageStamp>,
     /// The time at which entries were last sent.
     pub last_sent_at: u64,
     /// The round of the batch of entries in flight; 0 for none.
--- a/landingdrift/src/consensus/replication.rs
+++ b/landingdrift/src/consensus/replication.rs
@@ -116,11 +116,8 @@
         previous: LogPosition,
         entries: Vec<Entry>,
     ) {
-        let clock = if self.clock.is_set() {
-            self.clock.read(now)
-        } else {
-            0
-        };
+        let progress = self.leadership.progress.get(to);
+        let echo = progress.and_then(|progress| progress.last_stamp);
         let request = AppendRequest {
             term: self.hard_state.term,
             prev_index: previous.index,
@@ -129,8 +126,9 @@
             round: self.leadership.rounds.current(),
             entries,
             witnesses: self.witnesses_with_own(),
-            clock,
+            clock: self.clock.stated_time(now),
             may_leave: self.may_leave(now, to),
+            echo,
         };
         self.send(to, Body::AppendRequest(Box::new(request)));
     }
@@ -157,14 +155,15 @@
         if self.role != Role::Leader || response.term < self.hard_state.term {
             return;
         }
+        let round_sent_at = self.leadership.rounds.sent_at(response.round);
         if response.clock > 0 {
             let reading = ClockReading {
                 time: response.clock,
                 is_agreed: response.carried,
             };
-            self.clock.observe(now, from, reading);
+            let not_before = (round_sent_at > 0).then_some(round_sent_at);
+            self.clock.observe(now, from, reading, not_before);
         }
-        let round_sent_at = self.leadership.rounds.sent_at(response.round);
         let Some(progress) = self.leadership.progress.get_mut(from) else {
             return;
         };
@@ -252,6 +251,7 @@
         return false;
     }
     progress.last_heard_at = now.mono;
+    progress.last_stamp = response.stamp.or(progress.last_stamp);
     progress.acked_round_sent_at = progress.acked_round_sent_at.max(round_sent_at);
     let refused_writes_before =
         std::mem::replace(&mut progress.disk_refuses_writes, response.refuses);
--- a/landingdrift/src/consensus/status.rs
+++ b/landingdrift/src/consensus/status.rs
@@ -92,6 +92,10 @@
         let progress = self.leadership.progress.values();
         let outgoing = progress.filter(|p| p.snapshot.is_some()).count();
         add("snapshots_on_their_way", outgoing as u64);
+        if let Some(ahead_ms) = self.clock_ahead_of_wall_ms {
+            add("cluster_clock_ahead_ms", ahead_ms.max(0).unsigned_abs());
+            add("cluster_clock_behind_ms", ahead_ms.min(0).unsigned_abs());
+        }
         all
     }
 }
--- a/landingdrift/src/consensus/watch.rs
+++ b/landingdrift/src/consensus/watch.rs
@@ -9,6 +9,7 @@
 use super::watch_flow::{LinkRate, UnacknowledgedData};
 use super::watch_snapshots::{SentChunk, WatchSnapshots};
 use super::{Replica, Role};
+use crate::cluster_time::returned_stamp;
 use crate::sans_io::Now;
 use crate::settings::SMALL_NODE_SHARE;
 use crate::state::Command;
@@ -161,7 +162,8 @@
             time: request.clock,
             is_agreed: request.carried,
         };
-        self.clock.observe(now, &request.node, reading);
+        let not_before = returned_stamp(self.incarnation, request.echo);
+        self.clock.observe(now, &request.node, reading, not_before);
         let light = self.should_follow_light_copy(now, &request);
         self.update_watcher(now, &request, light);
         // A node whose copy is of the other kind (light or full) starts over.
@@ -362,6 +364,7 @@
             incarnation: origin.incarnation,
             follows: sent.follows,
             config_index: self.state.config_index_at(sent.reached),
+            stamp: Some(self.stamp(now)),
         };
         self.send(to, Body::WatchBatch(Box::new(batch)));
     }
--- a/landingdrift/src/lib.rs
+++ b/landingdrift/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![warn(missing_docs)]
 
+pub mod cluster_time;
 pub mod config;
 pub mod consensus;
 pub mod daemon;
--- a/landingdrift/src/node/watch/mod.rs
+++ b/landingdrift/src/node/watch/mod.rs
@@ -9,9 +9,10 @@
 mod snapshot;
 
 use super::Node;
+use crate::cluster_time::{StatedTime, TimeEstimate};
 use crate::sans_io::Now;
 use crate::snapshot_chunks::SnapshotAssembly;
-use crate::wire::{Body, WatchBatch, WatchRequest};
+use crate::wire::{Body, MessageStamp, WatchBatch, WatchRequest};
 use catch_up::CatchUp;
 
 /// Timeout in request intervals after which a replica that does not respond is replaced by another.
@@ -20,11 +21,10 @@
 /// be detected soon, and asking another replica meanwhile costs nothing.
 const MAX_FALSE_SUSPICIONS: u32 = 1;
 
-/// The cluster time reported by a replica, and the local monotonic time at which the report arrived.
-#[derive(Clone, Copy, Default)]
-struct ClockReading {
-    cluster_time: u64,
-    read_at: u64,
+/// The stamp of a replica's message.
+struct ReceivedStamp {
+    replica: String,
+    stamp: MessageStamp,
 }
 
 /// The state of a node's watch. Times are in monotonic milliseconds, except for cluster times.
@@ -44,7 +44,10 @@
     suspect: String,
     /// Number of false suspicions of the current leader, up to `MAX_FALSE_SUSPICIONS`.
     false_suspicions: u32,
-    clock: ClockReading,
+    /// The cluster time as replicas have stated it; none until one has.
+    clock: Option<TimeEstimate>,
+    /// The stamp of the latest batch of a replica, which is returned to it.
+    last_stamp: Option<ReceivedStamp>,
     /// The snapshot that is being fetched.
     incoming: SnapshotAssembly,
     /// Arrival time of the last useful chunk of the snapshot.
@@ -64,16 +67,31 @@
             last_response_at: now.mono,
             suspect: String::new(),
             false_suspicions: 0,
-            clock: ClockReading::default(),
+            clock: None,
+            last_stamp: None,
             incoming: SnapshotAssembly::default(),
             snapshot_progress_at: 0,
             catch_up: CatchUp::new(now),
         }
     }
 
+    fn record_stamp(&mut self, replica: &str, stamp: Option<MessageStamp>) {
+        self.last_stamp = stamp.map(|stamp| ReceivedStamp {
+            replica: replica.into(),
+            stamp,
+        });
+    }
+
+    /// The stamp of the latest batch, if it came from the given replica.
+    fn stamp_of(&self, replica: &str) -> Option<MessageStamp> {
+        let last = self.last_stamp.as_ref();
+        let from_replica = last.filter(|received| received.replica == replica);
+        from_replica.map(|received| received.stamp)
+    }
+
     /// Whether a replica has reported the cluster time.
     pub fn clock_known(&self) -> bool {
-        self.clock.cluster_time > 0
+        self.clock.is_some()
     }
 }
 
@@ -84,14 +102,11 @@
         self.count("calls_refused_without_copy", 1);
     }
 
-    /// This node's estimate of the cluster time, which is never ahead of the replicas' clock.
+    /// This node's estimate of the cluster time. It is ahead of the replicas' clock at most by the drift of monotonic
+    /// clocks since their last statement.
     pub(crate) fn cluster_time(&self, now: Now) -> u64 {
-        let ClockReading {
-            cluster_time,
-            read_at,
-        } = self.watch.clock;
-        let since = now.mono.saturating_sub(read_at);
-        self.state.at.max(cluster_time + since)
+        let estimate = self.watch.clock.map_or(0, |clock| clock.at(now));
+        self.state.at.max(estimate)
     }
 
     /// The known replicas and the seeds, without this node.
@@ -195,6 +210,7 @@
             part_checksum: incoming.checksum,
             part_received: self.watch.incoming.received(),
             incarnation: self.incarnation,
+            echo: self.watch.stamp_of(&self.watch.replica),
         }
     }
 
@@ -232,6 +248,7 @@
             incarnation: request.incarnation,
             follows: 0,
             config_index: 0,
+            stamp: None,
         };
         self.send(from, Body::WatchBatch(Box::new(batch)));
     }
@@ -240,6 +257,7 @@
         if !self.is_own_batch(&batch) {
             return;
         }
+        self.watch.record_stamp(from, batch.stamp);
         if !batch.ok {
             return self.on_watch_rejected(now, from, batch);
         }
@@ -299,9 +317,13 @@
         // The leader last confirmed its leadership `quorum_age` before it answered.
         let fresh_at = batch.sent.saturating_sub(batch.quorum_age).min(now.mono);
         self.watch.fresh_at = self.watch.fresh_at.max(fresh_at);
-        self.watch.clock = ClockReading {
-            cluster_time: batch.clock,
-            read_at: now.mono,
-        };
+        if batch.clock > 0 {
+            let stated = StatedTime {
+                time: batch.clock,
+                // Without an incarnation, `sent` may be by the clock of an earlier process.
+                not_before: (batch.incarnation != 0).then_some(batch.sent),
+            };
+            TimeEstimate::correct_or_begin(&mut self.watch.clock, now, stated);
+        }
     }
 }
--- a/landingdrift/src/replay/rerun/simulation.rs
+++ b/landingdrift/src/replay/rerun/simulation.rs
@@ -234,6 +234,7 @@
             incarnation: 0,
             follows: 0,
             config_index: 0,
+            stamp: None,
         };
         if needs_snapshot {
             batch.snapshot = self.state.pack();
--- a/landingdrift/tests/common/mod.rs
+++ b/landingdrift/tests/common/mod.rs
@@ -136,6 +136,7 @@
             incarnation: 0,
             follows: 0,
             config_index: 0,
+            stamp: None,
         };
         let body = Body::WatchBatch(Box::new(batch));
         self.step(node, Msg::Received(REPLICA.into(), body));
--- a/landingdrift/tests/light_copies.rs
+++ b/landingdrift/tests/light_copies.rs
@@ -222,6 +222,7 @@
         incarnation: 0,
         follows: 0,
         config_index: 0,
+        stamp: None,
     }
 }
 
--- a/landingdrift/tests/node_harness/mod.rs
+++ b/landingdrift/tests/node_harness/mod.rs
@@ -179,6 +179,7 @@
             incarnation: 0,
             follows: index,
             config_index: self.state.config_index(),
+            stamp: None,
         }
     }
 
--- a/landingdrift/tests/replicas/mod.rs
+++ b/landingdrift/tests/replicas/mod.rs
@@ -338,6 +338,7 @@
             part_checksum: 0,
             part_received: 0,
             incarnation: 0,
+            echo: None,
         }
     }
 
--- a/landingdrift/tests/responses.rs
+++ b/landingdrift/tests/responses.rs
@@ -65,6 +65,7 @@
             incarnation: 0,
             follows: 0,
             config_index: 0,
+            stamp: None,
         };
         test_node.receive(REPLICA, Body::WatchBatch(Box::new(batch)));
         test_node
--- a/landingdrift/tests/snapshots.rs
+++ b/landingdrift/tests/snapshots.rs
@@ -259,6 +259,7 @@
         witnesses: Vec::new(),
         clock: 0,
         may_leave: false,
+        echo: None,
     };
     cluster.deliver(
         follower,
--- a/landingdrift/tests/stored/messages.rs
+++ b/landingdrift/tests/stored/messages.rs
@@ -131,6 +131,7 @@
         witnesses: vec![witness(6)],
         clock: 7,
         may_leave: true,
+        echo: None,
     };
     let append_response = AppendResponse {
         term: 1,
@@ -143,6 +144,7 @@
         disk: 6,
         leaving: true,
         refuses: false,
+        stamp: None,
     };
     let install = InstallSnapshot {
         term: 1,
@@ -198,6 +200,7 @@
         incarnation: 0,
         follows: 0,
         config_index: 0,
+        stamp: None,
     };
     let chunk = WatchSnapshotChunk {
         commit: 1,
@@ -236,6 +239,7 @@
         part_checksum: 6,
         part_received: 7,
         incarnation: 0,
+        echo: None,
     }
 }
 
--- a/landingdrift/tests/stored/mod.rs
+++ b/landingdrift/tests/stored/mod.rs
@@ -218,6 +218,7 @@
         incarnation: 0,
         follows: 0,
         config_index: 0,
+        stamp: None,
     }
 }
 
--- a/landingdrift/tests/watch_flow.rs
+++ b/landingdrift/tests/watch_flow.rs
@@ -190,6 +190,7 @@
         incarnation: 0,
         follows: 0,
         config_index: 0,
+        stamp: None,
     };
     let body = Body::WatchBatch(Box::new(batch));
     harness.node.step(now, Msg::Received(REPLICA.into(), body));
--- a/landingdrift/tests/zone_offers.rs
+++ b/landingdrift/tests/zone_offers.rs
@@ -46,6 +46,7 @@
         incarnation: 0,
         follows: 0,
         config_index: 0,
+        stamp: None,
     };
     let now = harness.now();
     let effects = harness.node.step(
--- a/testkit/tests/module_imports.rs
+++ b/testkit/tests/module_imports.rs
@@ -8,6 +8,7 @@
     "settings",
     "wire",
     "sans_io",
+    "cluster_time",
     "config",
     "state",
     "snapshot_chunks",
