Watch: a leader without an agreed time states none to nodes

What callers would see: after a total outage, the cluster time goes on from the last log entry, so timed jobs start late by as long as all processes were down. With five clocks heard at once, as on larger sites, the leader agrees on a time first.

Cause: watch batches stated ClusterClock::read, which is the time of the last entry until a time is agreed. The node returned it as an agreed one, and the leader takes an agreed time at once.

Change: batches state the agreed time or 0, as append requests do; nodes ignore 0.

--- a/landingdrift/src/consensus/watch.rs
+++ b/landingdrift/src/consensus/watch.rs
@@ -352,7 +352,7 @@
             ok: leads,
             sent: origin.sent_at,
             quorum_age,
-            clock: self.clock.read(now),
+            clock: self.clock.stated_time(now),
             commit: self.log.commit_index,
             // Older builds sent whole snapshots in this field.
             snapshot: Vec::new(),
--- a/landingdrift/tests/old_messages.rs
+++ b/landingdrift/tests/old_messages.rs
@@ -115,6 +115,44 @@
     );
 }
 
+/// Guards against a total outage that the cluster time leaves out: before the leader has agreed on a time, it must not
+/// state the time of the last log entry to nodes, from which it would take that time as an agreed one.
+#[test]
+fn a_leader_that_has_not_agreed_on_a_time_yet_states_none_to_nodes() {
+    let (mut cluster, _) = TestCluster::start_with_node();
+    (0..3).for_each(|i| cluster.crash(i));
+    cluster.now_ms += OUTAGE_MS;
+    (0..3).for_each(|i| cluster.start_replica(i));
+    assert!(cluster.run_until(10_000, |cluster| cluster.leader().is_some()));
+    let mut last_stated = 0;
+    for _ in 0..60 {
+        cluster.external_messages.clear();
+        cluster.run(50);
+        let is_set = last_stated > 0;
+        let watch_request = WatchRequest {
+            clock: if is_set {
+                last_stated
+            } else {
+                expected_time(&cluster)
+            },
+            carried: is_set,
+            ..TestCluster::watch_request_of(NODE, 0)
+        };
+        cluster.send_watch_request(watch_request);
+        cluster.run(10);
+        for batch in cluster.batches(NODE) {
+            last_stated = batch.clock;
+        }
+    }
+    let time = cluster_time(&mut cluster);
+    let expected = expected_time(&cluster);
+    assert!(
+        time.abs_diff(expected) < TOLERANCE_MS,
+        "{} ms late",
+        expected as i64 - time as i64
+    );
+}
+
 /// Guards against a cluster clock that is late for good without anything that shows it to operators.
 #[test]
 fn metrics_show_how_far_the_cluster_clock_is_from_the_machines_clock() {
