--- a/testkit/src/checkers/mod.rs
+++ b/testkit/src/checkers/mod.rs
@@ -63,6 +63,8 @@
     pub outage_ms: u64,
     /// How long before its due time a run may start.
     pub early_ms: u64,
+    /// How long a job may have no run although one of its tasks is due and there is room for it.
+    pub idle_job_ms: u64,
     /// How long a gang member may run without one of its partners if no fault affects the gang.
     pub without_partner_ms: u64,
     /// How long a gang member may run without one of its partners if a fault affects the gang.
@@ -86,6 +88,7 @@
             config_ms: 2000,
             outage_ms: 12_000,
             early_ms: 250,
+            idle_job_ms: 3000,
             without_partner_ms: 1000,
             without_partner_in_fault_ms: 4500,
             recover_ms: 5000,
@@ -117,6 +120,7 @@
     checker("no repeat without leave", runs::no_unpermitted_repeat),
     checker("steps in order", runs::dependencies_first),
     checker("not before its time", runs::not_before_due_time),
+    checker("not long after its time", runs::not_long_after_due_time),
     checker("room", runs::within_capacity),
     checker("fitting workers", runs::only_fitting_workers),
     checker("tries", runs::max_attempts),
--- a/testkit/src/checkers/runs/mod.rs
+++ b/testkit/src/checkers/runs/mod.rs
@@ -1,11 +1,13 @@
 //! Checkers of runs: their repetition, dependencies, start times, placement and number of attempts, and the members of
 //! gangs.
 
+mod due_times;
 mod gangs;
 mod limits;
 mod placement;
 mod unreported;
 
+pub use due_times::{not_before_due_time, not_long_after_due_time};
 pub use gangs::{gangs_together, times_without_partner};
 pub use limits::{max_attempts, Limits};
 pub use placement::{
@@ -185,24 +187,3 @@
     }
     violations
 }
-
-/// No task starts more than `early_ms` before its due time.
-pub fn not_before_due_time(history: &History, bounds: &PromisedBounds) -> Vec<Violation> {
-    let specs = Specs::new(history);
-    let mut violations = Vec::new();
-    for timed in &history.events {
-        let Event::RunStarted { job, task, .. } = &timed.event else {
-            continue;
-        };
-        let due = specs.task(job, task).map_or(0, |spec| spec.due);
-        let early_ms = due.saturating_sub(timed.at_ms + bounds.epoch_ms);
-        if early_ms > bounds.early_ms {
-            violations.push(Violation::new(
-                "not before its time",
-                timed.at_ms,
-                format!("{job}/{task} started {early_ms} ms early"),
-            ));
-        }
-    }
-    violations
-}
--- a/testkit/tests/checkers_cases/mod.rs
+++ b/testkit/tests/checkers_cases/mod.rs
@@ -28,6 +28,7 @@
         runs::no_repeat_without_leave(),
         runs::steps_in_order(),
         runs::not_before_its_time(),
+        runs::not_long_after_its_time(),
         workers::capacity(),
         workers::fitting_workers(),
         runs::max_attempts(),
--- a/testkit/tests/checkers_cases/runs.rs
+++ b/testkit/tests/checkers_cases/runs.rs
@@ -94,6 +94,33 @@
     }]
 }
 
+pub(super) fn not_long_after_its_time() -> Vec<Case> {
+    let due_task = || TaskSpec {
+        due: 20_000,
+        ..task("a")
+    };
+    let accepted = || Event::SubmitAnswered {
+        id: "j".into(),
+        status: 201,
+        code: String::new(),
+    };
+    let until = |started_ms: u64| {
+        vec![
+            (0, worker_up("w")),
+            (0, worker_up("v")),
+            (1, offered(vec![due_task()])),
+            (2, accepted()),
+            (started_ms, run_started("w", 1, "a")),
+            (40_000, run_ended("w", 1, "a", Outcome::Succeeded)),
+        ]
+    };
+    vec![Case {
+        rule: "not long after its time",
+        violating: until(23_001),
+        conforming: until(23_000),
+    }]
+}
+
 pub(super) fn max_attempts() -> Vec<Case> {
     vec![
         Case {
