--- a/landingdrift/tests/old_messages.rs
+++ b/landingdrift/tests/old_messages.rs
@@ -21,11 +21,17 @@
     1_700_000_000_000 + cluster.now_ms
 }
 
-/// The cluster time by the leader's clock: that of an entry it has just committed.
-fn cluster_time(cluster: &mut TestCluster) -> u64 {
+/// Checks the cluster time by the leader's clock: the time of an entry that it commits now.
+fn assert_cluster_time_is_current(cluster: &mut TestCluster) {
     cluster.commit_change(10);
     let leader = cluster.leader().expect("a leader");
-    cluster.replica(leader).state().at
+    let time = cluster.replica(leader).state().at;
+    let expected = expected_time(cluster);
+    assert!(
+        time.abs_diff(expected) < TOLERANCE_MS,
+        "{} ms late",
+        expected as i64 - time as i64
+    );
 }
 
 /// The last append request that the leader sent to a follower.
@@ -66,13 +72,7 @@
     cluster.deliver(follower, &name(leader), take_over);
     cluster.run(1000);
     assert_eq!(cluster.leader(), Some(follower));
-    let time = cluster_time(&mut cluster);
-    let expected = expected_time(&cluster);
-    assert!(
-        time.abs_diff(expected) < TOLERANCE_MS,
-        "{} ms late",
-        expected as i64 - time as i64
-    );
+    assert_cluster_time_is_current(&mut cluster);
 }
 
 fn receive(harness: &mut NodeHarness, batch: WatchBatch) {
@@ -144,13 +144,7 @@
             last_stated = batch.clock;
         }
     }
-    let time = cluster_time(&mut cluster);
-    let expected = expected_time(&cluster);
-    assert!(
-        time.abs_diff(expected) < TOLERANCE_MS,
-        "{} ms late",
-        expected as i64 - time as i64
-    );
+    assert_cluster_time_is_current(&mut cluster);
 }
 
 /// Guards against a cluster clock that is late for good without anything that shows it to operators.
--- a/testkit/src/checkers/runs/due_times.rs
+++ b/testkit/src/checkers/runs/due_times.rs
@@ -39,39 +39,96 @@
     if has_clock_jump(history) {
         return Vec::new();
     }
-    let accepted = accepted_jobs(history);
-    let disturbances = disturbances(history);
-    let workers = workers(history);
-    let runs = runs(history);
-    let mut violations = Vec::new();
-    for (job, accepted_ms) in &accepted {
-        let tasks = Specs::new(history)
-            .job(job)
-            .map(|spec| spec.tasks.as_slice());
-        for task in tasks
-            .unwrap_or_default()
-            .iter()
-            .filter(|task| is_plain(task))
-        {
-            let turn = task.due.saturating_sub(bounds.epoch_ms).max(*accepted_ms);
-            let window = Interval::new(turn, turn + bounds.idle_job_ms);
-            let calm = Interval::new(turn.saturating_sub(bounds.outage_ms), window.to);
-            let is_calm = !disturbances.iter().any(|other| other.overlaps(&calm));
-            let has_run = |run: &Run| run.job == *job && is_running(run, &window);
-            let is_judged = window.to <= history.end_ms() && is_calm;
-            if is_judged
-                && !runs.iter().any(has_run)
-                && has_room(task, &workers, &runs, &calm, &window)
-            {
-                violations.push(Violation::new(
-                    "not long after its time",
-                    window.to,
-                    format!("{job}/{} had its turn at {turn} ms, and nothing of the job ran on idle workers", task.name),
-                ));
-            }
+    let day = Day {
+        end_ms: history.end_ms(),
+        disturbances: disturbances(history),
+        workers: workers(history),
+        runs: runs(history),
+    };
+    let turns = turns(history, bounds);
+    let missed = turns.iter().filter(|turn| day.is_missed(turn));
+    missed.map(Turn::violation).collect()
+}
+
+/// The turn of a due task: from then on its job must have a run.
+struct Turn<'a> {
+    job: &'a str,
+    task: &'a TaskSpec,
+    /// The interval in which a run is expected.
+    window: Interval,
+    /// The interval that must be free of disturbances.
+    calm: Interval,
+}
+
+impl Turn<'_> {
+    fn violation(&self) -> Violation {
+        let Self {
+            job, task, window, ..
+        } = self;
+        let description = format!(
+            "{job}/{} had its turn at {} ms, and nothing of the job ran on idle workers",
+            task.name, window.from
+        );
+        Violation::new("not long after its time", window.to, description)
+    }
+}
+
+/// The turns of the due tasks of all accepted jobs.
+fn turns<'a>(history: &'a History, bounds: &PromisedBounds) -> Vec<Turn<'a>> {
+    let specs = Specs::new(history);
+    let mut turns = Vec::new();
+    for (job, accepted_ms) in accepted_jobs(history) {
+        let tasks = specs.job(job).map_or(&[][..], |spec| &spec.tasks);
+        for task in tasks.iter().filter(|task| is_plain(task)) {
+            let from = task.due.saturating_sub(bounds.epoch_ms).max(accepted_ms);
+            let to = from + bounds.idle_job_ms;
+            turns.push(Turn {
+                job,
+                task,
+                window: Interval::new(from, to),
+                calm: Interval::new(from.saturating_sub(bounds.outage_ms), to),
+            });
         }
     }
-    violations
+    turns
+}
+
+/// What determines whether a task could run in time.
+struct Day<'a> {
+    end_ms: u64,
+    disturbances: Vec<Interval>,
+    workers: Workers<'a>,
+    runs: Vec<Run<'a>>,
+}
+
+impl Day<'_> {
+    /// Whether the job has no run in the window although it is calm and there is room.
+    fn is_missed(&self, turn: &Turn) -> bool {
+        let mut disturbances = self.disturbances.iter();
+        let is_calm = !disturbances.any(|other| other.overlaps(&turn.calm));
+        let has_run = |run: &Run| run.job == turn.job && is_running(run, &turn.window);
+        turn.window.to <= self.end_ms
+            && is_calm
+            && !self.runs.iter().any(has_run)
+            && self.has_room(turn)
+    }
+
+    /// Whether enough workers that fit the task are idle in the window, and at most half of the service's capacity is in
+    /// use. Only workers that are up in the whole calm interval count, and none that ever leaves.
+    fn has_room(&self, turn: &Turn) -> bool {
+        let counted = self.workers.serving(&turn.task.service, turn.calm.from);
+        let running = self
+            .runs
+            .iter()
+            .filter(|run| is_running(run, &turn.window) && counted.contains_key(run.worker));
+        let busy: BTreeSet<&str> = running.map(|run| run.worker).collect();
+        let busy_cpu: u32 = busy.iter().map(|name| counted[name].cpu).sum();
+        let total_cpu: u32 = counted.values().map(|worker| worker.cpu).sum();
+        let idle = counted
+            .iter()
+            .filter(|(name, worker)| !busy.contains(*name) && worker.cpu >= turn.task.cpu);
+        idle.count() >= MIN_IDLE_WORKERS && 2 * busy_cpu <= total_cpu
+    }
 }
 
 /// Whether a task has a due time, and needs nothing but room on a worker of its service.
@@ -163,6 +220,18 @@
     emptied_zones: BTreeSet<&'a str>,
 }
 
+impl<'a> Workers<'a> {
+    /// The workers of a service that have been up since a time, never leave, and are in no zone that is ever emptied.
+    fn serving(&self, service: &str, since_ms: u64) -> BTreeMap<&'a str, &Worker<'a>> {
+        let is_counted = |worker: &Worker| {
+            let is_in_use = worker.service == service && !self.emptied_zones.contains(worker.zone);
+            is_in_use && !worker.leaves && worker.up_since <= since_ms
+        };
+        let counted = self.by_name.iter().filter(|(_, worker)| is_counted(worker));
+        counted.map(|(name, worker)| (*name, worker)).collect()
+    }
+}
+
 fn workers(history: &History) -> Workers<'_> {
     let mut workers = Workers {
         by_name: BTreeMap::new(),
@@ -215,34 +284,3 @@
 fn is_running(run: &Run, window: &Interval) -> bool {
     window.overlaps(&Interval::new(run.from, run.to))
 }
-
-/// Whether enough workers that fit the task are idle in the window, and at most half of the service's capacity is in
-/// use. Only workers that are up in the whole calm interval count, and none that ever leaves.
-fn has_room(
-    task: &TaskSpec,
-    workers: &Workers,
-    runs: &[Run],
-    calm: &Interval,
-    window: &Interval,
-) -> bool {
-    let is_counted = |worker: &Worker| {
-        let serves = worker.service == task.service && !workers.emptied_zones.contains(worker.zone);
-        serves && !worker.leaves && worker.up_since <= calm.from
-    };
-    let counted = workers
-        .by_name
-        .iter()
-        .filter(|(_, worker)| is_counted(worker));
-    let counted: BTreeMap<&str, &Worker> = counted.map(|(name, worker)| (*name, worker)).collect();
-    let running = runs.iter().filter(|run| is_running(run, window));
-    let running: Vec<&Run> = running
-        .filter(|run| counted.contains_key(run.worker))
-        .collect();
-    let busy: BTreeSet<&str> = running.iter().map(|run| run.worker).collect();
-    let busy_cpu: u32 = busy.iter().map(|name| counted[name].cpu).sum();
-    let total_cpu: u32 = counted.values().map(|worker| worker.cpu).sum();
-    let idle = counted
-        .iter()
-        .filter(|(name, worker)| !busy.contains(*name) && worker.cpu >= task.cpu);
-    idle.count() >= MIN_IDLE_WORKERS && 2 * busy_cpu <= total_cpu
-}
